--- /dev/null
+++ b/src/bulk/client.h
@@ -0,0 +1,58 @@
+/// @file Keeps two copies of a shard's bulk data on disk nodes of different zones.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/asio.h"
+#include "bulk/store.h"
+#include "http/client.h"
+#include "membership/table.h"
+
+namespace frostline::bulk {
+
+inline constexpr std::size_t k_copies = 2;
+
+/// A disk node that may hold copies.
+struct replica {
+  std::string node;
+  std::string zone;
+  std::string address;
+};
+
+/// Disk nodes in the order in which they should hold copies of `shard`: rendezvous order, with the
+/// second one in another zone than the first where there is one. Pure.
+std::vector<replica> order_replicas(std::string const& shard, std::vector<replica> candidates);
+
+/// What a shard's owner learns from all disk nodes that answer.
+struct recovered_bulk {
+  rpc::LoadBulkResponseT content;
+  std::size_t replicas_read = 0;
+  std::size_t replicas_failed = 0;
+};
+
+class client {
+ public:
+  /// @param self this node as a replica; its address is empty if it has no disk.
+  client(http::client& transport, membership::table const& members, replica self, store* local)
+      : transport_(transport), members_(members), self_(std::move(self)), local_(local) {}
+
+  /// Stores on k_copies disk nodes (on all, if there are fewer). @return whether they all did.
+  awaitable<bool> put(rpc::StoreBulkRequestT request);
+  /// Reads the shard from every disk node that answers.
+  awaitable<recovered_bulk> load(std::string task, std::uint32_t shard);
+  /// Tells every disk node what it may forget; without a guarantee.
+  awaitable<void> forget(std::string task, std::uint32_t shard, std::uint64_t below);
+
+ private:
+  std::vector<replica> live_replicas() const;
+  awaitable<bool> put_on(replica target, rpc::StoreBulkRequestT const& request);
+
+  http::client& transport_;
+  membership::table const& members_;
+  replica self_;
+  store* local_;
+};
+
+}  // namespace frostline::bulk
--- /dev/null
+++ b/src/http/client.cc
@@ -0,0 +1,114 @@
+#include "http/client.h"
+
+namespace frostline::http {
+namespace {
+
+constexpr std::size_t k_pooled_per_endpoint = 32;
+
+std::error_code classify(beast::error_code const& failure) {
+  if (failure == beast::error::timeout) return errc::deadline_exceeded;
+  if (failure == bhttp::error::partial_message) return errc::answer_truncated;
+  if (failure == bhttp::error::body_limit) return errc::answer_too_large;
+  return errc::exchange_failed;
+}
+
+/// A kept connection that has become readable was closed by the peer, or carries a late answer.
+bool is_quiet(tcp::socket& socket) {
+  beast::error_code failure;
+  char probe = 0;
+  socket.non_blocking(true, failure);
+  socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, failure);
+  return failure == asio::error::would_block;
+}
+
+}  // namespace
+
+client::connection client::take_pooled(endpoint const& where) {
+  auto const found = pool_.find(where);
+  if (found == pool_.end()) return nullptr;
+  while (!found->second.empty()) {
+    connection kept = std::move(found->second.back());
+    found->second.pop_back();
+    if (is_quiet(kept->socket())) return kept;
+  }
+  return nullptr;
+}
+
+void client::give_back(endpoint const& where, connection stream) {
+  auto& kept = pool_[where];
+  if (kept.size() >= k_pooled_per_endpoint) return;
+  stream->expires_never();
+  kept.push_back(std::move(stream));
+}
+
+awaitable<result<client::connection>> client::connect(endpoint const& where, milliseconds timeout) {
+  auto stream = std::make_unique<beast::tcp_stream>(context_);
+  stream->expires_after(timeout);
+  beast::error_code bad_address;
+  auto const address = asio::ip::make_address(where.address, bad_address);
+  if (bad_address) co_return std::error_code(errc::connect_failed);
+  tcp::endpoint const remote(address, where.port);
+  auto [failure] = co_await stream->async_connect(remote, k_as_tuple);
+  if (failure) co_return std::error_code(errc::connect_failed);
+  beast::error_code ignored;
+  stream->socket().set_option(tcp::no_delay(true), ignored);
+  co_return std::move(stream);
+}
+
+awaitable<result<response>> client::exchange(endpoint where, request message, milliseconds timeout,
+                                             connection_use use) {
+  time_point const deadline = steady_clock::now() + timeout;
+  connection stream;
+  if (use == connection_use::pooled) stream = take_pooled(where);
+  if (!stream) {
+    auto connected = co_await connect(where, timeout);
+    if (!connected) co_return connected.error();
+    stream = std::move(connected.value());
+  }
+  stream->expires_at(deadline);
+  message.set(field::host, where.to_string());
+  message.keep_alive(use == connection_use::pooled);
+  message.prepare_payload();
+  auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
+  if (write_failure) co_return classify(write_failure);
+  bhttp::response_parser<bhttp::string_body> parser;
+  parser.body_limit(answer_limit_);
+  if (message.method() == verb::head) parser.skip(true);
+  beast::flat_buffer buffer;
+  auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, parser, k_as_tuple);
+  if (read_failure) co_return classify(read_failure);
+  bool const clean = parser.get().keep_alive() && buffer.size() == 0;
+  if (clean && use == connection_use::pooled) give_back(where, std::move(stream));
+  co_return parser.release();
+}
+
+awaitable<result<response>> client::stream(endpoint where, request message,
+                                           milliseconds idle_timeout, body_sink sink) {
+  auto connected = co_await connect(where, idle_timeout);
+  if (!connected) co_return connected.error();
+  connection stream = std::move(connected.value());
+  stream->expires_after(idle_timeout);
+  message.set(field::host, where.to_string());
+  message.prepare_payload();
+  auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
+  if (write_failure) co_return classify(write_failure);
+  bhttp::response_parser<bhttp::string_body> parser;
+  parser.body_limit(answer_limit_);
+  beast::flat_buffer buffer;
+  auto [head_failure, head] =
+      co_await bhttp::async_read_header(*stream, buffer, parser, k_as_tuple);
+  if (head_failure) co_return classify(head_failure);
+  bool const hand_over = parser.get().result() == status::ok;
+  while (!parser.is_done()) {
+    stream->expires_after(idle_timeout);
+    auto [failure, count] = co_await bhttp::async_read_some(*stream, buffer, parser, k_as_tuple);
+    if (failure) co_return classify(failure);
+    std::string& body = parser.get().body();
+    if (!hand_over || body.empty()) continue;
+    if (!sink(body)) co_return std::error_code(errc::exchange_failed);
+    body.clear();
+  }
+  co_return parser.release();
+}
+
+}  // namespace frostline::http
--- /dev/null
+++ b/src/http/json_fields.h
@@ -0,0 +1,45 @@
+/// @file Reading fields of JSON request bodies, with defaults.
+#pragma once
+
+#include <boost/json.hpp>
+#include <optional>
+#include <string>
+
+#include "http/message.h"
+
+namespace frostline {
+
+inline std::optional<boost::json::object> parse_json_object(std::string_view text) {
+  boost::system::error_code failure;
+  auto parsed = boost::json::parse(text, failure);
+  if (failure || !parsed.is_object()) return std::nullopt;
+  return std::move(parsed.as_object());
+}
+
+inline std::string json_text(boost::json::object const& object, std::string_view key,
+                             std::string_view fallback = {}) {
+  auto const* found = object.if_contains(key);
+  if (found == nullptr || !found->is_string()) return std::string(fallback);
+  return std::string(found->as_string());
+}
+
+inline std::int64_t json_number(boost::json::object const& object, std::string_view key,
+                                std::int64_t fallback = 0) {
+  auto const* found = object.if_contains(key);
+  if (found == nullptr) return fallback;
+  boost::system::error_code failure;
+  auto const number = found->to_number<std::int64_t>(failure);
+  return failure ? fallback : number;
+}
+
+inline bool json_flag(boost::json::object const& object, std::string_view key,
+                      bool fallback = false) {
+  auto const* found = object.if_contains(key);
+  return found != nullptr && found->is_bool() ? found->as_bool() : fallback;
+}
+
+inline http::response json_response(http::status code, boost::json::object const& body) {
+  return http::make_response(code, boost::json::serialize(body), http::k_json);
+}
+
+}  // namespace frostline
--- /dev/null
+++ b/src/kv/client.h
@@ -0,0 +1,50 @@
+/// @file Client of the platform's key-value service.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "http/client.h"
+#include "kv/errc.h"
+#include "kv/types.h"
+
+namespace frostline::kv {
+
+/// Speaks etcd v3's JSON form over HTTP; tries its servers in turn.
+class client {
+ public:
+  client(http::client& transport, std::vector<endpoint> servers)
+      : transport_(transport), servers_(std::move(servers)) {}
+
+  /// Reads one key, or with `range_end` all keys up to it.
+  awaitable<result<range_answer>> range(std::string key, std::string range_end = {});
+  /// Reads all keys that begin with `prefix`.
+  awaitable<result<range_answer>> range_prefix(std::string prefix);
+  /// Applies a transaction once; errc::outcome_unknown if it may have taken effect.
+  awaitable<result<transaction_answer>> apply(transaction change);
+  awaitable<result<lease_id>> grant_lease(seconds time_to_live);
+  /// @return the remaining seconds, or errc::lease_expired.
+  awaitable<result<std::uint64_t>> keep_alive(lease_id lease);
+  awaitable<result<std::uint64_t>> revoke(lease_id lease);
+  /// Follows changes of a prefix from `start` until the stream ends or `sink` returns false.
+  awaitable<std::error_code> watch(std::string prefix, revision start,
+                                   std::function<bool(watch_batch const&)> sink);
+
+  /// When the last answer of the service came; time_point::min() before the first.
+  time_point last_answer() const { return last_answer_; }
+  std::uint64_t operations() const { return operations_; }
+
+ private:
+  awaitable<result<std::string>> post(std::string target, std::string body);
+  endpoint const& server() const { return servers_[current_ % servers_.size()]; }
+
+  http::client& transport_;
+  std::vector<endpoint> servers_;
+  std::size_t current_ = 0;
+  time_point last_answer_ = time_point::min();
+  std::uint64_t operations_ = 0;
+};
+
+}  // namespace frostline::kv
--- /dev/null
+++ b/src/kv/errc.h
@@ -0,0 +1,44 @@
+/// @file Errors of the key-value client.
+#pragma once
+
+#include "base/error_category.h"
+
+namespace frostline::kv {
+
+enum class errc {
+  /// The service did not take the request: nothing changed.
+  unavailable = 1,
+  /// The service asks for fewer requests: nothing changed.
+  rate_limited,
+  /// The request may have taken effect; read back to know.
+  outcome_unknown,
+  /// The answer does not follow the protocol.
+  malformed_answer,
+  /// The lease is gone.
+  lease_expired,
+};
+
+inline const char* layer_name(errc) { return "kv"; }
+
+inline std::string describe(errc code) {
+  switch (code) {
+    case errc::unavailable:
+      return "key-value service is unavailable";
+    case errc::rate_limited:
+      return "key-value service limits the rate";
+    case errc::outcome_unknown:
+      return "outcome of the change is unknown";
+    case errc::malformed_answer:
+      return "malformed answer of the key-value service";
+    case errc::lease_expired:
+      return "lease has expired";
+  }
+  return "unknown error";
+}
+
+inline std::error_code make_error_code(errc code) { return make_layer_error(code); }
+
+}  // namespace frostline::kv
+
+template <>
+struct std::is_error_code_enum<frostline::kv::errc> : std::true_type {};
--- /dev/null
+++ b/src/kv/types.h
@@ -0,0 +1,67 @@
+/// @file What the key-value service holds and how it is changed (etcd v3's model).
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace frostline::kv {
+
+using revision = std::uint64_t;
+using lease_id = std::uint64_t;
+
+struct key_value {
+  std::string key;
+  std::string value;
+  revision create_revision = 0;
+  revision mod_revision = 0;
+  lease_id lease = 0;
+};
+
+struct range_answer {
+  revision store_revision = 0;
+  std::vector<key_value> entries;
+};
+
+/// Holds if the key's modification revision is the one given; 0 means absent.
+struct compare {
+  std::string key;
+  revision mod_revision = 0;
+};
+
+enum class operation_kind { put, remove };
+
+struct operation {
+  operation_kind kind = operation_kind::put;
+  std::string key;
+  std::string value;
+  lease_id lease = 0;
+};
+
+/// All comparisons hold: `on_success` takes effect. Else the keys of `read_on_failure` are read.
+struct transaction {
+  std::vector<compare> compares;
+  std::vector<operation> on_success;
+  std::vector<std::string> read_on_failure;
+};
+
+struct transaction_answer {
+  bool succeeded = false;
+  revision store_revision = 0;
+  /// With a failed comparison: the keys read.
+  std::vector<key_value> read;
+};
+
+struct watch_event {
+  bool deleted = false;
+  key_value entry;
+};
+
+struct watch_batch {
+  revision store_revision = 0;
+  std::vector<watch_event> events;
+  /// The requested revision was compacted: read the range anew.
+  bool compacted = false;
+};
+
+}  // namespace frostline::kv
--- /dev/null
+++ b/src/load/callers.cc
@@ -0,0 +1,130 @@
+#include "load/callers.h"
+
+#include <algorithm>
+#include <random>
+
+#include "base/encoding.h"
+#include "http/json_fields.h"
+
+namespace frostline::load {
+namespace {
+
+constexpr milliseconds k_call_timeout{5000};
+constexpr milliseconds k_retry_pause{50};
+constexpr milliseconds k_poll{10};
+
+/// Whether the answer is the one to this very request.
+bool answers_request(boost::json::object const& echo, std::string const& target,
+                     std::string const& key, std::string const& body) {
+  auto const* hash = echo.if_contains("body_hash");
+  boost::system::error_code failure;
+  bool const same_body =
+      hash != nullptr && hash->to_number<std::uint64_t>(failure) == hash_bytes(body) && !failure;
+  return same_body && json_text(echo, "target") == target && json_text(echo, "key") == key;
+}
+
+}  // namespace
+
+double percentile(std::vector<double> values, double share) {
+  if (values.empty()) return 0;
+  auto const rank = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank),
+                   values.end());
+  return values[rank];
+}
+
+callers::callers(asio::io_context& context, caller_options options)
+    : context_(context),
+      options_(std::move(options)),
+      client_(context),
+      journal_(options_.journal_path) {}
+
+awaitable<caller_report> callers::run() {
+  std::mt19937_64 random(options_.seed);
+  std::exponential_distribution<double> gap(options_.calls_per_second);
+  std::bernoulli_distribution single(options_.single_share);
+  time_point const end = steady_clock::now() + options_.duration;
+  time_point next = steady_clock::now();
+  asio::steady_timer timer(context_);
+  while (next < end) {
+    one_call call;
+    call.number = report_.calls++;
+    call.single = single(random);
+    call.key = "call-" + std::to_string(options_.seed) + "-" + std::to_string(call.number);
+    call.target = (call.single ? options_.single_path : options_.repeatable_path) +
+                  "?n=" + std::to_string(call.number);
+    if (call.single) call.body = "amount=" + std::to_string(random() % 100'000);
+    ++open_;
+    spawn(context_, make_call(std::move(call)));
+    next += std::chrono::duration_cast<steady_clock::duration>(
+        std::chrono::duration<double>(gap(random)));
+    timer.expires_at(next);
+    co_await timer.async_wait(k_as_tuple);
+  }
+  while (open_ > 0) co_await wait_for(k_poll);
+  report_.p50_ms = percentile(latencies_ms_, 0.5);
+  report_.p99_ms = percentile(latencies_ms_, 0.99);
+  journal_.write("finished", {{"calls", report_.calls},
+                              {"answered", report_.answered},
+                              {"p50_ms", report_.p50_ms},
+                              {"p99_ms", report_.p99_ms}});
+  co_return report_;
+}
+
+awaitable<void> callers::make_call(one_call call) {
+  time_point const begin = steady_clock::now();
+  attempt_result outcome = attempt_result::try_again;
+  for (std::uint32_t number = 0; number < options_.most_attempts; ++number) {
+    outcome = co_await attempt(call, number);
+    if (outcome != attempt_result::try_again) break;
+    co_await wait_for(k_retry_pause);
+  }
+  std::chrono::duration<double, std::milli> const took = steady_clock::now() - begin;
+  if (outcome == attempt_result::answered) {
+    latencies_ms_.push_back(took.count());
+    ++report_.answered;
+  } else {
+    ++report_.given_up;
+  }
+  --open_;
+}
+
+awaitable<callers::attempt_result> callers::attempt(one_call const& call, std::uint32_t number) {
+  endpoint const where = options_.nodes[(call.number + number) % options_.nodes.size()];
+  http::request message(call.single ? http::verb::post : http::verb::get, call.target, 11);
+  message.set("Idempotency-Key", call.key);
+  message.body() = call.body;
+  auto answer = co_await client_.exchange(where, std::move(message), k_call_timeout);
+  if (answer) co_return judge(call, number, answer.value());
+  bool const refused = answer.error() == http::errc::connect_failed;
+  journal_.write("attempt", {{"key", call.key},
+                             {"single", call.single},
+                             {"number", number},
+                             {"node", where.to_string()},
+                             {"status", 0},
+                             {"run_state", refused ? "not_run" : "unknown"},
+                             {"cut", !refused},
+                             {"detail", answer.error().message()}});
+  co_return attempt_result::try_again;
+}
+
+callers::attempt_result callers::judge(one_call const& call, std::uint32_t number,
+                                       http::response const& answer) {
+  auto const body = parse_json_object(answer.body());
+  bool const good = answer.result() == http::status::ok;
+  bool const right = !good || (body && answers_request(*body, call.target, call.key, call.body));
+  std::string const state = good ? "ran" : (body ? json_text(*body, "run_state") : "unknown");
+  journal_.write("attempt", {{"key", call.key},
+                             {"single", call.single},
+                             {"number", number},
+                             {"status", answer.result_int()},
+                             {"reason", body ? json_text(*body, "title") : ""},
+                             {"run_state", state},
+                             {"cut", false},
+                             {"right", right}});
+  if (good) return attempt_result::answered;
+  bool const claimed = answer.result() == http::status::conflict;
+  return claimed ? attempt_result::give_up : attempt_result::try_again;
+}
+
+}  // namespace frostline::load
--- /dev/null
+++ b/src/load/main.cc
@@ -0,0 +1,134 @@
+/// @file frostline-load: callers and trainers as an experiment tool.
+
+#include <gflags/gflags.h>
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <sstream>
+
+#include "load/callers.h"
+#include "load/checker.h"
+#include "load/trainer.h"
+#include "rpc/blocking.h"
+
+DEFINE_string(nodes, "127.0.0.1:7000", "IP:port of nodes, separated by commas");
+DEFINE_string(journal, "", "file to append the journal to");
+DEFINE_uint64(seed, 1, "seed of everything random");
+DEFINE_bool(json, false, "print JSON instead of a table");
+DEFINE_string(task, "main", "trainer: task");
+DEFINE_string(weights, "", "trainer: IP:port of the weight store");
+DEFINE_uint32(steps, 4, "trainer: training steps");
+DEFINE_uint32(samples, 128, "trainer: samples a step");
+DEFINE_uint32(group_size, 4, "trainer: samples a prompt");
+DEFINE_uint32(max_tokens, 256, "trainer: longest sample, tokens");
+DEFINE_uint32(train_ms, 500, "trainer: time of a training step, milliseconds");
+DEFINE_uint32(steps_ahead, 1, "trainer: steps whose prompts are submitted ahead");
+DEFINE_uint32(give_up_seconds, 120, "trainer: time after which it gives up");
+DEFINE_double(rate, 100, "callers: calls a second");
+DEFINE_double(seconds, 10, "callers: duration");
+DEFINE_double(single_share, 0.3, "callers: share of calls that must not run twice");
+DEFINE_string(folder, "", "check: folder with the journals");
+
+namespace {
+
+namespace json = boost::json;
+using frostline::endpoint;
+
+constexpr char k_usage[] =
+    "frostline-load trainer|callers|check [flags]\n\n"
+    "  trainer   submits prompts, pulls batches, publishes versions; prints its idle time\n"
+    "  callers   makes ordinary calls; prints latency percentiles\n"
+    "  check     judges a run by the journals in --folder; exit code 1 if a property is broken";
+
+std::optional<std::vector<endpoint>> parse_nodes() {
+  std::vector<endpoint> nodes;
+  std::istringstream words(FLAGS_nodes);
+  std::string word;
+  while (std::getline(words, word, ',')) {
+    auto const parsed = frostline::parse_endpoint(word);
+    if (!parsed) return std::nullopt;
+    nodes.push_back(*parsed);
+  }
+  if (nodes.empty()) return std::nullopt;
+  return nodes;
+}
+
+void print(json::object const& report) {
+  if (FLAGS_json) {
+    std::cout << json::serialize(report) << '\n';
+    return;
+  }
+  for (auto const& [key, value] : report) {
+    std::cout << std::left << std::setw(30) << std::string(key) << json::serialize(value) << '\n';
+  }
+}
+
+int run_trainer(std::vector<endpoint> nodes) {
+  frostline::load::trainer_options options;
+  options.nodes = std::move(nodes);
+  options.task = FLAGS_task;
+  options.weight_store = FLAGS_weights;
+  options.steps = FLAGS_steps;
+  options.samples_per_step = FLAGS_samples;
+  options.group_size = FLAGS_group_size;
+  options.max_tokens = FLAGS_max_tokens;
+  options.train_time = frostline::milliseconds(FLAGS_train_ms);
+  options.steps_ahead = FLAGS_steps_ahead;
+  options.journal_path = FLAGS_journal;
+  options.seed = FLAGS_seed;
+  options.give_up_after = frostline::seconds(FLAGS_give_up_seconds);
+  frostline::asio::io_context context(1);
+  frostline::load::trainer trainer(context, std::move(options));
+  auto const report = frostline::rpc::run_blocking(context, trainer.run());
+  print({{"samples_received", report.samples_received},
+         {"steps_done", report.steps_done},
+         {"trainer_idle_seconds", report.idle_seconds},
+         {"total_seconds", report.total_seconds},
+         {"superseded_batches", report.superseded_batches},
+         {"finished", report.finished}});
+  return report.finished ? 0 : 1;
+}
+
+int run_callers(std::vector<endpoint> nodes) {
+  frostline::load::caller_options options;
+  options.nodes = std::move(nodes);
+  options.calls_per_second = FLAGS_rate;
+  options.duration = frostline::milliseconds(static_cast<std::int64_t>(FLAGS_seconds * 1000));
+  options.single_share = FLAGS_single_share;
+  options.journal_path = FLAGS_journal;
+  options.seed = FLAGS_seed;
+  frostline::asio::io_context context(1);
+  frostline::load::callers callers(context, std::move(options));
+  auto const report = frostline::rpc::run_blocking(context, callers.run());
+  print({{"calls", report.calls},
+         {"answered", report.answered},
+         {"given_up", report.given_up},
+         {"p50_ms", report.p50_ms},
+         {"p99_ms", report.p99_ms}});
+  return 0;
+}
+
+int run_check() {
+  frostline::load::check_options options;
+  options.folder = FLAGS_folder;
+  auto const report = frostline::load::check_journals(options);
+  print(report.to_json());
+  return report.is_good() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(k_usage);
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  std::string const command = argc == 2 ? argv[1] : "";
+  auto const nodes = parse_nodes();
+  if (command == "check" && !FLAGS_folder.empty()) return run_check();
+  if (command == "trainer" && nodes) return run_trainer(*nodes);
+  if (command == "callers" && nodes) return run_callers(*nodes);
+  std::cerr << k_usage << '\n';
+  return 2;
+}
--- /dev/null
+++ b/src/node/application.cc
@@ -0,0 +1,305 @@
+#include "node/application.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+#include "base/encoding.h"
+#include "base/log.h"
+#include "http/json_fields.h"
+#include "http/server.h"
+#include "membership/gossip_service.h"
+#include "operators/service.h"
+#include "rollout/service.h"
+#include "routing/proxy.h"
+
+namespace frostline::node {
+namespace {
+
+constexpr std::string_view k_part = "node";
+/// Silence of the key-value service, own or by gossip, after which a node looks at its peers.
+constexpr milliseconds k_kv_silence{2000};
+/// Silence of all nodes outside the zone after which a node takes itself to be cut off.
+constexpr milliseconds k_peer_silence{2000};
+/// Time in which callers and peers learn that a node leaves; it serves them meanwhile.
+constexpr milliseconds k_leave_notice{1500};
+constexpr milliseconds k_drain_poll{20};
+constexpr milliseconds k_seed_interval{1000};
+constexpr milliseconds k_hand_over_margin{2000};
+constexpr std::string_view k_plain_text = "text/plain; version=0.0.4";
+
+membership::member_update describe_self(settings const& all, std::uint64_t incarnation) {
+  membership::member_update self;
+  self.id = all.id;
+  self.zone = all.zone;
+  self.incarnation = incarnation;
+  self.http_address = all.listen.to_string();
+  self.gossip_address = all.gossip.to_string();
+  self.bulk = !all.data_folder.empty();
+  return self;
+}
+
+}  // namespace
+
+struct application::parts {
+  explicit parts(settings given);
+
+  int run();
+
+ private:
+  awaitable<http::response> handle(http::request message);
+  http::response health() const;
+  http::response readiness() const;
+  http::response metrics_page();
+  void register_methods();
+  void take_machine_list();
+  void take_configuration();
+  bool is_cut_off() const;
+  void describe(rpc::GetStatusResponseT& status) const;
+  awaitable<void> seed_loop();
+  awaitable<void> stop();
+  awaitable<void> wait_until_idle(time_point deadline);
+  std::string start();
+
+  settings settings_;
+  std::uint64_t incarnation_ = wall_clock_ms();
+  node_state state_ = node_state::starting;
+  asio::io_context context_{1};
+  std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
+  http::client transport_{context_};
+  kv::client kv_{transport_, settings_.kv};
+  membership::table members_{describe_self(settings_, incarnation_), {}, incarnation_};
+  membership::gossip_service gossip_{context_, members_};
+  config::store config_;
+  config::sync config_sync_{context_, kv_, transport_, members_, config_};
+  platform::machine_list machines_{context_, transport_, settings_.machines};
+  routing::leaving_tracker leaving_;
+  std::unique_ptr<bulk::store> bulk_store_;
+  std::unique_ptr<bulk::client> bulk_;
+  std::unique_ptr<ownership::keeper> keeper_;
+  std::unique_ptr<rollout::node_parts> rollout_parts_;
+  std::unique_ptr<rollout::service> rollout_;
+  std::unique_ptr<operators::service> operators_;
+  routing::metrics routing_metrics_{*registry_};
+  routing::claims claims_{context_, kv_};
+  std::unique_ptr<routing::proxy> proxy_;
+  rpc::dispatcher methods_;
+  std::unique_ptr<http::server> server_;
+};
+
+application::application(settings all) : parts_(std::make_unique<parts>(std::move(all))) {}
+
+application::~application() = default;
+
+int application::run() { return parts_->run(); }
+
+application::parts::parts(settings given) : settings_(std::move(given)) {
+  ownership::identity const self{settings_.id, incarnation_, settings_.zone};
+  keeper_ = std::make_unique<ownership::keeper>(context_, kv_, config_, config_sync_, members_,
+                                                self, settings_.listen.to_string(),
+                                                [this] { return rollout_->list_resources(); });
+  proxy_ =
+      std::make_unique<routing::proxy>(context_, transport_, config_, machines_, leaving_, claims_,
+                                       routing_metrics_, [this] { return is_cut_off(); });
+  operators_ = std::make_unique<operators::service>(
+      kv_, transport_, config_, config_sync_, members_, machines_,
+      [this](rpc::GetStatusResponseT& status) { describe(status); });
+  server_ = std::make_unique<http::server>(
+      context_, settings_.limits,
+      [this](http::request message) { return handle(std::move(message)); });
+}
+
+std::string application::parts::start() {
+  if (!settings_.data_folder.empty()) {
+    auto opened = bulk::store::open(settings_.data_folder);
+    if (!opened) return settings_.data_folder + ": " + opened.error().message();
+    bulk_store_ = std::move(opened.value());
+  }
+  bulk::replica const replica{settings_.id, settings_.zone, settings_.listen.to_string()};
+  bulk_ = std::make_unique<bulk::client>(transport_, members_, replica, bulk_store_.get());
+  rollout_parts_ = std::make_unique<rollout::node_parts>(
+      rollout::node_parts{context_, kv_, transport_, config_, config_sync_, members_, *keeper_,
+                          machines_, leaving_, *bulk_, settings_.zone, settings_.placement,
+                          settings_.listen.to_string(), nullptr, [this] { return is_cut_off(); }});
+  rollout_ = std::make_unique<rollout::service>(*rollout_parts_, leaving_, bulk_store_.get());
+  register_methods();
+  std::string failure = server_->listen(settings_.listen);
+  if (failure.empty()) failure = gossip_.start(settings_.gossip);
+  return failure;
+}
+
+void application::parts::register_methods() {
+  operators_->register_methods(methods_);
+  rollout_->register_methods(methods_);
+  methods_.add<rpc::FetchConfigRequestT, rpc::FetchConfigResponseT>(
+      "NodeService", "FetchConfig",
+      [this](rpc::FetchConfigRequestT request) -> awaitable<rpc::reply<rpc::FetchConfigResponseT>> {
+        co_return config_sync_.answer_peer(request);
+      });
+}
+
+int application::parts::run() {
+  std::string const failure = start();
+  if (!failure.empty()) {
+    std::cerr << "frostline: can't start: " << failure << '\n';
+    return 1;
+  }
+  config_sync_.on_change([this] { take_configuration(); });
+  machines_.on_change([this] { take_machine_list(); });
+  config_sync_.start();
+  machines_.start();
+  keeper_->start();
+  claims_.start();
+  spawn(context_, seed_loop());
+  asio::signal_set signals(context_, SIGTERM, SIGINT);
+  signals.async_wait([this](auto failed, int) {
+    if (!failed) spawn(context_, stop());
+  });
+  log_line(log_level::info, k_part, "Started.",
+           {{"id", settings_.id},
+            {"zone", settings_.zone},
+            {"http", settings_.listen.to_string()},
+            {"incarnation", incarnation_}});
+  context_.run();
+  return 0;
+}
+
+awaitable<http::response> application::parts::handle(http::request message) {
+  std::string_view const target = http::as_view(message.target());
+  if (target.starts_with(rpc::k_rpc_prefix)) co_return co_await methods_.handle(std::move(message));
+  if (target == "/healthz") co_return health();
+  if (target == "/readyz") co_return readiness();
+  if (target == "/metrics") co_return metrics_page();
+  co_return co_await proxy_->handle(std::move(message));
+}
+
+http::response application::parts::health() const {
+  return json_response(http::status::ok, {{"status", "ok"}});
+}
+
+http::response application::parts::readiness() const {
+  bool const ready = state_ == node_state::serving && !is_cut_off();
+  http::status const code = ready ? http::status::ok : http::status::service_unavailable;
+  return json_response(code, {{"ready", ready},
+                              {"draining", state_ == node_state::draining},
+                              {"cut_off", is_cut_off()},
+                              {"config_revision", config_.revision()}});
+}
+
+http::response application::parts::metrics_page() {
+  auto& gauges = prometheus::BuildGauge()
+                     .Name("frostline_node")
+                     .Help("State of this node, by quantity")
+                     .Register(*registry_);
+  auto const set = [&gauges](std::string const& quantity, double value) {
+    gauges.Add({{"quantity", quantity}}).Set(value);
+  };
+  auto const& traffic = gossip_.traffic();
+  set("gossip_bytes_sent", static_cast<double>(traffic.bytes_sent));
+  set("gossip_bytes_received", static_cast<double>(traffic.bytes_received));
+  set("kv_operations", static_cast<double>(kv_.operations()));
+  set("config_revision", static_cast<double>(config_.revision()));
+  set("members", static_cast<double>(members_.members().size()));
+  set("runs_in_flight", static_cast<double>(rollout_->runs_in_flight()));
+  set("requests_in_flight", static_cast<double>(server_->in_flight()));
+  prometheus::TextSerializer const serializer;
+  return http::make_response(http::status::ok, serializer.Serialize(registry_->Collect()),
+                             k_plain_text);
+}
+
+bool application::parts::is_cut_off() const {
+  time_point const now = steady_clock::now();
+  if (!members_.knows_other_members()) return false;
+  if (config_sync_.kv_age(now) < k_kv_silence) return false;
+  return now - members_.last_heard_outside_zone() > k_peer_silence;
+}
+
+void application::parts::take_machine_list() {
+  time_point const now = steady_clock::now();
+  for (auto const& [id, machine] : machines_.machines()) {
+    if (machine.leaving) {
+      leaving_.mark(id, machine.incarnation, routing::leaving_source::machine_list);
+    }
+    if (machine.kind != platform::machine_kind::node || machine.leaving) continue;
+    membership::member_update seed;
+    seed.id = id;
+    seed.zone = machine.zone;
+    seed.http_address = machine.address.to_string();
+    seed.gossip_address = machine.gossip_address;
+    members_.add_seed(seed, now);
+  }
+  rollout_->reconcile();
+}
+
+void application::parts::take_configuration() {
+  for (auto const& [id, drain] : config_.drains()) {
+    if (drain.record.leaving) {
+      leaving_.mark(id, drain.record.incarnation, routing::leaving_source::operator_drain);
+    } else {
+      leaving_.undo_operator(id);
+    }
+  }
+  if (state_ == node_state::starting && config_.is_complete()) state_ = node_state::serving;
+  rollout_->reconcile();
+}
+
+/// The machine list may name a node again that gossip has forgotten.
+awaitable<void> application::parts::seed_loop() {
+  while (state_ != node_state::stopped) {
+    co_await wait_for(k_seed_interval);
+    take_machine_list();
+  }
+}
+
+void application::parts::describe(rpc::GetStatusResponseT& status) const {
+  status.kv_reachable = config_sync_.kv_age(steady_clock::now()) < k_kv_silence;
+  rollout_->describe(status);
+  for (auto const& entry : leaving_.entries()) {
+    auto item = std::make_unique<rpc::LeavingStatusT>();
+    item->backend = entry.back_end;
+    item->incarnation = entry.incarnation;
+    item->source = std::string(routing::to_string(entry.source));
+    status.leaving.push_back(std::move(item));
+  }
+}
+
+awaitable<void> application::parts::wait_until_idle(time_point deadline) {
+  while (steady_clock::now() < deadline) {
+    bool const idle = server_->in_flight() == 0 && rollout_->runs_in_flight() == 0;
+    if (idle) co_return;
+    co_await wait_for(k_drain_poll);
+  }
+}
+
+/// A planned stop: tell, hand over, finish what is in flight, and only then close.
+awaitable<void> application::parts::stop() {
+  if (state_ == node_state::draining) co_return;
+  state_ = node_state::draining;
+  log_line(log_level::info, k_part, "Planned stop begins.");
+  time_point const begin = steady_clock::now();
+  time_point const deadline = begin + settings_.drain_time;
+  server_->drain();
+  gossip_.announce_leave();
+  rollout_->stop_owners();
+  while (rollout_->owners_busy() && steady_clock::now() < deadline) {
+    co_await wait_for(k_drain_poll);
+  }
+  co_await keeper_->release_all();
+  gossip_.announce_leave();
+  co_await wait_for(k_leave_notice);
+  co_await wait_until_idle(deadline - k_hand_over_margin);
+  rollout_->give_up_runs();
+  co_await wait_until_idle(deadline);
+  server_->close_listener();
+  co_await wait_until_idle(deadline);
+  server_->close_idle();
+  bool const cut = server_->in_flight() > 0;
+  log_line(cut ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
+           {{"cut", server_->in_flight()}});
+  state_ = node_state::stopped;
+  context_.stop();
+}
+
+}  // namespace frostline::node
--- /dev/null
+++ b/src/node/main.cc
@@ -0,0 +1,90 @@
+/// @file frostline: the node.
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+#include "base/log.h"
+#include "node/application.h"
+
+DEFINE_string(config, "", "settings file (TOML)");
+DEFINE_bool(check, false, "check the settings, print what is wrong, and exit");
+DEFINE_bool(print_settings, false, "print the table of all settings and exit");
+DEFINE_string(id, "", "overrides node.id");
+DEFINE_string(zone, "", "overrides node.zone");
+DEFINE_string(data_folder, "", "overrides node.data_folder");
+DEFINE_string(http, "", "overrides listen.http");
+DEFINE_string(gossip, "", "overrides listen.gossip");
+DEFINE_string(log_level, "", "overrides log.level");
+
+namespace {
+
+using frostline::node::settings;
+using frostline::node::settings_error;
+
+constexpr char k_usage[] =
+    "frostline --config FILE [flags]\n\n"
+    "A node of the frostline rollout service. It reads its settings from a TOML file; flags\n"
+    "override single values. SIGTERM or SIGINT begins a planned stop: the node tells its peers,\n"
+    "hands its work over, finishes what is in flight and exits.\n\n"
+    "Exit codes: 0 after a planned stop or a good --check; 1 if it can't start; 2 for bad "
+    "settings.";
+
+void override_text(std::string const& flag, std::string& value) {
+  if (!flag.empty()) value = flag;
+}
+
+void override_endpoint(std::string const& flag, std::string const& name, frostline::endpoint& value,
+                       std::vector<settings_error>& errors) {
+  if (flag.empty()) return;
+  auto const parsed = frostline::parse_endpoint(flag);
+  if (parsed) {
+    value = *parsed;
+  } else {
+    errors.push_back({"flags", name, "must be IP:port"});
+  }
+}
+
+std::vector<settings_error> load(settings& all) {
+  std::vector<settings_error> errors;
+  if (!FLAGS_config.empty()) errors = frostline::node::read_settings(FLAGS_config, all);
+  override_text(FLAGS_id, all.id);
+  override_text(FLAGS_zone, all.zone);
+  override_text(FLAGS_data_folder, all.data_folder);
+  override_text(FLAGS_log_level, all.log_level);
+  override_endpoint(FLAGS_http, "http", all.listen, errors);
+  override_endpoint(FLAGS_gossip, "gossip", all.gossip, errors);
+  if (!errors.empty()) return errors;
+  return frostline::node::check_settings(all, FLAGS_config.empty() ? "flags" : FLAGS_config);
+}
+
+void print_settings() {
+  std::cout << "| key | default | meaning |\n| --- | --- | --- |\n";
+  for (auto const& one : frostline::node::describe_settings()) {
+    std::cout << "| `" << one.key << "` | " << one.fallback << " | " << one.meaning << " |\n";
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(k_usage);
+  gflags::SetVersionString("0.1.0");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  if (FLAGS_print_settings) {
+    print_settings();
+    return 0;
+  }
+  settings all;
+  auto const errors = load(all);
+  for (settings_error const& error : errors) {
+    std::cerr << "frostline: " << error.to_string() << '\n';
+  }
+  if (!errors.empty()) return 2;
+  if (FLAGS_check) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  frostline::start_logging(all.id, all.log_level);
+  return frostline::node::application(std::move(all)).run();
+}
--- /dev/null
+++ b/src/operators/service.cc
@@ -0,0 +1,295 @@
+#include "operators/service.h"
+
+#include <algorithm>
+
+#include "base/encoding.h"
+#include "base/log.h"
+#include "rpc/client.h"
+
+namespace frostline::operators {
+namespace {
+
+constexpr std::string_view k_part = "operators";
+constexpr milliseconds k_kv_retry{1000};
+constexpr milliseconds k_peer_timeout{1000};
+constexpr int k_read_back_tries = 5;
+constexpr milliseconds k_read_back_pause{100};
+constexpr std::size_t k_longest_name = 64;
+constexpr std::uint32_t k_largest_batch = 4096;
+constexpr std::uint32_t k_most_shards = 64;
+constexpr std::uint32_t k_longest_deadline_ms = 600'000;
+
+bool is_name(std::string const& text) {
+  if (text.empty() || text.size() > k_longest_name) return false;
+  return std::all_of(text.begin(), text.end(), [](char one) {
+    return std::isalnum(static_cast<unsigned char>(one)) != 0 || one == '-' || one == '_';
+  });
+}
+
+bool has_token(std::string const& value, std::string const& token) {
+  return value.find(token) != std::string::npos;
+}
+
+rpc::problem kv_problem(std::error_code error) {
+  return rpc::unavailable(rpc::reason::kv_unavailable, error.message(), k_kv_retry);
+}
+
+rpc::problem not_found(std::string detail) {
+  return {http::status::not_found, rpc::reason::not_found, std::move(detail),
+          rpc::run_state::not_run};
+}
+
+rpc::ChangeResponseT make_change(rpc::ChangeOutcome outcome, kv::revision revision,
+                                 std::string token) {
+  rpc::ChangeResponseT response;
+  response.outcome = outcome;
+  response.revision = revision;
+  response.change_token = std::move(token);
+  return response;
+}
+
+template <class Record>
+kv::revision revision_of(std::map<std::string, Record> const& view, std::string const& name) {
+  auto const found = view.find(name);
+  return found == view.end() ? 0 : found->second.revision;
+}
+
+/// The revision to compare: the caller's, or else the one that this node knows.
+kv::revision expected_revision(std::int64_t wanted, kv::revision known) {
+  return wanted < 0 ? known : static_cast<kv::revision>(wanted);
+}
+
+}  // namespace
+
+std::string check_task(rpc::TaskRecordT const& task, rpc::TaskRecordT const* existing) {
+  if (!is_name(task.name)) return "task.name: must be 1 to 64 letters, digits, '-' or '_'";
+  if (!is_name(task.model)) return "task.model: must be 1 to 64 letters, digits, '-' or '_'";
+  if (task.batch_size == 0 || task.batch_size > k_largest_batch) {
+    return "task.batch_size: must be 1 to 4096";
+  }
+  if (task.shards == 0 || task.shards > k_most_shards) return "task.shards: must be 1 to 64";
+  if (!task.scorer.empty() && !parse_endpoint(task.scorer)) return "task.scorer: must be IP:port";
+  if (existing != nullptr && existing->shards != task.shards) {
+    return "task.shards: can't change once the task exists";
+  }
+  return {};
+}
+
+std::string check_route(rpc::RouteRecordT const& route) {
+  if (!is_name(route.name)) return "route.name: must be 1 to 64 letters, digits, '-' or '_'";
+  if (!route.path_prefix.starts_with('/')) return "route.path_prefix: must begin with '/'";
+  if (route.path_prefix.starts_with(rpc::k_rpc_prefix)) {
+    return "route.path_prefix: /rpc/v1/ is frostline's own";
+  }
+  if (route.backends.empty()) return "route.backends: is empty";
+  if (route.deadline_ms == 0 || route.deadline_ms > k_longest_deadline_ms) {
+    return "route.deadline_ms: must be 1 to 600000";
+  }
+  if (route.max_concurrent == 0) return "route.max_concurrent: must be above 0";
+  if (route.retry_budget_percent > 100) return "route.retry_budget_percent: must be 0 to 100";
+  return {};
+}
+
+service::service(kv::client& kv_service, http::client& transport, config::store const& store,
+                 config::sync& sync, membership::table const& members,
+                 platform::machine_list const& machines,
+                 std::function<void(rpc::GetStatusResponseT&)> describe_local)
+    : kv_(kv_service),
+      transport_(transport),
+      store_(store),
+      sync_(sync),
+      members_(members),
+      machines_(machines),
+      describe_local_(std::move(describe_local)) {}
+
+void service::register_methods(rpc::dispatcher& methods) {
+  methods.add<rpc::PutTaskRequestT, rpc::ChangeResponseT>(
+      "OperatorService", "PutTask",
+      [this](rpc::PutTaskRequestT request) { return put_task(std::move(request)); });
+  methods.add<rpc::PublishVersionRequestT, rpc::ChangeResponseT>(
+      "OperatorService", "PublishVersion",
+      [this](rpc::PublishVersionRequestT request) { return publish(std::move(request)); });
+  methods.add<rpc::PutRouteRequestT, rpc::ChangeResponseT>(
+      "OperatorService", "PutRoute",
+      [this](rpc::PutRouteRequestT request) { return put_route(std::move(request)); });
+  methods.add<rpc::SetDrainRequestT, rpc::ChangeResponseT>(
+      "OperatorService", "SetDrain",
+      [this](rpc::SetDrainRequestT request) { return set_drain(std::move(request)); });
+  methods.add<rpc::GetStatusRequestT, rpc::GetStatusResponseT>(
+      "OperatorService", "GetStatus",
+      [this](rpc::GetStatusRequestT request) { return status(std::move(request)); });
+}
+
+awaitable<service::change_reply> service::put_task(rpc::PutTaskRequestT request) {
+  if (!request.task) co_return rpc::bad_request("task: is missing");
+  rpc::TaskRecordT& task = *request.task;
+  auto const* existing = store_.find_task(task.name);
+  std::string const fault = check_task(task, existing == nullptr ? nullptr : &existing->record);
+  if (!fault.empty()) co_return rpc::bad_request(fault);
+  task.change_token = make_unique_token();
+  kv::revision const known = revision_of(store_.tasks(), task.name);
+  change wanted{config::key_of(config::k_tasks, task.name), rpc::encode(task), task.change_token,
+                expected_revision(request.expected_revision, known)};
+  co_return co_await write(std::move(wanted));
+}
+
+awaitable<service::change_reply> service::publish(rpc::PublishVersionRequestT request) {
+  if (store_.find_task(request.task) == nullptr) co_return not_found("no such task");
+  std::uint64_t const published = store_.published_version(request.task);
+  kv::revision const known = store_.version_revision(request.task);
+  if (request.version == published && published > 0) {
+    bool const same = store_.versions().at(request.task).record.weights == request.weights;
+    auto const outcome = same ? rpc::ChangeOutcome::ACCEPTED : rpc::ChangeOutcome::CONFLICT;
+    co_return make_change(outcome, known, {});
+  }
+  if (request.version < published) {
+    co_return make_change(rpc::ChangeOutcome::CONFLICT, known, {});
+  }
+  rpc::VersionRecordT record;
+  record.task = request.task;
+  record.version = request.version;
+  record.weights = request.weights;
+  record.change_token = make_unique_token();
+  change wanted{config::key_of(config::k_versions, request.task), rpc::encode(record),
+                record.change_token, known};
+  co_return co_await write(std::move(wanted));
+}
+
+awaitable<service::change_reply> service::put_route(rpc::PutRouteRequestT request) {
+  if (!request.route) co_return rpc::bad_request("route: is missing");
+  rpc::RouteRecordT& route = *request.route;
+  std::string const fault = check_route(route);
+  if (!fault.empty()) co_return rpc::bad_request(fault);
+  route.change_token = make_unique_token();
+  kv::revision const known = revision_of(store_.routes(), route.name);
+  change wanted{config::key_of(config::k_routes, route.name), rpc::encode(route),
+                route.change_token, expected_revision(request.expected_revision, known)};
+  co_return co_await write(std::move(wanted));
+}
+
+awaitable<service::change_reply> service::set_drain(rpc::SetDrainRequestT request) {
+  platform::machine const* machine = machines_.find(request.backend);
+  if (machine == nullptr) co_return not_found("no such back end in the machine list");
+  rpc::DrainRecordT record;
+  record.backend = request.backend;
+  record.incarnation = request.incarnation == 0 ? machine->incarnation : request.incarnation;
+  record.leaving = request.leaving;
+  record.change_token = make_unique_token();
+  change wanted{config::key_of(config::k_drains, request.backend), rpc::encode(record),
+                record.change_token, revision_of(store_.drains(), request.backend)};
+  co_return co_await write(std::move(wanted));
+}
+
+awaitable<service::change_reply> service::write(change wanted) {
+  if (!store_.is_complete()) {
+    co_return rpc::unavailable(rpc::reason::not_ready, "this node has no configuration yet",
+                               k_kv_retry);
+  }
+  kv::transaction transaction;
+  transaction.compares.push_back({wanted.key, wanted.expected});
+  transaction.on_success.push_back({kv::operation_kind::put, wanted.key, wanted.value, 0});
+  transaction.read_on_failure.push_back(wanted.key);
+  auto answer = co_await kv_.apply(std::move(transaction));
+  if (!answer && answer.error() == kv::errc::outcome_unknown) {
+    co_return co_await resolve(std::move(wanted));
+  }
+  if (!answer) co_return kv_problem(answer.error());
+  if (!answer.value().succeeded) co_return take_rival(wanted, answer.value());
+  kv::revision const accepted = answer.value().store_revision;
+  sync_.apply_own({wanted.key, accepted, wanted.value, false});
+  log_line(log_level::info, k_part, "Accepted a change.",
+           {{"key", wanted.key}, {"revision", accepted}});
+  co_return make_change(rpc::ChangeOutcome::ACCEPTED, accepted, wanted.token);
+}
+
+service::change_reply service::take_rival(change const& wanted,
+                                          kv::transaction_answer const& answer) {
+  kv::revision rival = 0;
+  for (kv::key_value const& entry : answer.read) {
+    if (entry.key != wanted.key) continue;
+    rival = entry.mod_revision;
+    sync_.apply_own({entry.key, entry.mod_revision, entry.value, false});
+  }
+  return make_change(rpc::ChangeOutcome::CONFLICT, rival, {});
+}
+
+/// After a lost answer the stored token says whose write is in force.
+awaitable<service::change_reply> service::resolve(change wanted) {
+  for (int attempt = 0; attempt < k_read_back_tries; ++attempt) {
+    auto read = co_await kv_.range(wanted.key);
+    if (read && !read.value().entries.empty()) {
+      kv::key_value const& entry = read.value().entries.front();
+      if (has_token(entry.value, wanted.token)) {
+        sync_.apply_own({entry.key, entry.mod_revision, entry.value, false});
+        co_return make_change(rpc::ChangeOutcome::ACCEPTED, entry.mod_revision, wanted.token);
+      }
+    }
+    if (read) break;
+    co_await wait_for(k_read_back_pause);
+  }
+  log_line(log_level::warning, k_part, "Outcome of a change is unknown.", {{"key", wanted.key}});
+  co_return make_change(rpc::ChangeOutcome::UNKNOWN, 0, wanted.token);
+}
+
+void service::add_configuration(rpc::GetStatusResponseT& status) const {
+  for (auto const& [name, task] : store_.tasks()) {
+    auto item = std::make_unique<rpc::TaskStatusT>();
+    item->record = std::make_unique<rpc::TaskRecordT>(task.record);
+    item->revision = task.revision;
+    item->published_version = store_.published_version(name);
+    item->version_revision = store_.version_revision(name);
+    status.tasks.push_back(std::move(item));
+  }
+  for (auto const& [name, route] : store_.routes()) {
+    auto item = std::make_unique<rpc::RouteStatusT>();
+    item->record = std::make_unique<rpc::RouteRecordT>(route.record);
+    item->revision = route.revision;
+    status.routes.push_back(std::move(item));
+  }
+}
+
+void service::add_nodes(rpc::GetStatusResponseT& status) const {
+  auto const add = [&status](membership::member_update const& update) {
+    auto item = std::make_unique<rpc::NodeStatusT>();
+    item->id = update.id;
+    item->zone = update.zone;
+    item->address = update.http_address;
+    item->state = rpc::EnumNameMemberState(update.state);
+    item->incarnation = update.incarnation;
+    status.nodes.push_back(std::move(item));
+  };
+  add(members_.self());
+  for (auto const& [id, peer] : members_.members()) add(peer.update);
+}
+
+awaitable<void> service::add_from_peers(rpc::GetStatusResponseT& status) {
+  std::vector<std::string> addresses;
+  for (auto const& [id, peer] : members_.members()) {
+    if (peer.is_alive()) addresses.push_back(peer.update.http_address);
+  }
+  rpc::GetStatusRequestT request;
+  request.local_only = true;
+  for (std::string const& address : addresses) {
+    auto const where = parse_endpoint(address);
+    if (!where) continue;
+    auto answer = co_await rpc::call<rpc::GetStatusRequestT, rpc::GetStatusResponseT>(
+        transport_, *where, "OperatorService", "GetStatus", request, k_peer_timeout);
+    if (!answer) continue;
+    auto& part = answer.value();
+    std::move(part.engines.begin(), part.engines.end(), std::back_inserter(status.engines));
+    std::move(part.shards.begin(), part.shards.end(), std::back_inserter(status.shards));
+  }
+}
+
+awaitable<service::status_reply> service::status(rpc::GetStatusRequestT request) {
+  rpc::GetStatusResponseT status;
+  status.node = members_.self().id;
+  status.config_revision = store_.revision();
+  describe_local_(status);
+  add_configuration(status);
+  add_nodes(status);
+  if (!request.local_only) co_await add_from_peers(status);
+  co_return status;
+}
+
+}  // namespace frostline::operators
--- /dev/null
+++ b/src/operators/service.h
@@ -0,0 +1,66 @@
+/// @file The operators' methods: changes of configuration by compare-and-swap, and the status.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "base/asio.h"
+#include "config/store.h"
+#include "config/sync.h"
+#include "http/client.h"
+#include "kv/client.h"
+#include "membership/table.h"
+#include "platform/machine_list.h"
+#include "rpc/dispatcher.h"
+
+namespace frostline::operators {
+
+/// Faults of a record that an operator sends; an empty text stands for none. Pure.
+std::string check_task(rpc::TaskRecordT const& task, rpc::TaskRecordT const* existing);
+std::string check_route(rpc::RouteRecordT const& route);
+
+class service {
+ public:
+  /// @param describe_local adds what only this node knows to a status.
+  service(kv::client& kv_service, http::client& transport, config::store const& store,
+          config::sync& sync, membership::table const& members,
+          platform::machine_list const& machines,
+          std::function<void(rpc::GetStatusResponseT&)> describe_local);
+
+  void register_methods(rpc::dispatcher& methods);
+
+ private:
+  using change_reply = rpc::reply<rpc::ChangeResponseT>;
+  using status_reply = rpc::reply<rpc::GetStatusResponseT>;
+
+  /// One write of a record.
+  struct change {
+    std::string key;
+    std::string value;
+    std::string token;
+    kv::revision expected = 0;
+  };
+
+  awaitable<change_reply> put_task(rpc::PutTaskRequestT request);
+  awaitable<change_reply> publish(rpc::PublishVersionRequestT request);
+  awaitable<change_reply> put_route(rpc::PutRouteRequestT request);
+  awaitable<change_reply> set_drain(rpc::SetDrainRequestT request);
+  awaitable<status_reply> status(rpc::GetStatusRequestT request);
+
+  awaitable<change_reply> write(change wanted);
+  awaitable<change_reply> resolve(change wanted);
+  change_reply take_rival(change const& wanted, kv::transaction_answer const& answer);
+  void add_configuration(rpc::GetStatusResponseT& status) const;
+  void add_nodes(rpc::GetStatusResponseT& status) const;
+  awaitable<void> add_from_peers(rpc::GetStatusResponseT& status);
+
+  kv::client& kv_;
+  http::client& transport_;
+  config::store const& store_;
+  config::sync& sync_;
+  membership::table const& members_;
+  platform::machine_list const& machines_;
+  std::function<void(rpc::GetStatusResponseT&)> describe_local_;
+};
+
+}  // namespace frostline::operators
--- /dev/null
+++ b/src/ownership/keeper.cc
@@ -0,0 +1,118 @@
+#include "ownership/keeper.h"
+
+#include "base/log.h"
+#include "rpc/codec.h"
+
+namespace frostline::ownership {
+namespace {
+
+constexpr std::string_view k_part = "ownership";
+constexpr seconds k_lease_time_to_live{10};
+constexpr milliseconds k_keep_alive_interval{3000};
+constexpr milliseconds k_lease_retry{500};
+constexpr milliseconds k_plan_interval{250};
+
+}  // namespace
+
+keeper::keeper(asio::io_context& context, kv::client& service, config::store const& store,
+               config::sync& sync, membership::table const& members, identity self,
+               std::string address, std::function<std::vector<resource>()> list_resources)
+    : context_(context),
+      service_(service),
+      store_(store),
+      sync_(sync),
+      members_(members),
+      self_(std::move(self)),
+      list_resources_(std::move(list_resources)) {
+  rpc::OwnerRecordT record;
+  record.node = self_.node;
+  record.incarnation = self_.incarnation;
+  record.address = std::move(address);
+  record_ = rpc::encode(record);
+}
+
+void keeper::start() {
+  spawn(context_, lease_loop());
+  spawn(context_, acquire_loop());
+}
+
+config::store::owner_entry const* keeper::find_owner(std::string const& key) const {
+  if (key.starts_with(config::k_shard_owners)) {
+    return store_.find_shard_owner(key.substr(config::k_shard_owners.size()));
+  }
+  return store_.find_engine_owner(key.substr(config::k_engine_owners.size()));
+}
+
+kv::revision keeper::epoch_of(std::string const& key) const {
+  config::store::owner_entry const* owner = find_owner(key);
+  if (owner == nullptr || !is_self(owner->record, self_)) return 0;
+  return owner->revision;
+}
+
+awaitable<void> keeper::lease_loop() {
+  while (!stopping_) {
+    if (lease_ == 0) {
+      auto granted = co_await service_.grant_lease(k_lease_time_to_live);
+      if (granted) lease_ = granted.value();
+    } else {
+      auto kept = co_await service_.keep_alive(lease_);
+      if (!kept && kept.error() == kv::errc::lease_expired) {
+        log_line(log_level::warning, k_part, "Lease has lapsed.", {{"lease", lease_}});
+        lease_ = 0;
+      }
+    }
+    co_await wait_for(lease_ == 0 ? k_lease_retry : k_keep_alive_interval);
+  }
+}
+
+awaitable<void> keeper::acquire_loop() {
+  while (!stopping_) {
+    if (lease_ != 0 && store_.is_complete()) {
+      std::vector<resource> const resources = list_resources_();
+      std::map<std::string, config::store::owner_entry const*> owner_of;
+      for (resource const& one : resources) owner_of[one.key] = find_owner(one.key);
+      auto const plan = plan_acquisitions(resources, self_, members_, owner_of);
+      for (acquisition const& wish : plan) {
+        if (stopping_ || lease_ == 0) break;
+        co_await acquire(wish);
+      }
+    }
+    co_await wait_for(k_plan_interval);
+  }
+}
+
+void keeper::note_owned(std::string const& key, kv::revision epoch) {
+  log_line(log_level::info, k_part, "Became owner.", {{"key", key}, {"epoch", epoch}});
+  sync_.apply_own({key, epoch, record_, false});
+}
+
+awaitable<void> keeper::acquire(acquisition wish) {
+  kv::transaction change;
+  change.compares.push_back({wish.key, wish.expected});
+  change.on_success.push_back({kv::operation_kind::put, wish.key, record_, lease_});
+  auto answer = co_await service_.apply(std::move(change));
+  if (answer && answer.value().succeeded) {
+    note_owned(wish.key, answer.value().store_revision);
+    co_return;
+  }
+  bool const in_doubt = !answer && answer.error() == kv::errc::outcome_unknown;
+  if (in_doubt) co_await read_back(wish.key);
+}
+
+/// After a lost answer: the record itself says whether this process wrote it.
+awaitable<void> keeper::read_back(std::string key) {
+  auto read = co_await service_.range(key);
+  if (!read || read.value().entries.empty()) co_return;
+  kv::key_value const& held = read.value().entries.front();
+  if (held.value == record_) note_owned(key, held.mod_revision);
+}
+
+awaitable<void> keeper::release_all() {
+  stopping_ = true;
+  if (lease_ == 0) co_return;
+  auto revoked = co_await service_.revoke(lease_);
+  bool const done = revoked.has_value();
+  log_line(log_level::info, k_part, "Released all that this node owned.", {{"done", done}});
+}
+
+}  // namespace frostline::ownership
--- /dev/null
+++ b/src/platform/machine_list.h
@@ -0,0 +1,59 @@
+/// @file The platform's list of machines, polled with conditional requests.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "http/client.h"
+
+namespace frostline::platform {
+
+enum class machine_kind { engine, app, node, other };
+
+struct machine {
+  std::string id;
+  machine_kind kind = machine_kind::other;
+  endpoint address;
+  /// Nodes only.
+  std::string gossip_address;
+  std::string zone;
+  bool leaving = false;
+  std::uint64_t incarnation = 0;
+  /// Engines: samples generated at once.
+  std::uint32_t slots = 0;
+
+  bool operator==(machine const&) const = default;
+};
+
+using machine_map = std::map<std::string, machine>;
+
+/// Reads the published JSON form. Machines without an identifier or address are left out.
+/// @return nothing if the text is not a list.
+std::optional<machine_map> parse_machine_list(std::string const& json);
+
+class machine_list {
+ public:
+  machine_list(asio::io_context& context, http::client& transport, endpoint service);
+
+  void start();
+  machine_map const& machines() const { return machines_; }
+  machine const* find(std::string const& id) const;
+  bool is_loaded() const { return loaded_; }
+  void on_change(std::function<void()> listener) { listeners_.push_back(std::move(listener)); }
+
+ private:
+  awaitable<void> poll_loop();
+
+  asio::io_context& context_;
+  http::client& transport_;
+  endpoint service_;
+  machine_map machines_;
+  std::string tag_;
+  bool loaded_ = false;
+  std::vector<std::function<void()>> listeners_;
+};
+
+}  // namespace frostline::platform
--- /dev/null
+++ b/src/routing/back_end_picker.h
@@ -0,0 +1,44 @@
+/// @file Chooses an application server: the less busy of two random ones, without those that leave
+/// or have failed lately. Pure.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+
+namespace frostline::routing {
+
+class back_end_picker {
+ public:
+  explicit back_end_picker(std::uint64_t seed) : random_(seed) {}
+
+  /// @param candidates servers that may be used; @param tried those this request has been sent to.
+  /// @return nothing if none is left. Ejected servers are used only if there are no others.
+  std::optional<std::string> pick(std::vector<std::string> const& candidates,
+                                  std::set<std::string> const& tried, time_point now);
+
+  void note_sent(std::string const& back_end) { ++servers_[back_end].outstanding; }
+  void note_answer(std::string const& back_end);
+  /// A failure of the server itself; several in a row eject it for a while.
+  void note_failure(std::string const& back_end, time_point now);
+  bool is_ejected(std::string const& back_end, time_point now) const;
+
+ private:
+  struct server_state {
+    std::uint32_t outstanding = 0;
+    std::uint32_t failures_in_row = 0;
+    std::uint32_t ejections = 0;
+    time_point ejected_until = time_point::min();
+  };
+
+  std::mt19937_64 random_;
+  std::map<std::string, server_state> servers_;
+};
+
+}  // namespace frostline::routing
--- /dev/null
+++ b/src/routing/proxy.cc
@@ -0,0 +1,213 @@
+#include "routing/proxy.h"
+
+#include "base/log.h"
+
+namespace frostline::routing {
+namespace {
+
+constexpr std::string_view k_part = "routing";
+constexpr milliseconds k_cut_off_retry{1000};
+constexpr milliseconds k_no_back_end_retry{500};
+constexpr milliseconds k_claim_retry{1000};
+constexpr std::uint64_t k_picker_seed = 1;
+
+/// Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
+constexpr http::field k_hop_by_hop[] = {
+    http::field::connection, http::field::keep_alive,        http::field::proxy_connection,
+    http::field::te,         http::field::transfer_encoding, http::field::upgrade,
+    http::field::trailer,
+};
+
+template <class Message>
+void strip_hop_by_hop(Message& message) {
+  for (http::field name : k_hop_by_hop) message.erase(name);
+}
+
+milliseconds time_left(time_point deadline) {
+  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
+  return std::max(left, milliseconds(0));
+}
+
+}  // namespace
+
+proxy::proxy(asio::io_context& context, http::client& transport, config::store const& config,
+             platform::machine_list const& machines, leaving_tracker& leaving,
+             claims& claim_registry, metrics& counters, std::function<bool()> is_cut_off)
+    : context_(context),
+      transport_(transport),
+      config_(config),
+      machines_(machines),
+      leaving_(leaving),
+      claims_(claim_registry),
+      metrics_(counters),
+      is_cut_off_(std::move(is_cut_off)),
+      picker_(k_picker_seed) {}
+
+proxy::route_state& proxy::state_of(rpc::RouteRecordT const& route) {
+  auto& state = states_[route.name];
+  if (!state) state = std::make_unique<route_state>(context_);
+  state->gate.set_limits(route.max_concurrent, route.max_queued);
+  state->budget.set_percent(route.retry_budget_percent);
+  return *state;
+}
+
+awaitable<http::response> proxy::handle(http::request message) {
+  time_point const start = steady_clock::now();
+  std::string const path(message.target());
+  if (!config_.is_complete()) {
+    co_return rpc::to_response(rpc::unavailable(
+        rpc::reason::not_ready, "this node has no configuration yet", k_no_back_end_retry));
+  }
+  auto const* route = config_.match_route(path);
+  if (route == nullptr) {
+    rpc::problem const issue{http::status::not_found, rpc::reason::no_route,
+                             "no route for this path", rpc::run_state::not_run};
+    co_return rpc::to_response(issue);
+  }
+  call one;
+  one.message = std::move(message);
+  one.route = route->record;
+  one.deadline = start + milliseconds(route->record.deadline_ms);
+  strip_hop_by_hop(one.message);
+  auto answer = co_await serve(one, state_of(one.route));
+  if (!answer) {
+    metrics_.count_problem(one.route.name, answer.error().why);
+    co_return rpc::to_response(answer.error());
+  }
+  auto const duration = std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
+  metrics_.count_answer(one.route.name, duration);
+  co_return std::move(answer.value());
+}
+
+awaitable<proxy::call_reply> proxy::serve(call& one, route_state& state) {
+  if (is_cut_off_()) {
+    co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
+  }
+  admission_result const admitted = co_await state.gate.enter(one.deadline);
+  if (admitted != admission_result::admitted) {
+    bool const full = admitted == admission_result::queue_full;
+    co_return rpc::unavailable(full ? rpc::reason::queue_full : rpc::reason::queue_deadline,
+                               "route is at its limit", state.gate.retry_after());
+  }
+  auto answer = co_await send_with_retries(one, state);
+  state.gate.leave();
+  co_return answer;
+}
+
+std::vector<std::string> proxy::usable_servers(rpc::RouteRecordT const& route) const {
+  std::vector<std::string> usable;
+  for (std::string const& id : route.backends) {
+    platform::machine const* server = machines_.find(id);
+    if (server == nullptr || server->leaving) continue;
+    if (leaving_.is_leaving(id, server->incarnation, server->incarnation)) continue;
+    usable.push_back(id);
+  }
+  return usable;
+}
+
+awaitable<std::optional<rpc::problem>> proxy::claim_identifier(call const& one) {
+  std::string identifier(http::header(one.message, k_request_identifier));
+  if (one.route.repeatable || identifier.empty()) co_return std::nullopt;
+  std::string route = one.route.name;
+  claim_result const held = co_await claims_.claim(std::move(route), std::move(identifier));
+  switch (held) {
+    case claim_result::ours:
+      co_return std::nullopt;
+    case claim_result::taken:
+      co_return rpc::problem{http::status::conflict, rpc::reason::claim_taken,
+                             "a request with this identifier was sent before; its outcome is not "
+                             "known here",
+                             rpc::run_state::unknown};
+    case claim_result::unreadable:
+      // An earlier request with the identifier may have run, so this can't be called "not run".
+      co_return rpc::problem{http::status::service_unavailable, rpc::reason::claim_unreadable,
+                             "it can't be known now whether this identifier was used",
+                             rpc::run_state::unknown, k_claim_retry};
+  }
+  co_return std::nullopt;
+}
+
+awaitable<proxy::call_reply> proxy::send_with_retries(call& one, route_state& state) {
+  bool claimed = false;
+  state.budget.note_first_try();
+  rpc::problem last = rpc::unavailable(rpc::reason::no_back_end, "no back end takes this route",
+                                       k_no_back_end_retry);
+  while (time_left(one.deadline).count() > 0) {
+    auto const chosen = picker_.pick(usable_servers(one.route), one.tried, steady_clock::now());
+    platform::machine const* found = chosen ? machines_.find(*chosen) : nullptr;
+    if (found == nullptr) co_return last;
+    if (!claimed) {
+      auto refusal = co_await claim_identifier(one);
+      if (refusal) co_return std::move(*refusal);
+      claimed = true;
+      // The claim took time: leaving and being cut off are looked at again before sending.
+      continue;
+    }
+    if (is_cut_off_()) {
+      co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
+    }
+    platform::machine const server = *found;
+    one.tried.insert(server.id);
+    try_outcome outcome = co_await try_once(one, server);
+    if (outcome.answer) co_return std::move(*outcome.answer);
+    last = outcome.issue;
+    if (!one.route.repeatable && !outcome.not_run) co_return last;
+    if (!state.budget.try_spend()) {
+      log_line(log_level::warning, k_part, "Retry budget is spent.", {{"route", one.route.name}});
+      co_return last;
+    }
+    metrics_.count_retry(one.route.name);
+  }
+  if (one.tried.empty()) {
+    last = rpc::unavailable(rpc::reason::queue_deadline, "deadline passed before sending",
+                            state.gate.retry_after());
+  }
+  co_return last;
+}
+
+awaitable<proxy::try_outcome> proxy::try_once(call& one, platform::machine const& server) {
+  auto const use =
+      one.route.repeatable ? http::connection_use::pooled : http::connection_use::fresh;
+  http::request copy = one.message;
+  picker_.note_sent(server.id);
+  auto answer =
+      co_await transport_.exchange(server.address, std::move(copy), time_left(one.deadline), use);
+  if (!answer) co_return take_error(server, answer.error());
+  co_return take_answer(server, std::move(answer.value()));
+}
+
+proxy::try_outcome proxy::take_answer(platform::machine const& server, http::response answer) {
+  picker_.note_answer(server.id);
+  if (!http::header(answer, k_leaving_header).empty()) {
+    leaving_.mark(server.id, server.incarnation, leaving_source::back_end);
+  }
+  try_outcome outcome;
+  if (!http::header(answer, k_not_run_header).empty()) {
+    outcome.not_run = true;
+    outcome.issue = rpc::unavailable(rpc::reason::no_back_end, "back end " + server.id + " refused",
+                                     k_no_back_end_retry);
+    return outcome;
+  }
+  strip_hop_by_hop(answer);
+  outcome.answer = std::move(answer);
+  return outcome;
+}
+
+proxy::try_outcome proxy::take_error(platform::machine const& server, std::error_code error) {
+  picker_.note_failure(server.id, steady_clock::now());
+  try_outcome outcome;
+  std::string detail = "back end " + server.id + ": " + error.message();
+  if (error == http::errc::connect_failed) {
+    outcome.not_run = true;
+    outcome.issue =
+        rpc::unavailable(rpc::reason::no_back_end, std::move(detail), k_no_back_end_retry);
+    return outcome;
+  }
+  bool const late = error == http::errc::deadline_exceeded;
+  outcome.issue = rpc::unknown_outcome(
+      late ? rpc::reason::back_end_deadline : rpc::reason::back_end_failed, std::move(detail));
+  if (late) outcome.issue.code = http::status::gateway_timeout;
+  return outcome;
+}
+
+}  // namespace frostline::routing
--- /dev/null
+++ b/tests/support/cluster.h
@@ -0,0 +1,120 @@
+/// @file A whole system of real processes on loopback: stand-ins of the platform, engines,
+/// application servers and nodes. Shared by the integration tests and the rehearsals.
+#pragma once
+
+#include <boost/json.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/endpoint.h"
+#include "process.h"
+#include "rpc/blocking.h"
+
+namespace frostline::testing {
+
+/// Size and pace of a system.
+struct cluster_options {
+  std::uint32_t nodes = 3;
+  std::uint32_t engines = 2;
+  std::uint32_t apps = 2;
+  /// The first so many nodes have a data folder.
+  std::uint32_t disk_nodes = 3;
+  std::uint32_t slots = 16;
+  std::uint32_t step_us = 1000;
+  std::uint32_t load_ms = 50;
+  std::uint32_t app_service_ms = 1;
+  std::uint32_t list_lag_ms = 0;
+  /// Requests a second of the key-value service; 0 is no limit.
+  std::uint32_t kv_rate_limit = 0;
+  std::string log_level = "info";
+};
+
+class cluster {
+ public:
+  /// Lays out files below `folder` and starts everything; returns when all nodes are ready.
+  cluster(std::string folder, cluster_options options);
+
+  endpoint const& node(std::uint32_t index) const { return nodes_.at(index); }
+  std::vector<endpoint> const& nodes() const { return nodes_; }
+  endpoint const& engine(std::uint32_t index) const { return engines_.at(index); }
+  endpoint const& app(std::uint32_t index) const { return apps_.at(index); }
+  endpoint const& kv() const { return kv_; }
+  endpoint const& scorer() const { return scorer_; }
+  endpoint const& weights() const { return weights_; }
+  endpoint const& machines() const { return machines_; }
+  std::string journal_folder() const { return folder_ + "/journals"; }
+  std::string const& folder() const { return folder_; }
+  static std::string engine_name(std::uint32_t index) { return "engine-" + std::to_string(index); }
+  static std::string app_name(std::uint32_t index) { return "app-" + std::to_string(index); }
+  static std::string node_name(std::uint32_t index) { return "node-" + std::to_string(index); }
+
+  /// The process of "kv", "engine-0", "node-1" and so on.
+  child_process& process(std::string const& name) { return *processes_.at(name); }
+  void start_node(std::uint32_t index);
+  void start_engine(std::uint32_t index);
+  /// Tells the machine list that a machine leaves, or that it is live with a new incarnation.
+  void list_machine(std::string const& id, std::string const& state, std::uint64_t incarnation);
+  void set_faults(endpoint const& standin, boost::json::object faults);
+  /// Notes in the journals that a back end leaves from now on, for the checker.
+  void note_leaving(std::string const& back_end);
+
+  /// Operator calls by way of node 0 (or another).
+  rpc::ChangeResponseT put_task(std::string const& name, std::uint32_t bound,
+                                std::uint32_t batch_size, std::uint32_t shards);
+  rpc::ChangeResponseT publish(std::string const& task, std::uint64_t version,
+                               std::uint32_t by_node = 0);
+  rpc::ChangeResponseT put_route(std::string const& name, std::string const& prefix,
+                                 bool repeatable);
+  rpc::ChangeResponseT drain(std::string const& back_end);
+  rpc::GetStatusResponseT status(std::uint32_t by_node = 0, bool local_only = false);
+
+  /// Waits until `condition` holds; throws with `what` after `timeout`.
+  static void wait_until(std::string const& what, std::function<bool()> condition,
+                         milliseconds timeout = milliseconds(30'000));
+  rpc::blocking_client& client() { return client_; }
+  /// Starts frostline-load with these arguments, its output in the folder.
+  child_process start_load(std::string const& log_name, std::vector<std::string> arguments);
+  std::string node_list() const;
+
+ private:
+  void start_standin(std::string const& kind, std::string const& name, endpoint const& listen,
+                     std::vector<std::string> extra);
+  void write_node_settings(std::uint32_t index);
+  void announce_machines();
+  void announce(std::string const& id, std::string const& kind, endpoint const& address,
+                std::string const& zone, std::string const& state, std::uint64_t incarnation);
+  template <class Request>
+  rpc::ChangeResponseT change(std::uint32_t by_node, std::string_view method,
+                              Request const& request);
+
+  struct listed_machine {
+    std::string kind;
+    endpoint address;
+    std::string zone;
+  };
+
+  std::string folder_;
+  cluster_options options_;
+  std::map<std::string, std::unique_ptr<child_process>> processes_;
+  std::map<std::string, listed_machine> listed_;
+  std::vector<endpoint> nodes_;
+  std::vector<endpoint> gossip_;
+  std::vector<endpoint> engines_;
+  std::vector<endpoint> apps_;
+  endpoint kv_;
+  endpoint machines_;
+  endpoint weights_;
+  endpoint scorer_;
+  rpc::blocking_client client_;
+};
+
+/// A loopback port that is free now.
+endpoint free_endpoint();
+
+/// A new empty folder for one run.
+std::string make_run_folder(std::string const& name);
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/support/process.cc
@@ -0,0 +1,73 @@
+#include "process.h"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <stdexcept>
+#include <thread>
+
+extern char** environ;
+
+namespace frostline::testing {
+namespace {
+
+constexpr std::chrono::milliseconds k_poll{10};
+
+}  // namespace
+
+child_process::child_process(std::string const& program, std::vector<std::string> const& arguments,
+                             std::string log_path)
+    : log_path_(std::move(log_path)) {
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  int const flags = O_WRONLY | O_CREAT | O_APPEND;
+  posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path_.c_str(), flags, 0644);
+  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  std::vector<char*> words = {const_cast<char*>(program.c_str())};
+  for (std::string const& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
+  words.push_back(nullptr);
+  int const failure = posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), environ);
+  posix_spawn_file_actions_destroy(&actions);
+  if (failure != 0) throw std::runtime_error("can't start " + program);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : pid_(other.pid_), status_(other.status_), log_path_(std::move(other.log_path_)) {
+  other.pid_ = -1;
+}
+
+child_process::~child_process() { kill(); }
+
+void child_process::send_signal(int number) {
+  if (pid_ > 0) ::kill(pid_, number);
+}
+
+void child_process::kill() {
+  if (pid_ <= 0) return;
+  ::kill(pid_, SIGCONT);
+  ::kill(pid_, SIGKILL);
+  waitpid(pid_, &status_, 0);
+  pid_ = -1;
+}
+
+bool child_process::is_running() {
+  if (pid_ <= 0) return false;
+  if (waitpid(pid_, &status_, WNOHANG) == 0) return true;
+  pid_ = -1;
+  return false;
+}
+
+int child_process::wait(int timeout_seconds) {
+  auto const deadline = std::chrono::steady_clock::now() + std::chrono::seconds(timeout_seconds);
+  while (is_running()) {
+    if (std::chrono::steady_clock::now() >= deadline) return -1;
+    std::this_thread::sleep_for(k_poll);
+  }
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+}
+
+}  // namespace frostline::testing
