--- a/src/membership/table.cc
+++ b/src/membership/table.cc
@@ -197,7 +197,7 @@
       std::shuffle(probe_order_.begin(), probe_order_.end(), random_);
       if (probe_order_.empty()) return {};
     }
-    std::string const id = probe_order_.front();
+    std::string id = probe_order_.front();
     probe_order_.pop_front();
     member const* entry = find(id);
     if (entry != nullptr && entry->is_alive()) return id;
--- a/src/operators/service.cc
+++ b/src/operators/service.cc
@@ -117,7 +117,7 @@
       [this](rpc::SetDrainRequestT request) { return set_drain(std::move(request)); });
   methods.add<rpc::GetStatusRequestT, rpc::GetStatusResponseT>(
       "OperatorService", "GetStatus",
-      [this](rpc::GetStatusRequestT request) { return status(std::move(request)); });
+      [this](rpc::GetStatusRequestT request) { return status(request); });
 }
 
 awaitable<service::change_reply> service::put_task(rpc::PutTaskRequestT request) {
