--- a/src/bulk/client.cc
+++ b/src/bulk/client.cc
@@ -14,13 +14,62 @@
 constexpr milliseconds k_put_timeout{3000};
 constexpr milliseconds k_load_timeout{10'000};
 
+/// Puts what several disk nodes hold together, and counts the copies of each item.
+class copy_counter {
+ public:
+  void take(rpc::LoadBulkResponseT part) {
+    for (auto& group : part.groups) {
+      auto& held = groups_[group->group];
+      ++held.copies;
+      if (!held.item) held.item = std::move(group);
+    }
+    for (auto& sample : part.samples) {
+      auto& held = samples_[{sample->group, sample->index, sample->attempt}];
+      ++held.copies;
+      if (!held.item) held.item = std::move(sample);
+    }
+  }
+
+  void finish(std::size_t wanted_copies, recovered_bulk& into) {
+    move_items(groups_, wanted_copies, into.content.groups, into.short_of_copies.groups);
+    move_items(samples_, wanted_copies, into.content.samples, into.short_of_copies.samples);
+  }
+
+ private:
+  template <class Item>
+  struct counted {
+    std::unique_ptr<Item> item;
+    std::size_t copies = 0;
+  };
+  struct sample_copy_key {
+    std::uint64_t group;
+    std::uint32_t index;
+    std::string attempt;
+
+    auto operator<=>(sample_copy_key const&) const = default;
+  };
+
+  template <class Key, class Item>
+  static void move_items(std::map<Key, counted<Item>>& from, std::size_t wanted_copies,
+                         std::vector<std::unique_ptr<Item>>& all,
+                         std::vector<std::unique_ptr<Item>>& few) {
+    for (auto& [key, held] : from) {
+      if (held.copies < wanted_copies) few.push_back(std::make_unique<Item>(*held.item));
+      all.push_back(std::move(held.item));
+    }
+  }
+
+  std::map<std::uint64_t, counted<rpc::SampleGroupT>> groups_;
+  std::map<sample_copy_key, counted<rpc::SampleT>> samples_;
+};
+
 }  // namespace
 
 std::vector<replica> order_replicas(std::string const& shard, std::vector<replica> candidates) {
   std::sort(candidates.begin(), candidates.end(), [&](replica const& left, replica const& right) {
     return rendezvous_weight(shard, left.node) > rendezvous_weight(shard, right.node);
   });
-  if (candidates.size() < k_copies) return candidates;
+  if (candidates.size() < 2) return candidates;
   std::string const first_zone = candidates.front().zone;
   auto const other_zone = std::find_if(candidates.begin() + 1, candidates.end(),
                                        [&](replica const& one) { return one.zone != first_zone; });
@@ -59,42 +108,49 @@
 awaitable<bool> client::put(rpc::StoreBulkRequestT request) {
   std::string const shard = config::shard_name(request.task, request.shard);
   std::vector<replica> const replicas = order_replicas(shard, live_replicas());
-  std::size_t const wanted = std::min(k_copies, replicas.size());
-  if (wanted == 0) co_return false;
   std::size_t copies = 0;
   for (replica const& target : replicas) {
     bool const stored = co_await put_on(target, request);
-    if (stored && ++copies == wanted) co_return true;
+    if (stored && ++copies == copies_) co_return true;
   }
+  log_line(log_level::warning, k_part, "Too few disk nodes took a copy.",
+           {{"shard", shard}, {"copies", copies}, {"wanted", copies_}});
   co_return false;
 }
 
+awaitable<std::optional<rpc::LoadBulkResponseT>> client::load_from(
+    replica source, rpc::LoadBulkRequestT const& request) {
+  if (source.node == self_.node) {
+    auto loaded = local_->load(request.task, request.shard);
+    if (!loaded) co_return std::nullopt;
+    co_return std::move(loaded.value());
+  }
+  auto const where = parse_endpoint(source.address);
+  if (!where) co_return std::nullopt;
+  auto loaded = co_await rpc::call<rpc::LoadBulkRequestT, rpc::LoadBulkResponseT>(
+      transport_, *where, "NodeService", "LoadBulk", request, k_load_timeout);
+  if (!loaded) co_return std::nullopt;
+  co_return std::move(loaded.value());
+}
+
 awaitable<recovered_bulk> client::load(std::string task, std::uint32_t shard) {
   recovered_bulk all;
   rpc::LoadBulkRequestT request;
-  request.task = task;
+  request.task = std::move(task);
   request.shard = shard;
+  copy_counter counter;
   for (replica const& source : live_replicas()) {
-    rpc::LoadBulkResponseT part;
-    bool read = false;
-    if (source.node == self_.node) {
-      auto loaded = local_->load(task, shard);
-      read = loaded.has_value();
-      if (read) part = std::move(loaded.value());
-    } else if (auto const where = parse_endpoint(source.address)) {
-      auto loaded = co_await rpc::call<rpc::LoadBulkRequestT, rpc::LoadBulkResponseT>(
-          transport_, *where, "NodeService", "LoadBulk", request, k_load_timeout);
-      read = loaded.has_value();
-      if (read) part = std::move(loaded.value());
-    }
-    if (read) {
-      ++all.replicas_read;
-    } else {
+    auto part = co_await load_from(source, request);
+    if (!part) {
       ++all.replicas_failed;
+      continue;
     }
-    std::move(part.groups.begin(), part.groups.end(), std::back_inserter(all.content.groups));
-    std::move(part.samples.begin(), part.samples.end(), std::back_inserter(all.content.samples));
+    ++all.replicas_read;
+    counter.take(std::move(*part));
   }
+  all.short_of_copies.task = request.task;
+  all.short_of_copies.shard = shard;
+  counter.finish(copies_, all);
   co_return all;
 }
 
--- a/src/bulk/client.h
+++ b/src/bulk/client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,8 +13,6 @@
 
 namespace frostline::bulk {
 
-inline constexpr std::size_t k_copies = 2;
-
 /// A disk node that may hold copies.
 struct replica {
   std::string node;
@@ -27,7 +26,10 @@
 
 /// What a shard's owner learns from all disk nodes that answer.
 struct recovered_bulk {
+  /// Each group and sample once.
   rpc::LoadBulkResponseT content;
+  /// Those of them of which there were too few copies.
+  rpc::StoreBulkRequestT short_of_copies;
   std::size_t replicas_read = 0;
   std::size_t replicas_failed = 0;
 };
@@ -35,10 +37,16 @@
 class client {
  public:
   /// @param self this node as a replica; its address is empty if it has no disk.
-  client(http::client& transport, membership::table const& members, replica self, store* local)
-      : transport_(transport), members_(members), self_(std::move(self)), local_(local) {}
+  /// @param copies how many disk nodes must hold everything.
+  client(http::client& transport, membership::table const& members, replica self, store* local,
+         std::size_t copies)
+      : transport_(transport),
+        members_(members),
+        self_(std::move(self)),
+        local_(local),
+        copies_(copies) {}
 
-  /// Stores on k_copies disk nodes (on all, if there are fewer). @return whether they all did.
+  /// Stores on as many disk nodes as there must be copies. @return whether they all did.
   awaitable<bool> put(rpc::StoreBulkRequestT request);
   /// Reads the shard from every disk node that answers.
   awaitable<recovered_bulk> load(std::string task, std::uint32_t shard);
@@ -47,12 +55,15 @@
 
  private:
   std::vector<replica> live_replicas() const;
+  awaitable<std::optional<rpc::LoadBulkResponseT>> load_from(replica source,
+                                                             rpc::LoadBulkRequestT const& request);
   awaitable<bool> put_on(replica target, rpc::StoreBulkRequestT const& request);
 
   http::client& transport_;
   membership::table const& members_;
   replica self_;
   store* local_;
+  std::size_t copies_;
 };
 
 }  // namespace frostline::bulk
--- a/src/membership/table.cc
+++ b/src/membership/table.cc
@@ -9,6 +9,8 @@
 /// Each update is sent this many times the logarithm of the number of members.
 constexpr double k_retransmit_factor = 3;
 constexpr milliseconds k_relay_lifetime{2000};
+/// Bounds the traffic of a new node that learns hundreds of others from the machine list.
+constexpr std::size_t k_introductions_per_tick = 2;
 /// Every so many probes one goes to a dead member, so that a healed partition is found.
 constexpr std::uint64_t k_dead_probe_every = 5;
 
@@ -47,9 +49,20 @@
   entry.update.state = member_state::ALIVE;
   entry.since = now;
   members_[seed.id] = std::move(entry);
+  unheard_.push_back(seed.id);
   ++changes_;
 }
 
+void table::introduce(std::vector<outgoing_message>& out) {
+  for (std::size_t count = 0; count < k_introductions_per_tick && !unheard_.empty();) {
+    member const* target = find(unheard_.front());
+    unheard_.pop_front();
+    if (target == nullptr || target->last_heard != time_point::min()) continue;
+    out.push_back({target->update.gossip_address, make_message(rpc::GossipKind::PING, ++sequence_)});
+    ++count;
+  }
+}
+
 member const* table::find(std::string const& id) const {
   auto const found = members_.find(id);
   return found == members_.end() ? nullptr : &found->second;
@@ -280,6 +293,7 @@
 std::vector<outgoing_message> table::tick(time_point now) {
   std::vector<outgoing_message> out;
   expire(now);
+  introduce(out);
   bool const waiting = !probe_.acknowledged && !probe_.indirect;
   if (waiting && now - probe_.started >= times_.ack_timeout) probe_indirectly(out);
   if (now < next_probe_) return out;
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -107,6 +107,8 @@
   void conclude_probe(time_point now);
   void probe_indirectly(std::vector<outgoing_message>& out);
   std::string next_target();
+  /// Pings members that only the machine list has named so far.
+  void introduce(std::vector<outgoing_message>& out);
   void expire(time_point now);
   std::optional<outgoing_message> probe_dead_member(time_point now);
 
@@ -121,6 +123,7 @@
   std::map<std::string, member> members_;
   std::map<std::string, queued_update> updates_;
   std::deque<std::string> probe_order_;
+  std::deque<std::string> unheard_;
   probe probe_;
   std::map<std::uint64_t, relayed_probe> relayed_;
   time_point next_probe_ = time_point::min();
--- a/src/node/application.cc
+++ b/src/node/application.cc
@@ -118,7 +118,8 @@
     bulk_store_ = std::move(opened.value());
   }
   bulk::replica const replica{settings_.id, settings_.zone, settings_.listen.to_string()};
-  bulk_ = std::make_unique<bulk::client>(transport_, members_, replica, bulk_store_.get());
+  bulk_ = std::make_unique<bulk::client>(transport_, members_, replica, bulk_store_.get(),
+                                         settings_.bulk_copies);
   rollout_parts_ = std::make_unique<rollout::node_parts>(
       rollout::node_parts{context_, kv_, transport_, config_, config_sync_, members_, *keeper_,
                           machines_, leaving_, *bulk_, settings_.zone, settings_.placement,
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -79,6 +79,12 @@
       {{"rollout.placement", "prefix_affinity",
         "round_robin, least_loaded or prefix_affinity: how engines are chosen"},
        text(&settings::placement)},
+      {{"rollout.bulk_copies", "2",
+        "disk nodes that must hold submitted prompts and finished samples (1 to 5)"},
+       number(1, 5,
+              [](settings& into, std::int64_t value) {
+                into.bulk_copies = static_cast<std::size_t>(value);
+              })},
       {{"stop.drain_seconds", "30", "longest time for a planned stop (1 to 3600)"},
        number(1, 3600,
               [](settings& into, std::int64_t value) { into.drain_time = seconds(value); })},
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -22,6 +22,7 @@
   std::string data_folder;
   std::string log_level = "info";
   std::string placement = "prefix_affinity";
+  std::size_t bulk_copies = 2;
   milliseconds drain_time{30'000};
   http::server_limits limits;
 };
--- a/src/rollout/shard_owner.cc
+++ b/src/rollout/shard_owner.cc
@@ -15,6 +15,7 @@
 constexpr std::string_view k_part = "rollout";
 constexpr milliseconds k_main_tick{50};
 constexpr milliseconds k_recovery_pause{200};
+constexpr milliseconds k_copy_retry{1000};
 /// Groups may run ahead of the watermark by this much.
 constexpr std::uint64_t k_group_window = 65'536;
 constexpr std::uint32_t k_largest_group = 1024;
@@ -100,7 +101,7 @@
   bool const loaded = co_await reload_record();
   if (!loaded) co_return false;
   if (bulk_loaded_) co_return true;
-  auto const bulk = co_await parts_.bulk.load(task_, shard_);
+  auto bulk = co_await parts_.bulk.load(task_, shard_);
   if (bulk.replicas_read == 0) co_return false;
   if (bulk.replicas_failed > 0) {
     log_line(log_level::warning, k_part, "Recovers without some disk nodes.",
@@ -108,9 +109,21 @@
   }
   take_recovered(bulk.content);
   bulk_loaded_ = true;
+  bool const whole = bulk.short_of_copies.groups.empty() && bulk.short_of_copies.samples.empty();
+  if (!whole) spawn(parts_.context, restore_copies(shared_from_this(), std::move(bulk.short_of_copies)));
   co_return true;
 }
 
+/// Brings what a lost disk node held back to its number of copies.
+awaitable<void> shard_owner::restore_copies(std::shared_ptr<shard_owner> self,
+                                            rpc::StoreBulkRequestT missing) {
+  while (!self->is_stopped()) {
+    bool const stored = co_await self->parts_.bulk.put(missing);
+    if (stored) co_return;
+    co_await wait_for(k_copy_retry);
+  }
+}
+
 void shard_owner::take_recovered(rpc::LoadBulkResponseT const& content) {
   for (auto const& group : content.groups) table_.add_group(from_wire(*group), ledger_.delivered());
   std::set<std::string> committed;
--- a/src/rollout/shard_owner.h
+++ b/src/rollout/shard_owner.h
@@ -44,6 +44,8 @@
   awaitable<void> main_loop();
   awaitable<void> recover();
   awaitable<bool> try_recover();
+  static awaitable<void> restore_copies(std::shared_ptr<shard_owner> self,
+                                        rpc::StoreBulkRequestT missing);
   void take_recovered(rpc::LoadBulkResponseT const& content);
 
   void refresh_engines();
--- /dev/null
+++ b/tests/integration/at_most_once_test.cc
@@ -0,0 +1,172 @@
+/// @file A request that may not be repeated runs at most once, and one that is said not to have run
+/// has not run: resets at each byte, retries through other nodes, killed nodes, outages.
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+#include <thread>
+
+#include "fault_proxy.h"
+#include "http/json_fields.h"
+#include "test_trainer.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+struct call_outcome {
+  int status = 0;
+  std::string reason;
+  std::string run_state;
+  bool retry_after = false;
+};
+
+}  // namespace
+
+TEST_GROUP(at_most_once_test) {
+  cluster system{make_run_folder("at-most-once"), cluster_options()};
+
+  void setup() override {
+    system.put_route("bid", "/bid/", false);
+    system.put_route("lookup", "/lookup/", true);
+    for (std::uint32_t node = 0; node < 3; ++node) {
+      cluster::wait_until("the routes are in force",
+                          [&] { return system.status(node, true).routes.size() == 2; });
+    }
+    cluster::wait_until("claims can be made", [&] {
+      bool all = true;
+      for (std::uint32_t node = 0; node < 3; ++node) {
+        all = all && bid(node, "warm-up-" + std::to_string(node)).status == 200;
+      }
+      return all;
+    });
+  }
+
+  call_outcome send(std::uint32_t node, http::request message) {
+    auto const answer =
+        system.client().exchange(system.node(node), std::move(message), milliseconds(10'000));
+    call_outcome outcome;
+    if (!answer) return outcome;
+    outcome.status = static_cast<int>(answer.value().result_int());
+    auto const body = parse_json_object(answer.value().body());
+    if (body) outcome.reason = json_text(*body, "title");
+    if (body) outcome.run_state = json_text(*body, "run_state");
+    outcome.retry_after = !http::header(answer.value(), "Retry-After").empty();
+    return outcome;
+  }
+
+  call_outcome bid(std::uint32_t node, std::string const& key) {
+    auto message = http::make_post("/bid/lot", "amount=1", "text/plain");
+    message.set("Idempotency-Key", key);
+    return send(node, std::move(message));
+  }
+
+  std::size_t runs(std::string const& key) {
+    std::size_t count = 0;
+    for (std::uint32_t app = 0; app < 2; ++app) {
+      std::ifstream file(system.journal_folder() + "/" + cluster::app_name(app) + ".jsonl");
+      std::string line;
+      while (std::getline(file, line)) {
+        auto const event = parse_json_object(line);
+        if (event && json_text(*event, "event") == "request" && json_text(*event, "key") == key) {
+          ++count;
+        }
+      }
+    }
+    return count;
+  }
+};
+
+TEST(at_most_once_test, second_request_with_the_identifier_is_not_sent) {
+  LONGS_EQUAL(200, bid(0, "k").status);
+  for (std::uint32_t node = 0; node < 3; ++node) {
+    auto const again = bid(node, "k");
+    LONGS_EQUAL(409, again.status);
+    STRCMP_EQUAL("claim_taken", again.reason.c_str());
+    STRCMP_EQUAL("unknown", again.run_state.c_str());
+  }
+  LONGS_EQUAL(1, runs("k"));
+}
+
+TEST(at_most_once_test, requests_reset_at_each_byte_run_at_most_once) {
+  fault_proxy proxy(system.app(0));
+  std::string const name = cluster::app_name(0);
+  system.relocate(name, proxy.listen());
+  system.put_route_to("bid", "/bid/", false, {name});
+  int number = 0;
+  for (std::uint32_t node = 0; node < 2; ++node) {
+    cluster::wait_until("calls go through the proxy", [&] {
+      auto const before = proxy.connections();
+      bid(node, "probe-" + std::to_string(number++));
+      return proxy.connections() > before;
+    });
+  }
+  bool const directions[] = {true, false};
+  for (bool of_request : directions) {
+    for (std::int64_t bytes = 0; bytes < 260; bytes += 4) {
+      proxy_faults faults;
+      (of_request ? faults.reset_after_request_bytes : faults.reset_after_answer_bytes) = bytes;
+      proxy.set(faults);
+      std::string const key = "cut-" + std::to_string(number++);
+      auto const first = bid(0, key);
+      proxy.set({});
+      auto const again = bid(1, key);
+      std::size_t const count = runs(key);
+      CHECK(count <= 1);
+      if (first.run_state == "not_run") LONGS_EQUAL(0, count);
+      if (first.status == 200) LONGS_EQUAL(1, count);
+      CHECK(first.status == 200 || first.status == 502);
+      LONGS_EQUAL(409, again.status);
+    }
+  }
+}
+
+TEST(at_most_once_test, node_killed_after_sending) {
+  system.set_faults(system.app(0), {{"delay_ms", 1000}});
+  system.set_faults(system.app(1), {{"delay_ms", 1000}});
+  std::thread caller([&] {
+    rpc::blocking_client client;
+    auto message = http::make_post("/bid/lot", "amount=1", "text/plain");
+    message.set("Idempotency-Key", "lost");
+    auto const answer =
+        client.exchange(system.node(1), std::move(message), milliseconds(5000));
+    CHECK_FALSE(answer.has_value());
+  });
+  cluster::wait_until("the request has been sent", [&] { return runs("lost") == 1; });
+  system.process("node-1").kill();
+  caller.join();
+  auto const again = bid(0, "lost");
+  LONGS_EQUAL(409, again.status);
+  STRCMP_EQUAL("unknown", again.run_state.c_str());
+  LONGS_EQUAL(1, runs("lost"));
+}
+
+TEST(at_most_once_test, nothing_is_sent_under_a_claim_that_can_not_be_made) {
+  system.set_faults(system.kv(), {{"outage_ms", 60'000}});
+  auto const refused = bid(0, "outage");
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_EQUAL("claim_unreadable", refused.reason.c_str());
+  CHECK(refused.retry_after);
+  LONGS_EQUAL(0, runs("outage"));
+  LONGS_EQUAL(200, send(0, http::make_get("/lookup/price")).status);
+  system.set_faults(system.kv(), {{"outage_ms", 0}});
+  cluster::wait_until("bids are taken again", [&] { return bid(0, "outage").status == 200; });
+  LONGS_EQUAL(1, runs("outage"));
+}
+
+TEST(at_most_once_test, lost_answer_to_a_claim_is_resolved) {
+  system.set_faults(system.kv(), {{"lose_answers", 1}});
+  LONGS_EQUAL(200, bid(0, "resolved").status);
+  LONGS_EQUAL(1, runs("resolved"));
+  LONGS_EQUAL(409, bid(1, "resolved").status);
+}
+
+TEST(at_most_once_test, back_end_that_refuses_is_passed_over) {
+  system.set_faults(system.app(0), {{"refuse", 1}});
+  system.set_faults(system.app(1), {{"refuse", 1}});
+  auto const refused = bid(0, "refused");
+  LONGS_EQUAL(503, refused.status);
+  STRCMP_EQUAL("not_run", refused.run_state.c_str());
+  LONGS_EQUAL(0, runs("refused"));
+}
--- /dev/null
+++ b/tests/integration/configuration_test.cc
@@ -0,0 +1,162 @@
+/// @file An accepted configuration is in force everywhere within seconds and never goes back: racing
+/// operators, lost answers, stale reads, gaps, outages.
+
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include "test_trainer.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+TEST_GROUP(configuration_test) {
+  cluster system{make_run_folder("configuration"), cluster_options()};
+
+  void setup() override {
+    system.put_task("main", 1, 8, 1);
+    system.publish("main", 1);
+  }
+
+  std::uint64_t version_at(std::uint32_t node) {
+    auto const status = system.status(node, true);
+    return status.tasks.empty() ? 0 : status.tasks.front()->published_version;
+  }
+
+  void wait_for_version(std::uint32_t node, std::uint64_t version,
+                        milliseconds timeout = milliseconds(5000)) {
+    cluster::wait_until(
+        "node " + std::to_string(node) + " knows version " + std::to_string(version),
+        [&] { return version_at(node) == version; }, timeout);
+  }
+
+  rpc::reply<rpc::ChangeResponseT> put_bound(std::uint32_t node, std::uint32_t bound,
+                                             std::int64_t expected) {
+    rpc::PutTaskRequestT request;
+    request.task = std::make_unique<rpc::TaskRecordT>();
+    request.task->name = "main";
+    request.task->model = "model-main";
+    request.task->freshness_bound = bound;
+    request.expected_revision = expected;
+    return system.client().call<rpc::PutTaskRequestT, rpc::ChangeResponseT>(
+        system.node(node), "OperatorService", "PutTask", request, milliseconds(5000));
+  }
+};
+
+TEST(configuration_test, change_is_in_force_everywhere_within_five_seconds) {
+  for (std::uint64_t version = 2; version < 8; ++version) {
+    auto const accepted = system.publish("main", version, version % 3);
+    CHECK(accepted.outcome == rpc::ChangeOutcome::ACCEPTED);
+    for (std::uint32_t node = 0; node < 3; ++node) wait_for_version(node, version);
+  }
+}
+
+TEST(configuration_test, of_racing_operators_one_wins_and_the_other_is_told) {
+  auto const revision =
+      static_cast<std::int64_t>(system.status(0, true).tasks.front()->revision);
+  auto const first = put_bound(0, 2, revision);
+  auto const second = put_bound(1, 3, revision);
+  CHECK(first.value().outcome == rpc::ChangeOutcome::ACCEPTED);
+  CHECK(second.value().outcome == rpc::ChangeOutcome::CONFLICT);
+  LONGS_EQUAL(first.value().revision, second.value().revision);
+  for (std::uint32_t node = 0; node < 3; ++node) {
+    cluster::wait_until("the winner is in force", [&] {
+      return system.status(node, true).tasks.front()->record->freshness_bound == 2;
+    });
+  }
+}
+
+TEST(configuration_test, accepted_change_with_a_lost_answer_is_accepted) {
+  system.set_faults(system.kv(), {{"lose_answers", 1}});
+  auto const change = system.publish("main", 2);
+  CHECK(change.outcome == rpc::ChangeOutcome::ACCEPTED);
+  wait_for_version(2, 2);
+}
+
+TEST(configuration_test, change_in_an_outage_is_refused_and_not_half_done) {
+  system.set_faults(system.kv(), {{"outage_ms", 60'000}});
+  auto const refused = put_bound(0, 9, -1);
+  CHECK(refused.error().why == rpc::reason::kv_unavailable);
+  system.set_faults(system.kv(), {{"outage_ms", 0}});
+  system.publish("main", 2);
+  wait_for_version(0, 2);
+  LONGS_EQUAL(1, system.status(0, true).tasks.front()->record->freshness_bound);
+}
+
+TEST(configuration_test, node_started_on_a_stale_store_takes_its_peers_word) {
+  auto const old_revision = system.status(0, true).config_revision;
+  system.publish("main", 2);
+  system.publish("main", 3);
+  wait_for_version(0, 3);
+  system.process("node-2").kill();
+  system.set_faults(system.kv(), {{"stale_revision", old_revision}});
+  system.start_node(2);
+  std::uint64_t highest = 0;
+  cluster::wait_until("the new node knows version 3", [&] {
+    std::uint64_t now = 0;
+    auto const answer = system.client().call<rpc::GetStatusRequestT, rpc::GetStatusResponseT>(
+        system.node(2), "OperatorService", "GetStatus", {}, milliseconds(1000));
+    if (answer && !answer.value().tasks.empty()) {
+      now = answer.value().tasks.front()->published_version;
+    }
+    CHECK(now >= highest);
+    highest = now;
+    return now == 3;
+  });
+}
+
+TEST(configuration_test, old_snapshot_does_not_bring_old_versions_back) {
+  auto const old_revision = system.status(0, true).config_revision;
+  system.publish("main", 2);
+  for (std::uint32_t node = 0; node < 3; ++node) wait_for_version(node, 2);
+  // A short outage ends all watches, so that every node reads the old state anew.
+  system.set_faults(system.kv(), {{"stale_revision", old_revision}, {"outage_ms", 200}});
+  auto const reads_before = system.status(0, true);
+  cluster::wait_until("the watches have come back", [&] {
+    return system.process_log("node-0").find("Ignored a stale read") != std::string::npos;
+  });
+  for (std::uint32_t node = 0; node < 3; ++node) LONGS_EQUAL(2, version_at(node));
+  system.set_faults(system.kv(), {{"stale_revision", 0}});
+  system.publish("main", 3);
+  for (std::uint32_t node = 0; node < 3; ++node) wait_for_version(node, 3);
+}
+
+TEST(configuration_test, compacted_gap_is_read_anew) {
+  system.process("node-1").send_signal(SIGSTOP);
+  for (std::uint64_t version = 2; version < 6; ++version) system.publish("main", version);
+  auto const revision = system.status(0, true).config_revision;
+  system.set_faults(system.kv(), {{"compact_revision", revision}});
+  system.process("node-1").send_signal(SIGCONT);
+  wait_for_version(1, 5);
+}
+
+TEST(configuration_test, node_started_in_an_outage_learns_from_peers) {
+  system.put_route("lookup", "/lookup/", true);
+  cluster::wait_until("the route is in force",
+                      [&] { return system.status(0, true).routes.size() == 1; });
+  system.process("node-2").kill();
+  system.set_faults(system.kv(), {{"outage_ms", 60'000}});
+  system.start_node(2);
+  cluster::wait_until("the new node serves calls", [&] {
+    auto const answer = system.client().exchange(system.node(2), http::make_get("/lookup/x"),
+                                                 milliseconds(1000));
+    return answer && answer.value().result() == http::status::ok;
+  });
+  LONGS_EQUAL(1, version_at(2));
+}
+
+TEST(configuration_test, node_alone_in_an_outage_refuses_instead_of_guessing) {
+  for (std::uint32_t node = 0; node < 3; ++node) {
+    system.process(cluster::node_name(node)).kill();
+  }
+  system.set_faults(system.kv(), {{"outage_ms", 60'000}});
+  system.start_node(0);
+  cluster::wait_until("the node answers", [&] {
+    auto const answer = system.client().exchange(system.node(0), http::make_get("/healthz"),
+                                                 milliseconds(1000));
+    return answer.has_value();
+  });
+  auto const answer =
+      system.client().exchange(system.node(0), http::make_get("/lookup/x"), milliseconds(1000));
+  LONGS_EQUAL(503, answer.value().result_int());
+  CHECK(answer.value().body().find("not_ready") != std::string::npos);
+}
--- /dev/null
+++ b/tests/integration/exactly_once_test.cc
@@ -0,0 +1,128 @@
+/// @file Each sample reaches its trainer exactly once, whatever breaks around the commit.
+
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include <future>
+
+#include "http/json_fields.h"
+#include "test_trainer.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+TEST_GROUP(exactly_once_test) {
+  cluster system{make_run_folder("exactly-once"), cluster_options()};
+  test_trainer trainer{system, "main"};
+
+  void setup() override {
+    system.put_task("main", 1, 8, 1);
+    system.publish("main", 1);
+  }
+
+  void check_all_once(std::size_t wanted) {
+    auto const report = check_run(system);
+    CHECK_TRUE_TEXT(report.is_good(), describe(report).c_str());
+    LONGS_EQUAL(wanted, report.samples_delivered);
+  }
+
+  std::uint32_t owner(std::uint32_t by_node) {
+    return wait_for_owner(system, "main", 0, by_node);
+  }
+
+  void wait_for_finished(std::uint32_t by_node, std::uint32_t wanted) {
+    testing::wait_for_finished(system, "main", 0, by_node, wanted);
+  }
+
+  std::uint64_t slow_writes() {
+    auto const answer =
+        system.client().exchange(system.kv(), http::make_get("/stats"), milliseconds(2000));
+    auto const body = parse_json_object(answer.value().body());
+    return static_cast<std::uint64_t>(json_number(*body, "slow_writes"));
+  }
+};
+
+TEST(exactly_once_test, lost_answers_of_commits_are_resolved) {
+  trainer.submit(0, 8, 4, 64);
+  wait_for_finished(0, 8);
+  system.set_faults(system.kv(), {{"lose_answers", 3}});
+  trainer.pull_until(32);
+  check_all_once(32);
+}
+
+TEST(exactly_once_test, repeated_pull_hands_out_the_same_batch) {
+  trainer.submit(0, 4, 4, 64);
+  cluster::wait_until("there is a batch", [&] {
+    auto const first = trainer.pull(0);
+    return first && first.value().batch;
+  });
+  auto const again = trainer.pull(1);
+  auto const third = trainer.pull(2);
+  STRCMP_EQUAL(again.value().batch->identity.c_str(), third.value().batch->identity.c_str());
+  LONGS_EQUAL(1, third.value().batch->number);
+  trainer.keep(third.value());
+  trainer.pull_until(16);
+  check_all_once(16);
+}
+
+TEST(exactly_once_test, owner_killed_between_commit_and_answer) {
+  trainer.submit(0, 4, 4, 64);
+  std::uint32_t const killed = owner(0);
+  std::uint32_t const other = (killed + 1) % 3;
+  wait_for_finished(other, 16);
+  system.set_faults(system.kv(), {{"slow_prefix", "/frostline/delivery/"}, {"slow_ms", 1500}});
+  test_trainer impatient{system, "main"};
+  auto pulling = std::async(std::launch::async, [&] {
+    rpc::blocking_client client;
+    rpc::PullBatchRequestT request;
+    request.task = "main";
+    return client
+        .call<rpc::PullBatchRequestT, rpc::PullBatchResponseT>(
+            system.node(killed), "TrainerService", "PullBatch", request, milliseconds(10'000))
+        .has_value();
+  });
+  cluster::wait_until("the commit is on its way", [&] { return slow_writes() > 0; });
+  system.process(cluster::node_name(killed)).kill();
+  CHECK_FALSE(pulling.get());
+  system.set_faults(system.kv(), {{"slow_ms", 0}});
+  trainer.ask = {other, (killed + 2) % 3};
+  trainer.pull_until(16);
+  check_all_once(16);
+}
+
+TEST(exactly_once_test, owner_frozen_past_its_lease_can_not_deliver) {
+  trainer.submit(0, 8, 4, 64);
+  std::uint32_t const frozen = owner(0);
+  std::uint32_t const other = (frozen + 1) % 3;
+  wait_for_finished(other, 32);
+  auto const before = shard_status(system, "main", 0, other);
+  system.process(cluster::node_name(frozen)).send_signal(SIGSTOP);
+  trainer.ask = {other, (frozen + 2) % 3};
+  cluster::wait_until("another node owns the shard", [&] {
+    auto const now = shard_status(system, "main", 0, other);
+    return now && now->epoch > before->epoch;
+  });
+  trainer.pull_until(8);
+  system.process(cluster::node_name(frozen)).send_signal(SIGCONT);
+  // The old owner still believes that it owns the shard until its watch tells it otherwise.
+  auto const late = trainer.pull(frozen, milliseconds(0), true);
+  if (late && late.value().batch) {
+    LONGS_EQUAL(trainer.cursor() + 1, late.value().batch->number);
+    auto const again = trainer.pull(other);
+    STRCMP_EQUAL(late.value().batch->identity.c_str(),
+                 again.value().batch->identity.c_str());
+  }
+  trainer.ask = {0, 1, 2};
+  trainer.pull_until(32);
+  check_all_once(32);
+}
+
+TEST(exactly_once_test, lost_disk_node_loses_no_sample) {
+  trainer.submit(0, 8, 4, 64);
+  std::uint32_t const lost = owner(0);
+  wait_for_finished((lost + 1) % 3, 16);
+  system.process(cluster::node_name(lost)).kill();
+  trainer.ask = {(lost + 1) % 3, (lost + 2) % 3};
+  trainer.pull_until(32);
+  check_all_once(32);
+}
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -57,6 +57,10 @@
   void start_engine(std::uint32_t index);
   /// Tells the machine list that a machine leaves, or that it is live with a new incarnation.
   void list_machine(std::string const& id, std::string const& state, std::uint64_t incarnation);
+  /// Gives a machine another address in the list, such as that of a proxy before it.
+  void relocate(std::string const& id, endpoint const& address);
+  /// What a process has written so far.
+  std::string process_log(std::string const& name) const;
   void set_faults(endpoint const& standin, boost::json::object faults);
   /// Notes in the journals that a back end leaves from now on, for the checker.
   void note_leaving(std::string const& back_end);
@@ -68,6 +72,9 @@
                                std::uint32_t by_node = 0);
   rpc::ChangeResponseT put_route(std::string const& name, std::string const& prefix,
                                  bool repeatable);
+  rpc::ChangeResponseT put_route_to(std::string const& name, std::string const& prefix,
+                                    bool repeatable, std::vector<std::string> back_ends,
+                                    std::uint32_t deadline_ms = 2000);
   rpc::ChangeResponseT drain(std::string const& back_end);
   rpc::GetStatusResponseT status(std::uint32_t by_node = 0, bool local_only = false);
 
@@ -111,6 +118,9 @@
   rpc::blocking_client client_;
 };
 
+/// A pause between two tries of a loop that a condition ends.
+void wait_a_moment();
+
 /// A loopback port that is free now.
 endpoint free_endpoint();
 
