--- a/src/membership/table.cc
+++ b/src/membership/table.cc
@@ -58,7 +58,8 @@
     member const* target = find(unheard_.front());
     unheard_.pop_front();
     if (target == nullptr || target->last_heard != time_point::min()) continue;
-    out.push_back({target->update.gossip_address, make_message(rpc::GossipKind::PING, ++sequence_)});
+    out.push_back(
+        {target->update.gossip_address, make_message(rpc::GossipKind::PING, ++sequence_)});
     ++count;
   }
 }
@@ -83,6 +84,7 @@
   message.config_revision = config_revision_;
   message.kv_age_ms = static_cast<std::uint32_t>(kv_age_.count());
   attach_updates(message);
+  attach_leaving(message);
   return message;
 }
 
@@ -100,10 +102,33 @@
   std::erase_if(updates_, [](auto const& entry) { return entry.second.sends_left == 0; });
 }
 
-void table::queue_update(member_update const& update) {
+std::size_t table::retransmissions() const {
   double const members = static_cast<double>(members_.size()) + 2;
-  auto const sends = static_cast<std::size_t>(std::ceil(k_retransmit_factor * std::log2(members)));
-  updates_[update.id] = {update, sends};
+  return static_cast<std::size_t>(std::ceil(k_retransmit_factor * std::log2(members)));
+}
+
+void table::queue_update(member_update const& update) {
+  updates_[update.id] = {update, retransmissions()};
+}
+
+void table::spread_leaving(std::string const& back_end, std::uint64_t incarnation) {
+  std::uint64_t& held = leaving_[back_end];
+  if (incarnation <= held) return;
+  held = incarnation;
+  leaving_sends_[back_end] = retransmissions();
+  ++changes_;
+}
+
+void table::attach_leaving(gossip_message& message) {
+  for (auto& [back_end, sends_left] : leaving_sends_) {
+    if (message.leaving.size() == k_updates_per_message) break;
+    auto mark = std::make_unique<rpc::LeavingMarkT>();
+    mark->backend = back_end;
+    mark->incarnation = leaving_.at(back_end);
+    message.leaving.push_back(std::move(mark));
+    --sends_left;
+  }
+  std::erase_if(leaving_sends_, [](auto const& entry) { return entry.second == 0; });
 }
 
 void table::set_state(member& entry, member_state state, time_point now) {
@@ -168,6 +193,7 @@
   if (!message.sender || message.sender->id == self_.id) return out;
   hear_from(message, now);
   for (auto const& update : message.updates) apply_update(*update, now);
+  for (auto const& mark : message.leaving) spread_leaving(mark->backend, mark->incarnation);
   std::string const& sender_address = message.sender->gossip_address;
   switch (message.kind) {
     case rpc::GossipKind::PING: {
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -66,6 +66,11 @@
   /// What rides on every message.
   void set_local_facts(std::uint64_t config_revision, milliseconds kv_age);
 
+  /// Spreads a back end's word that it leaves to all nodes.
+  void spread_leaving(std::string const& back_end, std::uint64_t incarnation);
+  /// Highest incarnation of each back end that is known, by gossip, to leave.
+  std::map<std::string, std::uint64_t> const& leaving_back_ends() const { return leaving_; }
+
   std::map<std::string, member> const& members() const { return members_; }
   member const* find(std::string const& id) const;
   member_update const& self() const { return self_; }
@@ -76,7 +81,8 @@
   std::uint64_t newest_config_revision() const { return newest_config_revision_; }
   /// When a peer last knew the key-value service to answer.
   time_point kv_known_at() const { return kv_known_at_; }
-  /// When a node of another zone was last heard; if none is known, any node.
+  /// When a node of another zone was last heard (any node, if there are no other zones);
+  /// time_point::min() if never.
   time_point last_heard_outside_zone() const { return last_heard_outside_zone_; }
   bool knows_other_members() const;
 
@@ -106,6 +112,9 @@
   std::vector<outgoing_message> start_probe(time_point now);
   void conclude_probe(time_point now);
   void probe_indirectly(std::vector<outgoing_message>& out);
+  /// How often a new piece of news is sent on.
+  std::size_t retransmissions() const;
+  void attach_leaving(gossip_message& message);
   std::string next_target();
   /// Pings members that only the machine list has named so far.
   void introduce(std::vector<outgoing_message>& out);
@@ -124,6 +133,9 @@
   std::map<std::string, queued_update> updates_;
   std::deque<std::string> probe_order_;
   std::deque<std::string> unheard_;
+  std::map<std::string, std::uint64_t> leaving_;
+  /// Sends left of each mark that is still being spread.
+  std::map<std::string, std::size_t> leaving_sends_;
   probe probe_;
   std::map<std::uint64_t, relayed_probe> relayed_;
   time_point next_probe_ = time_point::min();
--- a/src/node/application.cc
+++ b/src/node/application.cc
@@ -13,6 +13,7 @@
 #include "membership/gossip_service.h"
 #include "operators/service.h"
 #include "rollout/service.h"
+#include "routing/health_watch.h"
 #include "routing/proxy.h"
 
 namespace frostline::node {
@@ -56,8 +57,9 @@
   void register_methods();
   void take_machine_list();
   void take_configuration();
+  void take_gossiped_leaving();
   bool is_cut_off() const;
-  void describe(rpc::GetStatusResponseT& status) const;
+  void describe(rpc::GetStatusResponseT& status);
   awaitable<void> seed_loop();
   awaitable<void> stop();
   awaitable<void> wait_until_idle(time_point deadline);
@@ -85,6 +87,7 @@
   routing::metrics routing_metrics_{*registry_};
   routing::claims claims_{context_, kv_};
   std::unique_ptr<routing::proxy> proxy_;
+  routing::health_watch health_watch_{context_, transport_, machines_, members_};
   rpc::dispatcher methods_;
   std::unique_ptr<http::server> server_;
 };
@@ -100,9 +103,17 @@
   keeper_ = std::make_unique<ownership::keeper>(context_, kv_, config_, config_sync_, members_,
                                                 self, settings_.listen.to_string(),
                                                 [this] { return rollout_->list_resources(); });
-  proxy_ =
-      std::make_unique<routing::proxy>(context_, transport_, config_, machines_, leaving_, claims_,
-                                       routing_metrics_, [this] { return is_cut_off(); });
+  routing::proxy_hooks hooks;
+  hooks.is_cut_off = [this] { return is_cut_off(); };
+  hooks.is_leaving = [this](platform::machine const& server) {
+    take_gossiped_leaving();
+    return leaving_.is_leaving(server.id, server.incarnation, server.incarnation);
+  };
+  hooks.heard_leaving = [this](platform::machine const& server) {
+    members_.spread_leaving(server.id, server.incarnation);
+  };
+  proxy_ = std::make_unique<routing::proxy>(context_, transport_, config_, machines_, claims_,
+                                            routing_metrics_, std::move(hooks));
   operators_ = std::make_unique<operators::service>(
       kv_, transport_, config_, config_sync_, members_, machines_,
       [this](rpc::GetStatusResponseT& status) { describe(status); });
@@ -153,6 +164,7 @@
   machines_.start();
   keeper_->start();
   claims_.start();
+  health_watch_.start();
   spawn(context_, seed_loop());
   asio::signal_set signals(context_, SIGTERM, SIGINT);
   signals.async_wait([this](auto failed, int) {
@@ -214,7 +226,9 @@
   time_point const now = steady_clock::now();
   if (!members_.knows_other_members()) return false;
   if (config_sync_.kv_age(now) < k_kv_silence) return false;
-  return now - members_.last_heard_outside_zone() > k_peer_silence;
+  time_point const heard = members_.last_heard_outside_zone();
+  // Never is not a time to subtract from: the difference would overflow to the past.
+  return heard == time_point::min() || now - heard > k_peer_silence;
 }
 
 void application::parts::take_machine_list() {
@@ -246,6 +260,12 @@
   rollout_->reconcile();
 }
 
+void application::parts::take_gossiped_leaving() {
+  for (auto const& [back_end, incarnation] : members_.leaving_back_ends()) {
+    leaving_.mark(back_end, incarnation, routing::leaving_source::back_end);
+  }
+}
+
 /// The machine list may name a node again that gossip has forgotten.
 awaitable<void> application::parts::seed_loop() {
   while (state_ != node_state::stopped) {
@@ -254,7 +274,8 @@
   }
 }
 
-void application::parts::describe(rpc::GetStatusResponseT& status) const {
+void application::parts::describe(rpc::GetStatusResponseT& status) {
+  take_gossiped_leaving();
   status.kv_reachable = config_sync_.kv_age(steady_clock::now()) < k_kv_silence;
   rollout_->describe(status);
   for (auto const& entry : leaving_.entries()) {
--- a/src/rollout/shard_owner.cc
+++ b/src/rollout/shard_owner.cc
@@ -110,7 +110,8 @@
   take_recovered(bulk.content);
   bulk_loaded_ = true;
   bool const whole = bulk.short_of_copies.groups.empty() && bulk.short_of_copies.samples.empty();
-  if (!whole) spawn(parts_.context, restore_copies(shared_from_this(), std::move(bulk.short_of_copies)));
+  if (!whole)
+    spawn(parts_.context, restore_copies(shared_from_this(), std::move(bulk.short_of_copies)));
   co_return true;
 }
 
--- /dev/null
+++ b/src/routing/health_watch.h
@@ -0,0 +1,39 @@
+/// @file Asks application servers how they are. Each server is watched by a few nodes only; what
+/// they hear of its leaving goes to all others by gossip.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "base/asio.h"
+#include "http/client.h"
+#include "membership/table.h"
+#include "platform/machine_list.h"
+
+namespace frostline::routing {
+
+/// Nodes that watch one server.
+inline constexpr std::size_t k_watchers = 2;
+
+/// The nodes that watch `server`: those of the live ones with the highest rendezvous weight. Pure.
+std::vector<std::string> watchers_of(std::string const& server, membership::table const& members);
+
+class health_watch {
+ public:
+  health_watch(asio::io_context& context, http::client& transport,
+               platform::machine_list const& machines, membership::table& members)
+      : context_(context), transport_(transport), machines_(machines), members_(members) {}
+
+  void start();
+
+ private:
+  awaitable<void> watch_loop();
+  awaitable<void> ask(platform::machine server);
+
+  asio::io_context& context_;
+  http::client& transport_;
+  platform::machine_list const& machines_;
+  membership::table& members_;
+};
+
+}  // namespace frostline::routing
--- a/src/routing/proxy.cc
+++ b/src/routing/proxy.cc
@@ -31,16 +31,15 @@
 }  // namespace
 
 proxy::proxy(asio::io_context& context, http::client& transport, config::store const& config,
-             platform::machine_list const& machines, leaving_tracker& leaving,
-             claims& claim_registry, metrics& counters, std::function<bool()> is_cut_off)
+             platform::machine_list const& machines, claims& claim_registry, metrics& counters,
+             proxy_hooks hooks)
     : context_(context),
       transport_(transport),
       config_(config),
       machines_(machines),
-      leaving_(leaving),
       claims_(claim_registry),
       metrics_(counters),
-      is_cut_off_(std::move(is_cut_off)),
+      hooks_(std::move(hooks)),
       picker_(k_picker_seed) {}
 
 proxy::route_state& proxy::state_of(rpc::RouteRecordT const& route) {
@@ -80,7 +79,7 @@
 }
 
 awaitable<proxy::call_reply> proxy::serve(call& one, route_state& state) {
-  if (is_cut_off_()) {
+  if (hooks_.is_cut_off()) {
     co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
   }
   admission_result const admitted = co_await state.gate.enter(one.deadline);
@@ -99,8 +98,7 @@
   for (std::string const& id : route.backends) {
     platform::machine const* server = machines_.find(id);
     if (server == nullptr || server->leaving) continue;
-    if (leaving_.is_leaving(id, server->incarnation, server->incarnation)) continue;
-    usable.push_back(id);
+    if (!hooks_.is_leaving(*server)) usable.push_back(id);
   }
   return usable;
 }
@@ -143,7 +141,7 @@
       // The claim took time: leaving and being cut off are looked at again before sending.
       continue;
     }
-    if (is_cut_off_()) {
+    if (hooks_.is_cut_off()) {
       co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
     }
     platform::machine const server = *found;
@@ -178,9 +176,7 @@
 
 proxy::try_outcome proxy::take_answer(platform::machine const& server, http::response answer) {
   picker_.note_answer(server.id);
-  if (!http::header(answer, k_leaving_header).empty()) {
-    leaving_.mark(server.id, server.incarnation, leaving_source::back_end);
-  }
+  if (!http::header(answer, k_leaving_header).empty()) hooks_.heard_leaving(server);
   try_outcome outcome;
   if (!http::header(answer, k_not_run_header).empty()) {
     outcome.not_run = true;
--- a/src/routing/proxy.h
+++ b/src/routing/proxy.h
@@ -14,7 +14,6 @@
 #include "routing/admission.h"
 #include "routing/back_end_picker.h"
 #include "routing/claims.h"
-#include "routing/leaving_tracker.h"
 #include "routing/metrics.h"
 #include "routing/retry_budget.h"
 #include "rpc/problem.h"
@@ -28,11 +27,21 @@
 /// A back end's documented signal that it is leaving.
 inline constexpr std::string_view k_leaving_header = "Backend-Leaving";
 
+/// What the proxy asks of, and tells, the rest of the node.
+struct proxy_hooks {
+  /// Whether this node may be cut off and must send nothing new.
+  std::function<bool()> is_cut_off;
+  /// Whether a server must get nothing new.
+  std::function<bool(platform::machine const&)> is_leaving;
+  /// A server has said in an answer that it leaves.
+  std::function<void(platform::machine const&)> heard_leaving;
+};
+
 class proxy {
  public:
   proxy(asio::io_context& context, http::client& transport, config::store const& config,
-        platform::machine_list const& machines, leaving_tracker& leaving, claims& claim_registry,
-        metrics& counters, std::function<bool()> is_cut_off);
+        platform::machine_list const& machines, claims& claim_registry, metrics& counters,
+        proxy_hooks hooks);
 
   /// Answers one request; a problem is answered at once.
   awaitable<http::response> handle(http::request message);
@@ -73,10 +82,9 @@
   http::client& transport_;
   config::store const& config_;
   platform::machine_list const& machines_;
-  leaving_tracker& leaving_;
   claims& claims_;
   metrics& metrics_;
-  std::function<bool()> is_cut_off_;
+  proxy_hooks hooks_;
   back_end_picker picker_;
   std::map<std::string, std::unique_ptr<route_state>> states_;
 };
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -184,6 +184,10 @@
 struct MemberUpdateBuilder;
 struct MemberUpdateT;
 
+struct LeavingMark;
+struct LeavingMarkBuilder;
+struct LeavingMarkT;
+
 struct GossipMessage;
 struct GossipMessageBuilder;
 struct GossipMessageT;
@@ -5396,6 +5400,94 @@
 
 flatbuffers::Offset<MemberUpdate> CreateMemberUpdate(flatbuffers::FlatBufferBuilder &_fbb, const MemberUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct LeavingMarkT : public flatbuffers::NativeTable {
+  typedef LeavingMark TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.LeavingMarkT";
+  }
+  std::string backend{};
+  uint64_t incarnation = 0;
+};
+
+/// A back end's own word that it leaves, as one node heard it.
+struct LeavingMark FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef LeavingMarkT NativeTableType;
+  typedef LeavingMarkBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.LeavingMark";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BACKEND = 4,
+    VT_INCARNATION = 6
+  };
+  const flatbuffers::String *backend() const {
+    return GetPointer<const flatbuffers::String *>(VT_BACKEND);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BACKEND) &&
+           verifier.VerifyString(backend()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           verifier.EndTable();
+  }
+  LeavingMarkT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(LeavingMarkT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<LeavingMark> Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingMarkT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct LeavingMarkBuilder {
+  typedef LeavingMark Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_backend(flatbuffers::Offset<flatbuffers::String> backend) {
+    fbb_.AddOffset(LeavingMark::VT_BACKEND, backend);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(LeavingMark::VT_INCARNATION, incarnation, 0);
+  }
+  explicit LeavingMarkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<LeavingMark> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<LeavingMark>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<LeavingMark> CreateLeavingMark(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> backend = 0,
+    uint64_t incarnation = 0) {
+  LeavingMarkBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_backend(backend);
+  return builder_.Finish();
+}
+
+struct LeavingMark::Traits {
+  using type = LeavingMark;
+  static auto constexpr Create = CreateLeavingMark;
+};
+
+inline flatbuffers::Offset<LeavingMark> CreateLeavingMarkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *backend = nullptr,
+    uint64_t incarnation = 0) {
+  auto backend__ = backend ? _fbb.CreateString(backend) : 0;
+  return frostline::rpc::CreateLeavingMark(
+      _fbb,
+      backend__,
+      incarnation);
+}
+
+flatbuffers::Offset<LeavingMark> CreateLeavingMark(flatbuffers::FlatBufferBuilder &_fbb, const LeavingMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct GossipMessageT : public flatbuffers::NativeTable {
   typedef GossipMessage TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -5408,6 +5500,7 @@
   std::vector<std::unique_ptr<frostline::rpc::MemberUpdateT>> updates{};
   uint64_t config_revision = 0;
   uint32_t kv_age_ms = 0;
+  std::vector<std::unique_ptr<frostline::rpc::LeavingMarkT>> leaving{};
   GossipMessageT() = default;
   GossipMessageT(const GossipMessageT &o);
   GossipMessageT(GossipMessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -5428,7 +5521,8 @@
     VT_TARGET = 10,
     VT_UPDATES = 12,
     VT_CONFIG_REVISION = 14,
-    VT_KV_AGE_MS = 16
+    VT_KV_AGE_MS = 16,
+    VT_LEAVING = 18
   };
   frostline::rpc::GossipKind kind() const {
     return static_cast<frostline::rpc::GossipKind>(GetField<int8_t>(VT_KIND, 0));
@@ -5454,6 +5548,9 @@
   uint32_t kv_age_ms() const {
     return GetField<uint32_t>(VT_KV_AGE_MS, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::LeavingMark>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::LeavingMark>> *>(VT_LEAVING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_KIND, 1) &&
@@ -5467,6 +5564,9 @@
            verifier.VerifyVectorOfTables(updates()) &&
            VerifyField<uint64_t>(verifier, VT_CONFIG_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_KV_AGE_MS, 4) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
            verifier.EndTable();
   }
   GossipMessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5499,6 +5599,9 @@
   void add_kv_age_ms(uint32_t kv_age_ms) {
     fbb_.AddElement<uint32_t>(GossipMessage::VT_KV_AGE_MS, kv_age_ms, 0);
   }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::LeavingMark>>> leaving) {
+    fbb_.AddOffset(GossipMessage::VT_LEAVING, leaving);
+  }
   explicit GossipMessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5518,10 +5621,12 @@
     flatbuffers::Offset<flatbuffers::String> target = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::MemberUpdate>>> updates = 0,
     uint64_t config_revision = 0,
-    uint32_t kv_age_ms = 0) {
+    uint32_t kv_age_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::LeavingMark>>> leaving = 0) {
   GossipMessageBuilder builder_(_fbb);
   builder_.add_config_revision(config_revision);
   builder_.add_sequence(sequence);
+  builder_.add_leaving(leaving);
   builder_.add_kv_age_ms(kv_age_ms);
   builder_.add_updates(updates);
   builder_.add_target(target);
@@ -5543,9 +5648,11 @@
     const char *target = nullptr,
     const std::vector<flatbuffers::Offset<frostline::rpc::MemberUpdate>> *updates = nullptr,
     uint64_t config_revision = 0,
-    uint32_t kv_age_ms = 0) {
+    uint32_t kv_age_ms = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::LeavingMark>> *leaving = nullptr) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::MemberUpdate>>(*updates) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::LeavingMark>>(*leaving) : 0;
   return frostline::rpc::CreateGossipMessage(
       _fbb,
       kind,
@@ -5554,7 +5661,8 @@
       target__,
       updates__,
       config_revision,
-      kv_age_ms);
+      kv_age_ms,
+      leaving__);
 }
 
 flatbuffers::Offset<GossipMessage> CreateGossipMessage(flatbuffers::FlatBufferBuilder &_fbb, const GossipMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7389,6 +7497,35 @@
       _bulk);
 }
 
+inline LeavingMarkT *LeavingMark::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<LeavingMarkT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void LeavingMark::UnPackTo(LeavingMarkT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = backend(); if (_e) _o->backend = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+}
+
+inline flatbuffers::Offset<LeavingMark> LeavingMark::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LeavingMarkT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateLeavingMark(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<LeavingMark> CreateLeavingMark(flatbuffers::FlatBufferBuilder &_fbb, const LeavingMarkT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const LeavingMarkT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _backend = _o->backend.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->backend);
+  auto _incarnation = _o->incarnation;
+  return frostline::rpc::CreateLeavingMark(
+      _fbb,
+      _backend,
+      _incarnation);
+}
+
 inline GossipMessageT::GossipMessageT(const GossipMessageT &o)
       : kind(o.kind),
         sequence(o.sequence),
@@ -7398,6 +7535,8 @@
         kv_age_ms(o.kv_age_ms) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new frostline::rpc::MemberUpdateT(*updates_) : nullptr); }
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new frostline::rpc::LeavingMarkT(*leaving_) : nullptr); }
 }
 
 inline GossipMessageT &GossipMessageT::operator=(GossipMessageT o) FLATBUFFERS_NOEXCEPT {
@@ -7408,6 +7547,7 @@
   std::swap(updates, o.updates);
   std::swap(config_revision, o.config_revision);
   std::swap(kv_age_ms, o.kv_age_ms);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -7427,6 +7567,7 @@
   { auto _e = updates(); if (_e) { _o->updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->updates[_i] = std::unique_ptr<frostline::rpc::MemberUpdateT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = config_revision(); _o->config_revision = _e; }
   { auto _e = kv_age_ms(); _o->kv_age_ms = _e; }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<frostline::rpc::LeavingMarkT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<GossipMessage> GossipMessage::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GossipMessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7444,6 +7585,7 @@
   auto _updates = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::MemberUpdate>> (_o->updates.size(), [](size_t i, _VectorArgs *__va) { return CreateMemberUpdate(*__va->__fbb, __va->__o->updates[i].get(), __va->__rehasher); }, &_va );
   auto _config_revision = _o->config_revision;
   auto _kv_age_ms = _o->kv_age_ms;
+  auto _leaving = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::LeavingMark>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateLeavingMark(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va );
   return frostline::rpc::CreateGossipMessage(
       _fbb,
       _kind,
@@ -7452,7 +7594,8 @@
       _target,
       _updates,
       _config_revision,
-      _kv_age_ms);
+      _kv_age_ms,
+      _leaving);
 }
 
 }  // namespace rpc
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -391,6 +391,11 @@
   zone:string;
   bulk:bool;
 }
+/// A back end's own word that it leaves, as one node heard it.
+table LeavingMark {
+  backend:string;
+  incarnation:uint64;
+}
 enum GossipKind : byte { PING = 0, ACK = 1, PING_REQUEST = 2 }
 table GossipMessage {
   kind:GossipKind;
@@ -403,6 +408,7 @@
   config_revision:uint64;
   /// Milliseconds since the sender knew the key-value service to answer, itself or by gossip.
   kv_age_ms:uint32;
+  leaving:[LeavingMark];
 }
 )schema";
 }  // namespace frostline::schema
--- a/src/standin/platform_servers.cc
+++ b/src/standin/platform_servers.cc
@@ -5,6 +5,7 @@
 /// with an ETag; `POST /v1/machines` adds or replaces one machine.
 
 #include <deque>
+#include <map>
 
 #include "standin/service.h"
 
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -129,8 +129,7 @@
     rpc::blocking_client client;
     auto message = http::make_post("/bid/lot", "amount=1", "text/plain");
     message.set("Idempotency-Key", "lost");
-    auto const answer =
-        client.exchange(system.node(1), std::move(message), milliseconds(5000));
+    auto const answer = client.exchange(system.node(1), std::move(message), milliseconds(5000));
     CHECK_FALSE(answer.has_value());
   });
   cluster::wait_until("the request has been sent", [&] { return runs("lost") == 1; });
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -1,5 +1,5 @@
-/// @file An accepted configuration is in force everywhere within seconds and never goes back: racing
-/// operators, lost answers, stale reads, gaps, outages.
+/// @file An accepted configuration is in force everywhere within seconds and never goes back:
+/// racing operators, lost answers, stale reads, gaps, outages.
 
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
@@ -51,8 +51,7 @@
 }
 
 TEST(configuration_test, of_racing_operators_one_wins_and_the_other_is_told) {
-  auto const revision =
-      static_cast<std::int64_t>(system.status(0, true).tasks.front()->revision);
+  auto const revision = static_cast<std::int64_t>(system.status(0, true).tasks.front()->revision);
   auto const first = put_bound(0, 2, revision);
   auto const second = put_bound(1, 3, revision);
   CHECK(first.value().outcome == rpc::ChangeOutcome::ACCEPTED);
@@ -137,8 +136,8 @@
   system.set_faults(system.kv(), {{"outage_ms", 60'000}});
   system.start_node(2);
   cluster::wait_until("the new node serves calls", [&] {
-    auto const answer = system.client().exchange(system.node(2), http::make_get("/lookup/x"),
-                                                 milliseconds(1000));
+    auto const answer =
+        system.client().exchange(system.node(2), http::make_get("/lookup/x"), milliseconds(1000));
     return answer && answer.value().result() == http::status::ok;
   });
   LONGS_EQUAL(1, version_at(2));
@@ -151,8 +150,8 @@
   system.set_faults(system.kv(), {{"outage_ms", 60'000}});
   system.start_node(0);
   cluster::wait_until("the node answers", [&] {
-    auto const answer = system.client().exchange(system.node(0), http::make_get("/healthz"),
-                                                 milliseconds(1000));
+    auto const answer =
+        system.client().exchange(system.node(0), http::make_get("/healthz"), milliseconds(1000));
     return answer.has_value();
   });
   auto const answer =
--- a/tests/integration/exactly_once_test.cc
+++ b/tests/integration/exactly_once_test.cc
@@ -26,9 +26,7 @@
     LONGS_EQUAL(wanted, report.samples_delivered);
   }
 
-  std::uint32_t owner(std::uint32_t by_node) {
-    return wait_for_owner(system, "main", 0, by_node);
-  }
+  std::uint32_t owner(std::uint32_t by_node) { return wait_for_owner(system, "main", 0, by_node); }
 
   void wait_for_finished(std::uint32_t by_node, std::uint32_t wanted) {
     testing::wait_for_finished(system, "main", 0, by_node, wanted);
@@ -109,8 +107,7 @@
   if (late && late.value().batch) {
     LONGS_EQUAL(trainer.cursor() + 1, late.value().batch->number);
     auto const again = trainer.pull(other);
-    STRCMP_EQUAL(late.value().batch->identity.c_str(),
-                 again.value().batch->identity.c_str());
+    STRCMP_EQUAL(late.value().batch->identity.c_str(), again.value().batch->identity.c_str());
   }
   trainer.ask = {0, 1, 2};
   trainer.pull_until(32);
--- a/tests/integration/freshness_test.cc
+++ b/tests/integration/freshness_test.cc
@@ -1,5 +1,5 @@
-/// @file No delivered sample is older than its task's bound, also when versions are published around
-/// the commit, around a repeated pull, around a frozen owner, and in an outage.
+/// @file No delivered sample is older than its task's bound, also when versions are published
+/// around the commit, around a repeated pull, around a frozen owner, and in an outage.
 
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
--- a/tests/integration/versions_test.cc
+++ b/tests/integration/versions_test.cc
@@ -76,8 +76,7 @@
   wait_for_version("engine-1", 2);
   cluster::wait_until("the failed swap is in the status", [&] {
     auto const status = engine_status("engine-0", 0);
-    return status && status->swap_error == "swap failed" &&
-           status->versions.front()->version == 1;
+    return status && status->swap_error == "swap failed" && status->versions.front()->version == 1;
   });
   wait_for_version("engine-0", 2);
   trainer.pull_until(64);
--- a/tests/support/fault_proxy.cc
+++ b/tests/support/fault_proxy.cc
@@ -94,8 +94,7 @@
   spawn(context_, pump(one, false, faults_.reset_after_answer_bytes));
 }
 
-awaitable<void> fault_proxy::pump(std::shared_ptr<link> one, bool from_client,
-                                  std::int64_t limit) {
+awaitable<void> fault_proxy::pump(std::shared_ptr<link> one, bool from_client, std::int64_t limit) {
   tcp::socket& from = from_client ? one->client : one->server;
   tcp::socket& to = from_client ? one->server : one->client;
   std::array<char, k_piece> buffer{};
--- /dev/null
+++ b/tests/support/raw_connection.h
@@ -0,0 +1,30 @@
+/// @file A TCP connection on which a test says exactly what it wants.
+#pragma once
+
+#include <string>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+
+namespace frostline::testing {
+
+class raw_connection {
+ public:
+  explicit raw_connection(endpoint const& where);
+
+  void send(std::string const& bytes);
+  /// Ends the sending side only.
+  void finish_sending();
+  /// Reads until the peer closes, `until` has been read, or `timeout` has passed.
+  std::string read(std::string const& until = {}, milliseconds timeout = milliseconds(5000));
+  /// Whether the peer has closed or reset the connection.
+  bool closed() const { return closed_; }
+
+ private:
+  asio::io_context context_{1};
+  tcp::socket socket_{context_};
+  std::string received_;
+  bool closed_ = false;
+};
+
+}  // namespace frostline::testing
--- a/tests/support/test_trainer.cc
+++ b/tests/support/test_trainer.cc
@@ -26,18 +26,17 @@
     item->prompt = task_ + " prompt " + std::to_string(group);
     item->samples = samples;
     item->max_tokens = max_tokens;
-    journal_.write("submitted", {{"task", task_},
-                                 {"group", group},
-                                 {"prompt", item->prompt},
-                                 {"samples", samples}});
+    journal_.write(
+        "submitted",
+        {{"task", task_}, {"group", group}, {"prompt", item->prompt}, {"samples", samples}});
     request.groups.push_back(std::move(item));
   }
   std::size_t tries = 0;
   cluster::wait_until("groups are accepted", [&] {
     std::uint32_t const by_node = ask[tries++ % ask.size()];
-    auto const answer = system_.client().call<rpc::SubmitGroupsRequestT,
-                                              rpc::SubmitGroupsResponseT>(
-        system_.node(by_node), "TrainerService", "SubmitGroups", request, k_call_timeout);
+    auto const answer =
+        system_.client().call<rpc::SubmitGroupsRequestT, rpc::SubmitGroupsResponseT>(
+            system_.node(by_node), "TrainerService", "SubmitGroups", request, k_call_timeout);
     return answer.has_value();
   });
 }
--- a/tests/unit/bulk/bulk_store_test.cc
+++ b/tests/unit/bulk/bulk_store_test.cc
@@ -1,11 +1,10 @@
-#include "bulk/store.h"
-
 #include <CppUTest/TestHarness.h>
 
 #include <boost/filesystem.hpp>
 #include <fstream>
 
 #include "bulk/client.h"
+#include "bulk/store.h"
 
 using namespace frostline;
 
--- a/tests/unit/config/config_store_test.cc
+++ b/tests/unit/config/config_store_test.cc
@@ -1,7 +1,6 @@
-#include "config/store.h"
-
 #include <CppUTest/TestHarness.h>
 
+#include "config/store.h"
 #include "rpc/codec.h"
 
 using namespace frostline;
--- a/tests/unit/kv/kv_codec_test.cc
+++ b/tests/unit/kv/kv_codec_test.cc
@@ -1,8 +1,7 @@
-#include "kv/codec.h"
-
 #include <CppUTest/TestHarness.h>
 
 #include "base/encoding.h"
+#include "kv/codec.h"
 
 using namespace frostline;
 
--- a/tests/unit/load/checker_test.cc
+++ b/tests/unit/load/checker_test.cc
@@ -65,8 +65,8 @@
   }
 
   void attempt(std::string const& state, bool cut = false, bool right = true) {
-    write({{"event", "attempt"}, {"key", "k"}, {"run_state", state}, {"cut", cut},
-           {"right", right}});
+    write(
+        {{"event", "attempt"}, {"key", "k"}, {"run_state", state}, {"cut", cut}, {"right", right}});
   }
 
   void request(std::string const& method, std::uint64_t at = 0) {
--- a/tests/unit/membership/membership_table_test.cc
+++ b/tests/unit/membership/membership_table_test.cc
@@ -1,12 +1,12 @@
 /// @file The membership protocol over a simulated network with virtual time.
 
-#include "membership/table.h"
-
 #include <CppUTest/TestHarness.h>
 
 #include <functional>
 #include <memory>
 
+#include "membership/table.h"
+
 using namespace frostline;
 using namespace frostline::membership;
 
--- a/tests/unit/ownership/ownership_planner_test.cc
+++ b/tests/unit/ownership/ownership_planner_test.cc
@@ -1,7 +1,7 @@
-#include "ownership/planner.h"
-
 #include <CppUTest/TestHarness.h>
 
+#include "ownership/planner.h"
+
 using namespace frostline;
 using namespace frostline::ownership;
 
--- a/tests/unit/rollout/placement_test.cc
+++ b/tests/unit/rollout/placement_test.cc
@@ -45,7 +45,8 @@
 TEST(placement_test, samples_of_a_group_go_to_one_engine_until_it_is_busy) {
   auto const policy = make_placement_policy("prefix_affinity", 1);
   std::size_t const home = *place(*policy, engines, {7, ""}, now);
-  for (int round = 0; round < 10; ++round) LONGS_EQUAL(home, *place(*policy, engines, {7, ""}, now));
+  for (int round = 0; round < 10; ++round)
+    LONGS_EQUAL(home, *place(*policy, engines, {7, ""}, now));
   engines[home].in_flight = 3;
   CHECK(*place(*policy, engines, {7, ""}, now) != home);
 }
--- a/tests/unit/rpc/rpc_codec_test.cc
+++ b/tests/unit/rpc/rpc_codec_test.cc
@@ -1,8 +1,7 @@
-#include "rpc/codec.h"
-
 #include <CppUTest/TestHarness.h>
 
 #include "operators/service.h"
+#include "rpc/codec.h"
 #include "rpc/dispatcher.h"
 #include "rpc/problem.h"
 #include "schema/frostline_generated.h"
@@ -15,8 +14,8 @@
 };
 
 TEST(rpc_codec_test, json_and_binary_say_the_same) {
-  auto const binary = codec.to_binary("frostline.rpc.PublishVersionRequest",
-                                      R"({"task":"t","version":7})", error);
+  auto const binary =
+      codec.to_binary("frostline.rpc.PublishVersionRequest", R"({"task":"t","version":7})", error);
   auto const message = rpc::decode<rpc::PublishVersionRequestT>(*binary);
   STRCMP_EQUAL("t", message->task.c_str());
   LONGS_EQUAL(7, message->version);
@@ -26,10 +25,9 @@
 }
 
 TEST(rpc_codec_test, unknown_json_fields_are_passed_over_bad_ones_named) {
-  CHECK(codec
-            .to_binary("frostline.rpc.PublishVersionRequest", R"({"later":[1],"version":7})",
-                       error)
-            .has_value());
+  CHECK(
+      codec.to_binary("frostline.rpc.PublishVersionRequest", R"({"later":[1],"version":7})", error)
+          .has_value());
   CHECK_FALSE(codec.to_binary("frostline.rpc.PublishVersionRequest", R"({"version":"x"})", error));
   CHECK_FALSE(error.empty());
   CHECK_FALSE(codec.to_binary("frostline.rpc.PublishVersionRequest", "{", error));
