--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -70,12 +70,14 @@
   message.keep_alive(use == connection_use::pooled);
   message.prepare_payload();
   auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
+  traffic_.sent += written;
   if (write_failure) co_return classify(write_failure);
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(answer_limit_);
   if (message.method() == verb::head) parser.skip(true);
   beast::flat_buffer buffer;
   auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, parser, k_as_tuple);
+  traffic_.received += read;
   if (read_failure) co_return classify(read_failure);
   bool const clean = parser.get().keep_alive() && buffer.size() == 0;
   if (clean && use == connection_use::pooled) give_back(where, std::move(stream));
@@ -91,17 +93,20 @@
   message.set(field::host, where.to_string());
   message.prepare_payload();
   auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
+  traffic_.sent += written;
   if (write_failure) co_return classify(write_failure);
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(answer_limit_);
   beast::flat_buffer buffer;
   auto [head_failure, head] =
       co_await bhttp::async_read_header(*stream, buffer, parser, k_as_tuple);
+  traffic_.received += head;
   if (head_failure) co_return classify(head_failure);
   bool const hand_over = parser.get().result() == status::ok;
   while (!parser.is_done()) {
     stream->expires_after(idle_timeout);
     auto [failure, count] = co_await bhttp::async_read_some(*stream, buffer, parser, k_as_tuple);
+    traffic_.received += count;
     if (failure) co_return classify(failure);
     std::string& body = parser.get().body();
     if (!hand_over || body.empty()) continue;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -13,6 +13,12 @@
 
 namespace frostline::http {
 
+/// Bytes that passed through a client or server since its start.
+struct byte_count {
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+};
+
 /// How a request may use connections.
 enum class connection_use {
   /// A kept connection may serve; it may turn out closed after the request was written.
@@ -42,6 +48,8 @@
   awaitable<result<response>> stream(endpoint where, request message, milliseconds idle_timeout,
                                      body_sink sink);
 
+  byte_count const& traffic() const { return traffic_; }
+
  private:
   using connection = std::unique_ptr<beast::tcp_stream>;
 
@@ -52,6 +60,7 @@
   asio::io_context& context_;
   std::size_t answer_limit_;
   std::map<endpoint, std::deque<connection>> pool_;
+  byte_count traffic_;
 };
 
 }  // namespace frostline::http
--- a/src/kv/client.cc
+++ b/src/kv/client.cc
@@ -30,17 +30,28 @@
 
 }  // namespace
 
+void client::note_failure() {
+  ++current_;
+  breaker_.note_failure(steady_clock::now());
+}
+
 awaitable<result<std::string>> client::post(std::string target, std::string body) {
+  // What the breaker holds back was not sent, so nothing changed.
+  if (!breaker_.allows(steady_clock::now())) co_return std::error_code(errc::unavailable);
   ++operations_;
   auto message = http::make_post(target, std::move(body), http::k_json);
   auto answer = co_await transport_.exchange(server(), std::move(message), k_operation_timeout);
   if (!answer) {
-    ++current_;
+    note_failure();
     co_return from_http(answer.error());
   }
   http::status const code = answer.value().result();
   if (code == http::status::too_many_requests) co_return std::error_code(errc::rate_limited);
-  if (code == http::status::service_unavailable) co_return std::error_code(errc::unavailable);
+  if (code == http::status::service_unavailable) {
+    note_failure();
+    co_return std::error_code(errc::unavailable);
+  }
+  breaker_.note_answer();
   if (code != http::status::ok) co_return std::error_code(errc::malformed_answer);
   last_answer_ = steady_clock::now();
   co_return std::move(answer.value().body());
@@ -114,10 +125,7 @@
   auto answer =
       co_await transport_.stream(server(), std::move(message), k_watch_idle_timeout, on_piece);
   if (malformed) co_return errc::malformed_answer;
-  if (!answer) {
-    ++current_;
-    co_return from_http(answer.error());
-  }
+  if (!answer) co_return from_http(answer.error());
   co_return errc::unavailable;
 }
 
--- a/src/kv/client.h
+++ b/src/kv/client.h
@@ -7,6 +7,7 @@
 #include "base/asio.h"
 #include "base/endpoint.h"
 #include "http/client.h"
+#include "kv/breaker.h"
 #include "kv/errc.h"
 #include "kv/types.h"
 
@@ -15,8 +16,9 @@
 /// Speaks etcd v3's JSON form over HTTP; tries its servers in turn.
 class client {
  public:
-  client(http::client& transport, std::vector<endpoint> servers)
-      : transport_(transport), servers_(std::move(servers)) {}
+  /// @param seed of the jitter; different on each node.
+  client(http::client& transport, std::vector<endpoint> servers, std::uint64_t seed)
+      : transport_(transport), servers_(std::move(servers)), breaker_(seed) {}
 
   /// Reads one key, or with `range_end` all keys up to it.
   awaitable<result<range_answer>> range(std::string key, std::string range_end = {});
@@ -38,6 +40,7 @@
 
  private:
   awaitable<result<std::string>> post(std::string target, std::string body);
+  void note_failure();
   endpoint const& server() const { return servers_[current_ % servers_.size()]; }
 
   http::client& transport_;
@@ -45,6 +48,7 @@
   std::size_t current_ = 0;
   time_point last_answer_ = time_point::min();
   std::uint64_t operations_ = 0;
+  breaker breaker_;
 };
 
 }  // namespace frostline::kv
--- a/src/load/callers.cc
+++ b/src/load/callers.cc
@@ -1,6 +1,7 @@
 #include "load/callers.h"
 
 #include <algorithm>
+#include <boost/filesystem.hpp>
 #include <random>
 
 #include "base/encoding.h"
@@ -39,6 +40,13 @@
       client_(context),
       journal_(options_.journal_path) {}
 
+bool callers::is_told_to_stop() const {
+  // Looked at every so many calls: the file system is not asked for each.
+  constexpr std::uint64_t k_calls_between_looks = 16;
+  if (options_.stop_file.empty() || report_.calls % k_calls_between_looks != 0) return false;
+  return boost::filesystem::exists(options_.stop_file);
+}
+
 awaitable<caller_report> callers::run() {
   std::mt19937_64 random(options_.seed);
   std::exponential_distribution<double> gap(options_.calls_per_second);
@@ -46,7 +54,7 @@
   time_point const end = steady_clock::now() + options_.duration;
   time_point next = steady_clock::now();
   asio::steady_timer timer(context_);
-  while (next < end) {
+  while (next < end && !is_told_to_stop()) {
     one_call call;
     call.number = report_.calls++;
     call.single = single(random);
--- a/src/load/callers.h
+++ b/src/load/callers.h
@@ -22,6 +22,8 @@
   /// Share of calls that must not run twice.
   double single_share = 0.3;
   std::uint32_t most_attempts = 4;
+  /// No call is made once this file is there; empty for none.
+  std::string stop_file;
   std::string journal_path;
   std::uint64_t seed = 1;
 };
@@ -50,6 +52,7 @@
   };
   enum class attempt_result { answered, try_again, give_up };
 
+  bool is_told_to_stop() const;
   awaitable<void> make_call(one_call call);
   awaitable<attempt_result> attempt(one_call const& call, std::uint32_t number);
   attempt_result judge(one_call const& call, std::uint32_t number, http::response const& answer);
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -8,8 +8,10 @@
 #include <iostream>
 #include <sstream>
 
+#include "base/log.h"
 #include "load/callers.h"
 #include "load/checker.h"
+#include "load/hollow.h"
 #include "load/trainer.h"
 #include "rpc/blocking.h"
 
@@ -25,10 +27,20 @@
 DEFINE_uint32(max_tokens, 256, "trainer: longest sample, tokens");
 DEFINE_uint32(train_ms, 500, "trainer: time of a training step, milliseconds");
 DEFINE_uint32(steps_ahead, 1, "trainer: steps whose prompts are submitted ahead");
+DEFINE_string(stop_file, "", "trainer, callers: end when this file is there");
 DEFINE_uint32(give_up_seconds, 120, "trainer: time after which it gives up");
 DEFINE_double(rate, 100, "callers: calls a second");
 DEFINE_double(seconds, 10, "callers: duration");
 DEFINE_double(single_share, 0.3, "callers: share of calls that must not run twice");
+DEFINE_string(kv, "", "hollow: IP:port of the key-value service");
+DEFINE_string(machines, "", "hollow: IP:port of the machine list");
+DEFINE_string(control, "127.0.0.1:0", "hollow: IP:port for GET /report");
+DEFINE_uint32(count, 1, "hollow: nodes or engines in this process");
+DEFINE_uint32(first, 0, "hollow: number of the first");
+DEFINE_string(zone, "zone-0", "hollow: zone of the nodes");
+DEFINE_uint32(zones, 1, "hollow-engines: zones to spread engines over");
+DEFINE_string(data_folder, "", "hollow: parent of the disk nodes' data folders");
+DEFINE_uint32(disk_nodes, 0, "hollow: how many nodes have a disk");
 DEFINE_string(folder, "", "check: folder with the journals");
 
 namespace {
@@ -37,10 +49,12 @@
 using frostline::endpoint;
 
 constexpr char k_usage[] =
-    "frostline-load trainer|callers|check [flags]\n\n"
+    "frostline-load trainer|callers|check|hollow|hollow-engines [flags]\n\n"
     "  trainer   submits prompts, pulls batches, publishes versions; prints its idle time\n"
     "  callers   makes ordinary calls; prints latency percentiles\n"
-    "  check     judges a run by the journals in --folder; exit code 1 if a property is broken";
+    "  check     judges a run by the journals in --folder; exit code 1 if a property is broken\n"
+    "  hollow    many whole nodes in one process, for measuring control at size\n"
+    "  hollow-engines  many engine stand-ins in one process";
 
 std::optional<std::vector<endpoint>> parse_nodes() {
   std::vector<endpoint> nodes;
@@ -78,6 +92,7 @@
   options.steps_ahead = FLAGS_steps_ahead;
   options.journal_path = FLAGS_journal;
   options.seed = FLAGS_seed;
+  options.stop_file = FLAGS_stop_file;
   options.give_up_after = frostline::seconds(FLAGS_give_up_seconds);
   frostline::asio::io_context context(1);
   frostline::load::trainer trainer(context, std::move(options));
@@ -97,6 +112,7 @@
   options.calls_per_second = FLAGS_rate;
   options.duration = frostline::milliseconds(static_cast<std::int64_t>(FLAGS_seconds * 1000));
   options.single_share = FLAGS_single_share;
+  options.stop_file = FLAGS_stop_file;
   options.journal_path = FLAGS_journal;
   options.seed = FLAGS_seed;
   frostline::asio::io_context context(1);
@@ -110,6 +126,29 @@
   return 0;
 }
 
+int run_hollow(bool engines) {
+  auto const kv = frostline::parse_endpoint(FLAGS_kv);
+  auto const machines = frostline::parse_endpoint(FLAGS_machines);
+  auto const control = frostline::parse_endpoint(FLAGS_control);
+  if (!machines || !control || (!engines && !kv)) {
+    std::cerr << "frostline-load: --kv, --machines and --control must be IP:port\n";
+    return 2;
+  }
+  frostline::load::hollow_options options;
+  if (kv) options.kv = *kv;
+  options.machines = *machines;
+  options.control = *control;
+  options.count = FLAGS_count;
+  options.first = FLAGS_first;
+  options.zone = FLAGS_zone;
+  options.zones = FLAGS_zones;
+  options.data_folder = FLAGS_data_folder;
+  options.disk_nodes = FLAGS_disk_nodes;
+  frostline::start_logging("hollow", "warning");
+  return engines ? frostline::load::run_hollow_engines(options)
+                 : frostline::load::run_hollow_nodes(options);
+}
+
 int run_check() {
   frostline::load::check_options options;
   options.folder = FLAGS_folder;
@@ -127,6 +166,8 @@
   std::string const command = argc == 2 ? argv[1] : "";
   auto const nodes = parse_nodes();
   if (command == "check" && !FLAGS_folder.empty()) return run_check();
+  if (command == "hollow") return run_hollow(false);
+  if (command == "hollow-engines") return run_hollow(true);
   if (command == "trainer" && nodes) return run_trainer(*nodes);
   if (command == "callers" && nodes) return run_callers(*nodes);
   std::cerr << k_usage << '\n';
--- a/src/load/trainer.cc
+++ b/src/load/trainer.cc
@@ -1,5 +1,7 @@
 #include "load/trainer.h"
 
+#include <boost/filesystem.hpp>
+
 #include "base/encoding.h"
 
 namespace frostline::load {
@@ -27,8 +29,11 @@
       client_(context),
       journal_(options_.journal_path),
       received_(context),
-      deadline_(steady_clock::now() + options_.give_up_after),
-      received_per_step_(options_.steps) {}
+      deadline_(steady_clock::now() + options_.give_up_after) {}
+
+bool trainer::is_told_to_stop() const {
+  return !options_.stop_file.empty() && boost::filesystem::exists(options_.stop_file);
+}
 
 endpoint const& trainer::next_node() {
   return options_.nodes[node_index_++ % options_.nodes.size()];
@@ -67,6 +72,7 @@
 
 awaitable<bool> trainer::submit_step(std::uint32_t step) {
   if (step >= options_.steps) co_return true;
+  received_per_step_.resize(std::max<std::size_t>(received_per_step_.size(), step + 1));
   rpc::SubmitGroupsRequestT request;
   request.task = options_.task;
   std::uint64_t const first = step * groups_per_step();
@@ -168,18 +174,21 @@
   for (std::uint32_t shard = 0; shard < cursors_.size(); ++shard) {
     spawn(context_, pull_loop(shard));
   }
-  for (std::uint32_t step = 0; running && step < options_.steps; ++step) {
+  std::uint32_t steps = options_.steps;
+  for (std::uint32_t step = 0; running && step < steps; ++step) {
     running = co_await wait_for_step(step);
     if (!running) break;
     co_await wait_for(options_.train_time);
     ++report_.steps_done;
-    bool const last = step + 1 == options_.steps;
-    if (last) break;
+    // What is submitted already is still waited for.
+    if (is_told_to_stop()) steps = std::min(steps, step + 1 + options_.steps_ahead);
+    if (step + 1 == steps) break;
     running = co_await publish(step + 2);
-    if (running) running = co_await submit_step(step + 1 + options_.steps_ahead);
+    bool const more = step + 1 + options_.steps_ahead < steps;
+    if (running && more) running = co_await submit_step(step + 1 + options_.steps_ahead);
   }
   done_ = true;
-  report_.finished = report_.steps_done == options_.steps;
+  report_.finished = running && report_.steps_done == steps;
   std::chrono::duration<double> const total = steady_clock::now() - begin;
   report_.total_seconds = total.count();
   journal_.write("finished", {{"idle_seconds", report_.idle_seconds},
--- a/src/load/trainer.h
+++ b/src/load/trainer.h
@@ -29,6 +29,8 @@
   std::uint32_t steps_ahead = 1;
   std::string journal_path;
   std::uint64_t seed = 1;
+  /// No step is begun once this file is there; empty for none.
+  std::string stop_file;
   /// Time after which the trainer gives up.
   milliseconds give_up_after{120'000};
 };
@@ -61,6 +63,7 @@
   awaitable<void> pull_once(std::uint32_t shard);
   void take_batch(std::uint32_t shard, rpc::BatchT const& batch, std::uint64_t revision);
   awaitable<bool> wait_for_step(std::uint32_t step);
+  bool is_told_to_stop() const;
   bool given_up() const { return steady_clock::now() >= deadline_; }
   endpoint const& next_node();
   std::string prompt_of(std::uint64_t group) const;
@@ -74,6 +77,7 @@
   time_point deadline_;
   std::size_t node_index_ = 0;
   std::vector<shard_cursor> cursors_;
+  /// By step; grows as steps are submitted.
   std::vector<std::uint64_t> received_per_step_;
   trainer_report report_;
   bool done_ = false;
--- a/src/membership/table.cc
+++ b/src/membership/table.cc
@@ -29,6 +29,22 @@
   return 0;
 }
 
+constexpr std::size_t k_full_update_size = 3;
+constexpr std::size_t k_leaving_per_message = 6;
+/// Up to 16 members the suspicion timeout is as configured.
+constexpr double k_members_log_for_base_suspicion = 4;
+
+/// News of a member that does not live needs no addresses: whoever does not know it need not.
+bool is_bare(member_update const& update) { return update.state != member_state::ALIVE; }
+
+member_update bare_state(member_update const& update) {
+  member_update bare;
+  bare.id = update.id;
+  bare.incarnation = update.incarnation;
+  bare.state = update.state;
+  return bare;
+}
+
 bool supersedes(member_update const& news, member_update const& held) {
   if (news.incarnation != held.incarnation) return news.incarnation > held.incarnation;
   return rank(news.state) > rank(held.state);
@@ -94,9 +110,14 @@
   std::sort(candidates.begin(), candidates.end(), [](auto const* left, auto const* right) {
     return left->sends_left > right->sends_left;
   });
-  if (candidates.size() > k_updates_per_message) candidates.resize(k_updates_per_message);
+  std::size_t room = k_news_per_message;
   for (queued_update* queued : candidates) {
-    message.updates.push_back(std::make_unique<member_update>(queued->update));
+    bool const bare = is_bare(queued->update);
+    std::size_t const size = bare ? 1 : k_full_update_size;
+    if (size > room) break;
+    room -= size;
+    message.updates.push_back(
+        std::make_unique<member_update>(bare ? bare_state(queued->update) : queued->update));
     --queued->sends_left;
   }
   std::erase_if(updates_, [](auto const& entry) { return entry.second.sends_left == 0; });
@@ -121,7 +142,7 @@
 
 void table::attach_leaving(gossip_message& message) {
   for (auto& [back_end, sends_left] : leaving_sends_) {
-    if (message.leaving.size() == k_updates_per_message) break;
+    if (message.leaving.size() == k_leaving_per_message) break;
     auto mark = std::make_unique<rpc::LeavingMarkT>();
     mark->backend = back_end;
     mark->incarnation = leaving_.at(back_end);
@@ -153,7 +174,7 @@
   }
   auto const found = members_.find(update.id);
   if (found == members_.end()) {
-    if (update.state == member_state::DEAD) return;
+    if (update.state == member_state::DEAD || update.gossip_address.empty()) return;
     member entry;
     entry.update = update;
     entry.since = now;
@@ -164,10 +185,17 @@
   }
   member& held = found->second;
   if (!supersedes(update, held.update)) return;
-  held.update = update;
+  // Everyone has greeted this member or will, from the same machine list: no news to spread.
+  bool const first_heard = held.update.incarnation == 0 && update.state == member_state::ALIVE;
+  if (update.gossip_address.empty()) {
+    held.update.incarnation = update.incarnation;
+    held.update.state = update.state;
+  } else {
+    held.update = update;
+  }
   held.since = now;
   ++changes_;
-  queue_update(update);
+  if (!first_heard) queue_update(held.update);
 }
 
 void table::hear_from(gossip_message const& message, time_point now) {
@@ -275,13 +303,17 @@
   return out;
 }
 
-void table::conclude_probe(time_point now) {
+void table::conclude_probe(time_point now, std::vector<outgoing_message>& out) {
   if (probe_.acknowledged || probe_.target.empty()) return;
   auto const found = members_.find(probe_.target);
   probe_.acknowledged = true;
   if (found == members_.end()) return;
   if (found->second.update.state == member_state::ALIVE) {
     set_state(found->second, member_state::SUSPECT, now);
+    // Told at once, so that it can refute before the news has gone around.
+    gossip_message message = make_message(rpc::GossipKind::PING, ++sequence_);
+    message.updates.push_back(std::make_unique<member_update>(found->second.update));
+    out.push_back({found->second.update.gossip_address, std::move(message)});
   }
 }
 
@@ -302,10 +334,28 @@
   }
 }
 
+milliseconds table::suspicion_time() const {
+  double const members = static_cast<double>(members_.size()) + 2;
+  double const factor = std::max(1.0, std::log2(members) / k_members_log_for_base_suspicion);
+  return milliseconds(static_cast<std::int64_t>(times_.suspicion_timeout.count() * factor));
+}
+
+/// After a pause of this node itself nobody is blamed for what it could not hear meanwhile.
+void table::forgive_own_pause(time_point now) {
+  bool const paused = last_tick_ != time_point::min() && now - last_tick_ > times_.own_pause;
+  if (paused) {
+    probe_.acknowledged = true;
+    for (auto& [id, entry] : members_) {
+      if (entry.update.state == member_state::SUSPECT) entry.since += now - last_tick_;
+    }
+  }
+  last_tick_ = now;
+}
+
 void table::expire(time_point now) {
   for (auto& [id, entry] : members_) {
     bool const suspected = entry.update.state == member_state::SUSPECT;
-    if (suspected && now - entry.since >= times_.suspicion_timeout) {
+    if (suspected && now - entry.since >= suspicion_time()) {
       set_state(entry, member_state::DEAD, now);
     }
   }
@@ -318,12 +368,13 @@
 
 std::vector<outgoing_message> table::tick(time_point now) {
   std::vector<outgoing_message> out;
+  forgive_own_pause(now);
   expire(now);
   introduce(out);
   bool const waiting = !probe_.acknowledged && !probe_.indirect;
   if (waiting && now - probe_.started >= times_.ack_timeout) probe_indirectly(out);
   if (now < next_probe_) return out;
-  conclude_probe(now);
+  conclude_probe(now, out);
   // Jitter, so that nodes that started together do not probe together.
   auto const tenth = times_.probe_interval.count() / 10;
   std::uniform_int_distribution<std::int64_t> jitter(-tenth, tenth);
--- a/src/membership/table.h
+++ b/src/membership/table.h
@@ -23,15 +23,20 @@
   milliseconds probe_interval{1000};
   /// Without an answer for this long, helpers are asked to probe.
   milliseconds ack_timeout{300};
-  /// A suspect that does not refute within this is dead.
-  milliseconds suspicion_timeout{2000};
+  /// A suspect that does not refute within this is dead. It grows with the logarithm of the number
+  /// of members, as does the time that a refutation takes to reach everyone.
+  milliseconds suspicion_timeout{3000};
+  /// A node whose own timers come later than this was paused or overloaded itself, and judges
+  /// nobody by the time it missed.
+  milliseconds own_pause{400};
   /// A dead or departed member is forgotten after this.
   milliseconds forget_after{120'000};
 };
 
 inline constexpr std::size_t k_indirect_probes = 3;
-/// Updates that ride on one message; keeps it within one datagram.
-inline constexpr std::size_t k_updates_per_message = 6;
+/// What rides on one message, in units of a bare state change (about 50 bytes); an update with the
+/// member's addresses counts as three. Keeps a message within one datagram.
+inline constexpr std::size_t k_news_per_message = 20;
 
 struct outgoing_message {
   std::string gossip_address;
@@ -110,7 +115,7 @@
   void set_state(member& entry, member_state state, time_point now);
   void hear_from(gossip_message const& message, time_point now);
   std::vector<outgoing_message> start_probe(time_point now);
-  void conclude_probe(time_point now);
+  void conclude_probe(time_point now, std::vector<outgoing_message>& out);
   void probe_indirectly(std::vector<outgoing_message>& out);
   /// How often a new piece of news is sent on.
   std::size_t retransmissions() const;
@@ -119,6 +124,8 @@
   /// Pings members that only the machine list has named so far.
   void introduce(std::vector<outgoing_message>& out);
   void expire(time_point now);
+  milliseconds suspicion_time() const;
+  void forgive_own_pause(time_point now);
   std::optional<outgoing_message> probe_dead_member(time_point now);
 
   struct queued_update {
@@ -139,6 +146,7 @@
   probe probe_;
   std::map<std::uint64_t, relayed_probe> relayed_;
   time_point next_probe_ = time_point::min();
+  time_point last_tick_ = time_point::min();
   std::uint64_t sequence_ = 0;
   std::uint64_t changes_ = 0;
   std::uint64_t config_revision_ = 0;
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -2,10 +2,11 @@
 
 #include <gflags/gflags.h>
 
+#include <boost/asio/signal_set.hpp>
 #include <iostream>
 
 #include "base/log.h"
-#include "node/application.h"
+#include "node/node.h"
 
 DEFINE_string(config, "", "settings file (TOML)");
 DEFINE_bool(check, false, "check the settings, print what is wrong, and exit");
@@ -65,6 +66,23 @@
   }
 }
 
+/// Runs a node until a planned stop has ended.
+int serve(settings all) {
+  frostline::asio::io_context context(1);
+  frostline::node::node one(context, std::move(all));
+  std::string const failure = one.start();
+  if (!failure.empty()) {
+    std::cerr << "frostline: can't start: " << failure << '\n';
+    return 1;
+  }
+  frostline::asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code failed, int) {
+    if (!failed) one.stop([&context] { context.stop(); });
+  });
+  context.run();
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -86,5 +104,5 @@
     return 0;
   }
   frostline::start_logging(all.id, all.log_level);
-  return frostline::node::application(std::move(all)).run();
+  return serve(std::move(all));
 }
--- a/src/node/application.cc
+++ b/src/node/node.cc
@@ -1,11 +1,8 @@
-#include "node/application.h"
+#include "node/node.h"
 
 #include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 
-#include <boost/asio/signal_set.hpp>
-#include <iostream>
-
 #include "base/encoding.h"
 #include "base/log.h"
 #include "http/json_fields.h"
@@ -44,10 +41,13 @@
 
 }  // namespace
 
-struct application::parts {
-  explicit parts(settings given);
+struct node::parts {
+  parts(asio::io_context& context, settings given);
 
-  int run();
+  std::string start();
+  awaitable<void> stop(std::function<void()> on_stopped);
+  node_figures figures() const;
+  asio::io_context& context() { return context_; }
 
  private:
   awaitable<http::response> handle(http::request message);
@@ -61,17 +61,16 @@
   bool is_cut_off() const;
   void describe(rpc::GetStatusResponseT& status);
   awaitable<void> seed_loop();
-  awaitable<void> stop();
   awaitable<void> wait_until_idle(time_point deadline);
-  std::string start();
+  std::string listen();
 
   settings settings_;
   std::uint64_t incarnation_ = wall_clock_ms();
   node_state state_ = node_state::starting;
-  asio::io_context context_{1};
+  asio::io_context& context_;
   std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
   http::client transport_{context_};
-  kv::client kv_{transport_, settings_.kv};
+  kv::client kv_{transport_, settings_.kv, hash_bytes(settings_.id)};
   membership::table members_{describe_self(settings_, incarnation_), {}, incarnation_};
   membership::gossip_service gossip_{context_, members_};
   config::store config_;
@@ -92,13 +91,21 @@
   std::unique_ptr<http::server> server_;
 };
 
-application::application(settings all) : parts_(std::make_unique<parts>(std::move(all))) {}
+node::node(asio::io_context& context, settings all)
+    : parts_(std::make_unique<parts>(context, std::move(all))) {}
 
-application::~application() = default;
+node::~node() = default;
+
+std::string node::start() { return parts_->start(); }
+
+void node::stop(std::function<void()> on_stopped) {
+  spawn(parts_->context(), parts_->stop(std::move(on_stopped)));
+}
 
-int application::run() { return parts_->run(); }
+node_figures node::figures() const { return parts_->figures(); }
 
-application::parts::parts(settings given) : settings_(std::move(given)) {
+node::parts::parts(asio::io_context& context, settings given)
+    : settings_(std::move(given)), context_(context) {
   ownership::identity const self{settings_.id, incarnation_, settings_.zone};
   keeper_ = std::make_unique<ownership::keeper>(context_, kv_, config_, config_sync_, members_,
                                                 self, settings_.listen.to_string(),
@@ -122,7 +129,7 @@
       [this](http::request message) { return handle(std::move(message)); });
 }
 
-std::string application::parts::start() {
+std::string node::parts::listen() {
   if (!settings_.data_folder.empty()) {
     auto opened = bulk::store::open(settings_.data_folder);
     if (!opened) return settings_.data_folder + ": " + opened.error().message();
@@ -142,7 +149,7 @@
   return failure;
 }
 
-void application::parts::register_methods() {
+void node::parts::register_methods() {
   operators_->register_methods(methods_);
   rollout_->register_methods(methods_);
   methods_.add<rpc::FetchConfigRequestT, rpc::FetchConfigResponseT>(
@@ -152,12 +159,9 @@
       });
 }
 
-int application::parts::run() {
-  std::string const failure = start();
-  if (!failure.empty()) {
-    std::cerr << "frostline: can't start: " << failure << '\n';
-    return 1;
-  }
+std::string node::parts::start() {
+  std::string const failure = listen();
+  if (!failure.empty()) return failure;
   config_sync_.on_change([this] { take_configuration(); });
   machines_.on_change([this] { take_machine_list(); });
   config_sync_.start();
@@ -166,20 +170,38 @@
   claims_.start();
   health_watch_.start();
   spawn(context_, seed_loop());
-  asio::signal_set signals(context_, SIGTERM, SIGINT);
-  signals.async_wait([this](auto failed, int) {
-    if (!failed) spawn(context_, stop());
-  });
   log_line(log_level::info, k_part, "Started.",
            {{"id", settings_.id},
             {"zone", settings_.zone},
             {"http", settings_.listen.to_string()},
             {"incarnation", incarnation_}});
-  context_.run();
-  return 0;
+  return {};
+}
+
+node_figures node::parts::figures() const {
+  node_figures all;
+  all.gossip_bytes_sent = gossip_.traffic().bytes_sent;
+  all.gossip_bytes_received = gossip_.traffic().bytes_received;
+  all.http_bytes_sent = transport_.traffic().sent;
+  all.http_bytes_received = transport_.traffic().received;
+  all.kv_operations = kv_.operations();
+  all.config_revision = config_.revision();
+  all.members_alive = 1;
+  for (auto const& [id, peer] : members_.members()) {
+    if (peer.is_alive()) ++all.members_alive;
+  }
+  rpc::GetStatusResponseT status;
+  rollout_->describe(status);
+  all.engines_controlled = status.engines.size();
+  for (auto const& engine : status.engines) {
+    bool const ready = engine->state == to_string(engines::engine_state::ready);
+    if (ready && !engine->versions.empty()) ++all.engines_ready;
+  }
+  all.state = state_;
+  return all;
 }
 
-awaitable<http::response> application::parts::handle(http::request message) {
+awaitable<http::response> node::parts::handle(http::request message) {
   std::string_view const target = http::as_view(message.target());
   if (target.starts_with(rpc::k_rpc_prefix)) co_return co_await methods_.handle(std::move(message));
   if (target == "/healthz") co_return health();
@@ -188,11 +210,11 @@
   co_return co_await proxy_->handle(std::move(message));
 }
 
-http::response application::parts::health() const {
+http::response node::parts::health() const {
   return json_response(http::status::ok, {{"status", "ok"}});
 }
 
-http::response application::parts::readiness() const {
+http::response node::parts::readiness() const {
   bool const ready = state_ == node_state::serving && !is_cut_off();
   http::status const code = ready ? http::status::ok : http::status::service_unavailable;
   return json_response(code, {{"ready", ready},
@@ -201,7 +223,7 @@
                               {"config_revision", config_.revision()}});
 }
 
-http::response application::parts::metrics_page() {
+http::response node::parts::metrics_page() {
   auto& gauges = prometheus::BuildGauge()
                      .Name("frostline_node")
                      .Help("State of this node, by quantity")
@@ -222,7 +244,7 @@
                              k_plain_text);
 }
 
-bool application::parts::is_cut_off() const {
+bool node::parts::is_cut_off() const {
   time_point const now = steady_clock::now();
   if (!members_.knows_other_members()) return false;
   if (config_sync_.kv_age(now) < k_kv_silence) return false;
@@ -231,11 +253,13 @@
   return heard == time_point::min() || now - heard > k_peer_silence;
 }
 
-void application::parts::take_machine_list() {
+void node::parts::take_machine_list() {
   time_point const now = steady_clock::now();
   for (auto const& [id, machine] : machines_.machines()) {
     if (machine.leaving) {
       leaving_.mark(id, machine.incarnation, routing::leaving_source::machine_list);
+      // A list that flaps may show it to some nodes only.
+      members_.spread_leaving(id, machine.incarnation);
     }
     if (machine.kind != platform::machine_kind::node || machine.leaving) continue;
     membership::member_update seed;
@@ -248,7 +272,7 @@
   rollout_->reconcile();
 }
 
-void application::parts::take_configuration() {
+void node::parts::take_configuration() {
   for (auto const& [id, drain] : config_.drains()) {
     if (drain.record.leaving) {
       leaving_.mark(id, drain.record.incarnation, routing::leaving_source::operator_drain);
@@ -260,21 +284,21 @@
   rollout_->reconcile();
 }
 
-void application::parts::take_gossiped_leaving() {
+void node::parts::take_gossiped_leaving() {
   for (auto const& [back_end, incarnation] : members_.leaving_back_ends()) {
     leaving_.mark(back_end, incarnation, routing::leaving_source::back_end);
   }
 }
 
 /// The machine list may name a node again that gossip has forgotten.
-awaitable<void> application::parts::seed_loop() {
+awaitable<void> node::parts::seed_loop() {
   while (state_ != node_state::stopped) {
     co_await wait_for(k_seed_interval);
     take_machine_list();
   }
 }
 
-void application::parts::describe(rpc::GetStatusResponseT& status) {
+void node::parts::describe(rpc::GetStatusResponseT& status) {
   take_gossiped_leaving();
   status.kv_reachable = config_sync_.kv_age(steady_clock::now()) < k_kv_silence;
   rollout_->describe(status);
@@ -287,7 +311,7 @@
   }
 }
 
-awaitable<void> application::parts::wait_until_idle(time_point deadline) {
+awaitable<void> node::parts::wait_until_idle(time_point deadline) {
   while (steady_clock::now() < deadline) {
     bool const idle = server_->in_flight() == 0 && rollout_->runs_in_flight() == 0;
     if (idle) co_return;
@@ -296,7 +320,7 @@
 }
 
 /// A planned stop: tell, hand over, finish what is in flight, and only then close.
-awaitable<void> application::parts::stop() {
+awaitable<void> node::parts::stop(std::function<void()> on_stopped) {
   if (state_ == node_state::draining) co_return;
   state_ = node_state::draining;
   log_line(log_level::info, k_part, "Planned stop begins.");
@@ -321,7 +345,7 @@
   log_line(cut ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
            {{"cut", server_->in_flight()}});
   state_ = node_state::stopped;
-  context_.stop();
+  on_stopped();
 }
 
 }  // namespace frostline::node
--- a/src/ownership/keeper.cc
+++ b/src/ownership/keeper.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds k_keep_alive_interval{3000};
 constexpr milliseconds k_lease_retry{500};
 constexpr milliseconds k_plan_interval{250};
+constexpr milliseconds k_rebalance_interval{1000};
 
 }  // namespace
 
@@ -76,11 +77,34 @@
         if (stopping_ || lease_ == 0) break;
         co_await acquire(wish);
       }
+      co_await rebalance(resources);
     }
     co_await wait_for(k_plan_interval);
   }
 }
 
+awaitable<void> keeper::rebalance(std::vector<resource> const& resources) {
+  if (steady_clock::now() < next_rebalance_) co_return;
+  next_rebalance_ = steady_clock::now() + k_rebalance_interval;
+  std::vector<std::string> held;
+  for (resource const& one : resources) {
+    if (epoch_of(one.key) != 0) held.push_back(one.key);
+  }
+  auto excess = plan_release(resources, held, self_, members_);
+  if (excess) co_await release(std::move(*excess));
+}
+
+awaitable<void> keeper::release(std::string key) {
+  kv::transaction change;
+  change.compares.push_back({key, epoch_of(key)});
+  change.on_success.push_back({kv::operation_kind::remove, key, {}, 0});
+  auto answer = co_await service_.apply(std::move(change));
+  bool const done = answer && answer.value().succeeded;
+  if (!done) co_return;  // the watch tells what became of it
+  log_line(log_level::info, k_part, "Gave a resource to another node.", {{"key", key}});
+  sync_.apply_own({key, answer.value().store_revision, {}, true});
+}
+
 void keeper::note_owned(std::string const& key, kv::revision epoch) {
   log_line(log_level::info, k_part, "Became owner.", {{"key", key}, {"epoch", epoch}});
   sync_.apply_own({key, epoch, record_, false});
--- a/src/ownership/keeper.h
+++ b/src/ownership/keeper.h
@@ -34,6 +34,8 @@
   awaitable<void> lease_loop();
   awaitable<void> acquire_loop();
   awaitable<void> acquire(acquisition wish);
+  awaitable<void> rebalance(std::vector<resource> const& resources);
+  awaitable<void> release(std::string key);
   awaitable<void> read_back(std::string key);
   config::store::owner_entry const* find_owner(std::string const& key) const;
   void note_owned(std::string const& key, kv::revision epoch);
@@ -48,6 +50,7 @@
   std::function<std::vector<resource>()> list_resources_;
   kv::lease_id lease_ = 0;
   bool stopping_ = false;
+  time_point next_rebalance_ = time_point::min();
 };
 
 }  // namespace frostline::ownership
--- a/src/ownership/planner.cc
+++ b/src/ownership/planner.cc
@@ -1,5 +1,8 @@
 #include "ownership/planner.h"
 
+#include <algorithm>
+#include <set>
+
 #include "base/encoding.h"
 
 namespace frostline::ownership {
@@ -22,16 +25,22 @@
   return candidates;
 }
 
-std::string heaviest(std::string const& key, std::vector<candidate> const& candidates) {
-  std::string best;
+/// The candidate with the highest weight, of those in `zone` if there are any.
+std::string heaviest(resource const& wanted, std::vector<candidate> const& candidates) {
+  candidate const* best = nullptr;
+  bool best_in_zone = false;
   std::uint64_t best_weight = 0;
   for (candidate const& one : candidates) {
-    std::uint64_t const weight = rendezvous_weight(key, one.node);
-    if (!best.empty() && weight <= best_weight) continue;
-    best = one.node;
+    bool const in_zone = one.zone == wanted.zone;
+    if (best_in_zone && !in_zone) continue;
+    std::uint64_t const weight = rendezvous_weight(wanted.key, one.node);
+    bool const better = best == nullptr || (in_zone && !best_in_zone) || weight > best_weight;
+    if (!better) continue;
+    best = &one;
+    best_in_zone = in_zone;
     best_weight = weight;
   }
-  return best;
+  return best == nullptr ? std::string() : best->node;
 }
 
 /// Whether the process that wrote the record is known to be gone.
@@ -47,27 +56,38 @@
 
 std::string preferred_owner(resource const& wanted, identity const& self,
                             membership::table const& members) {
-  std::vector<candidate> const all = live_candidates(self, members);
-  std::vector<candidate> in_zone;
-  for (candidate const& one : all) {
-    if (one.zone == wanted.zone) in_zone.push_back(one);
-  }
-  return heaviest(wanted.key, in_zone.empty() ? all : in_zone);
+  return heaviest(wanted, live_candidates(self, members));
 }
 
 bool is_self(rpc::OwnerRecordT const& record, identity const& self) {
   return record.node == self.node && record.incarnation == self.incarnation;
 }
 
+std::optional<std::string> plan_release(std::vector<resource> const& resources,
+                                        std::vector<std::string> const& held, identity const& self,
+                                        membership::table const& members) {
+  std::vector<candidate> const candidates = live_candidates(self, members);
+  std::size_t const nodes = candidates.size();
+  std::size_t const share = (resources.size() + nodes) / std::max<std::size_t>(nodes, 1);
+  if (held.size() <= share + share / 4 + 1) return std::nullopt;
+  std::set<std::string> const mine(held.begin(), held.end());
+  for (resource const& one : resources) {
+    if (!mine.contains(one.key)) continue;
+    if (heaviest(one, candidates) != self.node) return one.key;
+  }
+  return std::nullopt;
+}
+
 std::vector<acquisition> plan_acquisitions(
     std::vector<resource> const& resources, identity const& self, membership::table const& members,
     std::map<std::string, config::store::owner_entry const*> const& owner_of) {
   std::vector<acquisition> plan;
+  std::vector<candidate> const candidates = live_candidates(self, members);
   for (resource const& wanted : resources) {
     auto const found = owner_of.find(wanted.key);
     config::store::owner_entry const* owner = found == owner_of.end() ? nullptr : found->second;
     bool const free = owner == nullptr || owner_is_gone(owner->record, self, members);
-    if (!free || preferred_owner(wanted, self, members) != self.node) continue;
+    if (!free || heaviest(wanted, candidates) != self.node) continue;
     plan.push_back({wanted.key, owner == nullptr ? 0 : owner->revision});
   }
   return plan;
--- a/src/ownership/planner.h
+++ b/src/ownership/planner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,4 +49,12 @@
     std::vector<resource> const& resources, identity const& self, membership::table const& members,
     std::map<std::string, config::store::owner_entry const*> const& owner_of);
 
+/// What this node should give up now, so that ownership spreads over nodes that have joined: a
+/// resource that another live node is preferred for, while this one holds more than its share.
+/// @param held keys that this node owns.
+/// @return at most one key, so that moves are spread over time.
+std::optional<std::string> plan_release(std::vector<resource> const& resources,
+                                        std::vector<std::string> const& held, identity const& self,
+                                        membership::table const& members);
+
 }  // namespace frostline::ownership
--- /dev/null
+++ b/src/standin/engine_group.h
@@ -0,0 +1,25 @@
+/// @file Many stand-ins of engines in one process, for systems too large for a process each.
+#pragma once
+
+#include <memory>
+#include <vector>
+
+#include "base/asio.h"
+#include "standin/options.h"
+
+namespace frostline::standin {
+
+class engine_group {
+ public:
+  engine_group();
+  ~engine_group();
+
+  /// Starts one more engine. @return the port it listens on; 0 if it can't.
+  std::uint16_t add(asio::io_context& context, options const& settings);
+
+ private:
+  struct member;
+  std::vector<std::unique_ptr<member>> members_;
+};
+
+}  // namespace frostline::standin
--- a/src/standin/options.h
+++ b/src/standin/options.h
@@ -23,6 +23,8 @@
   std::uint32_t load_ms = 200;
   /// engine: age of its load reports.
   std::uint32_t report_lag_ms = 200;
+  /// engine: time between two load reports that it keeps.
+  std::uint32_t report_interval_ms = 50;
   /// engine: tokens of prompts that its prefix cache holds.
   std::uint32_t cache_tokens = 20'000;
   /// app, scorer: time for an answer.
--- a/tests/integration/whole_answer_test.cc
+++ b/tests/integration/whole_answer_test.cc
@@ -1,5 +1,5 @@
-/// @file A caller gets the whole answer to its own request, or an error: truncated and late answers,
-/// reused connections, pipelined callers.
+/// @file A caller gets the whole answer to its own request, or an error: truncated and late
+/// answers, reused connections, pipelined callers.
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -24,9 +24,12 @@
   /// runs after `timeout_seconds`.
   int wait(int timeout_seconds);
   bool is_running();
+  pid_t pid() const { return pid_; }
   std::string const& log_path() const { return log_path_; }
 
  private:
+  void forget();
+
   pid_t pid_ = -1;
   int status_ = 0;
   std::string log_path_;
--- a/tests/unit/ownership/ownership_planner_test.cc
+++ b/tests/unit/ownership/ownership_planner_test.cc
@@ -96,6 +96,16 @@
   CHECK_FALSE(is_self(held.record, self));
 }
 
+TEST(ownership_planner_test, node_with_too_much_gives_one_up_to_the_preferred_one) {
+  std::vector<std::string> held;
+  for (resource const& one : resources) held.push_back(one.key);
+  auto const released = plan_release(resources, held, self, members);
+  CHECK(released.has_value());
+  CHECK(preferred_owner({*released, ""}, self, members) != "a");
+  held.resize(20);
+  CHECK_FALSE(plan_release(resources, held, self, members).has_value());
+}
+
 TEST(ownership_planner_test, leaving_node_acquires_nothing) {
   members.leave(now);
   CHECK(plan_acquisitions(resources, self, members, owner_of).empty());
