Engines put 16 tokens into an event; slopes of the data path

Change: completions ask for stream_interval=16; an event still holds tokens of one version only, so provenance is as before.

Ruled out: an interval above 16, since what an engine has not sent when it breaks is generated again.

--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -1,7 +1,6 @@
 #include "config/sync.h"
 
-#include <random>
-
+#include "base/jitter.h"
 #include "base/log.h"
 #include "rpc/client.h"
 
@@ -15,13 +14,6 @@
 constexpr milliseconds k_peer_timeout{2000};
 constexpr milliseconds k_unknown_age{3'600'000};
 
-/// A random time in [half, whole], so that nodes do not come back together.
-milliseconds with_jitter(milliseconds whole) {
-  static std::mt19937_64 random(std::random_device{}());
-  std::uniform_int_distribution<std::int64_t> pick(whole.count() / 2, whole.count());
-  return milliseconds(pick(random));
-}
-
 }  // namespace
 
 sync::sync(asio::io_context& context, kv::client& service, http::client& transport,
--- a/src/engines/engine_client.cc
+++ b/src/engines/engine_client.cc
@@ -12,6 +12,9 @@
 constexpr milliseconds k_load_timeout{20'000};
 /// An engine that sends nothing for this long is taken to be broken.
 constexpr milliseconds k_stream_idle_timeout{15'000};
+/// Tokens that the engine is asked to put into one event: events, not tokens, cost time here. What
+/// an engine has not sent when it breaks is generated again.
+constexpr std::uint32_t k_stream_interval = 16;
 constexpr std::string_view k_stream_end = "[DONE]";
 
 std::uint32_t small_number(json::object const& object, std::string_view key) {
@@ -27,6 +30,7 @@
                           {"priority", request.priority},
                           {"resume_tokens", request.resume_tokens},
                           {"epoch", request.epoch},
+                          {"stream_interval", k_stream_interval},
                           {"stream", true}};
   return json::serialize(body);
 }
--- a/src/kv/breaker.h
+++ b/src/kv/breaker.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 #include <random>
 
-#include "base/time.h"
+#include "base/jitter.h"
 
 namespace frostline::kv {
 
@@ -17,7 +17,7 @@
   /// Whether a request may be sent now. The first one after a pause is the probe.
   bool allows(time_point now) {
     if (now < closed_until_) return false;
-    if (pause_ > milliseconds(0)) closed_until_ = now + jittered(pause_);
+    if (pause_ > milliseconds(0)) closed_until_ = now + with_jitter(pause_, random_);
     return true;
   }
 
@@ -28,19 +28,13 @@
 
   void note_failure(time_point now) {
     pause_ = std::clamp(pause_ * 2, k_first_pause, k_longest_pause);
-    closed_until_ = now + jittered(pause_);
+    closed_until_ = now + with_jitter(pause_, random_);
   }
 
   static constexpr milliseconds k_first_pause{100};
   static constexpr milliseconds k_longest_pause{5000};
 
  private:
-  /// A random time in [half, whole], so that nodes do not come back together.
-  milliseconds jittered(milliseconds whole) {
-    std::uniform_int_distribution<std::int64_t> pick(whole.count() / 2, whole.count());
-    return milliseconds(pick(random_));
-  }
-
   std::mt19937_64 random_;
   milliseconds pause_{0};
   time_point closed_until_ = time_point::min();
--- a/src/rollout/shard_runs.cc
+++ b/src/rollout/shard_runs.cc
@@ -1,8 +1,8 @@
 /// @file How a shard's owner runs its samples on engines.
 
 #include <algorithm>
-#include <random>
 
+#include "base/jitter.h"
 #include "base/log.h"
 #include "http/json_fields.h"
 #include "rollout/shard_owner.h"
@@ -21,12 +21,6 @@
 constexpr milliseconds k_score_pause{200};
 constexpr milliseconds k_store_pause{200};
 
-milliseconds with_jitter(milliseconds whole) {
-  static std::mt19937_64 random(std::random_device{}());
-  std::uniform_int_distribution<std::int64_t> pick(whole.count() / 2, whole.count());
-  return milliseconds(pick(random));
-}
-
 bool allows(rpc::TaskRecordT const& task, std::string const& engine) {
   auto const& allowed = task.engines;
   return allowed.empty() || std::find(allowed.begin(), allowed.end(), engine) != allowed.end();
--- a/src/standin/app_server.cc
+++ b/src/standin/app_server.cc
@@ -49,7 +49,11 @@
       co_return refusal;
     }
     record(message);
+    while (serving_ >= settings_.slots) co_await freed_.wait();
+    ++serving_;
     co_await wait_for(milliseconds(settings_.service_ms + faults_.delay_ms));
+    --serving_;
+    freed_.notify_all();
     co_return answer(message);
   }
 
@@ -107,6 +111,9 @@
   journal journal_;
   std::uint64_t incarnation_;
   fault_settings faults_;
+  async_condition freed_{context_};
+  /// Requests in service; the others wait in order.
+  std::uint32_t serving_ = 0;
 };
 
 class scorer_server {
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -2,7 +2,8 @@
 /// weight version of each run of tokens in the stream, fenced load orders and lagged load reports.
 ///
 /// Extra fields, as this stand-in publishes them:
-///   request:  `request_id`, `epoch`, `sample_index`, `resume_tokens`, `priority`
+///   request:  `request_id`, `epoch`, `sample_index`, `resume_tokens`, `priority`,
+///             `stream_interval` (tokens of one version that go into one event)
 ///   event:    `frostline: {version, tokens}` beside `choices[0].text`
 ///   headers:  `Engine-Incarnation` on every answer
 /// A refusal with status 429 or 503 and `not_run: true` was not run.
@@ -23,7 +24,16 @@
 /// What a stream has yet to send.
 struct open_stream {
   explicit open_stream(asio::io_context& context) : changed(context) {}
+  /// Whether an event is due: enough tokens, another version, or the end.
+  bool is_due() const {
+    if (pending.empty()) return false;
+    bool const whole = pending.front().finished || pending.front().tokens >= interval;
+    return whole || pending.size() > 1;
+  }
+
   std::deque<generated_tokens> pending;
+  /// Tokens of one version that go into one event.
+  std::uint32_t interval = 1;
   async_condition changed;
   bool closed = false;
 };
@@ -251,6 +261,7 @@
     std::string const id = request.id;
     if (streams_.contains(id) || !model_.submit(std::move(request))) co_return false;
     auto stream = std::make_shared<open_stream>(context_);
+    stream->interval = static_cast<std::uint32_t>(json_number(*body, "stream_interval", 1));
     streams_[id] = stream;
     work_.notify_all();
     journal_.write("admitted", {{"engine", settings_.id}, {"request", id}});
@@ -267,7 +278,7 @@
     if (!begun) co_return;
     std::int64_t sent_events = 0;
     while (true) {
-      while (stream.pending.empty() && !stream.closed) co_await stream.changed.wait();
+      while (!stream.is_due() && !stream.closed) co_await stream.changed.wait();
       if (stream.closed || writer.peer_gone()) co_return;
       generated_tokens piece = std::move(stream.pending.front());
       stream.pending.pop_front();
--- /dev/null
+++ b/tests/fuzz/kv_answers_fuzz.cc
@@ -0,0 +1,15 @@
+/// @file What the key-value service sends.
+
+#include "base/encoding.h"
+#include "kv/codec.h"
+
+extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
+  std::string const text(reinterpret_cast<char const*>(data), size);
+  frostline::kv::decode_range(text);
+  frostline::kv::decode_transaction(text);
+  frostline::kv::decode_watch(text);
+  auto const bytes = frostline::base64_decode(text);
+  // What decodes must encode to the same text.
+  if (bytes && frostline::base64_encode(*bytes).size() != text.size()) __builtin_trap();
+  return 0;
+}
--- a/tests/integration/planned_stop_test.cc
+++ b/tests/integration/planned_stop_test.cc
@@ -8,18 +8,8 @@
 using namespace frostline;
 using namespace frostline::testing;
 
-namespace {
-
-cluster_options slow_engines() {
-  cluster_options options;
-  options.step_us = 5000;
-  return options;
-}
-
-}  // namespace
-
 TEST_GROUP(planned_stop_test) {
-  cluster system{make_run_folder("planned-stop"), slow_engines()};
+  cluster system{make_run_folder("planned-stop"), with_slow_engines()};
 
   void check_good() {
     auto const report = check_run(system);
--- a/tests/integration/versions_test.cc
+++ b/tests/integration/versions_test.cc
@@ -9,18 +9,8 @@
 using namespace frostline;
 using namespace frostline::testing;
 
-namespace {
-
-cluster_options slow_engines() {
-  cluster_options options;
-  options.step_us = 5000;
-  return options;
-}
-
-}  // namespace
-
 TEST_GROUP(versions_test) {
-  cluster system{make_run_folder("versions"), slow_engines()};
+  cluster system{make_run_folder("versions"), with_slow_engines()};
   test_trainer trainer{system, "main"};
 
   void setup() override {
--- a/tests/rehearsal/measure_latency.cc
+++ b/tests/rehearsal/measure_latency.cc
@@ -1,14 +1,12 @@
 /// @file Added latency of a node: the same calls direct to an application server and through one
 /// node, in one run, taking turns; and calls a second per core through the node.
 
-#include <time.h>
-
 #include <algorithm>
-#include <fstream>
 #include <iostream>
 
 #include "cluster.h"
 #include "load/callers.h"
+#include "process_cost.h"
 
 namespace {
 
@@ -31,19 +29,6 @@
   return took.count();
 }
 
-/// CPU time of another process in seconds, from /proc.
-double cpu_seconds(pid_t process) {
-  std::ifstream file("/proc/" + std::to_string(process) + "/stat");
-  std::string word;
-  double ticks = 0;
-  constexpr int k_user_time = 14;
-  constexpr int k_system_time = 15;
-  for (int field = 1; field <= k_system_time && file >> word; ++field) {
-    if (field >= k_user_time) ticks += std::stod(word);
-  }
-  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
-}
-
 awaitable<void> call_many(http::client& client, endpoint where, std::uint32_t calls,
                           std::uint32_t& open) {
   for (std::uint32_t call = 0; call < calls; ++call) {
@@ -84,9 +69,9 @@
     }
   }
   pid_t const node = system.process("node-0").pid();
-  double const cpu_before = cpu_seconds(node);
+  double const cpu_before = testing::cpu_seconds(node);
   saturate(system.node(0));
-  double const cpu = cpu_seconds(node) - cpu_before;
+  double const cpu = testing::cpu_seconds(node) - cpu_before;
   double const direct_p50 = load::percentile(direct, 0.5);
   double const direct_p99 = load::percentile(direct, 0.99);
   double const through_p50 = load::percentile(through, 0.5);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -31,6 +31,12 @@
   return folder + "/" + program;
 }
 
+cluster_options with_slow_engines() {
+  cluster_options options;
+  options.step_us = 5000;
+  return options;
+}
+
 void wait_a_moment() { std::this_thread::sleep_for(k_poll); }
 
 std::string own_loopback_address() {
@@ -75,7 +81,8 @@
   for (std::uint32_t index = 0; index < options_.apps; ++index) {
     apps_.push_back(free_endpoint(address_));
     start_standin("app", app_name(index), apps_.back(),
-                  {"--service_ms=" + std::to_string(options_.app_service_ms)});
+                  {"--service_ms=" + std::to_string(options_.app_service_ms),
+                   "--slots=" + std::to_string(options_.app_slots)});
   }
   for (std::uint32_t index = 0; index < options_.nodes; ++index) {
     nodes_.push_back(free_endpoint(address_));
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -26,12 +26,17 @@
   std::uint32_t step_us = 1000;
   std::uint32_t load_ms = 50;
   std::uint32_t app_service_ms = 1;
+  /// Requests that an application server serves at once.
+  std::uint32_t app_slots = 64;
   std::uint32_t list_lag_ms = 0;
   /// Requests a second of the key-value service; 0 is no limit.
   std::uint32_t kv_rate_limit = 0;
   std::string log_level = "info";
 };
 
+/// Engines so slow that samples of some hundred tokens are still running when a test interferes.
+cluster_options with_slow_engines();
+
 class cluster {
  public:
   /// Lays out files below `folder` and starts everything; returns when all nodes are ready.
--- /dev/null
+++ b/tests/support/process_cost.cc
@@ -0,0 +1,33 @@
+#include "process_cost.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+
+namespace frostline::testing {
+
+double cpu_seconds(pid_t process) {
+  std::ifstream file("/proc/" + std::to_string(process) + "/stat");
+  std::string word;
+  double ticks = 0;
+  constexpr int k_user_time = 14;
+  constexpr int k_system_time = 15;
+  for (int field = 1; field <= k_system_time && file >> word; ++field) {
+    if (field >= k_user_time) ticks += std::stod(word);
+  }
+  return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double resident_mib(pid_t process) {
+  std::ifstream file("/proc/" + std::to_string(process) + "/status");
+  std::string word;
+  double kib = 0;
+  while (file >> word) {
+    if (word == "VmRSS:") file >> kib;
+  }
+  constexpr double k_kib_a_mib = 1024;
+  return kib / k_kib_a_mib;
+}
+
+}  // namespace frostline::testing
