--- a/src/operators/service.cc
+++ b/src/operators/service.cc
@@ -1,6 +1,7 @@
 #include "operators/service.h"
 
 #include <algorithm>
+#include <set>
 
 #include "base/encoding.h"
 #include "base/log.h"
@@ -262,6 +263,22 @@
   for (auto const& [id, peer] : members_.members()) add(peer.update);
 }
 
+/// Engines that the machine list names and no node that answered controls.
+void service::add_uncontrolled_engines(rpc::GetStatusResponseT& status) const {
+  std::set<std::string> controlled;
+  for (auto const& engine : status.engines) controlled.insert(engine->id);
+  for (auto const& [id, machine] : machines_.machines()) {
+    if (machine.kind != platform::machine_kind::engine || controlled.contains(id)) continue;
+    auto item = std::make_unique<rpc::EngineStatusT>();
+    item->id = id;
+    item->address = machine.address.to_string();
+    item->zone = machine.zone;
+    item->slots = machine.slots;
+    item->state = "no_controller";
+    status.engines.push_back(std::move(item));
+  }
+}
+
 awaitable<void> service::add_from_peers(rpc::GetStatusResponseT& status) {
   std::vector<std::string> addresses;
   for (auto const& [id, peer] : members_.members()) {
@@ -288,7 +305,10 @@
   describe_local_(status);
   add_configuration(status);
   add_nodes(status);
-  if (!request.local_only) co_await add_from_peers(status);
+  if (!request.local_only) {
+    co_await add_from_peers(status);
+    add_uncontrolled_engines(status);
+  }
   co_return status;
 }
 
--- a/src/operators/service.h
+++ b/src/operators/service.h
@@ -52,6 +52,7 @@
   change_reply take_rival(change const& wanted, kv::transaction_answer const& answer);
   void add_configuration(rpc::GetStatusResponseT& status) const;
   void add_nodes(rpc::GetStatusResponseT& status) const;
+  void add_uncontrolled_engines(rpc::GetStatusResponseT& status) const;
   awaitable<void> add_from_peers(rpc::GetStatusResponseT& status);
 
   kv::client& kv_;
