Committed samples stay until the commit's answer is known

Cause: found by reading. While a commit was in flight the owner's main loop went on dropping finished samples that a publish had made too old.

Change: nothing is dropped while a commit is in flight. The stand-in can answer a write late.

Ruled out: keeping a copy of the batch's content beside the table (the same memory twice; the re-pull needs it in the table anyway).

--- a/src/rollout/shard_owner.cc
+++ b/src/rollout/shard_owner.cc
@@ -70,7 +70,9 @@
       co_await recover();
       continue;
     }
-    if (table_.drop_stale(published(), bound()) > 0) changed_.notify_all();
+    // A commit in flight may have taken effect: what it holds is delivered then, whatever is
+    // published after it, and must stay until its answer is known.
+    if (!committing_ && table_.drop_stale(published(), bound()) > 0) changed_.notify_all();
     abandon_lost_runs();
     dispatch();
     time_point const deadline = std::min(table_.next_due(), steady_clock::now() + k_main_tick);
--- a/src/standin/kv_server.cc
+++ b/src/standin/kv_server.cc
@@ -25,6 +25,8 @@
   /// Transactions that write below this prefix take effect this much later.
   std::string slow_prefix;
   std::int64_t slow_ms = 0;
+  /// They take effect at once and are answered this much later.
+  std::int64_t late_answer_ms = 0;
   /// Watches deliver nothing until then.
   time_point watches_held_until = time_point::min();
   /// Reads are served as of this revision; 0 is off.
@@ -88,7 +90,11 @@
     if (target == "/v3/kv/txn") {
       kv::transaction const change = read_transaction(*body);
       co_await delay_slow_write(change);
-      co_return commit(change, true);
+      http::response answer = commit(change, true);
+      bool const late = faults_.late_answer_ms > 0 && is_slow_write(change);
+      if (late) ++slow_writes_;
+      if (late) co_await wait_for(milliseconds(faults_.late_answer_ms));
+      co_return answer;
     }
     if (target == "/v3/lease/grant") co_return grant(*body);
     if (target == "/v3/lease/keepalive") co_return keep_alive(*body);
@@ -105,6 +111,7 @@
     if (hold >= 0) faults_.watches_held_until = steady_clock::now() + milliseconds(hold);
     faults_.slow_prefix = json_text(body, "slow_prefix", faults_.slow_prefix);
     faults_.slow_ms = json_number(body, "slow_ms", faults_.slow_ms);
+    faults_.late_answer_ms = json_number(body, "late_answer_ms", faults_.late_answer_ms);
     auto const stale = json_number(body, "stale_revision", -1);
     if (stale >= 0) faults_.stale_revision = static_cast<kv::revision>(stale);
     auto const rate = json_number(body, "rate_limit", -1);
@@ -156,11 +163,14 @@
     return found == nullptr ? nullptr : found->if_object();
   }
 
-  awaitable<void> delay_slow_write(kv::transaction const& change) {
-    bool const slow = std::any_of(
+  bool is_slow_write(kv::transaction const& change) const {
+    return std::any_of(
         change.on_success.begin(), change.on_success.end(),
         [this](kv::operation const& one) { return one.key.starts_with(faults_.slow_prefix); });
-    if (!slow || faults_.slow_ms == 0) co_return;
+  }
+
+  awaitable<void> delay_slow_write(kv::transaction const& change) {
+    if (faults_.slow_ms == 0 || !is_slow_write(change)) co_return;
     ++slow_writes_;
     co_await wait_for(milliseconds(faults_.slow_ms));
   }
