--- a/tests/integration/exactly_once_test.cc
+++ b/tests/integration/exactly_once_test.cc
@@ -5,7 +5,6 @@
 
 #include <future>
 
-#include "http/json_fields.h"
 #include "test_trainer.h"
 
 using namespace frostline;
@@ -31,13 +30,6 @@
   void wait_for_finished(std::uint32_t by_node, std::uint32_t wanted) {
     testing::wait_for_finished(system, "main", 0, by_node, wanted);
   }
-
-  std::uint64_t slow_writes() {
-    auto const answer =
-        system.client().exchange(system.kv(), http::make_get("/stats"), milliseconds(2000));
-    auto const body = parse_json_object(answer.value().body());
-    return static_cast<std::uint64_t>(json_number(*body, "slow_writes"));
-  }
 };
 
 TEST(exactly_once_test, lost_answers_of_commits_are_resolved) {
@@ -79,7 +71,7 @@
             system.node(killed), "TrainerService", "PullBatch", request, milliseconds(10'000))
         .has_value();
   });
-  cluster::wait_until("the commit is on its way", [&] { return slow_writes() > 0; });
+  system.wait_for_held_up_write("the commit is on its way");
   system.process(cluster::node_name(killed)).kill();
   CHECK_FALSE(pulling.get());
   system.set_faults(system.kv(), {{"slow_ms", 0}});
--- a/tests/integration/freshness_test.cc
+++ b/tests/integration/freshness_test.cc
@@ -76,11 +76,7 @@
         system.node(owner), "TrainerService", "PullBatch", request, milliseconds(10'000));
     if (answer) trainer.keep(answer.value());
   });
-  cluster::wait_until("the commit is on its way", [&] {
-    auto const answer =
-        system.client().exchange(system.kv(), http::make_get("/stats"), milliseconds(2000));
-    return answer.value().body().find("\"slow_writes\":0") == std::string::npos;
-  });
+  system.wait_for_held_up_write("the commit is on its way");
   system.publish("main", 2, (owner + 1) % 3);
   system.publish("main", 3, (owner + 1) % 3);
   puller.join();
--- a/tests/integration/late_commit_test.cc
+++ b/tests/integration/late_commit_test.cc
@@ -46,11 +46,7 @@
     handed_out = answer.value().batch->samples.size();
     trainer.keep(answer.value());
   });
-  cluster::wait_until("the commit has taken effect", [&] {
-    auto const answer =
-        system.client().exchange(system.kv(), http::make_get("/stats"), milliseconds(2000));
-    return answer.value().body().find("\"slow_writes\":0") == std::string::npos;
-  });
+  system.wait_for_held_up_write("the commit has taken effect");
   system.publish("main", 2, (owner + 1) % 3);
   system.publish("main", 3, (owner + 1) % 3);
   puller.join();
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -196,6 +196,14 @@
   if (!answer) throw std::runtime_error("faults could not be set: " + answer.error().message());
 }
 
+void cluster::wait_for_held_up_write(std::string const& what) {
+  wait_until(what, [this] {
+    auto const answer = client_.exchange(kv_, http::make_get("/stats"), k_call_timeout);
+    auto const body = answer ? parse_json_object(answer.value().body()) : std::nullopt;
+    return body && json_number(*body, "slow_writes") > 0;
+  });
+}
+
 void cluster::note_leaving(std::string const& back_end) {
   standin::journal operators(journal_folder() + "/operators.jsonl");
   operators.write("leaving", {{"backend", back_end}});
--- a/tests/support/cluster.h
+++ b/tests/support/cluster.h
@@ -67,6 +67,8 @@
   /// What a process has written so far.
   std::string process_log(std::string const& name) const;
   void set_faults(endpoint const& standin, boost::json::object faults);
+  /// Waits until a write that the key-value service's faults hold up has arrived there.
+  void wait_for_held_up_write(std::string const& what);
   /// Notes in the journals that a back end leaves from now on, for the checker.
   void note_leaving(std::string const& back_end);
 
