--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,8 +1,12 @@
-/// @file Structured logs: one JSON object a line on standard error, each with the fixed prefix of
+/// @file Structured logs: one JSON object a line on standard output, each with the fixed prefix of
 /// the part that speaks, a short sentence, and fields.
+///
+/// Lines are gathered and written together. Logging never waits: when the reader of standard output
+/// is slow, or lines come faster than a fixed rate, lines are dropped and counted.
 #pragma once
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -23,7 +27,7 @@
 
 using log_fields = std::initializer_list<log_field>;
 
-/// Starts logging for a process. `process` names it in each line.
+/// Starts logging for a process, or changes its level. `process` names it in each line.
 /// @return false if `level` is not one of debug, info, warning, error.
 bool start_logging(std::string_view process, std::string_view level);
 
@@ -31,4 +35,10 @@
 void log_line(log_level level, std::string_view part, std::string_view sentence,
               log_fields fields = {});
 
+/// Writes what has been gathered. Called now and then, and before a process ends.
+void flush_logs();
+
+/// Lines dropped since the start.
+std::uint64_t dropped_log_lines();
+
 }  // namespace frostline
--- /dev/null
+++ b/src/calls/exchange.cc
@@ -0,0 +1,212 @@
+#include "calls/exchange.h"
+
+#include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <charconv>
+
+namespace frostline::calls {
+namespace {
+
+namespace bhttp = http::bhttp;
+namespace beast = http::beast;
+
+constexpr std::size_t k_kept_per_server = 24;
+constexpr milliseconds k_connect_timeout{300};
+/// A server closes a connection only after it has rested for longer than this.
+constexpr milliseconds k_just_used{400};
+constexpr milliseconds k_keep_margin{400};
+/// Larger bodies are watched for an answer that comes before they are sent.
+constexpr std::size_t k_large_body = 16 * 1024;
+
+/// A kept connection that is readable was closed, or carries bytes that answer nothing.
+bool is_quiet(tcp::socket& socket) {
+  beast::error_code failure;
+  char probe = 0;
+  socket.non_blocking(true, failure);
+  socket.receive(asio::buffer(&probe, 1), tcp::socket::message_peek, failure);
+  return failure == asio::error::would_block;
+}
+
+/// The seconds of "timeout=N" in a Keep-Alive header.
+std::optional<milliseconds> keep_alive_time(http::response const& head) {
+  std::string_view const value = http::as_view(head[http::field::keep_alive]);
+  constexpr std::string_view k_parameter = "timeout=";
+  auto const place = value.find(k_parameter);
+  if (place == std::string_view::npos) return std::nullopt;
+  std::string_view const digits = value.substr(place + k_parameter.size());
+  std::uint32_t number = 0;
+  auto const parsed = std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return seconds(number);
+}
+
+}  // namespace
+
+std::string_view to_string(exchange_failure failure) {
+  switch (failure) {
+    case exchange_failure::none:
+      return "none";
+    case exchange_failure::not_connected:
+      return "not_connected";
+    case exchange_failure::broken:
+      return "broken";
+    case exchange_failure::stale_connection:
+      return "stale_connection";
+    case exchange_failure::timed_out:
+      return "timed_out";
+    case exchange_failure::foreign_answer:
+      return "foreign_answer";
+    case exchange_failure::aborted:
+      return "aborted";
+  }
+  return "unknown";
+}
+
+std::unique_ptr<connection_pool::connection> connection_pool::take(std::string const& server,
+                                                                   connection_choice choice) {
+  auto const found = kept_.find(server);
+  if (found == kept_.end() || choice == connection_choice::fresh) return nullptr;
+  time_point const now = steady_clock::now();
+  while (!found->second.empty()) {
+    auto one = std::move(found->second.back());
+    found->second.pop_back();
+    milliseconds const limit =
+        choice == connection_choice::just_used ? std::min(k_just_used, one->keep) : one->keep;
+    if (now - one->idle_since > limit) continue;
+    if (!is_quiet(one->stream.socket())) continue;
+    one->reused = true;
+    return one;
+  }
+  return nullptr;
+}
+
+void connection_pool::give_back(std::string const& server, std::unique_ptr<connection> one) {
+  auto& kept = kept_[server];
+  if (kept.size() >= k_kept_per_server) return;
+  one->idle_since = steady_clock::now();
+  one->stream.expires_never();
+  kept.push_back(std::move(one));
+}
+
+void connection_pool::clean(directory::server_directory const& servers) {
+  time_point const now = steady_clock::now();
+  for (auto& [server, kept] : kept_) {
+    std::erase_if(kept, [&](auto const& one) { return now - one->idle_since > one->keep; });
+  }
+  std::erase_if(kept_, [&](auto const& entry) {
+    return entry.second.empty() || servers.find(entry.first) == nullptr;
+  });
+}
+
+exchange::exchange(connection_pool& pool, header_names const& names,
+                   directory::server const& server)
+    : pool_(pool), names_(names), server_(server) {}
+
+exchange::~exchange() = default;
+
+exchange_failure exchange::classify(beast::error_code const& failure) const {
+  if (aborted_) return exchange_failure::aborted;
+  if (failure == beast::error::timeout) return exchange_failure::timed_out;
+  bool const unread = connection_ && connection_->reused && !answer_begun_;
+  return unread ? exchange_failure::stale_connection : exchange_failure::broken;
+}
+
+awaitable<exchange_failure> exchange::open(connection_choice choice, time_point deadline) {
+  connection_ = pool_.take(server_.id, choice);
+  if (connection_) co_return exchange_failure::none;
+  connection_ = std::make_unique<connection_pool::connection>(pool_.context());
+  pool_.note_opened();
+  beast::error_code ignored;
+  tcp::endpoint const remote(asio::ip::make_address(server_.address.address, ignored),
+                             server_.address.port);
+  time_point const latest = std::min(deadline, steady_clock::now() + k_connect_timeout);
+  connection_->stream.expires_at(latest);
+  auto [failure] = co_await connection_->stream.async_connect(remote, k_as_tuple);
+  if (failure) {
+    co_return aborted_ ? exchange_failure::aborted : exchange_failure::not_connected;
+  }
+  connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+  co_return exchange_failure::none;
+}
+
+awaitable<beast::error_code> exchange::write(http::request const& message) {
+  if (message.body().size() < k_large_body) {
+    auto [failure, count] = co_await bhttp::async_write(connection_->stream, message, k_as_tuple);
+    request_whole_ = !failure;
+    co_return failure;
+  }
+  // The server may answer before it has read all of a large body.
+  using namespace asio::experimental::awaitable_operators;
+  auto first =
+      co_await (bhttp::async_write(connection_->stream, message, k_as_tuple) ||
+                connection_->stream.socket().async_wait(tcp::socket::wait_read, k_as_tuple));
+  if (first.index() == 1) co_return beast::error_code();
+  beast::error_code const failure = std::get<0>(std::get<0>(first));
+  request_whole_ = !failure;
+  co_return failure;
+}
+
+awaitable<exchange_failure> exchange::send(http::request const& message, connection_choice choice,
+                                           time_point deadline) {
+  request_id_ = std::string(http::header(message, names_.request_id));
+  head_only_ = message.method() == http::verb::head;
+  exchange_failure const opened = co_await open(choice, deadline);
+  if (opened != exchange_failure::none) co_return opened;
+  connection_->stream.expires_at(deadline);
+  beast::error_code const failure = co_await write(message);
+  if (failure) co_return classify(failure);
+  co_return exchange_failure::none;
+}
+
+awaitable<exchange_failure> exchange::read_head(time_point deadline) {
+  parser_.emplace();
+  parser_->body_limit(boost::none);
+  parser_->eager(true);
+  if (head_only_) parser_->skip(true);
+  connection_->stream.expires_at(deadline);
+  auto [failure, count] = co_await bhttp::async_read_header(
+      connection_->stream, connection_->buffer, *parser_, k_as_tuple);
+  answer_begun_ = count > 0 || connection_->buffer.size() > 0;
+  if (failure) co_return classify(failure);
+  std::string_view const answered = http::header(parser_->get(), names_.request_id);
+  if (!answered.empty() && !request_id_.empty() && answered != request_id_) {
+    co_return exchange_failure::foreign_answer;
+  }
+  co_return exchange_failure::none;
+}
+
+awaitable<exchange_failure> exchange::read_piece(std::string& piece, time_point deadline) {
+  piece.clear();
+  std::string& body = parser_->get().body();
+  connection_->stream.expires_at(deadline);
+  while (body.empty() && !parser_->is_done()) {
+    auto [failure, count] = co_await bhttp::async_read_some(
+        connection_->stream, connection_->buffer, *parser_, k_as_tuple);
+    if (failure) co_return classify(failure);
+  }
+  piece.swap(body);
+  co_return exchange_failure::none;
+}
+
+void exchange::finish() {
+  if (!connection_ || !is_whole() || aborted_) return;
+  bool const clean = parser_->get().keep_alive() && !parser_->get().need_eof() && request_whole_ &&
+                     connection_->buffer.size() == 0;
+  if (!clean) {
+    connection_.reset();
+    return;
+  }
+  if (auto const told = keep_alive_time(parser_->get())) {
+    connection_->keep = std::max(*told - k_keep_margin, milliseconds(0));
+  }
+  pool_.give_back(server_.id, std::move(connection_));
+}
+
+void exchange::abort() {
+  aborted_ = true;
+  if (!connection_) return;
+  beast::error_code ignored;
+  connection_->stream.socket().close(ignored);
+}
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/exchange.h
@@ -0,0 +1,117 @@
+/// @file One request at one server, and the connections kept for it. The answer is read piece by
+/// piece; the exchange knows how far the request came, which decides whether it may be sent again.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/asio.h"
+#include "calls/header_names.h"
+#include "directory/server_directory.h"
+#include "http/message.h"
+
+namespace frostline::calls {
+
+/// Why an exchange gave no whole answer.
+enum class exchange_failure {
+  none,
+  /// No connection: no byte was sent, the request has not run.
+  not_connected,
+  /// The connection ended after bytes were sent: it may have run.
+  broken,
+  /// As broken, on a kept connection that gave no byte of an answer: the server may have closed it
+  /// before it read the request.
+  stale_connection,
+  /// Nothing came in time; it may have run.
+  timed_out,
+  /// The bytes are no answer to this request.
+  foreign_answer,
+  /// Given up by this side.
+  aborted,
+};
+
+std::string_view to_string(exchange_failure failure);
+
+/// Which connections may carry a request.
+enum class connection_choice {
+  /// A kept one, else a new one.
+  kept,
+  /// A kept one only if it rested so briefly that the server can't have closed it.
+  just_used,
+  /// A new one.
+  fresh,
+};
+
+/// Kept connections by server life. A connection of a life that has ended is never used again.
+class connection_pool {
+ public:
+  explicit connection_pool(asio::io_context& context) : context_(context) {}
+
+  struct connection {
+    explicit connection(asio::io_context& context) : stream(context) {}
+    http::beast::tcp_stream stream;
+    http::beast::flat_buffer buffer;
+    time_point idle_since{};
+    milliseconds keep{5000};
+    bool reused = false;
+  };
+
+  /// @return null if no kept connection fits.
+  std::unique_ptr<connection> take(std::string const& server, connection_choice choice);
+  void give_back(std::string const& server, std::unique_ptr<connection> one);
+  /// Closes connections of servers that are gone, and those that rested for long.
+  void clean(directory::server_directory const& servers);
+  asio::io_context& context() { return context_; }
+  std::uint64_t opened() const { return opened_; }
+  void note_opened() { ++opened_; }
+
+ private:
+  asio::io_context& context_;
+  std::map<std::string, std::deque<std::unique_ptr<connection>>> kept_;
+  std::uint64_t opened_ = 0;
+};
+
+class exchange {
+ public:
+  exchange(connection_pool& pool, header_names const& names, directory::server const& server);
+  ~exchange();
+  exchange(exchange const&) = delete;
+  exchange& operator=(exchange const&) = delete;
+
+  /// Connects if need be and sends. @param message complete with all headers but the instance's.
+  awaitable<exchange_failure> send(http::request const& message, connection_choice choice,
+                                   time_point deadline);
+  /// Reads the answer's status and headers, and checks that they answer this request.
+  awaitable<exchange_failure> read_head(time_point deadline);
+  http::response const& head() const { return parser_->get(); }
+  /// Reads more of the body into `piece`, which stays empty at the end of the whole body.
+  awaitable<exchange_failure> read_piece(std::string& piece, time_point deadline);
+  bool is_whole() const { return parser_ && parser_->is_done(); }
+  /// Keeps the connection if the answer is whole and the server allows it.
+  void finish();
+  /// Closes the connection at once; what waits on it fails with `aborted`.
+  void abort();
+  bool is_aborted() const { return aborted_; }
+  directory::server const& server() const { return server_; }
+
+ private:
+  awaitable<exchange_failure> open(connection_choice choice, time_point deadline);
+  awaitable<http::beast::error_code> write(http::request const& message);
+  exchange_failure classify(http::beast::error_code const& failure) const;
+
+  connection_pool& pool_;
+  header_names const& names_;
+  directory::server server_;
+  std::string request_id_;
+  std::unique_ptr<connection_pool::connection> connection_;
+  std::optional<http::bhttp::response_parser<http::bhttp::string_body>> parser_;
+  bool head_only_ = false;
+  bool request_whole_ = false;
+  bool answer_begun_ = false;
+  bool aborted_ = false;
+};
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/forwarder.cc
@@ -0,0 +1,376 @@
+#include "calls/forwarder.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace frostline::calls {
+namespace {
+
+constexpr std::string_view k_part = "calls";
+/// Time in which an answer must still reach the client before its deadline.
+constexpr milliseconds k_answer_margin{15};
+/// Shortest time that an attempt gets before another server is asked.
+constexpr milliseconds k_shortest_attempt{250};
+/// Silence of an event stream after which it counts as dead.
+constexpr milliseconds k_stream_silence{1800};
+constexpr std::size_t k_longest_answer = 64 * 1024 * 1024;
+constexpr std::string_view k_retry_later = "0.3";
+constexpr std::string_view k_event_stream = "text/event-stream";
+
+/// Headers that belong to one connection (RFC 9110, 7.6.1).
+constexpr http::field k_hop_by_hop[] = {
+    http::field::connection,        http::field::keep_alive,
+    http::field::proxy_connection,  http::field::te,
+    http::field::upgrade,           http::field::trailer,
+    http::field::transfer_encoding, http::field::expect,
+};
+
+template <class Message>
+void strip_hop_by_hop(Message& message) {
+  // Headers that Connection names concern this connection only, too.
+  std::string const named(message[http::field::connection]);
+  for (auto const& token : http::bhttp::token_list(named)) message.erase(token);
+  for (http::field name : k_hop_by_hop) message.erase(name);
+}
+
+std::int64_t milliseconds_left(time_point deadline) {
+  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
+  return std::max<std::int64_t>(left.count(), 1);
+}
+
+bool is_event_stream(http::response const& head) {
+  return http::header(head, "Content-Type").starts_with(k_event_stream);
+}
+
+}  // namespace
+
+std::string_view to_string(give_up_reason reason) {
+  switch (reason) {
+    case give_up_reason::none:
+      return "none";
+    case give_up_reason::no_configuration:
+      return "no_configuration";
+    case give_up_reason::no_route:
+      return "no_route";
+    case give_up_reason::no_server:
+      return "no_server";
+    case give_up_reason::servers_full:
+      return "servers_full";
+    case give_up_reason::deadline_not_run:
+      return "deadline_not_run";
+    case give_up_reason::deadline_unknown:
+      return "deadline_unknown";
+    case give_up_reason::outcome_unknown:
+      return "outcome_unknown";
+    case give_up_reason::caller_left:
+      return "caller_left";
+  }
+  return "unknown";
+}
+
+http::response give_up_answer(give_up_reason reason) {
+  http::status code = http::status::service_unavailable;
+  if (reason == give_up_reason::no_route) code = http::status::not_found;
+  if (reason == give_up_reason::outcome_unknown) code = http::status::bad_gateway;
+  if (reason == give_up_reason::deadline_unknown) code = http::status::gateway_timeout;
+  std::string body = "{\"reason\":\"" + std::string(to_string(reason)) + "\"}";
+  http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
+  if (code == http::status::service_unavailable) {
+    answer.set(http::field::retry_after,
+               http::beast::string_view(k_retry_later.data(), k_retry_later.size()));
+  }
+  return answer;
+}
+
+forwarder::journey forwarder::begin(std::shared_ptr<route_table const> table, route const& by,
+                                    http::request message, time_point deadline, caller* from) {
+  journey one;
+  one.table = std::move(table);
+  one.by = &by;
+  one.message = std::move(message);
+  one.deadline = deadline;
+  one.from = from;
+  one.service = shares_.pick(by);
+  strip_hop_by_hop(one.message);
+  one.message.version(11);
+  one.message.keep_alive(true);
+  bool const has_body = !one.message.body().empty() ||
+                        one.message.count(http::field::content_length) > 0 ||
+                        one.message.method() == http::verb::post;
+  one.message.erase(http::field::content_length);
+  if (has_body) one.message.content_length(one.message.body().size());
+  return one;
+}
+
+bool forwarder::may_try_again(journey const& one) const {
+  return one.by->is_repeatable() || !one.may_have_run;
+}
+
+time_point forwarder::attempt_deadline(journey const& one) const {
+  bool const last = one.attempts >= one.by->max_attempts || !one.by->is_repeatable();
+  if (last) return one.deadline;
+  milliseconds const share = std::max(one.by->target_latency * 2, k_shortest_attempt);
+  return std::min(one.deadline, steady_clock::now() + share);
+}
+
+awaitable<exchange_failure> forwarder::attempt(journey& one, exchange& with) {
+  one.message.set(parts_.names.deadline, std::to_string(milliseconds_left(one.deadline)));
+  one.message.set(parts_.names.expected_instance, with.server().id);
+  bool const repeatable = one.by->is_repeatable();
+  auto const choice = repeatable ? connection_choice::kept : connection_choice::just_used;
+  time_point const deadline = attempt_deadline(one);
+  exchange_failure failure = co_await with.send(one.message, choice, deadline);
+  if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
+  if (failure == exchange_failure::stale_connection && repeatable) {
+    failure = co_await with.send(one.message, connection_choice::fresh, deadline);
+    if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
+  }
+  co_return failure;
+}
+
+void forwarder::note_failure(journey& one, exchange const& with, exchange_failure failure) {
+  bool const unsent = failure == exchange_failure::not_connected;
+  if (unsent) {
+    --one.attempts;
+  } else {
+    one.may_have_run = true;
+  }
+  if (failure == exchange_failure::aborted) {
+    parts_.selector.note_abandoned(with.server().id);
+  } else {
+    parts_.selector.note_failure(with.server().id, steady_clock::now());
+  }
+  log_line(log_level::info, k_part, "Attempt failed.",
+           {{"request", http::header(one.message, parts_.names.request_id)},
+            {"server", with.server().id},
+            {"failure", to_string(failure)},
+            {"attempt", one.attempts},
+            {"config", one.table->all().version}});
+}
+
+bool forwarder::accepts(journey& one, exchange& with) {
+  http::response const& head = with.head();
+  bool const refused = !http::header(head, parts_.names.not_run).empty() ||
+                       head.result() == http::status::misdirected_request;
+  if (refused) {
+    one.was_refused = true;
+    parts_.selector.note_full(with.server().id, steady_clock::now());
+    return false;
+  }
+  bool const failed = head.result_int() >= 500;
+  if (failed) ++one.failed_answers;
+  bool const again = failed && one.by->is_repeatable() && one.attempts < one.by->max_attempts;
+  if (!again) return true;
+  one.may_have_run = true;
+  parts_.selector.note_answer(with.server().id);
+  return false;
+}
+
+awaitable<std::unique_ptr<exchange>> forwarder::next_exchange(journey& one) {
+  while (one.attempts < one.by->max_attempts && may_try_again(one)) {
+    if (one.from != nullptr && one.from->is_gone()) break;
+    if (steady_clock::now() >= one.deadline) break;
+    auto const ready = parts_.servers.ready_servers(one.service);
+    directory::server const* chosen = parts_.selector.pick(ready, one.tried, steady_clock::now());
+    if (chosen == nullptr) break;
+    one.tried.insert(chosen->id);
+    one.server = chosen->id;
+    if (++one.attempts > 1) ++figures_.retries;
+    parts_.selector.note_sent(chosen->id);
+    auto with = std::make_unique<exchange>(parts_.connections, parts_.names, *chosen);
+    if (one.from != nullptr) one.from->on_gone([open = with.get()] { open->abort(); });
+    exchange_failure const failure = co_await attempt(one, *with);
+    if (failure == exchange_failure::none && accepts(one, *with)) co_return with;
+    if (one.from != nullptr) one.from->on_gone(nullptr);
+    if (failure != exchange_failure::none) note_failure(one, *with, failure);
+  }
+  conclude_without_answer(one);
+  co_return nullptr;
+}
+
+void forwarder::conclude_without_answer(journey& one) {
+  if (one.from != nullptr && one.from->is_gone()) {
+    one.reason = give_up_reason::caller_left;
+  } else if (steady_clock::now() >= one.deadline) {
+    one.reason =
+        one.may_have_run ? give_up_reason::deadline_unknown : give_up_reason::deadline_not_run;
+  } else if (one.may_have_run) {
+    one.reason = give_up_reason::outcome_unknown;
+  } else {
+    one.reason = one.was_refused ? give_up_reason::servers_full : give_up_reason::no_server;
+  }
+}
+
+awaitable<bool> forwarder::read_whole(journey& one, exchange& with, http::response& into) {
+  into.base() = with.head().base();
+  std::string piece;
+  while (!with.is_whole() || !with.head().body().empty()) {
+    exchange_failure const failure = co_await with.read_piece(piece, one.deadline);
+    if (failure != exchange_failure::none) {
+      note_failure(one, with, failure);
+      co_return false;
+    }
+    into.body() += piece;
+    if (into.body().size() > k_longest_answer) co_return false;
+  }
+  parts_.selector.note_answer(with.server().id);
+  with.finish();
+  co_return true;
+}
+
+awaitable<call_outcome> forwarder::run_whole(journey& one) {
+  call_outcome outcome;
+  while (auto with = co_await next_exchange(one)) {
+    bool const whole = co_await read_whole(one, *with, outcome.answer);
+    if (one.from != nullptr) one.from->on_gone(nullptr);
+    if (whole) {
+      strip_hop_by_hop(outcome.answer);
+      outcome.answer.erase(http::field::content_length);
+      outcome.attempts = one.attempts;
+      outcome.failed_answers = one.failed_answers;
+      outcome.server = one.server;
+      co_return outcome;
+    }
+    outcome.answer = http::response();
+  }
+  outcome.reason = one.reason;
+  outcome.failed_answers = one.failed_answers;
+  outcome.attempts = one.attempts;
+  outcome.server = one.server;
+  co_return outcome;
+}
+
+awaitable<call_outcome> forwarder::call(std::shared_ptr<route_table const> table, route const& by,
+                                        http::request message, time_point deadline, caller* from) {
+  journey one = begin(std::move(table), by, std::move(message), deadline, from);
+  co_return co_await run_whole(one);
+}
+
+awaitable<void> forwarder::handle(http::request message, time_point deadline, caller& from) {
+  ++figures_.requests;
+  auto const table = parts_.configuration.table();
+  if (!table || !parts_.servers.is_loaded()) {
+    ++figures_.given_up;
+    co_await from.answer(give_up_answer(give_up_reason::no_configuration));
+    co_return;
+  }
+  std::string const path(message.target());
+  route const* by = table->match(http::header(message, "Host"), path);
+  if (by == nullptr) {
+    ++figures_.given_up;
+    log_line(log_level::info, k_part, "No route.",
+             {{"request", http::header(message, parts_.names.request_id)},
+              {"path", path},
+              {"config", table->all().version}});
+    co_await from.answer(give_up_answer(give_up_reason::no_route));
+    co_return;
+  }
+  time_point const latest = steady_clock::now() + by->timeout - k_answer_margin;
+  journey one = begin(table, *by, std::move(message), std::min(deadline, latest), &from);
+  if (by->kind == route_kind::streaming) {
+    co_await run_stream(one);
+    co_return;
+  }
+  call_outcome outcome = co_await run_whole(one);
+  if (outcome.reason != give_up_reason::none) {
+    co_await answer_give_up(one);
+    co_return;
+  }
+  ++figures_.answered;
+  log_outcome(one, outcome.answer.result_int(), "Answered.");
+  co_await from.answer(std::move(outcome.answer));
+}
+
+awaitable<void> forwarder::answer_give_up(journey& one) {
+  if (one.reason == give_up_reason::caller_left) {
+    ++figures_.callers_left;
+  } else {
+    ++figures_.given_up;
+  }
+  http::response refusal = give_up_answer(one.reason);
+  log_outcome(one, refusal.result_int(), "Given up.");
+  co_await one.from->answer(std::move(refusal));
+}
+
+awaitable<void> forwarder::run_stream(journey& one) {
+  event_splitter splitter(parts_.names.versions);
+  bool begun = false;
+  while (auto with = co_await next_exchange(one)) {
+    if (!begun && !is_event_stream(with->head())) {
+      http::response whole;
+      if (!co_await read_whole(one, *with, whole)) break;
+      one.from->on_gone(nullptr);
+      strip_hop_by_hop(whole);
+      whole.erase(http::field::content_length);
+      co_await one.from->answer(std::move(whole));
+      co_return;
+    }
+    if (begun && !is_event_stream(with->head())) {
+      parts_.selector.note_answer(with->server().id);
+      break;
+    }
+    bool const over = co_await pump(one, *with, splitter, begun);
+    one.from->on_gone(nullptr);
+    if (over) co_return;
+    splitter.reset();
+  }
+  // Once the answer has begun, only the missing end tells the caller that it is cut.
+  if (!begun) co_await answer_give_up(one);
+}
+
+awaitable<bool> forwarder::pump(journey& one, exchange& with, event_splitter& splitter,
+                                bool& begun) {
+  if (!begun) {
+    http::response head;
+    head.base() = with.head().base();
+    strip_hop_by_hop(head);
+    head.erase(http::field::content_length);
+    begun = true;
+    if (!co_await one.from->begin(std::move(head))) {
+      parts_.selector.note_abandoned(with.server().id);
+      co_return true;
+    }
+  }
+  std::string piece;
+  while (true) {
+    if (with.is_whole() && with.head().body().empty()) break;
+    time_point const silent = steady_clock::now() + k_stream_silence;
+    exchange_failure const failure = co_await with.read_piece(piece, silent);
+    if (failure != exchange_failure::none) {
+      note_failure(one, with, failure);
+      // Only whole events were passed on, so the next server may go on after the last of them.
+      co_return one.from->is_gone() || !one.by->resumable;
+    }
+    std::string whole_events;
+    for (stream_event const& event : splitter.feed(piece)) {
+      if (event.id) one.message.set(parts_.names.last_event_id, std::to_string(*event.id));
+      whole_events += event.raw;
+    }
+    if (whole_events.empty()) continue;
+    if (!co_await one.from->send(std::move(whole_events))) {
+      parts_.selector.note_abandoned(with.server().id);
+      co_return true;
+    }
+  }
+  if (!splitter.is_between_events()) co_return !one.by->resumable;
+  parts_.selector.note_answer(with.server().id);
+  with.finish();
+  ++figures_.answered;
+  log_outcome(one, 200, "Streamed.");
+  co_await one.from->end();
+  co_return true;
+}
+
+void forwarder::log_outcome(journey const& one, unsigned status, std::string_view sentence) {
+  log_line(log_level::info, k_part, sentence,
+           {{"request", http::header(one.message, parts_.names.request_id)},
+            {"route", one.by->name},
+            {"status", status},
+            {"reason", to_string(one.reason)},
+            {"server", one.server},
+            {"attempts", one.attempts},
+            {"config", one.table->all().version}});
+}
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/forwarder.h
@@ -0,0 +1,126 @@
+/// @file Ordinary calls: from a caller's request to the answer of one server, whole or in events.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "calls/caller.h"
+#include "calls/event_stream.h"
+#include "calls/exchange.h"
+#include "calls/route_table.h"
+#include "calls/server_selector.h"
+#include "directory/server_directory.h"
+
+namespace frostline::calls {
+
+/// Why a request got no server's answer.
+enum class give_up_reason {
+  none,
+  no_configuration,
+  no_route,
+  no_server,
+  /// Every server that was asked refused; it has not run.
+  servers_full,
+  /// Out of time before any server may have run it.
+  deadline_not_run,
+  /// Out of time while a server may run it.
+  deadline_unknown,
+  /// A server failed and may have run it.
+  outcome_unknown,
+  caller_left,
+};
+
+std::string_view to_string(give_up_reason reason);
+
+/// The answer for a request that was given up, with when to come back if it has not run.
+http::response give_up_answer(give_up_reason reason);
+
+/// What came of a call.
+struct call_outcome {
+  give_up_reason reason = give_up_reason::none;
+  /// With reason none.
+  http::response answer;
+  std::uint32_t attempts = 0;
+  /// Answers of 5xx among the attempts, the last one included.
+  std::uint32_t failed_answers = 0;
+  std::string server;
+};
+
+struct call_figures {
+  std::uint64_t requests = 0;
+  std::uint64_t answered = 0;
+  std::uint64_t given_up = 0;
+  std::uint64_t retries = 0;
+  std::uint64_t callers_left = 0;
+};
+
+/// References outlive the forwarder.
+struct forwarder_parts {
+  asio::io_context& context;
+  active_configuration const& configuration;
+  directory::server_directory const& servers;
+  connection_pool& connections;
+  server_selector& selector;
+  header_names const& names;
+};
+
+class forwarder {
+ public:
+  explicit forwarder(forwarder_parts parts) : parts_(parts) {}
+
+  /// Answers a client's request by the routes in force.
+  /// @param deadline of the client; the route may shorten it.
+  awaitable<void> handle(http::request message, time_point deadline, caller& from);
+
+  /// Sends a request of this system itself by a route; the answer is read whole.
+  awaitable<call_outcome> call(std::shared_ptr<route_table const> table, route const& by,
+                               http::request message, time_point deadline, caller* from);
+
+  call_figures const& figures() const { return figures_; }
+
+ private:
+  /// One request on its way through its attempts.
+  struct journey {
+    std::shared_ptr<route_table const> table;
+    route const* by = nullptr;
+    http::request message;
+    time_point deadline;
+    caller* from = nullptr;
+    std::string service;
+    std::set<std::string> tried;
+    std::uint32_t attempts = 0;
+    std::uint32_t failed_answers = 0;
+    bool may_have_run = false;
+    bool was_refused = false;
+    std::string server;
+    give_up_reason reason = give_up_reason::none;
+  };
+
+  journey begin(std::shared_ptr<route_table const> table, route const& by, http::request message,
+                time_point deadline, caller* from);
+  /// Makes attempts until a server's answer has begun. @return null if the request is given up.
+  awaitable<std::unique_ptr<exchange>> next_exchange(journey& one);
+  awaitable<exchange_failure> attempt(journey& one, exchange& with);
+  /// Whether the server's answer may be taken; else the next attempt follows.
+  bool accepts(journey& one, exchange& with);
+  void note_failure(journey& one, exchange const& with, exchange_failure failure);
+  void conclude_without_answer(journey& one);
+  bool may_try_again(journey const& one) const;
+  time_point attempt_deadline(journey const& one) const;
+  awaitable<call_outcome> run_whole(journey& one);
+  /// Reads the rest of an answer. @return false if it broke.
+  awaitable<bool> read_whole(journey& one, exchange& with, http::response& into);
+  awaitable<void> run_stream(journey& one);
+  /// Passes events on. @return true if the stream has ended or can't go on.
+  awaitable<bool> pump(journey& one, exchange& with, event_splitter& splitter, bool& begun);
+  awaitable<void> answer_give_up(journey& one);
+  void log_outcome(journey const& one, unsigned status, std::string_view sentence);
+
+  forwarder_parts parts_;
+  share_picker shares_;
+  call_figures figures_;
+};
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/ingress.cc
@@ -0,0 +1,232 @@
+#include "calls/ingress.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+
+#include "base/log.h"
+
+namespace frostline::calls {
+namespace {
+
+namespace beast = http::beast;
+namespace bhttp = http::bhttp;
+
+constexpr std::string_view k_part = "ingress";
+constexpr milliseconds k_accept_pause{10};
+constexpr milliseconds k_body_timeout{10'000};
+/// A client that does not read its answer for that long is taken for gone.
+constexpr milliseconds k_write_timeout{10'000};
+
+http::status status_for(beast::error_code const& failure) {
+  if (failure == bhttp::error::header_limit) {
+    return http::status::request_header_fields_too_large;
+  }
+  if (failure == bhttp::error::body_limit) return http::status::payload_too_large;
+  if (failure == beast::error::timeout) return http::status::request_timeout;
+  return http::status::bad_request;
+}
+
+bool has_left(beast::error_code const& failure) {
+  return failure == bhttp::error::end_of_stream || failure == asio::error::eof ||
+         failure == asio::error::connection_reset || failure == asio::error::operation_aborted ||
+         failure == bhttp::error::partial_message;
+}
+
+}  // namespace
+
+/// One client connection; the caller of the request that it carries.
+class ingress::connection final : public caller {
+ public:
+  connection(tcp::socket socket, bool const& draining)
+      : stream_(std::move(socket)), draining_(draining) {}
+
+  beast::tcp_stream& stream() { return stream_; }
+  beast::flat_buffer& buffer() { return buffer_; }
+
+  void begin_request(http::request const& message) {
+    keep_alive_ = message.keep_alive();
+    version_ = message.version();
+    head_only_ = message.method() == http::verb::head;
+    begun_ = false;
+    ended_ = false;
+  }
+  bool may_go_on() const { return keep_alive_ && ended_ && !gone_; }
+
+  awaitable<void> answer(http::response whole) override {
+    if (gone_) co_return;
+    whole.version(version_);
+    keep_alive_ = keep_alive_ && !draining_;
+    whole.keep_alive(keep_alive_);
+    if (head_only_) whole.body().clear();
+    whole.prepare_payload();
+    stream_.expires_after(k_write_timeout);
+    auto [failure, count] = co_await bhttp::async_write(stream_, whole, k_as_tuple);
+    ended_ = !failure;
+  }
+
+  awaitable<bool> begin(http::response head) override {
+    if (gone_) co_return false;
+    begun_ = true;
+    bhttp::response<bhttp::empty_body> chunked;
+    chunked.base() = std::move(head.base());
+    chunked.version(11);
+    chunked.keep_alive(keep_alive_ && !draining_);
+    chunked.chunked(true);
+    bhttp::response_serializer<bhttp::empty_body> serializer(chunked);
+    stream_.expires_after(k_write_timeout);
+    auto [failure, count] = co_await bhttp::async_write_header(stream_, serializer, k_as_tuple);
+    co_return !failure && !gone_;
+  }
+
+  awaitable<bool> send(std::string piece) override {
+    if (gone_) co_return false;
+    stream_.expires_after(k_write_timeout);
+    auto const chunk = bhttp::make_chunk(asio::buffer(piece));
+    auto [failure, count] = co_await asio::async_write(stream_, chunk, k_as_tuple);
+    co_return !failure && !gone_;
+  }
+
+  awaitable<void> end() override {
+    if (gone_) co_return;
+    keep_alive_ = keep_alive_ && !draining_;
+    auto const last = bhttp::make_chunk_last();
+    auto [failure, count] = co_await asio::async_write(stream_, last, k_as_tuple);
+    ended_ = !failure;
+  }
+
+  bool is_gone() const override { return gone_; }
+  void on_gone(std::function<void()> listener) override { on_gone_ = std::move(listener); }
+
+  /// Runs beside the answering of a request until `stop_watching`.
+  awaitable<void> watch(std::shared_ptr<connection> self) {
+    auto [failure] = co_await stream_.socket().async_wait(
+        tcp::socket::wait_read, asio::bind_cancellation_slot(stop_watch_.slot(), k_as_tuple));
+    if (failure || ended_) co_return;
+    beast::error_code peeked;
+    char probe = 0;
+    stream_.socket().non_blocking(true, peeked);
+    stream_.socket().receive(asio::buffer(&probe, 1), tcp::socket::message_peek, peeked);
+    if (!peeked || peeked == asio::error::would_block) co_return;
+    gone_ = true;
+    if (on_gone_) on_gone_();
+  }
+
+  void stop_watching() {
+    on_gone_ = nullptr;
+    stop_watch_.emit(asio::cancellation_type::all);
+  }
+
+ private:
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool const& draining_;
+  asio::cancellation_signal stop_watch_;
+  std::function<void()> on_gone_;
+  unsigned version_ = 11;
+  bool keep_alive_ = true;
+  bool head_only_ = false;
+  bool begun_ = false;
+  bool ended_ = false;
+  bool gone_ = false;
+};
+
+ingress::ingress(asio::io_context& context, request_handler on_request,
+                 std::size_t most_connections)
+    : context_(context),
+      on_request_(std::move(on_request)),
+      most_connections_(most_connections),
+      acceptor_(context) {}
+
+ingress::~ingress() = default;
+
+std::string ingress::listen(endpoint const& where) {
+  beast::error_code failure;
+  tcp::endpoint const local(asio::ip::make_address(where.address, failure), where.port);
+  if (!failure) acceptor_.open(local.protocol(), failure);
+  if (!failure) acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
+  if (!failure) acceptor_.bind(local, failure);
+  if (!failure) acceptor_.listen(asio::socket_base::max_listen_connections, failure);
+  if (failure) return where.to_string() + ": " + failure.message();
+  spawn(context_, accept_loop());
+  return {};
+}
+
+std::uint16_t ingress::port() const {
+  beast::error_code failure;
+  return acceptor_.local_endpoint(failure).port();
+}
+
+void ingress::close_listener() {
+  beast::error_code ignored;
+  acceptor_.close(ignored);
+}
+
+awaitable<void> ingress::accept_loop() {
+  while (acceptor_.is_open()) {
+    auto [failure, socket] = co_await acceptor_.async_accept(k_as_tuple);
+    if (failure == asio::error::operation_aborted) co_return;
+    if (failure) {
+      log_line(log_level::warning, k_part, "Accept failed.", {{"error", failure.message()}});
+      co_await wait_for(k_accept_pause);
+      continue;
+    }
+    if (connections_ >= most_connections_) continue;  // the socket closes unread
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    spawn(context_, serve(std::make_shared<connection>(std::move(socket), draining_)));
+  }
+}
+
+awaitable<void> ingress::serve(std::shared_ptr<connection> peer) {
+  ++connections_;
+  bool more = true;
+  while (more) more = co_await serve_one(peer);
+  beast::error_code ignored;
+  peer->stream().socket().shutdown(tcp::socket::shutdown_send, ignored);
+  --connections_;
+}
+
+awaitable<bool> ingress::serve_one(std::shared_ptr<connection> peer) {
+  bhttp::request_parser<bhttp::string_body> parser;
+  parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
+  parser.body_limit(limits_.body_bytes);
+  if (peer->buffer().size() == 0) {
+    peer->stream().expires_after(limits_.idle_timeout);
+    auto [failure, count] = co_await peer->stream().async_read_some(
+        peer->buffer().prepare(limits_.header_bytes), k_as_tuple);
+    if (failure) co_return false;
+    peer->buffer().commit(count);
+  }
+  peer->stream().expires_after(limits_.header_timeout);
+  auto [head_failure, head] =
+      co_await bhttp::async_read_header(peer->stream(), peer->buffer(), parser, k_as_tuple);
+  beast::error_code failure = head_failure;
+  if (!failure && http::header(parser.get(), "Expect") == "100-continue") {
+    bhttp::response<bhttp::empty_body> go_on(http::status::continue_, 11);
+    co_await bhttp::async_write(peer->stream(), go_on, k_as_tuple);
+  }
+  if (!failure && !parser.is_done()) {
+    peer->stream().expires_after(k_body_timeout);
+    auto [body_failure, body] =
+        co_await bhttp::async_read(peer->stream(), peer->buffer(), parser, k_as_tuple);
+    failure = body_failure;
+  }
+  if (failure) {
+    if (has_left(failure)) co_return false;
+    peer->begin_request(http::request());
+    co_await peer->answer(http::make_response(
+        status_for(failure), "{\"reason\":\"" + failure.message() + "\"}", http::k_problem_json));
+    co_return false;
+  }
+  peer->stream().expires_never();
+  http::request message = parser.release();
+  peer->begin_request(message);
+  ++in_flight_;
+  spawn(context_, peer->watch(peer));
+  co_await on_request_(std::move(message), *peer);
+  peer->stop_watching();
+  --in_flight_;
+  co_return peer->may_go_on();
+}
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/ingress.h
@@ -0,0 +1,51 @@
+/// @file Where clients connect: reads requests, watches whether the client stays, sends answers.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "calls/caller.h"
+#include "calls/route_table.h"
+#include "http/message.h"
+
+namespace frostline::calls {
+
+/// Answers one request through its caller.
+using request_handler = std::function<awaitable<void>(http::request, caller&)>;
+
+class ingress {
+ public:
+  ingress(asio::io_context& context, request_handler on_request, std::size_t most_connections);
+  ~ingress();
+
+  /// Binds and listens. @return an error text; empty if it listens.
+  std::string listen(endpoint const& where);
+  std::uint16_t port() const;
+  void set_limits(client_limits limits) { limits_ = limits; }
+  /// From now on each answer ends its connection.
+  void drain() { draining_ = true; }
+  void close_listener();
+  std::size_t in_flight() const { return in_flight_; }
+
+ private:
+  class connection;
+
+  awaitable<void> accept_loop();
+  awaitable<void> serve(std::shared_ptr<connection> peer);
+  awaitable<bool> serve_one(std::shared_ptr<connection> peer);
+
+  asio::io_context& context_;
+  request_handler on_request_;
+  std::size_t most_connections_;
+  client_limits limits_;
+  tcp::acceptor acceptor_;
+  std::size_t connections_ = 0;
+  std::size_t in_flight_ = 0;
+  bool draining_ = false;
+};
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/server_selector.cc
@@ -0,0 +1,70 @@
+#include "calls/server_selector.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace frostline::calls {
+namespace {
+
+constexpr milliseconds k_first_avoidance{400};
+constexpr std::uint32_t k_most_doublings = 3;
+constexpr milliseconds k_full_avoidance{60};
+
+}  // namespace
+
+directory::server const* server_selector::pick(
+    std::vector<directory::server const*> const& candidates, std::set<std::string> const& tried,
+    time_point now) {
+  directory::server const* best = nullptr;
+  std::tuple<bool, double, bool, std::uint64_t> best_rank;
+  for (directory::server const* one : candidates) {
+    if (tried.contains(one->id)) continue;
+    auto const known = states_.find(one->id);
+    bool const avoided = known != states_.end() && known->second.avoided_until > now;
+    std::uint32_t const outstanding = known == states_.end() ? 0 : known->second.outstanding;
+    double const load = static_cast<double>(outstanding) / std::max(one->slots, 1U);
+    std::tuple const rank{avoided, load, one->zone != own_zone_, random_()};
+    if (best != nullptr && rank >= best_rank) continue;
+    best = one;
+    best_rank = rank;
+  }
+  return best;
+}
+
+void server_selector::release(server_state& state) {
+  if (state.outstanding > 0) --state.outstanding;
+}
+
+void server_selector::note_answer(std::string const& server) {
+  server_state& state = states_[server];
+  release(state);
+  state.failures_in_row = 0;
+}
+
+void server_selector::note_failure(std::string const& server, time_point now) {
+  server_state& state = states_[server];
+  release(state);
+  auto const doublings = std::min(state.failures_in_row++, k_most_doublings);
+  state.avoided_until = now + k_first_avoidance * (1 << doublings);
+}
+
+void server_selector::note_abandoned(std::string const& server) { release(states_[server]); }
+
+void server_selector::note_full(std::string const& server, time_point now) {
+  server_state& state = states_[server];
+  release(state);
+  state.avoided_until = std::max(state.avoided_until, now + k_full_avoidance);
+}
+
+void server_selector::clean(directory::server_directory const& servers) {
+  std::erase_if(states_, [&](auto const& entry) {
+    return entry.second.outstanding == 0 && servers.find(entry.first) == nullptr;
+  });
+}
+
+std::uint32_t server_selector::outstanding(std::string const& server) const {
+  auto const known = states_.find(server);
+  return known == states_.end() ? 0 : known->second.outstanding;
+}
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/calls/server_selector.h
@@ -0,0 +1,54 @@
+/// @file Chooses a server of a service for one attempt. Pure.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "directory/server_directory.h"
+
+namespace frostline::calls {
+
+/// Least outstanding requests for its slots; among equals one of the own zone, then a random one.
+/// A server that fails without an answer is left out for a while, unless there is no other.
+class server_selector {
+ public:
+  server_selector(std::string own_zone, std::uint64_t seed)
+      : own_zone_(std::move(own_zone)), random_(seed) {}
+
+  /// @param tried lives that this request has been sent to.
+  /// @return null if no candidate is left.
+  directory::server const* pick(std::vector<directory::server const*> const& candidates,
+                                std::set<std::string> const& tried, time_point now);
+
+  void note_sent(std::string const& server) { ++states_[server].outstanding; }
+  void note_answer(std::string const& server);
+  /// No answer, or one that can't be used.
+  void note_failure(std::string const& server, time_point now);
+  /// The sender gave up; it says nothing about the server.
+  void note_abandoned(std::string const& server);
+  /// Refused, not run: it is full.
+  void note_full(std::string const& server, time_point now);
+  /// Forgets servers that are gone.
+  void clean(directory::server_directory const& servers);
+  std::uint32_t outstanding(std::string const& server) const;
+
+ private:
+  struct server_state {
+    std::uint32_t outstanding = 0;
+    std::uint32_t failures_in_row = 0;
+    time_point avoided_until = time_point::min();
+  };
+
+  void release(server_state& state);
+
+  std::string own_zone_;
+  std::mt19937_64 random_;
+  std::map<std::string, server_state> states_;
+};
+
+}  // namespace frostline::calls
--- /dev/null
+++ b/src/engines/weight_orders.cc
@@ -0,0 +1,173 @@
+#include "engines/weight_orders.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+
+namespace frostline::engines {
+namespace {
+
+constexpr std::string_view k_part = "engines";
+/// An engine that refused or did not answer an order is left alone for that long.
+constexpr milliseconds k_refused_pause{400};
+constexpr std::uint64_t k_most_slack = 1;
+
+}  // namespace
+
+std::string_view to_string(command_reply reply) {
+  switch (reply) {
+    case command_reply::taken:
+      return "taken";
+    case command_reply::holds_already:
+      return "holds_already";
+    case command_reply::conflict:
+      return "conflict";
+    case command_reply::refused:
+      return "refused";
+    case command_reply::not_sent:
+      return "not_sent";
+    case command_reply::unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+weight_orders::weight_orders(asio::io_context& context, engine_board& board,
+                             engine_control& control, order_authority authority)
+    : context_(context), board_(board), control_(control), authority_(std::move(authority)) {}
+
+void weight_orders::name_version(std::string const& model, std::uint64_t version) {
+  std::uint64_t& newest = named_[model];
+  if (version <= newest) return;
+  newest = version;
+  log_line(log_level::info, k_part, "Version named.", {{"model", model}, {"version", version}});
+}
+
+void weight_orders::note_job(std::string const& model, std::uint64_t min_version) {
+  std::uint64_t const known = newest(model);
+  std::uint64_t const behind = known > min_version ? known - min_version : 0;
+  // Before anything is named, the first jobs say nothing about later ones.
+  if (known >= 2) slack_[model] = std::min(behind, k_most_slack);
+}
+
+std::uint64_t weight_orders::newest(std::string const& model) const {
+  auto const found = named_.find(model);
+  return found == named_.end() ? 0 : found->second;
+}
+
+void weight_orders::begin_term() {
+  sequences_.clear();
+  for (auto& [id, one] : board_.engines()) one.load = load_state::idle;
+}
+
+void weight_orders::settle(time_point now) {
+  for (auto& [id, one] : board_.engines()) {
+    if (one.load != load_state::ordered) continue;
+    if (one.versions[one.ordered_model] >= one.ordered_version) {
+      log_line(
+          log_level::info, k_part, "Version loaded.",
+          {{"server", id},
+           {"model", one.ordered_model},
+           {"version", one.ordered_version},
+           {"after_ms", std::chrono::duration_cast<milliseconds>(now - one.ordered_at).count()}});
+      one.load = load_state::idle;
+      continue;
+    }
+    if (now - one.ordered_at < options_.order_patience) continue;
+    one.ordered_at = now;
+    spawn(context_, look_into(one.server));
+  }
+}
+
+void weight_orders::take_report(std::string const& engine, engine_report const& report) {
+  board_engine* const one = board_.find(engine);
+  if (one == nullptr) return;
+  sequences_[engine] = {true, report.sequence};
+  for (auto const& [model, version] : report.versions) {
+    std::uint64_t& held = one->versions[model];
+    held = std::max(held, version);
+  }
+}
+
+awaitable<void> weight_orders::look_into(directory::server engine) {
+  auto const report = co_await control_.report(engine);
+  board_engine* const one = board_.find(engine.id);
+  if (one == nullptr) co_return;
+  if (!report) {
+    board_.note_failure(engine.id, steady_clock::now());
+    one->load = load_state::idle;
+    co_return;
+  }
+  take_report(engine.id, *report);
+  if (!report->busy) one->load = load_state::idle;
+}
+
+awaitable<bool> weight_orders::learn_sequence(directory::server engine) {
+  if (sequences_[engine.id].known) co_return true;
+  auto const report = co_await control_.report(engine);
+  if (!report) co_return false;
+  take_report(engine.id, *report);
+  co_return true;
+}
+
+awaitable<void> weight_orders::give(directory::server engine, planned_order order) {
+  bool const known = co_await learn_sequence(engine);
+  board_engine* one = board_.find(engine.id);
+  if (one == nullptr) co_return;
+  bool const needless = one->versions[order.model] >= order.version;
+  if (!known || needless || !authority_.may_order()) {
+    one->load = load_state::idle;
+    if (!known) board_.note_failure(engine.id, steady_clock::now());
+    co_return;
+  }
+  load_command command;
+  command.model = order.model;
+  command.version = order.version;
+  command.mode = authority_.mode_for(*one);
+  command.holder = authority_.holder;
+  command.fence = authority_.fence();
+  command.expected_sequence = sequences_[engine.id].value;
+  ++sent_;
+  command_reply const reply = co_await control_.load(engine, command);
+  log_line(log_level::info, k_part, "Order given.",
+           {{"server", engine.id},
+            {"model", order.model},
+            {"version", order.version},
+            {"fence", command.fence},
+            {"sequence", command.expected_sequence},
+            {"reply", to_string(reply)}});
+  one = board_.find(engine.id);
+  if (one == nullptr) co_return;
+  if (reply == command_reply::taken) {
+    ++sequences_[engine.id].value;
+    co_return;
+  }
+  one->load = load_state::idle;
+  if (reply == command_reply::holds_already) {
+    one->versions[order.model] = std::max(one->versions[order.model], order.version);
+    co_return;
+  }
+  // Whether an order without an answer was taken, the sequence tells: asked again, the same
+  // expectation keeps it from being carried out twice.
+  bool const changed = reply == command_reply::conflict || reply == command_reply::refused;
+  if (changed) sequences_[engine.id].known = false;
+  if (reply == command_reply::not_sent) board_.note_failure(engine.id, steady_clock::now());
+  one->ordered_at = steady_clock::now() + k_refused_pause;
+}
+
+void weight_orders::advance(time_point now) {
+  settle(now);
+  if (!authority_.may_order()) return;
+  for (planned_order const& order : plan_orders(board_, named_, slack_, options_)) {
+    board_engine* const one = board_.find(order.engine);
+    // After a refusal `ordered_at` lies ahead.
+    if (one == nullptr || one->ordered_at > now || one->blocked_until > now) continue;
+    one->load = load_state::ordered;
+    one->ordered_at = now;
+    one->ordered_model = order.model;
+    one->ordered_version = order.version;
+    spawn(context_, give(one->server, order));
+  }
+}
+
+}  // namespace frostline::engines
--- /dev/null
+++ b/src/gateway/metrics.cc
@@ -0,0 +1,86 @@
+#include "gateway/metrics.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/text_serializer.h>
+
+namespace frostline::gateway {
+namespace {
+
+prometheus::Histogram::BucketBoundaries const& boundaries() {
+  static prometheus::Histogram::BucketBoundaries const all = {1,   2,   5,   10,   20,   50,  100,
+                                                              150, 250, 400, 1000, 2500, 5000};
+  return all;
+}
+
+/// Counters that the parts keep themselves.
+class snapshot {
+ public:
+  void set(std::string const& name, std::string const& help, double value,
+           prometheus::Labels const& labels = {}) {
+    prometheus::BuildGauge().Name(name).Help(help).Register(registry_).Add(labels).Set(value);
+  }
+  std::string write() { return prometheus::TextSerializer().Serialize(registry_.Collect()); }
+
+ private:
+  prometheus::Registry registry_;
+};
+
+void write_pool(snapshot& page, pool_readings const& pool) {
+  prometheus::Labels const labels{{"pool", pool.name}};
+  auto const set = [&](std::string const& name, std::string const& help, double value) {
+    page.set("frostline_pool_" + name, help, value, labels);
+  };
+  set("owned", "1 while this node owns the pool", pool.owned ? 1 : 0);
+  set("jobs", "jobs that this node holds", static_cast<double>(pool.jobs));
+  set("runs_open", "runs under way", static_cast<double>(pool.running));
+  set("runs_total", "runs started", static_cast<double>(pool.runs.runs));
+  set("runs_completed_total", "runs whose text is whole", static_cast<double>(pool.runs.completed));
+  set("runs_broken_total", "runs that broke off", static_cast<double>(pool.runs.broken));
+  set("runs_moved_total", "runs moved off slow engines", static_cast<double>(pool.runs.moved));
+  set("scored_total", "samples scored", static_cast<double>(pool.runs.scored));
+  set("dead_total", "samples given up", static_cast<double>(pool.runs.dead));
+  set("orders_total", "orders sent to engines", static_cast<double>(pool.orders));
+  set("writes_total", "transactions sent for jobs", static_cast<double>(pool.transactions));
+}
+
+}  // namespace
+
+metrics::metrics()
+    : durations_(prometheus::BuildHistogram()
+                     .Name("frostline_duration_ms")
+                     .Help("time from a request's arrival to its answer")
+                     .Register(registry_)),
+      calls_(durations_.Add({{"kind", "call"}}, boundaries())),
+      submissions_(durations_.Add({{"kind", "submission"}}, boundaries())) {}
+
+void metrics::note_call(milliseconds duration) {
+  calls_.Observe(static_cast<double>(duration.count()));
+}
+
+void metrics::note_submission(milliseconds duration) {
+  submissions_.Observe(static_cast<double>(duration.count()));
+}
+
+std::string metrics::write(node_readings const& now) {
+  snapshot page;
+  page.set("frostline_config_version", "configuration in force",
+           static_cast<double>(now.config_version));
+  page.set("frostline_servers", "servers known", static_cast<double>(now.servers));
+  page.set("frostline_calls_total", "requests", static_cast<double>(now.calls.requests));
+  page.set("frostline_calls_answered_total", "requests with a server's answer",
+           static_cast<double>(now.calls.answered));
+  page.set("frostline_calls_given_up_total", "requests without a server's answer",
+           static_cast<double>(now.calls.given_up));
+  page.set("frostline_retries_total", "attempts after the first",
+           static_cast<double>(now.calls.retries));
+  page.set("frostline_callers_left_total", "requests whose caller left",
+           static_cast<double>(now.calls.callers_left));
+  page.set("frostline_connections_opened_total", "connections opened to servers",
+           static_cast<double>(now.connections_opened));
+  page.set("frostline_log_lines_dropped_total", "log lines dropped",
+           static_cast<double>(now.logs_dropped));
+  for (pool_readings const& pool : now.pools) write_pool(page, pool);
+  return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
+}
+
+}  // namespace frostline::gateway
--- /dev/null
+++ b/src/gateway/metrics.h
@@ -0,0 +1,53 @@
+/// @file Figures of a gateway node, in Prometheus' text format.
+#pragma once
+
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "calls/forwarder.h"
+#include "jobs/sample_runner.h"
+
+namespace frostline::gateway {
+
+struct pool_readings {
+  std::string name;
+  bool owned = false;
+  std::size_t jobs = 0;
+  std::size_t running = 0;
+  jobs::runner_figures runs;
+  std::uint64_t orders = 0;
+  std::uint64_t transactions = 0;
+};
+
+/// What the parts count themselves, at one moment.
+struct node_readings {
+  std::uint64_t config_version = 0;
+  std::size_t servers = 0;
+  calls::call_figures calls;
+  std::uint64_t connections_opened = 0;
+  std::uint64_t logs_dropped = 0;
+  std::vector<pool_readings> pools;
+};
+
+class metrics {
+ public:
+  metrics();
+
+  void note_call(milliseconds duration);
+  void note_submission(milliseconds duration);
+  std::string write(node_readings const& now);
+
+ private:
+  prometheus::Registry registry_;
+  prometheus::Family<prometheus::Histogram>& durations_;
+  prometheus::Histogram& calls_;
+  prometheus::Histogram& submissions_;
+};
+
+}  // namespace frostline::gateway
--- /dev/null
+++ b/src/gateway/settings.cc
@@ -0,0 +1,161 @@
+#include "gateway/settings.h"
+
+#include <toml++/toml.h>
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <sstream>
+
+namespace frostline::gateway {
+namespace {
+
+/// Takes one value in. @return why it is wrong, or an empty string.
+using reader = std::function<std::string(toml::node const&, settings&)>;
+
+struct setting {
+  setting_description description;
+  reader read;
+  /// Which roles can't run without it.
+  bool gateway_needs = false;
+  bool spare_needs = false;
+};
+
+reader text(std::string settings::*member) {
+  return [member](toml::node const& value, settings& into) -> std::string {
+    auto const found = value.value<std::string>();
+    if (!found || found->empty()) return "must be text";
+    into.*member = *found;
+    return {};
+  };
+}
+
+reader address(endpoint settings::*member) {
+  return [member](toml::node const& value, settings& into) -> std::string {
+    auto const parsed = parse_endpoint(value.value_or<std::string>(""));
+    if (!parsed) return "must be \"IP:port\" with a numeric IPv4 address";
+    into.*member = *parsed;
+    return {};
+  };
+}
+
+/// A number within [least, most], given to `take`.
+reader number(double least, double most, std::function<void(settings&, double)> take) {
+  return [=](toml::node const& value, settings& into) -> std::string {
+    auto const found = value.value<double>();
+    if (!found || *found < least || *found > most) {
+      std::ostringstream reason;
+      reason << "must be a number from " << least << " to " << most;
+      return reason.str();
+    }
+    take(into, *found);
+    return {};
+  };
+}
+
+milliseconds from_seconds(double value) {
+  return milliseconds(static_cast<std::int64_t>(value * 1000));
+}
+
+std::string read_role(toml::node const& value, settings& into) {
+  std::string const word = value.value_or<std::string>("");
+  if (word != "gateway" && word != "spare") return "must be gateway or spare";
+  into.role = word == "spare" ? process_role::spare : process_role::gateway;
+  return {};
+}
+
+std::string read_level(toml::node const& value, settings& into) {
+  static std::set<std::string> const levels = {"debug", "info", "warning", "error"};
+  std::string const word = value.value_or<std::string>("");
+  if (!levels.contains(word)) return "must be debug, info, warning or error";
+  into.log_level = word;
+  return {};
+}
+
+std::vector<setting> const& all_settings() {
+  static std::vector<setting> const all = {
+      {{"node.role", "gateway", "gateway: serves clients; spare: does nothing"}, read_role},
+      {{"node.id", "", "name of the node, unique among all machines"},
+       text(&settings::id),
+       true,
+       true},
+      {{"node.zone", "", "zone that the node stands in"}, text(&settings::zone), true},
+      {{"listen.clients", "", "IP:port for clients"}, address(&settings::clients), true},
+      {{"listen.readiness", "", "IP:port that answers 200 while the node takes clients"},
+       address(&settings::readiness),
+       true},
+      {{"listen.peers", "", "IP:port for other nodes, and for metrics"},
+       address(&settings::peers),
+       true},
+      {{"record_store.address", "", "IP:port of the record store"},
+       address(&settings::record_store),
+       true},
+      {{"record_store.value_bytes", "1048576", "largest value of a record"},
+       number(1024, 1 << 30,
+              [](settings& into, double value) {
+                into.store_limits.value_bytes = static_cast<std::size_t>(value);
+              })},
+      {{"record_store.shortest_lease_ms", "1000", "shortest time to live of a lease"},
+       number(1, 600'000,
+              [](settings& into, double value) {
+                into.store_limits.shortest_lease = milliseconds(static_cast<std::int64_t>(value));
+              })},
+      {{"orders.gap_ms", "3000", "orders of two owners never come closer than this"},
+       number(0, 600'000,
+              [](settings& into, double value) {
+                into.order_gap = milliseconds(static_cast<std::int64_t>(value));
+              })},
+      {{"stop.seconds", "8", "longest time for a planned stop"},
+       number(0.1, 3600,
+              [](settings& into, double value) { into.stop_time = from_seconds(value); })},
+      {{"jobs.retention_seconds", "120", "time for which an ended job can be read"},
+       number(1, 1'000'000,
+              [](settings& into, double value) { into.retention = from_seconds(value); })},
+      {{"limits.connections", "2000", "client connections at once"},
+       number(1, 1'000'000,
+              [](settings& into, double value) {
+                into.connections = static_cast<std::size_t>(value);
+              })},
+      {{"log.level", "info", "debug, info, warning or error"}, read_level},
+  };
+  return all;
+}
+
+void read_known(std::string const& path, toml::table const& file, settings& into,
+                std::vector<settings_error>& errors) {
+  for (setting const& one : all_settings()) {
+    auto const value = file.at_path(one.description.key);
+    if (!value) {
+      bool const needed = into.role == process_role::gateway ? one.gateway_needs : one.spare_needs;
+      if (needed) errors.push_back({path, std::string(one.description.key), "is missing"});
+      continue;
+    }
+    std::string const reason = one.read(*value.node(), into);
+    if (!reason.empty()) errors.push_back({path, std::string(one.description.key), reason});
+  }
+}
+
+}  // namespace
+
+std::vector<setting_description> const& describe_settings() {
+  static std::vector<setting_description> const descriptions = [] {
+    std::vector<setting_description> all;
+    for (setting const& one : all_settings()) all.push_back(one.description);
+    return all;
+  }();
+  return descriptions;
+}
+
+std::vector<settings_error> read_settings(std::string const& path, settings& into) {
+  std::vector<settings_error> errors;
+  try {
+    read_known(path, toml::parse_file(path), into, errors);
+  } catch (toml::parse_error const& failure) {
+    std::ostringstream place;
+    place << "line " << failure.source().begin.line;
+    errors.push_back({path, place.str(), std::string(failure.description())});
+  }
+  return errors;
+}
+
+}  // namespace frostline::gateway
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr std::size_t k_pooled_per_endpoint = 32;
+/// A peer that takes longer to accept a connection is down or cut off.
+constexpr milliseconds k_connect_timeout{800};
 
 std::error_code classify(beast::error_code const& failure) {
   if (failure == beast::error::timeout) return errc::deadline_exceeded;
@@ -43,7 +45,7 @@
 
 awaitable<result<client::connection>> client::connect(endpoint const& where, milliseconds timeout) {
   auto stream = std::make_unique<beast::tcp_stream>(context_);
-  stream->expires_after(timeout);
+  stream->expires_after(std::min(timeout, k_connect_timeout));
   beast::error_code bad_address;
   auto const address = asio::ip::make_address(where.address, bad_address);
   if (bad_address) co_return std::error_code(errc::connect_failed);
--- /dev/null
+++ b/src/jobs/job_client.cc
@@ -0,0 +1,94 @@
+#include "jobs/job_client.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "rpc/client.h"
+
+namespace frostline::jobs {
+namespace {
+
+constexpr std::string_view k_part = "jobs";
+constexpr milliseconds k_retry_pause{60};
+constexpr milliseconds k_retry_after{300};
+/// Longest time for which one owner's answer is awaited before ownership is looked at again.
+constexpr milliseconds k_patience{2500};
+
+milliseconds left_until(time_point deadline) {
+  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
+  return std::max(left, milliseconds(0));
+}
+
+rpc::JobReplyT unavailable() {
+  rpc::JobReplyT reply;
+  reply.status = rpc::JobStatus::UNAVAILABLE;
+  reply.retry_after_ms = static_cast<std::uint64_t>(k_retry_after.count());
+  return reply;
+}
+
+rpc::JobReplyT outcome_unknown() {
+  rpc::JobReplyT reply;
+  reply.status = rpc::JobStatus::OUTCOME_UNKNOWN;
+  return reply;
+}
+
+}  // namespace
+
+awaitable<rpc::JobReplyT> job_client::ask_remote(endpoint where, rpc::JobCallT const& call,
+                                                 time_point deadline) {
+  milliseconds const timeout = std::min(left_until(deadline), k_patience);
+  auto reply = co_await rpc::call<rpc::JobCallT, rpc::JobReplyT>(transport_, where, "JobService",
+                                                                 "Call", call, timeout);
+  if (reply) co_return std::move(reply.value());
+  bool const unreached = reply.error().state == rpc::run_state::not_run;
+  log_line(log_level::info, k_part, "Owner did not answer.",
+           {{"job", call.job}, {"owner", where.to_string()}, {"error", reply.error().detail}});
+  co_return unreached ? unavailable() : outcome_unknown();
+}
+
+awaitable<rpc::JobReplyT> job_client::ask_pool(pool& one, rpc::JobCallT const& call,
+                                               time_point deadline) {
+  bool may_be_done = false;
+  while (true) {
+    rpc::JobCallT next = call;
+    next.pool = one.lease->pool();
+    next.deadline_ms = static_cast<std::uint64_t>(left_until(deadline).count());
+    auto const& owner = one.lease->owner();
+    rpc::JobReplyT reply = unavailable();
+    bool const local = !owner || owner->node == node_;
+    if (local) {
+      reply = co_await one.owner->handle(std::move(next));
+    } else {
+      reply = co_await ask_remote(owner->address, next, deadline);
+    }
+    if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_be_done = true;
+    bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
+                         reply.status != rpc::JobStatus::OUTCOME_UNKNOWN;
+    if (settled) co_return reply;
+    if (left_until(deadline) <= k_retry_pause) break;
+    co_await one.lease->wait_for_change(steady_clock::now() + k_retry_pause);
+  }
+  co_return may_be_done ? outcome_unknown() : unavailable();
+}
+
+awaitable<rpc::JobReplyT> job_client::submit(std::string pool_name, rpc::JobCallT call,
+                                             time_point deadline) {
+  auto const found = pools_.find(pool_name);
+  if (found == pools_.end()) co_return unavailable();
+  co_return co_await ask_pool(found->second, call, deadline);
+}
+
+awaitable<rpc::JobReplyT> job_client::ask(rpc::JobCallT call, time_point deadline) {
+  rpc::JobReplyT last = unavailable();
+  bool sure = !pools_.empty();
+  for (auto& [name, one] : pools_) {
+    rpc::JobReplyT reply = co_await ask_pool(one, call, deadline);
+    if (reply.status == rpc::JobStatus::OK) co_return reply;
+    if (reply.status != rpc::JobStatus::UNKNOWN_JOB) sure = false;
+    last = std::move(reply);
+  }
+  if (sure || last.status != rpc::JobStatus::UNKNOWN_JOB) co_return last;
+  co_return unavailable();
+}
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/job_table.cc
@@ -0,0 +1,239 @@
+#include "jobs/job_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace frostline::jobs {
+namespace {
+
+/// Results that complete nothing are committed together, at most that late.
+constexpr milliseconds k_commit_interval{900};
+
+rpc::SampleResultT copy_result(rpc::SampleResultT const& from) { return from; }
+
+}  // namespace
+
+bool job_table::add(rpc::JobRecordT record, time_point now) {
+  auto& held = jobs_[record.id];
+  if (held) return false;
+  held = std::make_unique<job>();
+  held->record = std::move(record);
+  held->accepted_at = now;
+  held->samples.resize(held->record.items.size());
+  for (std::size_t index = 0; index < held->samples.size(); ++index) {
+    held->samples[index].spec = held->record.items[index].get();
+  }
+  return true;
+}
+
+job* job_table::find(std::string const& id) {
+  auto const found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void job_table::restore(rpc::ResultBatchT batch) {
+  job* const owner = find(batch.job);
+  if (owner == nullptr || batch.first > owner->listed.size()) return;
+  std::size_t const known = owner->listed.size() - batch.first;
+  for (std::size_t place = known; place < batch.results.size(); ++place) {
+    rpc::SampleResultT& result = *batch.results[place];
+    for (std::uint32_t index = 0; index < owner->samples.size(); ++index) {
+      sample& one = owner->samples[index];
+      if (one.spec->id != result.id || one.state == sample_state::listed) continue;
+      one.state = sample_state::listed;
+      ++one.attempt;
+      one.text.clear();
+      one.result = std::move(result);
+      owner->listed.push_back(index);
+      std::erase(owner->unlisted, index);
+      break;
+    }
+  }
+}
+
+bool job_table::end(std::string const& id) {
+  job* const owner = find(id);
+  if (owner == nullptr) return false;
+  if (owner->ended) return true;
+  owner->ended = true;
+  for (sample& one : owner->samples) {
+    ++one.attempt;
+    if (one.state != sample_state::listed) one.text.clear();
+  }
+  owner->unlisted.clear();
+  return true;
+}
+
+std::vector<run_candidate> job_table::runnable(time_point now) {
+  std::vector<run_candidate> all;
+  for (auto const& [id, owner] : jobs_) {
+    if (!owner->is_open()) continue;
+    for (std::uint32_t index = 0; index < owner->samples.size(); ++index) {
+      sample const& one = owner->samples[index];
+      if (one.state != sample_state::waiting || one.not_before > now) continue;
+      all.push_back({owner.get(), index});
+    }
+  }
+  auto const rank = [](run_candidate const& one) {
+    sample const& which = one.owner->samples[one.index];
+    // What has begun is nearest to its end and is waited for already.
+    bool const fresh = which.events == 0;
+    return std::tuple(one.owner->terms.priority, one.owner->accepted_at, fresh,
+                      -static_cast<std::int64_t>(which.spec->length_hint), one.index);
+  };
+  std::sort(all.begin(), all.end(), [&](run_candidate const& left, run_candidate const& right) {
+    return rank(left) < rank(right);
+  });
+  return all;
+}
+
+run_key job_table::start(job& owner, std::uint32_t index, std::string engine) {
+  sample& one = owner.samples[index];
+  one.state = sample_state::running;
+  one.engine = std::move(engine);
+  return {owner.record.id, index, ++one.attempt};
+}
+
+sample* job_table::running(run_key const& key) {
+  job* const owner = find(key.job);
+  if (owner == nullptr || owner->ended) return nullptr;
+  sample& one = owner->samples[key.index];
+  if (one.attempt != key.attempt || one.state != sample_state::running) return nullptr;
+  return &one;
+}
+
+event_result job_table::take_event(job const& owner, sample& one, calls::stream_event const& event,
+                                   std::uint64_t version) {
+  if (event.id && one.last_event) {
+    if (*event.id <= *one.last_event) return event_result::repeated;
+    if (*event.id != *one.last_event + 1) return event_result::out_of_order;
+  }
+  if (version < owner.record.min_version) return event_result::too_old;
+  bool const known_version =
+      std::find(one.versions.begin(), one.versions.end(), version) != one.versions.end();
+  if (!known_version && owner.terms.single_version && !one.versions.empty()) {
+    return event_result::mixed_versions;
+  }
+  if (!known_version) one.versions.push_back(version);
+  if (one.events > 0) one.text += '\n';
+  one.text += event.data;
+  ++one.events;
+  if (event.id) one.last_event = event.id;
+  return event_result::taken;
+}
+
+void job_table::finish(job& owner, std::uint32_t index, time_point now) {
+  sample& one = owner.samples[index];
+  one.state = sample_state::finished;
+  one.finished_at = now;
+  ++one.attempt;
+  one.result.id = one.spec->id;
+  owner.unlisted.push_back(index);
+}
+
+bool job_table::complete_text(job& owner, std::uint32_t index, time_point now) {
+  sample& one = owner.samples[index];
+  one.result.outcome = rpc::SampleOutcome::COMPLETED;
+  one.result.text = std::move(one.text);
+  one.result.versions = one.versions;
+  one.text.clear();
+  if (one.spec->scorer) {
+    one.state = sample_state::scoring;
+    ++one.attempt;
+    return true;
+  }
+  finish(owner, index, now);
+  return false;
+}
+
+void job_table::score(job& owner, std::uint32_t index, std::string score, time_point now) {
+  owner.samples[index].result.score = std::move(score);
+  finish(owner, index, now);
+}
+
+void job_table::give_up(job& owner, std::uint32_t index, time_point now) {
+  sample& one = owner.samples[index];
+  one.result = rpc::SampleResultT();
+  one.result.outcome = rpc::SampleOutcome::DEAD;
+  one.text.clear();
+  finish(owner, index, now);
+}
+
+void job_table::requeue(sample& one, time_point not_before) {
+  one.state = sample_state::waiting;
+  one.not_before = not_before;
+  one.engine.clear();
+  ++one.attempt;
+}
+
+void job_table::restart(sample& one, time_point not_before) {
+  requeue(one, not_before);
+  one.text.clear();
+  one.events = 0;
+  one.last_event.reset();
+  one.versions.clear();
+}
+
+void job_table::expire(time_point now) {
+  for (auto const& [id, owner] : jobs_) {
+    milliseconds const longest = owner->terms.max_queue;
+    if (!owner->is_open() || longest == milliseconds(0)) continue;
+    if (now - owner->accepted_at <= longest) continue;
+    for (std::uint32_t index = 0; index < owner->samples.size(); ++index) {
+      sample_state const state = owner->samples[index].state;
+      if (state != sample_state::finished && state != sample_state::listed) {
+        give_up(*owner, index, now);
+      }
+    }
+  }
+}
+
+std::uint64_t job_table::whole_groups(job const& owner) const {
+  std::map<std::string, bool> whole;
+  for (sample const& one : owner.samples) {
+    bool const done = one.state == sample_state::finished || one.state == sample_state::listed;
+    auto const [place, fresh] = whole.emplace(one.spec->group, done);
+    if (!fresh) place->second = place->second && done;
+  }
+  return static_cast<std::uint64_t>(
+      std::count_if(whole.begin(), whole.end(), [](auto const& group) { return group.second; }));
+}
+
+bool job_table::is_commit_due(job const& owner, time_point now) const {
+  if (owner.unlisted.empty() || owner.committing > 0 || owner.ended) return false;
+  if (owner.listed.size() + owner.unlisted.size() == owner.samples.size()) return true;
+  if (now - owner.samples[owner.unlisted.front()].finished_at >= k_commit_interval) return true;
+  bool const newly_enough = whole_groups(owner) >= owner.record.desired;
+  return newly_enough && owner.record.desired > 0;
+}
+
+std::optional<rpc::ResultBatchT> job_table::next_batch(job& owner, time_point now,
+                                                       std::size_t limit) {
+  if (!is_commit_due(owner, now)) return std::nullopt;
+  rpc::ResultBatchT batch;
+  batch.job = owner.record.id;
+  batch.first = owner.listed.size();
+  std::size_t bytes = 0;
+  for (std::uint32_t index : owner.unlisted) {
+    rpc::SampleResultT const& result = owner.samples[index].result;
+    bytes += result.text.size() + result.id.size() + result.score.size() + 64;
+    if (bytes > limit && !batch.results.empty()) break;
+    batch.results.push_back(std::make_unique<rpc::SampleResultT>(copy_result(result)));
+  }
+  owner.committing = batch.results.size();
+  return batch;
+}
+
+void job_table::confirm(job& owner) {
+  std::size_t const count = std::min(owner.committing, owner.unlisted.size());
+  for (std::size_t place = 0; place < count; ++place) {
+    std::uint32_t const index = owner.unlisted[place];
+    owner.samples[index].state = sample_state::listed;
+    owner.listed.push_back(index);
+  }
+  owner.unlisted.erase(owner.unlisted.begin(),
+                       owner.unlisted.begin() + static_cast<std::ptrdiff_t>(count));
+  owner.committing = 0;
+}
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/job_table.h
@@ -0,0 +1,134 @@
+/// @file The batch jobs of one pool and where each of their samples stands. Pure: the owner's
+/// services drive it, the tests too.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "calls/event_stream.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::jobs {
+
+/// waiting -> running -> scoring -> finished -> listed; running -> waiting when a run breaks or is
+/// moved; running -> finished (dead) when it failed for good; scoring -> finished; waiting ->
+/// finished (dead) when it is out of time. listed is final.
+enum class sample_state { waiting, running, scoring, finished, listed };
+
+/// What the route in force says of a job.
+struct job_terms {
+  std::uint32_t max_attempts = 1;
+  std::uint32_t priority = 0;
+  milliseconds due{0};
+  /// 0: items are never given up for their age.
+  milliseconds max_queue{0};
+  bool single_version = false;
+};
+
+struct sample {
+  rpc::JobItemT const* spec = nullptr;
+  sample_state state = sample_state::waiting;
+  /// Data of the events so far, joined by line feeds.
+  std::string text;
+  std::uint64_t events = 0;
+  std::optional<std::uint64_t> last_event;
+  std::vector<std::uint64_t> versions;
+  /// Service whose engines run it, chosen once by the route's shares.
+  std::string service;
+  std::string engine;
+  /// Counts runs; an event of an older run is ignored.
+  std::uint64_t attempt = 0;
+  std::uint32_t failures = 0;
+  std::uint32_t scoring_failures = 0;
+  time_point not_before = time_point::min();
+  time_point finished_at{};
+  rpc::SampleResultT result;
+};
+
+struct job {
+  rpc::JobRecordT record;
+  job_terms terms;
+  time_point accepted_at{};
+  bool ended = false;
+  std::vector<sample> samples;
+  /// Samples in the order of their positions.
+  std::vector<std::uint32_t> listed;
+  /// Finished, not committed; in the order of finishing.
+  std::vector<std::uint32_t> unlisted;
+  /// Results at the end of `unlisted` that a commit under way holds.
+  std::size_t committing = 0;
+
+  bool is_open() const { return !ended && listed.size() < samples.size(); }
+};
+
+/// Names one run of one sample.
+struct run_key {
+  std::string job;
+  std::uint32_t index = 0;
+  std::uint64_t attempt = 0;
+};
+
+/// A sample that may be started now.
+struct run_candidate {
+  job* owner = nullptr;
+  std::uint32_t index = 0;
+};
+
+enum class event_result { taken, repeated, out_of_order, too_old, mixed_versions };
+
+class job_table {
+ public:
+  /// @return false if the job is known; what is known of it stays.
+  bool add(rpc::JobRecordT record, time_point now);
+  /// Results as the record store holds them. Out-of-order batches are put in their place.
+  void restore(rpc::ResultBatchT batch);
+  /// The submitter wants no more. @return false if there is no such job.
+  bool end(std::string const& id);
+  void forget(std::string const& id) { jobs_.erase(id); }
+
+  job* find(std::string const& id);
+  std::map<std::string, std::unique_ptr<job>>& jobs() { return jobs_; }
+
+  /// Samples that may be started, the most urgent first: by the route's priority, then the job's
+  /// age, then the longest expected run.
+  std::vector<run_candidate> runnable(time_point now);
+  run_key start(job& owner, std::uint32_t index, std::string engine);
+  /// The sample of this run; null if the run is not wanted any more.
+  sample* running(run_key const& key);
+
+  /// Takes an event of a run in, made under `version`.
+  event_result take_event(job const& owner, sample& one, calls::stream_event const& event,
+                          std::uint64_t version);
+  /// All events have come. @return whether a scorer must be asked.
+  bool complete_text(job& owner, std::uint32_t index, time_point now);
+  void score(job& owner, std::uint32_t index, std::string score, time_point now);
+  /// It can never be done, or was tried often enough.
+  void give_up(job& owner, std::uint32_t index, time_point now);
+  /// The run broke or was moved: it goes on elsewhere from what it has.
+  void requeue(sample& one, time_point not_before);
+  /// As requeue, from nothing.
+  void restart(sample& one, time_point not_before);
+  /// Gives samples up that are over their job's longest time.
+  void expire(time_point now);
+
+  /// The next results to commit, if there are any and it is time. At most `limit` bytes.
+  std::optional<rpc::ResultBatchT> next_batch(job& owner, time_point now, std::size_t limit);
+  /// The batch is in the record store: its positions may be shown.
+  void confirm(job& owner);
+  /// The batch's outcome is settled: it was not stored.
+  void abandon_batch(job& owner) { owner.committing = 0; }
+
+ private:
+  bool is_commit_due(job const& owner, time_point now) const;
+  std::uint64_t whole_groups(job const& owner) const;
+  void finish(job& owner, std::uint32_t index, time_point now);
+
+  std::map<std::string, std::unique_ptr<job>> jobs_;
+};
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/pool_owner.h
@@ -0,0 +1,102 @@
+/// @file The owner's side of a pool: accepts jobs, has their samples run, lists results. Active
+/// only while this node holds the pool's lease.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/asio.h"
+#include "calls/forwarder.h"
+#include "engines/engine_board.h"
+#include "engines/engine_control.h"
+#include "engines/weight_orders.h"
+#include "jobs/job_table.h"
+#include "jobs/record_log.h"
+#include "jobs/sample_runner.h"
+#include "kv/record_store.h"
+#include "ownership/pool_lease.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::jobs {
+
+/// References outlive the owner.
+struct owner_parts {
+  asio::io_context& context;
+  kv::record_store& store;
+  kv::store_limits limits;
+  calls::active_configuration const& configuration;
+  directory::server_directory const& servers;
+  calls::connection_pool& connections;
+  calls::forwarder& forwarder;
+  calls::header_names const& names;
+  engines::engine_control& control;
+  ownership::pool_lease& lease;
+  std::string node;
+  /// Ended jobs are forgotten that long after they were accepted.
+  milliseconds retention{140'000};
+};
+
+/// standby -> loading (the lease was gained) -> active (the records are read) -> suspended (the
+/// lease lapsed and nobody else is known to hold it) -> loading or standby; loading -> standby;
+/// active -> standby (another node owns the pool).
+enum class owner_state { standby, loading, active, suspended };
+
+class pool_owner {
+ public:
+  explicit pool_owner(owner_parts parts);
+
+  void start();
+  owner_state state() const { return state_; }
+  engines::weight_orders& orders() { return orders_; }
+  sample_runner const& runner() const { return runner_; }
+  record_log const& log() const { return log_; }
+  std::size_t jobs() { return table_.jobs().size(); }
+
+  /// One call of a submitter, on this node or passed on by another.
+  awaitable<rpc::JobReplyT> handle(rpc::JobCallT call);
+  /// Something outside changed: configuration, servers, versions.
+  void notify();
+  /// Stores what is finished, before the lease is handed on. Ends by `deadline`.
+  awaitable<void> flush(time_point deadline);
+
+ private:
+  void gained();
+  void lost();
+  void drop_everything();
+  awaitable<void> load(std::uint64_t term);
+  void restore(stored_jobs stored);
+  awaitable<void> advance_loop();
+  void advance();
+  void refresh_terms();
+  void refresh_board();
+  void commit_results(bool all);
+  void forget_old(time_point now);
+  awaitable<rpc::JobReplyT> submit(rpc::JobCallT call);
+  void accept(rpc::JobRecordT record);
+  awaitable<rpc::JobReplyT> list(rpc::JobCallT call);
+  rpc::JobReplyT body(rpc::JobCallT const& call);
+  awaitable<rpc::JobReplyT> end(rpc::JobCallT call);
+  bool can_read() const;
+
+  owner_parts parts_;
+  owner_state state_ = owner_state::standby;
+  /// Grows with each gain and loss; what began in an older term is ignored.
+  std::uint64_t term_ = 0;
+  engines::engine_board board_;
+  engines::weight_orders orders_;
+  job_table table_;
+  record_log log_;
+  sample_runner runner_;
+  /// Jobs whose record is being written.
+  std::map<std::string, std::shared_ptr<write_outcome const>> writing_;
+  std::map<std::string, bool> submitting_;
+  async_condition work_;
+  async_condition listed_;
+  async_condition written_;
+  bool work_pending_ = false;
+};
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/record_log.cc
@@ -0,0 +1,247 @@
+#include "jobs/record_log.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+
+#include "base/jitter.h"
+#include "base/log.h"
+#include "rpc/codec.h"
+
+namespace frostline::jobs {
+namespace {
+
+constexpr std::string_view k_part = "jobs";
+constexpr std::string_view k_prefix = "frostline/jobs/";
+constexpr std::string_view k_record_part = "/record/";
+constexpr std::string_view k_results_part = "/results/";
+constexpr std::string_view k_end_part = "/end";
+constexpr milliseconds k_transaction_timeout{1500};
+constexpr milliseconds k_retry_pause{120};
+/// Rooms left in a transaction's body for keys and framing.
+constexpr std::size_t k_group_bytes = 4 << 20;
+
+std::string padded(std::uint64_t number) {
+  char text[24];
+  std::snprintf(text, sizeof text, "%08llu", static_cast<unsigned long long>(number));
+  return text;
+}
+
+kv::operation put(std::string key, std::string value) {
+  kv::operation one;
+  one.key = std::move(key);
+  one.value = std::move(value);
+  return one;
+}
+
+/// Parts of job records, gathered until each job is whole.
+using part_map = std::map<std::string, std::string>;
+
+}  // namespace
+
+std::string record_keys::pool_prefix(std::string const& pool) {
+  return std::string(k_prefix) + pool + "/";
+}
+
+std::string record_keys::job_prefix(std::string const& pool, std::string const& job) {
+  return pool_prefix(pool) + job;
+}
+
+std::string record_keys::record(std::string const& pool, std::string const& job, std::size_t part) {
+  return job_prefix(pool, job) + std::string(k_record_part) + padded(part);
+}
+
+std::string record_keys::results(std::string const& pool, std::string const& job,
+                                 std::uint64_t first) {
+  return job_prefix(pool, job) + std::string(k_results_part) + padded(first);
+}
+
+std::string record_keys::end(std::string const& pool, std::string const& job) {
+  return job_prefix(pool, job) + std::string(k_end_part);
+}
+
+stored_jobs read_stored_jobs(std::string const& pool, std::vector<kv::key_value> const& records) {
+  std::string const prefix = record_keys::pool_prefix(pool);
+  stored_jobs all;
+  part_map parts;
+  // Keys come in order, so the parts of a record and the results of a job do, too.
+  std::map<std::string, std::string> sorted;
+  for (kv::key_value const& one : records) sorted[one.key] = one.value;
+  for (auto const& [key, value] : sorted) {
+    std::string const rest = key.substr(std::min(prefix.size(), key.size()));
+    std::string const job = rest.substr(0, rest.find('/'));
+    std::string const kind = rest.substr(std::min(job.size(), rest.size()));
+    if (kind.starts_with(k_record_part)) {
+      parts[job] += value;
+    } else if (kind.starts_with(k_results_part)) {
+      auto batch = rpc::decode<rpc::ResultBatchT>(value);
+      if (batch) all.batches.push_back(std::move(*batch));
+    } else if (kind == k_end_part) {
+      all.ends.push_back(job);
+    }
+  }
+  for (auto const& [job, bytes] : parts) {
+    auto record = rpc::decode<rpc::JobRecordT>(bytes);
+    if (record) all.records.push_back(std::move(*record));
+  }
+  return all;
+}
+
+record_log::record_log(asio::io_context& context, kv::record_store& store, kv::store_limits limits,
+                       std::string pool)
+    : context_(context), store_(store), limits_(limits), pool_(std::move(pool)) {}
+
+std::size_t record_log::value_limit() const { return limits_.value_bytes / 8 * 5; }
+
+void record_log::open(std::string owner_key, std::uint64_t epoch) {
+  owner_key_ = std::move(owner_key);
+  epoch_ = epoch;
+  open_ = true;
+  writing_ = false;
+  ++session_;
+}
+
+void record_log::close() {
+  open_ = false;
+  writing_ = false;
+  ++session_;
+  std::deque<entry> dropped;
+  dropped.swap(queue_);
+  for (entry& one : dropped) {
+    if (one.on_done) one.on_done(write_outcome::ownership_lost);
+  }
+}
+
+void record_log::enqueue(entry one) {
+  if (!open_) {
+    if (one.on_done) one.on_done(write_outcome::ownership_lost);
+    return;
+  }
+  for (kv::operation const& operation : one.operations) one.bytes += operation.value.size();
+  queue_.push_back(std::move(one));
+  if (writing_) return;
+  writing_ = true;
+  spawn(context_, write_loop(session_));
+}
+
+void record_log::write_record(rpc::JobRecordT const& record, done on_done) {
+  std::string const bytes = rpc::encode(record);
+  entry one;
+  one.on_done = std::move(on_done);
+  std::size_t const limit = value_limit();
+  for (std::size_t part = 0; part * limit < bytes.size(); ++part) {
+    one.operations.push_back(
+        put(record_keys::record(pool_, record.id, part), bytes.substr(part * limit, limit)));
+  }
+  if (one.operations.size() + 1 > limits_.operations_per_transaction / 2) {
+    one.on_done(write_outcome::too_large);
+    return;
+  }
+  enqueue(std::move(one));
+}
+
+void record_log::write_results(rpc::ResultBatchT const& batch, done on_done) {
+  entry one;
+  one.on_done = std::move(on_done);
+  one.operations.push_back(
+      put(record_keys::results(pool_, batch.job, batch.first), rpc::encode(batch)));
+  enqueue(std::move(one));
+}
+
+void record_log::write_end(std::string const& job, done on_done) {
+  entry one;
+  one.on_done = std::move(on_done);
+  one.operations.push_back(put(record_keys::end(pool_, job), "1"));
+  enqueue(std::move(one));
+}
+
+void record_log::remove_job(std::vector<std::string> keys) {
+  entry one;
+  for (std::string& key : keys) {
+    kv::operation removal;
+    removal.kind = kv::operation_kind::remove;
+    removal.key = std::move(key);
+    one.operations.push_back(std::move(removal));
+  }
+  if (one.operations.size() < limits_.operations_per_transaction / 2) enqueue(std::move(one));
+}
+
+std::vector<record_log::entry> record_log::take_group() {
+  std::vector<entry> group;
+  // Each operation may need a comparison of its own, besides that of the owner's record.
+  std::size_t rooms = limits_.operations_per_transaction - 1;
+  std::size_t bytes = 0;
+  while (!queue_.empty()) {
+    entry& next = queue_.front();
+    std::size_t const needed = next.operations.size() * 2;
+    if (!group.empty() && (needed > rooms || bytes + next.bytes > k_group_bytes)) break;
+    rooms -= std::min(needed, rooms);
+    bytes += next.bytes;
+    group.push_back(std::move(next));
+    queue_.pop_front();
+  }
+  return group;
+}
+
+kv::transaction record_log::make_transaction(std::vector<entry> const& group) const {
+  kv::transaction change;
+  change.compares.push_back({owner_key_, epoch_});
+  for (entry const& one : group) {
+    for (kv::operation const& operation : one.operations) {
+      if (operation.kind == kv::operation_kind::put) change.compares.push_back({operation.key, 0});
+      change.on_success.push_back(operation);
+    }
+  }
+  return change;
+}
+
+bool record_log::shows_own_write(kv::transaction const& change,
+                                 std::vector<kv::key_value> const& current) const {
+  std::map<std::string, kv::key_value const*> by_key;
+  for (kv::key_value const& one : current) by_key[one.key] = &one;
+  for (kv::compare const& one : change.compares) {
+    auto const found = by_key.find(one.key);
+    bool const exists = found != by_key.end() && found->second->mod_revision != 0;
+    if (one.key == owner_key_) {
+      if (!exists || found->second->mod_revision != epoch_) return false;
+    } else if (!exists) {
+      return false;
+    }
+  }
+  return true;
+}
+
+awaitable<bool> record_log::apply_until_known(kv::transaction change, std::uint64_t session) {
+  while (session == session_) {
+    ++transactions_;
+    auto outcome = co_await store_.apply(change, k_transaction_timeout);
+    if (session != session_) co_return false;
+    if (outcome) {
+      bool const stored =
+          outcome.value().succeeded || shows_own_write(change, outcome.value().read);
+      if (!stored) {
+        log_line(log_level::warning, k_part, "Write refused: not the owner any more.",
+                 {{"pool", pool_}, {"epoch", epoch_}});
+      }
+      co_return stored;
+    }
+    log_line(log_level::warning, k_part, "Write has no outcome yet; trying again.",
+             {{"pool", pool_}, {"epoch", epoch_}, {"error", outcome.error().message()}});
+    co_await wait_for(with_jitter(k_retry_pause));
+  }
+  co_return false;
+}
+
+awaitable<void> record_log::write_loop(std::uint64_t session) {
+  while (session == session_ && !queue_.empty()) {
+    std::vector<entry> group = take_group();
+    bool const stored = co_await apply_until_known(make_transaction(group), session);
+    for (entry& one : group) {
+      if (!one.on_done) continue;
+      one.on_done(stored ? write_outcome::stored : write_outcome::ownership_lost);
+    }
+  }
+  if (session == session_) writing_ = false;
+}
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/sample_runner.cc
@@ -0,0 +1,379 @@
+#include "jobs/sample_runner.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/jitter.h"
+#include "base/log.h"
+
+namespace frostline::jobs {
+namespace {
+
+constexpr std::string_view k_part = "jobs";
+constexpr milliseconds k_send_timeout{1000};
+/// A run begins with its first event; an engine that has room does not take that long.
+constexpr milliseconds k_first_event_timeout{2500};
+/// Silence between two events: at least this, or so many times the engine's usual gap.
+constexpr milliseconds k_least_silence{700};
+constexpr double k_silence_factor = 10.0;
+/// Runs stand still while their engine loads.
+constexpr milliseconds k_load_silence{3500};
+constexpr milliseconds k_refused_pause{80};
+constexpr milliseconds k_broken_pause{10};
+constexpr milliseconds k_failed_pause{100};
+constexpr milliseconds k_scoring_pause{100};
+constexpr milliseconds k_scoring_deadline{2000};
+constexpr std::size_t k_most_scoring = 12;
+/// Longest time that an engine may spend on a run, where its job sets none.
+constexpr milliseconds k_longest_run{60'000};
+
+std::uint64_t parse_whole(std::string_view text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+}  // namespace
+
+std::string_view sample_runner::name_of(run_end end) const {
+  constexpr std::string_view k_names[] = {"completed",   "refused",    "broken",
+                                          "failed",      "impossible", "unusable",
+                                          "old_version", "moved",      "unwanted"};
+  return k_names[static_cast<std::size_t>(end)];
+}
+
+engines::run_need sample_runner::need_of(job const& owner, sample const& one) const {
+  engines::run_need need;
+  need.service = one.service;
+  need.model = owner.record.model;
+  need.min_version = owner.record.min_version;
+  bool const bound = owner.terms.single_version && !one.versions.empty();
+  if (bound) need.exact_version = one.versions.front();
+  need.tokens = one.spec->tokens;
+  need.group = one.spec->group;
+  return need;
+}
+
+bool sample_runner::has_single_version_run(std::string const& engine) const {
+  return std::any_of(runs_.begin(), runs_.end(), [&](auto const& entry) {
+    return entry.second.engine == engine && entry.second.single_version;
+  });
+}
+
+void sample_runner::advance(time_point now) {
+  auto const table = parts_.configuration.table();
+  if (!table) return;
+  for (run_candidate const& next : parts_.table.runnable(now)) {
+    job& owner = *next.owner;
+    sample& one = owner.samples[next.index];
+    auto const* route = table->match(owner.record.host, owner.record.path);
+    if (route == nullptr) continue;
+    bool const still_there = std::any_of(
+        route->shares.begin(), route->shares.end(),
+        [&](calls::service_share const& share) { return share.service == one.service; });
+    if (!still_there) one.service = shares_.pick(*route);
+    engines::board_engine const* engine = parts_.board.choose(need_of(owner, one), now);
+    if (engine != nullptr) start(owner, next.index, *engine);
+  }
+  move_slow_runs(now);
+}
+
+void sample_runner::start(job& owner, std::uint32_t index, engines::board_engine const& engine) {
+  sample& one = owner.samples[index];
+  run_key const key = parts_.table.start(owner, index, engine.server.id);
+  parts_.board.note_started(engine.server.id, one.spec->tokens, one.spec->group);
+  ++figures_.runs;
+  log_line(log_level::info, k_part, "Run started.",
+           {{"request", one.spec->id},
+            {"job", owner.record.id},
+            {"server", engine.server.id},
+            {"run", key.attempt},
+            {"events", one.events},
+            {"in_flight", engine.in_flight}});
+  spawn(parts_.context, run(key, engine.server, one.spec->tokens, one.spec->group));
+}
+
+void sample_runner::move_slow_runs(time_point now) {
+  for (auto& [id, open] : runs_) {
+    if (open.moving) continue;
+    sample const* one = parts_.table.running(keys_[id]);
+    engines::board_engine const* from = parts_.board.find(open.engine);
+    if (one == nullptr || from == nullptr || one->events == 0) continue;
+    job const* owner = parts_.table.find(keys_[id].job);
+    if (!parts_.board.should_move(*from, need_of(*owner, *one), now)) continue;
+    open.moving = true;
+    open.exchange->abort();
+    // One at a time, so that the next decision sees the engine that takes it.
+    return;
+  }
+}
+
+void sample_runner::abort_runs(std::string const& job) {
+  for (auto& [id, open] : runs_) {
+    if (job.empty() || keys_[id].job == job) open.exchange->abort();
+  }
+}
+
+http::request sample_runner::make_request(job const& owner, sample const& one) const {
+  http::request message(http::verb::post, one.spec->path, 11);
+  message.set(http::field::host, owner.record.host);
+  for (auto const& header : one.spec->headers) message.set(header->name, header->value);
+  message.set(parts_.names.request_id, one.spec->id);
+  message.set(parts_.names.deadline, std::to_string(k_longest_run.count()));
+  message.set(parts_.names.expected_instance, one.engine);
+  if (one.last_event) message.set(parts_.names.last_event_id, std::to_string(*one.last_event));
+  message.body().assign(one.spec->body.begin(), one.spec->body.end());
+  message.prepare_payload();
+  return message;
+}
+
+awaitable<void> sample_runner::run(run_key key, directory::server engine, std::uint64_t tokens,
+                                   std::string group) {
+  run_id const id = next_run_++;
+  calls::exchange with(parts_.connections, parts_.names, engine);
+  job const* const owner = parts_.table.find(key.job);
+  open_run open;
+  open.exchange = &with;
+  open.engine = engine.id;
+  open.single_version = owner != nullptr && owner->terms.single_version;
+  runs_[id] = open;
+  keys_[id] = key;
+  run_end end = co_await drive(key, with, id);
+  if (end == run_end::broken && runs_[id].moving) end = run_end::moved;
+  if (end == run_end::completed) with.finish();
+  runs_.erase(id);
+  keys_.erase(id);
+  parts_.board.note_ended(engine.id, tokens, group);
+  conclude(key, engine.id, end);
+  parts_.notify();
+}
+
+awaitable<sample_runner::run_end> sample_runner::drive(run_key const& key, calls::exchange& with,
+                                                       run_id id) {
+  sample const* one = parts_.table.running(key);
+  if (one == nullptr) co_return run_end::unwanted;
+  http::request const message = make_request(*parts_.table.find(key.job), *one);
+  auto choice = calls::connection_choice::kept;
+  auto failure = co_await with.send(message, choice, steady_clock::now() + k_send_timeout);
+  time_point const first = steady_clock::now() + k_first_event_timeout;
+  if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
+  if (failure == calls::exchange_failure::stale_connection) {
+    choice = calls::connection_choice::fresh;
+    failure = co_await with.send(message, choice, steady_clock::now() + k_send_timeout);
+    if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
+  }
+  if (parts_.table.running(key) == nullptr) co_return run_end::unwanted;
+  if (failure != calls::exchange_failure::none) co_return run_end::broken;
+  run_end const head = take_head(with);
+  if (head != run_end::completed) co_return head;
+  co_return co_await read_events(key, with, id);
+}
+
+sample_runner::run_end sample_runner::take_head(calls::exchange const& with) const {
+  http::response const& head = with.head();
+  unsigned const status = head.result_int();
+  if (status == 200) return run_end::completed;
+  if (status == 422) return run_end::impossible;
+  bool const refused = !http::header(head, parts_.names.not_run).empty() || status == 421;
+  if (refused) return run_end::refused;
+  return status == 500 ? run_end::failed : run_end::broken;
+}
+
+awaitable<sample_runner::run_end> sample_runner::read_events(run_key const& key,
+                                                             calls::exchange& with, run_id id) {
+  calls::event_splitter splitter(parts_.names.versions);
+  std::string version_field = parts_.names.versions;
+  std::uint64_t version = parse_whole(http::header(with.head(), version_field));
+  std::string const engine = with.server().id;
+  time_point last = steady_clock::now();
+  bool first = true;
+  std::string piece;
+  while (!with.is_whole() || !with.head().body().empty()) {
+    engines::board_engine const* board = parts_.board.find(engine);
+    double const usual = board == nullptr ? 0 : board->event_gap_ms;
+    bool const loading = board != nullptr && board->load == engines::load_state::ordered;
+    milliseconds silence = std::max(
+        k_least_silence, milliseconds(static_cast<std::int64_t>(usual * k_silence_factor)));
+    if (first) silence = k_first_event_timeout;
+    if (loading) silence = std::max(silence, k_load_silence);
+    auto const failure = co_await with.read_piece(piece, steady_clock::now() + silence);
+    if (parts_.table.running(key) == nullptr) co_return run_end::unwanted;
+    if (failure != calls::exchange_failure::none) co_return run_end::broken;
+    auto const events = splitter.feed(piece);
+    if (events.empty()) continue;
+    time_point const now = steady_clock::now();
+    if (!first && !loading) {
+      auto const gap = std::chrono::duration_cast<milliseconds>(now - last);
+      parts_.board.note_event_gap(engine, gap / static_cast<int>(events.size()), now);
+    }
+    first = false;
+    last = now;
+    run_end const taken = take_events(key, events, version);
+    if (taken != run_end::completed) co_return taken;
+    parts_.board.note_success(engine);
+  }
+  sample const* one = parts_.table.running(key);
+  if (one == nullptr) co_return run_end::unwanted;
+  bool const whole = splitter.is_between_events() && one->events > 0;
+  co_return whole ? run_end::completed : run_end::broken;
+}
+
+sample_runner::run_end sample_runner::take_events(run_key const& key,
+                                                  std::vector<calls::stream_event> const& events,
+                                                  std::uint64_t& version) {
+  for (calls::stream_event const& event : events) {
+    if (event.version) version = *event.version;
+    sample* const one = parts_.table.running(key);
+    job const* const owner = parts_.table.find(key.job);
+    if (one == nullptr || owner == nullptr) return run_end::unwanted;
+    switch (parts_.table.take_event(*owner, *one, event, version)) {
+      case event_result::taken:
+        break;
+      case event_result::too_old:
+        return run_end::old_version;
+      case event_result::mixed_versions:
+        return run_end::unusable;
+      case event_result::repeated:
+      case event_result::out_of_order:
+        return run_end::broken;
+    }
+  }
+  return run_end::completed;
+}
+
+void sample_runner::conclude(run_key const& key, std::string const& engine, run_end end) {
+  time_point const now = steady_clock::now();
+  job* const owner = parts_.table.find(key.job);
+  sample* const one = parts_.table.running(key);
+  log_line(log_level::info, k_part, "Run ended.",
+           {{"request", owner == nullptr ? "" : owner->samples[key.index].spec->id},
+            {"job", key.job},
+            {"server", engine},
+            {"run", key.attempt},
+            {"end", name_of(end)},
+            {"events", one == nullptr ? 0 : one->events}});
+  if (end == run_end::broken) {
+    ++figures_.broken;
+    parts_.board.note_failure(engine, now);
+  }
+  if (owner == nullptr || one == nullptr) return;
+  switch (end) {
+    case run_end::completed:
+      ++figures_.completed;
+      if (parts_.table.complete_text(*owner, key.index, now)) start_scoring(key.job, key.index);
+      break;
+    case run_end::refused:
+      parts_.board.block(engine, now + k_refused_pause);
+      parts_.table.requeue(*one, now + k_broken_pause);
+      break;
+    case run_end::moved:
+      ++figures_.moved;
+      parts_.table.requeue(*one, now);
+      break;
+    case run_end::broken:
+      parts_.table.requeue(*one, now + k_broken_pause);
+      break;
+    case run_end::failed:
+      conclude_failure(*owner, key, *one);
+      break;
+    case run_end::impossible:
+      ++figures_.dead;
+      parts_.table.give_up(*owner, key.index, now);
+      break;
+    case run_end::unusable:
+      parts_.table.restart(*one, now + k_broken_pause);
+      break;
+    case run_end::old_version: {
+      if (auto* board = parts_.board.find(engine)) board->versions[owner->record.model] = 0;
+      parts_.table.requeue(*one, now + k_broken_pause);
+      break;
+    }
+    case run_end::unwanted:
+      break;
+  }
+}
+
+void sample_runner::conclude_failure(job& owner, run_key const& key, sample& one) {
+  time_point const now = steady_clock::now();
+  if (++one.failures >= owner.terms.max_attempts) {
+    ++figures_.dead;
+    parts_.table.give_up(owner, key.index, now);
+  } else {
+    parts_.table.requeue(one, now + k_failed_pause);
+  }
+}
+
+void sample_runner::start_scoring(std::string const& job, std::uint32_t index) {
+  scoring_queue_.emplace_back(job, index);
+  pump_scoring();
+}
+
+void sample_runner::pump_scoring() {
+  while (scoring_ < k_most_scoring && !scoring_queue_.empty()) {
+    std::string const job = scoring_queue_.front().first;
+    std::uint32_t const index = scoring_queue_.front().second;
+    scoring_queue_.erase(scoring_queue_.begin());
+    ++scoring_;
+    spawn(parts_.context, score(job, index));
+  }
+}
+
+sample* sample_runner::scoring_sample(std::string const& job, std::uint32_t index) {
+  auto* const owner = parts_.table.find(job);
+  if (owner == nullptr || owner->ended) return nullptr;
+  sample& one = owner->samples[index];
+  return one.state == sample_state::scoring ? &one : nullptr;
+}
+
+awaitable<void> sample_runner::score(std::string job, std::uint32_t index) {
+  bool over = co_await score_once(job, index);
+  while (!over) {
+    co_await wait_for(with_jitter(k_scoring_pause));
+    over = co_await score_once(job, index);
+  }
+  --scoring_;
+  pump_scoring();
+  parts_.notify();
+}
+
+awaitable<bool> sample_runner::score_once(std::string job, std::uint32_t index) {
+  sample const* one = scoring_sample(job, index);
+  if (one == nullptr) co_return true;
+  rpc::ScorerCallT const& call = *one->spec->scorer;
+  auto const table = parts_.configuration.table();
+  calls::route const* by = table ? table->match(call.host, call.path) : nullptr;
+  if (by == nullptr) co_return false;
+  http::request message(http::verb::post, call.path, 11);
+  message.set(http::field::host, call.host);
+  message.set(parts_.names.request_id, call.id);
+  message.body().assign(call.body.begin(), call.body.end());
+  std::uint32_t const most_failures = by->max_attempts;
+  time_point const deadline = steady_clock::now() + k_scoring_deadline;
+  auto const outcome =
+      co_await parts_.forwarder.call(table, *by, std::move(message), deadline, nullptr);
+  sample* const now = scoring_sample(job, index);
+  if (now == nullptr) co_return true;
+  auto* const owner = parts_.table.find(job);
+  bool const answered = outcome.reason == calls::give_up_reason::none;
+  std::string const proof(http::header(outcome.answer, parts_.names.stamp));
+  bool const good = answered && outcome.answer.result_int() / 100 == 2 && !proof.empty();
+  log_line(log_level::info, k_part, good ? "Scored." : "Scoring failed.",
+           {{"request", now->spec->id},
+            {"job", job},
+            {"scorer", call.id},
+            {"server", outcome.server},
+            {"reason", calls::to_string(outcome.reason)},
+            {"status", answered ? outcome.answer.result_int() : 0}});
+  if (good) {
+    ++figures_.scored;
+    parts_.table.score(*owner, index, proof, steady_clock::now());
+    co_return true;
+  }
+  now->scoring_failures += outcome.failed_answers;
+  if (now->scoring_failures < most_failures) co_return false;
+  ++figures_.dead;
+  parts_.table.give_up(*owner, index, steady_clock::now());
+  co_return true;
+}
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/sample_runner.h
@@ -0,0 +1,116 @@
+/// @file Runs the samples of a pool's jobs on its engines and has them scored.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "base/asio.h"
+#include "calls/exchange.h"
+#include "calls/forwarder.h"
+#include "calls/route_table.h"
+#include "directory/server_directory.h"
+#include "engines/engine_board.h"
+#include "jobs/job_table.h"
+
+namespace frostline::jobs {
+
+/// References outlive the runner.
+struct runner_parts {
+  asio::io_context& context;
+  calls::active_configuration const& configuration;
+  directory::server_directory const& servers;
+  calls::connection_pool& connections;
+  calls::forwarder& forwarder;
+  calls::header_names const& names;
+  engines::engine_board& board;
+  job_table& table;
+  /// Something changed that the owner may act on.
+  std::function<void()> notify;
+};
+
+struct runner_figures {
+  std::uint64_t runs = 0;
+  std::uint64_t completed = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t moved = 0;
+  std::uint64_t scored = 0;
+  std::uint64_t dead = 0;
+};
+
+class sample_runner {
+ public:
+  explicit sample_runner(runner_parts parts) : parts_(std::move(parts)) {}
+
+  /// Starts what can be started, and moves runs off slow engines.
+  void advance(time_point now);
+  /// Closes the runs of one job, or of all jobs if `job` is empty.
+  void abort_runs(std::string const& job);
+  /// Has a sample scored that waits for it, after a new owner has loaded it.
+  std::size_t running() const { return runs_.size(); }
+  /// Whether a run of this engine must not mix versions.
+  bool has_single_version_run(std::string const& engine) const;
+  runner_figures const& figures() const { return figures_; }
+
+ private:
+  /// How a run ended.
+  enum class run_end {
+    completed,
+    /// Refused by the engine, not run.
+    refused,
+    /// No answer, or it broke off.
+    broken,
+    /// The engine answered that it failed.
+    failed,
+    /// The engine answered that it can never be done.
+    impossible,
+    /// What came can't be used: start over.
+    unusable,
+    /// The engine's version is too old for the job.
+    old_version,
+    /// Given up by this side to run elsewhere.
+    moved,
+    /// Nobody wants it any more.
+    unwanted,
+  };
+
+  struct open_run {
+    calls::exchange* exchange = nullptr;
+    bool moving = false;
+    bool single_version = false;
+    std::string engine;
+  };
+  using run_id = std::uint64_t;
+
+  engines::run_need need_of(job const& owner, sample const& one) const;
+  void start(job& owner, std::uint32_t index, engines::board_engine const& engine);
+  void move_slow_runs(time_point now);
+  awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
+                      std::string group);
+  awaitable<run_end> drive(run_key const& key, calls::exchange& with, run_id id);
+  awaitable<run_end> read_events(run_key const& key, calls::exchange& with, run_id id);
+  run_end take_head(calls::exchange const& with) const;
+  run_end take_events(run_key const& key, std::vector<calls::stream_event> const& events,
+                      std::uint64_t& version);
+  http::request make_request(job const& owner, sample const& one) const;
+  void conclude(run_key const& key, std::string const& engine, run_end end);
+  void conclude_failure(job& owner, run_key const& key, sample& one);
+  void start_scoring(std::string const& job, std::uint32_t index);
+  void pump_scoring();
+  awaitable<void> score(std::string job, std::uint32_t index);
+  /// @return whether the sample's scoring is over.
+  awaitable<bool> score_once(std::string job, std::uint32_t index);
+  sample* scoring_sample(std::string const& job, std::uint32_t index);
+  std::string_view name_of(run_end end) const;
+
+  runner_parts parts_;
+  std::map<run_id, open_run> runs_;
+  std::map<run_id, run_key> keys_;
+  run_id next_run_ = 1;
+  std::vector<std::pair<std::string, std::uint32_t>> scoring_queue_;
+  std::size_t scoring_ = 0;
+  calls::share_picker shares_;
+  runner_figures figures_;
+};
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/kv/follower.h
@@ -0,0 +1,54 @@
+/// @file Keeps a view of the records below a prefix in step with the store: lists once, then
+/// watches; lists again when history is lost or the watch may have died unseen.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "kv/record_store.h"
+
+namespace frostline::kv {
+
+/// What a follower tells. `snapshot` replaces everything known below the prefix.
+struct follower_callbacks {
+  std::function<void(range_answer const&)> snapshot;
+  std::function<void(watch_event const&)> event;
+};
+
+struct follower_options {
+  /// Time between an answer and the next watch; changes meanwhile arrive together.
+  milliseconds pause{0};
+  /// Longest time one watch waits at the store.
+  milliseconds watch_wait{25'000};
+};
+
+class follower {
+ public:
+  follower(asio::io_context& context, record_store& store, std::string prefix,
+           follower_callbacks callbacks, follower_options options);
+
+  void start();
+  /// Gives the current watch up and lists anew: after silence of the store or of this process.
+  void resynchronize();
+  /// Whether a snapshot has ever arrived.
+  bool is_loaded() const { return loaded_; }
+  /// Store revision up to which the view is complete.
+  revision at() const { return at_; }
+
+ private:
+  awaitable<void> follow_loop(std::uint64_t round);
+  awaitable<bool> list_once(std::uint64_t round);
+  awaitable<bool> watch_once(std::uint64_t round);
+
+  asio::io_context& context_;
+  record_store& store_;
+  std::string prefix_;
+  follower_callbacks callbacks_;
+  follower_options options_;
+  /// Grows with each resynchronization; a loop of an older round ends without a word.
+  std::uint64_t round_ = 0;
+  revision at_ = 0;
+  bool loaded_ = false;
+};
+
+}  // namespace frostline::kv
--- /dev/null
+++ b/src/ownership/pool_lease.cc
@@ -0,0 +1,178 @@
+#include "ownership/pool_lease.h"
+
+#include "base/encoding.h"
+#include "base/jitter.h"
+#include "base/log.h"
+#include "rpc/codec.h"
+
+namespace frostline::ownership {
+namespace {
+
+constexpr std::string_view k_part = "ownership";
+constexpr std::string_view k_prefix = "frostline/owners/";
+/// A node that has just owned the pool asks for it again before the others do.
+constexpr milliseconds k_return_delay{20};
+constexpr milliseconds k_first_delay{120};
+constexpr milliseconds k_delay_spread{500};
+constexpr milliseconds k_retry_pause{200};
+constexpr milliseconds k_transaction_timeout{1500};
+
+}  // namespace
+
+pool_lease::pool_lease(asio::io_context& context, kv::record_store& store, std::string pool,
+                       pool_lease_options options)
+    : context_(context),
+      store_(store),
+      pool_(std::move(pool)),
+      options_(std::move(options)),
+      changed_(context) {}
+
+std::string pool_lease::owners_prefix() { return std::string(k_prefix); }
+
+std::string pool_lease::key_of(std::string const& pool) { return owners_prefix() + pool; }
+
+void pool_lease::start() { spawn(context_, run()); }
+
+void pool_lease::on_change(std::function<void()> gained, std::function<void()> lost) {
+  on_gained_ = std::move(gained);
+  on_lost_ = std::move(lost);
+}
+
+bool pool_lease::holds(time_point now) const {
+  return state_ == lease_state::owner && now < valid_until_;
+}
+
+void pool_lease::note_record(kv::key_value const* record) {
+  record_known_ = true;
+  if (record == nullptr) {
+    owner_.reset();
+    if (state_ == lease_state::owner) stop_owning("record gone");
+    changed_.notify_all();
+    return;
+  }
+  auto const decoded = rpc::decode<rpc::PoolOwnerT>(record->value);
+  if (!decoded) return;
+  auto const address = parse_endpoint(decoded->address);
+  if (!address) return;
+  bool const news = !owner_ || owner_->epoch != record->create_revision;
+  owner_ = known_owner{decoded->node, *address, record->create_revision};
+  last_owner_ = decoded->node;
+  bool const own = decoded->token == token_;
+  if (own && state_ == lease_state::acquiring) become_owner(record->create_revision);
+  bool const overtaken = state_ == lease_state::owner && record->create_revision != epoch_;
+  if (!own && overtaken) stop_owning("another owner");
+  if (news) {
+    log_line(log_level::info, k_part, "Owner known.",
+             {{"pool", pool_}, {"owner", decoded->node}, {"epoch", record->create_revision}});
+    changed_.notify_all();
+  }
+}
+
+void pool_lease::become_owner(std::uint64_t epoch) {
+  state_ = lease_state::owner;
+  epoch_ = epoch;
+  bool const no_other = last_owner_.empty() || last_owner_ == options_.node;
+  bool const again = no_other && was_owner_before_;
+  orders_from_ = again ? steady_clock::now() : steady_clock::now() + order_gap_;
+  was_owner_before_ = true;
+  last_owner_ = options_.node;
+  owner_ = known_owner{options_.node, options_.address, epoch};
+  log_line(log_level::info, k_part, "Pool acquired.", {{"pool", pool_}, {"epoch", epoch}});
+  if (on_gained_) on_gained_();
+  changed_.notify_all();
+}
+
+void pool_lease::stop_owning(std::string_view cause) {
+  state_ = lease_state::lapsed;
+  lease_ = 0;
+  log_line(log_level::warning, k_part, "Pool lost.",
+           {{"pool", pool_}, {"epoch", epoch_}, {"cause", cause}});
+  if (on_lost_) on_lost_();
+  changed_.notify_all();
+}
+
+awaitable<void> pool_lease::run() {
+  while (!released_) {
+    if (state_ == lease_state::owner) {
+      co_await renew();
+    } else if (record_known_ && !owner_) {
+      co_await compete();
+    } else {
+      co_await changed_.wait_until(steady_clock::now() + seconds(1));
+    }
+  }
+}
+
+awaitable<void> pool_lease::compete() {
+  bool const returning = was_owner_before_ && last_owner_ == options_.node;
+  milliseconds const delay =
+      returning ? k_return_delay : k_first_delay + with_jitter(k_delay_spread);
+  co_await changed_.wait_until(steady_clock::now() + delay);
+  if (owner_ || released_) co_return;
+  state_ = lease_state::acquiring;
+  bool const done = co_await create_record();
+  if (state_ != lease_state::acquiring) co_return;
+  state_ = lease_state::standby;
+  if (!done) co_await changed_.wait_until(steady_clock::now() + with_jitter(k_retry_pause));
+}
+
+awaitable<bool> pool_lease::create_record() {
+  time_point const asked = steady_clock::now();
+  auto lease = co_await store_.grant_lease(options_.time_to_live);
+  if (!lease || owner_) co_return false;
+  lease_ = lease.value();
+  token_ = make_unique_token();
+  rpc::PoolOwnerT record;
+  record.node = options_.node;
+  record.address = options_.address.to_string();
+  record.token = token_;
+  kv::transaction change;
+  change.compares.push_back({key_of(pool_), 0});
+  kv::operation put;
+  put.key = key_of(pool_);
+  put.value = rpc::encode(record);
+  put.lease = lease_;
+  change.on_success.push_back(std::move(put));
+  valid_until_ = asked + options_.time_to_live - options_.safety_margin;
+  auto outcome = co_await store_.apply(std::move(change), k_transaction_timeout);
+  if (state_ == lease_state::owner) co_return true;  // the follower was faster
+  if (outcome && outcome.value().succeeded) {
+    become_owner(outcome.value().store_revision);
+    co_return true;
+  }
+  bool const refused = outcome && !outcome.value().succeeded;
+  if (refused) {
+    for (kv::key_value const& current : outcome.value().read) note_record(&current);
+  }
+  // With an unknown outcome the record may still come; the follower tells.
+  if (state_ == lease_state::owner) co_return true;
+  lease_ = 0;
+  co_return false;
+}
+
+awaitable<void> pool_lease::renew() {
+  co_await changed_.wait_until(steady_clock::now() + options_.renewal_interval);
+  if (state_ != lease_state::owner || released_) co_return;
+  time_point const asked = steady_clock::now();
+  auto renewed = co_await store_.renew_lease(lease_);
+  if (state_ != lease_state::owner) co_return;
+  if (renewed) {
+    valid_until_ = asked + renewed.value() - options_.safety_margin;
+    co_return;
+  }
+  if (renewed.error() == kv::errc::lease_expired) {
+    owner_.reset();
+    stop_owning("lease expired");
+  }
+}
+
+awaitable<void> pool_lease::release() {
+  released_ = true;
+  changed_.notify_all();
+  if (state_ != lease_state::owner) co_return;
+  kv::lease_id const held = lease_;
+  stop_owning("handed on");
+  co_await store_.end_lease(held);
+}
+
+}  // namespace frostline::ownership
--- /dev/null
+++ b/src/ownership/pool_lease.h
@@ -0,0 +1,100 @@
+/// @file Which node owns a pool of engines: its batch jobs and the orders to its engines. One lease
+/// in the record store decides; the revision at which its record was made is the owner's epoch.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "kv/record_store.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::ownership {
+
+/// standby -> acquiring -> owner -> lapsed -> standby; acquiring -> standby; owner -> standby when
+/// it is handed on.
+enum class lease_state { standby, acquiring, owner, lapsed };
+
+struct known_owner {
+  std::string node;
+  endpoint address;
+  std::uint64_t epoch = 0;
+};
+
+struct pool_lease_options {
+  std::string node;
+  endpoint address;
+  milliseconds time_to_live{1500};
+  milliseconds renewal_interval{400};
+  /// The lease counts as over this long before the store would end it.
+  milliseconds safety_margin{150};
+};
+
+/// Candidate for, or owner of, one pool.
+class pool_lease {
+ public:
+  pool_lease(asio::io_context& context, kv::record_store& store, std::string pool,
+             pool_lease_options options);
+
+  /// Key under which the owner of a pool stands; all lie below `owners_prefix`.
+  static std::string key_of(std::string const& pool);
+  static std::string owners_prefix();
+
+  void start();
+  /// The store's record of this pool, as the owners' follower heard it; null: there is none.
+  void note_record(kv::key_value const* record);
+  /// Hands the pool on: ends the lease and never asks for it again.
+  awaitable<void> release();
+
+  /// Whether this node may act as the owner now: its lease can't have ended.
+  bool holds(time_point now) const;
+  lease_state state() const { return state_; }
+  std::uint64_t epoch() const { return epoch_; }
+  /// Earliest time for the first order: none of a former owner on another machine can follow.
+  time_point orders_from() const { return orders_from_; }
+  /// Time for which a former owner's orders count as close.
+  void set_order_gap(milliseconds gap) { order_gap_ = gap; }
+  std::optional<known_owner> const& owner() const { return owner_; }
+  std::string const& pool() const { return pool_; }
+
+  /// `gained` runs when this node becomes owner, `lost` when it is not any more.
+  void on_change(std::function<void()> gained, std::function<void()> lost);
+  /// Ends when the known owner changes, or at `deadline`.
+  awaitable<void> wait_for_change(time_point deadline) { return changed_.wait_until(deadline); }
+
+ private:
+  awaitable<void> run();
+  awaitable<void> compete();
+  awaitable<bool> create_record();
+  awaitable<void> renew();
+  void become_owner(std::uint64_t epoch);
+  void stop_owning(std::string_view cause);
+
+  asio::io_context& context_;
+  kv::record_store& store_;
+  std::string pool_;
+  pool_lease_options options_;
+  lease_state state_ = lease_state::standby;
+  kv::lease_id lease_ = 0;
+  std::string token_;
+  std::uint64_t epoch_ = 0;
+  time_point valid_until_ = time_point::min();
+  time_point orders_from_ = time_point::max();
+  milliseconds order_gap_{3000};
+  std::optional<known_owner> owner_;
+  /// Node that owned the pool last, as far as is known.
+  std::string last_owner_;
+  bool was_owner_before_ = false;
+  bool record_known_ = false;
+  bool released_ = false;
+  std::function<void()> on_gained_;
+  std::function<void()> on_lost_;
+  async_condition changed_;
+};
+
+}  // namespace frostline::ownership
