--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -192,6 +192,42 @@
 struct GossipMessageBuilder;
 struct GossipMessageT;
 
+struct ScorerCall;
+struct ScorerCallBuilder;
+struct ScorerCallT;
+
+struct HeaderField;
+struct HeaderFieldBuilder;
+struct HeaderFieldT;
+
+struct JobItem;
+struct JobItemBuilder;
+struct JobItemT;
+
+struct JobRecord;
+struct JobRecordBuilder;
+struct JobRecordT;
+
+struct SampleResult;
+struct SampleResultBuilder;
+struct SampleResultT;
+
+struct ResultBatch;
+struct ResultBatchBuilder;
+struct ResultBatchT;
+
+struct PoolOwner;
+struct PoolOwnerBuilder;
+struct PoolOwnerT;
+
+struct JobCall;
+struct JobCallBuilder;
+struct JobCallT;
+
+struct JobReply;
+struct JobReplyBuilder;
+struct JobReplyT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -330,6 +366,111 @@
   return EnumNamesGossipKind()[index];
 }
 
+enum class SampleOutcome : int8_t {
+  COMPLETED = 0,
+  DEAD = 1,
+  MIN = COMPLETED,
+  MAX = DEAD
+};
+
+inline const SampleOutcome (&EnumValuesSampleOutcome())[2] {
+  static const SampleOutcome values[] = {
+    SampleOutcome::COMPLETED,
+    SampleOutcome::DEAD
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesSampleOutcome() {
+  static const char * const names[3] = {
+    "COMPLETED",
+    "DEAD",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameSampleOutcome(SampleOutcome e) {
+  if (flatbuffers::IsOutRange(e, SampleOutcome::COMPLETED, SampleOutcome::DEAD)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesSampleOutcome()[index];
+}
+
+enum class JobAction : int8_t {
+  SUBMIT = 0,
+  LIST = 1,
+  BODY = 2,
+  END = 3,
+  MIN = SUBMIT,
+  MAX = END
+};
+
+inline const JobAction (&EnumValuesJobAction())[4] {
+  static const JobAction values[] = {
+    JobAction::SUBMIT,
+    JobAction::LIST,
+    JobAction::BODY,
+    JobAction::END
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesJobAction() {
+  static const char * const names[5] = {
+    "SUBMIT",
+    "LIST",
+    "BODY",
+    "END",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameJobAction(JobAction e) {
+  if (flatbuffers::IsOutRange(e, JobAction::SUBMIT, JobAction::END)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesJobAction()[index];
+}
+
+enum class JobStatus : int8_t {
+  OK = 0,
+  UNKNOWN_JOB = 1,
+  UNAVAILABLE = 2,
+  OUTCOME_UNKNOWN = 3,
+  INVALID = 4,
+  MIN = OK,
+  MAX = INVALID
+};
+
+inline const JobStatus (&EnumValuesJobStatus())[5] {
+  static const JobStatus values[] = {
+    JobStatus::OK,
+    JobStatus::UNKNOWN_JOB,
+    JobStatus::UNAVAILABLE,
+    JobStatus::OUTCOME_UNKNOWN,
+    JobStatus::INVALID
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesJobStatus() {
+  static const char * const names[6] = {
+    "OK",
+    "UNKNOWN_JOB",
+    "UNAVAILABLE",
+    "OUTCOME_UNKNOWN",
+    "INVALID",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameJobStatus(JobStatus e) {
+  if (flatbuffers::IsOutRange(e, JobStatus::OK, JobStatus::INVALID)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesJobStatus()[index];
+}
+
 struct TaskRecordT : public flatbuffers::NativeTable {
   typedef TaskRecord TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -5667,135 +5808,1388 @@
 
 flatbuffers::Offset<GossipMessage> CreateGossipMessage(flatbuffers::FlatBufferBuilder &_fbb, const GossipMessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TaskRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct ScorerCallT : public flatbuffers::NativeTable {
+  typedef ScorerCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ScorerCallT";
+  }
+  std::string id{};
+  std::string host{};
+  std::string path{};
+  std::vector<uint8_t> body{};
+};
 
-inline void TaskRecord::UnPackTo(TaskRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = model(); if (_e) _o->model = _e->str(); }
-  { auto _e = priority(); _o->priority = _e; }
-  { auto _e = freshness_bound(); _o->freshness_bound = _e; }
-  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = scorer(); if (_e) _o->scorer = _e->str(); }
-  { auto _e = batch_size(); _o->batch_size = _e; }
-  { auto _e = shards(); _o->shards = _e; }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
-}
+/// A call that scores a sample's text; only the body of a 2xx answer's proof counts.
+struct ScorerCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ScorerCallT NativeTableType;
+  typedef ScorerCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ScorerCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_HOST = 6,
+    VT_PATH = 8,
+    VT_BODY = 10
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           verifier.EndTable();
+  }
+  ScorerCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ScorerCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ScorerCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScorerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTaskRecord(_fbb, _o, _rehasher);
+struct ScorerCallBuilder {
+  typedef ScorerCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(ScorerCall::VT_ID, id);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(ScorerCall::VT_HOST, host);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(ScorerCall::VT_PATH, path);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(ScorerCall::VT_BODY, body);
+  }
+  explicit ScorerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ScorerCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ScorerCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ScorerCall> CreateScorerCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+  ScorerCallBuilder builder_(_fbb);
+  builder_.add_body(body);
+  builder_.add_path(path);
+  builder_.add_host(host);
+  builder_.add_id(id);
+  return builder_.Finish();
 }
 
-inline flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
-  auto _model = _o->model.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->model);
-  auto _priority = _o->priority;
-  auto _freshness_bound = _o->freshness_bound;
-  auto _engines = _fbb.CreateVectorOfStrings(_o->engines);
-  auto _scorer = _o->scorer.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->scorer);
-  auto _batch_size = _o->batch_size;
-  auto _shards = _o->shards;
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateTaskRecord(
+struct ScorerCall::Traits {
+  using type = ScorerCall;
+  static auto constexpr Create = CreateScorerCall;
+};
+
+inline flatbuffers::Offset<ScorerCall> CreateScorerCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *host = nullptr,
+    const char *path = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return frostline::rpc::CreateScorerCall(
       _fbb,
-      _name,
-      _model,
-      _priority,
-      _freshness_bound,
-      _engines,
-      _scorer,
-      _batch_size,
-      _shards,
-      _change_token);
+      id__,
+      host__,
+      path__,
+      body__);
 }
 
-inline VersionRecordT *VersionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<VersionRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+flatbuffers::Offset<ScorerCall> CreateScorerCall(flatbuffers::FlatBufferBuilder &_fbb, const ScorerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline void VersionRecord::UnPackTo(VersionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = task(); if (_e) _o->task = _e->str(); }
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = weights(); if (_e) _o->weights = _e->str(); }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
-}
+struct HeaderFieldT : public flatbuffers::NativeTable {
+  typedef HeaderField TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.HeaderFieldT";
+  }
+  std::string name{};
+  std::string value{};
+};
 
-inline flatbuffers::Offset<VersionRecord> VersionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateVersionRecord(_fbb, _o, _rehasher);
-}
+struct HeaderField FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeaderFieldT NativeTableType;
+  typedef HeaderFieldBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.HeaderField";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_VALUE = 6
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  const flatbuffers::String *value() const {
+    return GetPointer<const flatbuffers::String *>(VT_VALUE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyString(value()) &&
+           verifier.EndTable();
+  }
+  HeaderFieldT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeaderFieldT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HeaderField> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderFieldT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline flatbuffers::Offset<VersionRecord> CreateVersionRecord(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VersionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->task);
-  auto _version = _o->version;
-  auto _weights = _o->weights.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->weights);
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateVersionRecord(
-      _fbb,
-      _task,
-      _version,
-      _weights,
-      _change_token);
-}
+struct HeaderFieldBuilder {
+  typedef HeaderField Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(HeaderField::VT_NAME, name);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::String> value) {
+    fbb_.AddOffset(HeaderField::VT_VALUE, value);
+  }
+  explicit HeaderFieldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeaderField> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeaderField>(end);
+    return o;
+  }
+};
 
-inline RouteRecordT *RouteRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RouteRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
+inline flatbuffers::Offset<HeaderField> CreateHeaderField(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    flatbuffers::Offset<flatbuffers::String> value = 0) {
+  HeaderFieldBuilder builder_(_fbb);
+  builder_.add_value(value);
+  builder_.add_name(name);
+  return builder_.Finish();
 }
 
-inline void RouteRecord::UnPackTo(RouteRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
-  { auto _e = backends(); if (_e) { _o->backends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backends[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = repeatable(); _o->repeatable = _e; }
-  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
-  { auto _e = max_concurrent(); _o->max_concurrent = _e; }
-  { auto _e = max_queued(); _o->max_queued = _e; }
-  { auto _e = retry_budget_percent(); _o->retry_budget_percent = _e; }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
-}
+struct HeaderField::Traits {
+  using type = HeaderField;
+  static auto constexpr Create = CreateHeaderField;
+};
 
-inline flatbuffers::Offset<RouteRecord> RouteRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRouteRecord(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<HeaderField> CreateHeaderFieldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    const char *value = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto value__ = value ? _fbb.CreateString(value) : 0;
+  return frostline::rpc::CreateHeaderField(
+      _fbb,
+      name__,
+      value__);
 }
 
-inline flatbuffers::Offset<RouteRecord> CreateRouteRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
-  auto _path_prefix = _o->path_prefix.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path_prefix);
-  auto _backends = _fbb.CreateVectorOfStrings(_o->backends);
-  auto _repeatable = _o->repeatable;
-  auto _deadline_ms = _o->deadline_ms;
-  auto _max_concurrent = _o->max_concurrent;
-  auto _max_queued = _o->max_queued;
-  auto _retry_budget_percent = _o->retry_budget_percent;
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateRouteRecord(
-      _fbb,
-      _name,
-      _path_prefix,
-      _backends,
-      _repeatable,
-      _deadline_ms,
+flatbuffers::Offset<HeaderField> CreateHeaderField(flatbuffers::FlatBufferBuilder &_fbb, const HeaderFieldT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobItemT : public flatbuffers::NativeTable {
+  typedef JobItem TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobItemT";
+  }
+  std::string id{};
+  std::string path{};
+  std::vector<std::unique_ptr<frostline::rpc::HeaderFieldT>> headers{};
+  std::vector<uint8_t> body{};
+  uint64_t tokens = 0;
+  std::string group{};
+  std::unique_ptr<frostline::rpc::ScorerCallT> scorer{};
+  uint64_t length_hint = 0;
+  JobItemT() = default;
+  JobItemT(const JobItemT &o);
+  JobItemT(JobItemT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobItemT &operator=(JobItemT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// One sample that a job asks for.
+struct JobItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobItemT NativeTableType;
+  typedef JobItemBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobItem";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_PATH = 6,
+    VT_HEADERS = 8,
+    VT_BODY = 10,
+    VT_TOKENS = 12,
+    VT_GROUP = 14,
+    VT_SCORER = 16,
+    VT_LENGTH_HINT = 18
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::HeaderField>> *headers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::HeaderField>> *>(VT_HEADERS);
+  }
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  /// Tokens of the prompt and the most that may be generated, summed.
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  const frostline::rpc::ScorerCall *scorer() const {
+    return GetPointer<const frostline::rpc::ScorerCall *>(VT_SCORER);
+  }
+  /// Tokens that the submitter expects to be generated; 0 if it gave no guess.
+  uint64_t length_hint() const {
+    return GetField<uint64_t>(VT_LENGTH_HINT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_HEADERS) &&
+           verifier.VerifyVector(headers()) &&
+           verifier.VerifyVectorOfTables(headers()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyOffset(verifier, VT_SCORER) &&
+           verifier.VerifyTable(scorer()) &&
+           VerifyField<uint64_t>(verifier, VT_LENGTH_HINT, 8) &&
+           verifier.EndTable();
+  }
+  JobItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobItemT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobItem> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobItemBuilder {
+  typedef JobItem Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(JobItem::VT_ID, id);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(JobItem::VT_PATH, path);
+  }
+  void add_headers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::HeaderField>>> headers) {
+    fbb_.AddOffset(JobItem::VT_HEADERS, headers);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(JobItem::VT_BODY, body);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(JobItem::VT_TOKENS, tokens, 0);
+  }
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(JobItem::VT_GROUP, group);
+  }
+  void add_scorer(flatbuffers::Offset<frostline::rpc::ScorerCall> scorer) {
+    fbb_.AddOffset(JobItem::VT_SCORER, scorer);
+  }
+  void add_length_hint(uint64_t length_hint) {
+    fbb_.AddElement<uint64_t>(JobItem::VT_LENGTH_HINT, length_hint, 0);
+  }
+  explicit JobItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobItem> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobItem>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobItem> CreateJobItem(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::HeaderField>>> headers = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    uint64_t tokens = 0,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    flatbuffers::Offset<frostline::rpc::ScorerCall> scorer = 0,
+    uint64_t length_hint = 0) {
+  JobItemBuilder builder_(_fbb);
+  builder_.add_length_hint(length_hint);
+  builder_.add_tokens(tokens);
+  builder_.add_scorer(scorer);
+  builder_.add_group(group);
+  builder_.add_body(body);
+  builder_.add_headers(headers);
+  builder_.add_path(path);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct JobItem::Traits {
+  using type = JobItem;
+  static auto constexpr Create = CreateJobItem;
+};
+
+inline flatbuffers::Offset<JobItem> CreateJobItemDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *path = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::HeaderField>> *headers = nullptr,
+    const std::vector<uint8_t> *body = nullptr,
+    uint64_t tokens = 0,
+    const char *group = nullptr,
+    flatbuffers::Offset<frostline::rpc::ScorerCall> scorer = 0,
+    uint64_t length_hint = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::HeaderField>>(*headers) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  return frostline::rpc::CreateJobItem(
+      _fbb,
+      id__,
+      path__,
+      headers__,
+      body__,
+      tokens,
+      group__,
+      scorer,
+      length_hint);
+}
+
+flatbuffers::Offset<JobItem> CreateJobItem(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobRecordT : public flatbuffers::NativeTable {
+  typedef JobRecord TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobRecordT";
+  }
+  std::string id{};
+  std::string host{};
+  std::string path{};
+  std::string model{};
+  uint64_t step = 0;
+  uint64_t min_version = 0;
+  uint64_t desired = 0;
+  std::vector<std::unique_ptr<frostline::rpc::JobItemT>> items{};
+  JobRecordT() = default;
+  JobRecordT(const JobRecordT &o);
+  JobRecordT(JobRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobRecordT &operator=(JobRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A job as it was accepted. Stored in the record store.
+struct JobRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobRecordT NativeTableType;
+  typedef JobRecordBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobRecord";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_HOST = 6,
+    VT_PATH = 8,
+    VT_MODEL = 10,
+    VT_STEP = 12,
+    VT_MIN_VERSION = 14,
+    VT_DESIRED = 16,
+    VT_ITEMS = 18
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  /// Host and path it was submitted to; they name its route.
+  const flatbuffers::String *host() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOST);
+  }
+  const flatbuffers::String *path() const {
+    return GetPointer<const flatbuffers::String *>(VT_PATH);
+  }
+  const flatbuffers::String *model() const {
+    return GetPointer<const flatbuffers::String *>(VT_MODEL);
+  }
+  uint64_t step() const {
+    return GetField<uint64_t>(VT_STEP, 0);
+  }
+  /// Oldest version that may generate its samples.
+  uint64_t min_version() const {
+    return GetField<uint64_t>(VT_MIN_VERSION, 0);
+  }
+  /// Whole groups that the trainer waits for.
+  uint64_t desired() const {
+    return GetField<uint64_t>(VT_DESIRED, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>> *items() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>> *>(VT_ITEMS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyOffset(verifier, VT_HOST) &&
+           verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_PATH) &&
+           verifier.VerifyString(path()) &&
+           VerifyOffset(verifier, VT_MODEL) &&
+           verifier.VerifyString(model()) &&
+           VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MIN_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DESIRED, 8) &&
+           VerifyOffset(verifier, VT_ITEMS) &&
+           verifier.VerifyVector(items()) &&
+           verifier.VerifyVectorOfTables(items()) &&
+           verifier.EndTable();
+  }
+  JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobRecordBuilder {
+  typedef JobRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(JobRecord::VT_ID, id);
+  }
+  void add_host(flatbuffers::Offset<flatbuffers::String> host) {
+    fbb_.AddOffset(JobRecord::VT_HOST, host);
+  }
+  void add_path(flatbuffers::Offset<flatbuffers::String> path) {
+    fbb_.AddOffset(JobRecord::VT_PATH, path);
+  }
+  void add_model(flatbuffers::Offset<flatbuffers::String> model) {
+    fbb_.AddOffset(JobRecord::VT_MODEL, model);
+  }
+  void add_step(uint64_t step) {
+    fbb_.AddElement<uint64_t>(JobRecord::VT_STEP, step, 0);
+  }
+  void add_min_version(uint64_t min_version) {
+    fbb_.AddElement<uint64_t>(JobRecord::VT_MIN_VERSION, min_version, 0);
+  }
+  void add_desired(uint64_t desired) {
+    fbb_.AddElement<uint64_t>(JobRecord::VT_DESIRED, desired, 0);
+  }
+  void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>>> items) {
+    fbb_.AddOffset(JobRecord::VT_ITEMS, items);
+  }
+  explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobRecord> CreateJobRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::String> path = 0,
+    flatbuffers::Offset<flatbuffers::String> model = 0,
+    uint64_t step = 0,
+    uint64_t min_version = 0,
+    uint64_t desired = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>>> items = 0) {
+  JobRecordBuilder builder_(_fbb);
+  builder_.add_desired(desired);
+  builder_.add_min_version(min_version);
+  builder_.add_step(step);
+  builder_.add_items(items);
+  builder_.add_model(model);
+  builder_.add_path(path);
+  builder_.add_host(host);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct JobRecord::Traits {
+  using type = JobRecord;
+  static auto constexpr Create = CreateJobRecord;
+};
+
+inline flatbuffers::Offset<JobRecord> CreateJobRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    const char *host = nullptr,
+    const char *path = nullptr,
+    const char *model = nullptr,
+    uint64_t step = 0,
+    uint64_t min_version = 0,
+    uint64_t desired = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::JobItem>> *items = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto path__ = path ? _fbb.CreateString(path) : 0;
+  auto model__ = model ? _fbb.CreateString(model) : 0;
+  auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::JobItem>>(*items) : 0;
+  return frostline::rpc::CreateJobRecord(
+      _fbb,
+      id__,
+      host__,
+      path__,
+      model__,
+      step,
+      min_version,
+      desired,
+      items__);
+}
+
+flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SampleResultT : public flatbuffers::NativeTable {
+  typedef SampleResult TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SampleResultT";
+  }
+  std::string id{};
+  frostline::rpc::SampleOutcome outcome = frostline::rpc::SampleOutcome::COMPLETED;
+  std::string text{};
+  std::vector<uint64_t> versions{};
+  std::string score{};
+};
+
+/// A listed sample. Its position in the job's list never changes.
+struct SampleResult FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SampleResultT NativeTableType;
+  typedef SampleResultBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SampleResult";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_OUTCOME = 6,
+    VT_TEXT = 8,
+    VT_VERSIONS = 10,
+    VT_SCORE = 12
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  frostline::rpc::SampleOutcome outcome() const {
+    return static_cast<frostline::rpc::SampleOutcome>(GetField<int8_t>(VT_OUTCOME, 0));
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  const flatbuffers::Vector<uint64_t> *versions() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_VERSIONS);
+  }
+  const flatbuffers::String *score() const {
+    return GetPointer<const flatbuffers::String *>(VT_SCORE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           VerifyOffset(verifier, VT_SCORE) &&
+           verifier.VerifyString(score()) &&
+           verifier.EndTable();
+  }
+  SampleResultT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SampleResultT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SampleResult> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SampleResultT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SampleResultBuilder {
+  typedef SampleResult Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(SampleResult::VT_ID, id);
+  }
+  void add_outcome(frostline::rpc::SampleOutcome outcome) {
+    fbb_.AddElement<int8_t>(SampleResult::VT_OUTCOME, static_cast<int8_t>(outcome), 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(SampleResult::VT_TEXT, text);
+  }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions) {
+    fbb_.AddOffset(SampleResult::VT_VERSIONS, versions);
+  }
+  void add_score(flatbuffers::Offset<flatbuffers::String> score) {
+    fbb_.AddOffset(SampleResult::VT_SCORE, score);
+  }
+  explicit SampleResultBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SampleResult> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SampleResult>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SampleResult> CreateSampleResult(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    frostline::rpc::SampleOutcome outcome = frostline::rpc::SampleOutcome::COMPLETED,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions = 0,
+    flatbuffers::Offset<flatbuffers::String> score = 0) {
+  SampleResultBuilder builder_(_fbb);
+  builder_.add_score(score);
+  builder_.add_versions(versions);
+  builder_.add_text(text);
+  builder_.add_id(id);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct SampleResult::Traits {
+  using type = SampleResult;
+  static auto constexpr Create = CreateSampleResult;
+};
+
+inline flatbuffers::Offset<SampleResult> CreateSampleResultDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    frostline::rpc::SampleOutcome outcome = frostline::rpc::SampleOutcome::COMPLETED,
+    const char *text = nullptr,
+    const std::vector<uint64_t> *versions = nullptr,
+    const char *score = nullptr) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto versions__ = versions ? _fbb.CreateVector<uint64_t>(*versions) : 0;
+  auto score__ = score ? _fbb.CreateString(score) : 0;
+  return frostline::rpc::CreateSampleResult(
+      _fbb,
+      id__,
+      outcome,
+      text__,
+      versions__,
+      score__);
+}
+
+flatbuffers::Offset<SampleResult> CreateSampleResult(flatbuffers::FlatBufferBuilder &_fbb, const SampleResultT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ResultBatchT : public flatbuffers::NativeTable {
+  typedef ResultBatch TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ResultBatchT";
+  }
+  std::string job{};
+  uint64_t first = 0;
+  std::vector<std::unique_ptr<frostline::rpc::SampleResultT>> results{};
+  ResultBatchT() = default;
+  ResultBatchT(const ResultBatchT &o);
+  ResultBatchT(ResultBatchT&&) FLATBUFFERS_NOEXCEPT = default;
+  ResultBatchT &operator=(ResultBatchT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Results at consecutive positions, committed together. Stored in the record store.
+struct ResultBatch FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ResultBatchT NativeTableType;
+  typedef ResultBatchBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ResultBatch";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_FIRST = 6,
+    VT_RESULTS = 8
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint64_t first() const {
+    return GetField<uint64_t>(VT_FIRST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *results() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *>(VT_RESULTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
+           VerifyOffset(verifier, VT_RESULTS) &&
+           verifier.VerifyVector(results()) &&
+           verifier.VerifyVectorOfTables(results()) &&
+           verifier.EndTable();
+  }
+  ResultBatchT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ResultBatchT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ResultBatch> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ResultBatchBuilder {
+  typedef ResultBatch Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(ResultBatch::VT_JOB, job);
+  }
+  void add_first(uint64_t first) {
+    fbb_.AddElement<uint64_t>(ResultBatch::VT_FIRST, first, 0);
+  }
+  void add_results(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>>> results) {
+    fbb_.AddOffset(ResultBatch::VT_RESULTS, results);
+  }
+  explicit ResultBatchBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ResultBatch> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ResultBatch>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ResultBatch> CreateResultBatch(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint64_t first = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>>> results = 0) {
+  ResultBatchBuilder builder_(_fbb);
+  builder_.add_first(first);
+  builder_.add_results(results);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct ResultBatch::Traits {
+  using type = ResultBatch;
+  static auto constexpr Create = CreateResultBatch;
+};
+
+inline flatbuffers::Offset<ResultBatch> CreateResultBatchDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint64_t first = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *results = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto results__ = results ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>>(*results) : 0;
+  return frostline::rpc::CreateResultBatch(
+      _fbb,
+      job__,
+      first,
+      results__);
+}
+
+flatbuffers::Offset<ResultBatch> CreateResultBatch(flatbuffers::FlatBufferBuilder &_fbb, const ResultBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PoolOwnerT : public flatbuffers::NativeTable {
+  typedef PoolOwner TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.PoolOwnerT";
+  }
+  std::string node{};
+  std::string address{};
+  std::string token{};
+};
+
+/// Who owns a pool's jobs and orders. Stored in the record store, bound to a lease.
+struct PoolOwner FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PoolOwnerT NativeTableType;
+  typedef PoolOwnerBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.PoolOwner";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_ADDRESS = 6,
+    VT_TOKEN = 8
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  /// IP:port at which other nodes reach it.
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  /// Unique for each acquisition.
+  const flatbuffers::String *token() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOKEN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_TOKEN) &&
+           verifier.VerifyString(token()) &&
+           verifier.EndTable();
+  }
+  PoolOwnerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PoolOwnerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PoolOwner> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolOwnerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PoolOwnerBuilder {
+  typedef PoolOwner Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(PoolOwner::VT_NODE, node);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PoolOwner::VT_ADDRESS, address);
+  }
+  void add_token(flatbuffers::Offset<flatbuffers::String> token) {
+    fbb_.AddOffset(PoolOwner::VT_TOKEN, token);
+  }
+  explicit PoolOwnerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PoolOwner> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PoolOwner>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PoolOwner> CreatePoolOwner(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> token = 0) {
+  PoolOwnerBuilder builder_(_fbb);
+  builder_.add_token(token);
+  builder_.add_address(address);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct PoolOwner::Traits {
+  using type = PoolOwner;
+  static auto constexpr Create = CreatePoolOwner;
+};
+
+inline flatbuffers::Offset<PoolOwner> CreatePoolOwnerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const char *address = nullptr,
+    const char *token = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto token__ = token ? _fbb.CreateString(token) : 0;
+  return frostline::rpc::CreatePoolOwner(
+      _fbb,
+      node__,
+      address__,
+      token__);
+}
+
+flatbuffers::Offset<PoolOwner> CreatePoolOwner(flatbuffers::FlatBufferBuilder &_fbb, const PoolOwnerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobCallT : public flatbuffers::NativeTable {
+  typedef JobCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobCallT";
+  }
+  frostline::rpc::JobAction action = frostline::rpc::JobAction::SUBMIT;
+  std::string job{};
+  uint64_t after = 0;
+  uint64_t wait_ms = 0;
+  uint64_t deadline_ms = 0;
+  std::string item{};
+  std::unique_ptr<frostline::rpc::JobRecordT> record{};
+  std::string pool{};
+  JobCallT() = default;
+  JobCallT(const JobCallT &o);
+  JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobCallT &operator=(JobCallT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A job call that a node passes to the owner.
+struct JobCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobCallT NativeTableType;
+  typedef JobCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ACTION = 4,
+    VT_JOB = 6,
+    VT_AFTER = 8,
+    VT_WAIT_MS = 10,
+    VT_DEADLINE_MS = 12,
+    VT_ITEM = 14,
+    VT_RECORD = 16,
+    VT_POOL = 18
+  };
+  frostline::rpc::JobAction action() const {
+    return static_cast<frostline::rpc::JobAction>(GetField<int8_t>(VT_ACTION, 0));
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  /// LIST: first position wanted.
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  /// LIST: how long to wait for a result.
+  uint64_t wait_ms() const {
+    return GetField<uint64_t>(VT_WAIT_MS, 0);
+  }
+  /// SUBMIT, END: how long the caller waits.
+  uint64_t deadline_ms() const {
+    return GetField<uint64_t>(VT_DEADLINE_MS, 0);
+  }
+  /// BODY: the item.
+  const flatbuffers::String *item() const {
+    return GetPointer<const flatbuffers::String *>(VT_ITEM);
+  }
+  /// SUBMIT only.
+  const frostline::rpc::JobRecord *record() const {
+    return GetPointer<const frostline::rpc::JobRecord *>(VT_RECORD);
+  }
+  /// Pool whose owner is asked.
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int8_t>(verifier, VT_ACTION, 1) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WAIT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DEADLINE_MS, 8) &&
+           VerifyOffset(verifier, VT_ITEM) &&
+           verifier.VerifyString(item()) &&
+           VerifyOffset(verifier, VT_RECORD) &&
+           verifier.VerifyTable(record()) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           verifier.EndTable();
+  }
+  JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobCallBuilder {
+  typedef JobCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_action(frostline::rpc::JobAction action) {
+    fbb_.AddElement<int8_t>(JobCall::VT_ACTION, static_cast<int8_t>(action), 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobCall::VT_JOB, job);
+  }
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(JobCall::VT_AFTER, after, 0);
+  }
+  void add_wait_ms(uint64_t wait_ms) {
+    fbb_.AddElement<uint64_t>(JobCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_deadline_ms(uint64_t deadline_ms) {
+    fbb_.AddElement<uint64_t>(JobCall::VT_DEADLINE_MS, deadline_ms, 0);
+  }
+  void add_item(flatbuffers::Offset<flatbuffers::String> item) {
+    fbb_.AddOffset(JobCall::VT_ITEM, item);
+  }
+  void add_record(flatbuffers::Offset<frostline::rpc::JobRecord> record) {
+    fbb_.AddOffset(JobCall::VT_RECORD, record);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(JobCall::VT_POOL, pool);
+  }
+  explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    frostline::rpc::JobAction action = frostline::rpc::JobAction::SUBMIT,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint64_t after = 0,
+    uint64_t wait_ms = 0,
+    uint64_t deadline_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> item = 0,
+    flatbuffers::Offset<frostline::rpc::JobRecord> record = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0) {
+  JobCallBuilder builder_(_fbb);
+  builder_.add_deadline_ms(deadline_ms);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_after(after);
+  builder_.add_pool(pool);
+  builder_.add_record(record);
+  builder_.add_item(item);
+  builder_.add_job(job);
+  builder_.add_action(action);
+  return builder_.Finish();
+}
+
+struct JobCall::Traits {
+  using type = JobCall;
+  static auto constexpr Create = CreateJobCall;
+};
+
+inline flatbuffers::Offset<JobCall> CreateJobCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    frostline::rpc::JobAction action = frostline::rpc::JobAction::SUBMIT,
+    const char *job = nullptr,
+    uint64_t after = 0,
+    uint64_t wait_ms = 0,
+    uint64_t deadline_ms = 0,
+    const char *item = nullptr,
+    flatbuffers::Offset<frostline::rpc::JobRecord> record = 0,
+    const char *pool = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto item__ = item ? _fbb.CreateString(item) : 0;
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  return frostline::rpc::CreateJobCall(
+      _fbb,
+      action,
+      job__,
+      after,
+      wait_ms,
+      deadline_ms,
+      item__,
+      record,
+      pool__);
+}
+
+flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct JobReplyT : public flatbuffers::NativeTable {
+  typedef JobReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobReplyT";
+  }
+  frostline::rpc::JobStatus status = frostline::rpc::JobStatus::OK;
+  std::string detail{};
+  uint64_t retry_after_ms = 0;
+  uint64_t total = 0;
+  std::vector<std::unique_ptr<frostline::rpc::SampleResultT>> results{};
+  std::vector<uint8_t> body{};
+  JobReplyT() = default;
+  JobReplyT(const JobReplyT &o);
+  JobReplyT(JobReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  JobReplyT &operator=(JobReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobReplyT NativeTableType;
+  typedef JobReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_DETAIL = 6,
+    VT_RETRY_AFTER_MS = 8,
+    VT_TOTAL = 10,
+    VT_RESULTS = 12,
+    VT_BODY = 14
+  };
+  frostline::rpc::JobStatus status() const {
+    return static_cast<frostline::rpc::JobStatus>(GetField<int8_t>(VT_STATUS, 0));
+  }
+  const flatbuffers::String *detail() const {
+    return GetPointer<const flatbuffers::String *>(VT_DETAIL);
+  }
+  /// UNAVAILABLE: when to come back.
+  uint64_t retry_after_ms() const {
+    return GetField<uint64_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  /// LIST: items of the job.
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *results() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *>(VT_RESULTS);
+  }
+  /// BODY: the item's body.
+  const flatbuffers::Vector<uint8_t> *body() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<int8_t>(verifier, VT_STATUS, 1) &&
+           VerifyOffset(verifier, VT_DETAIL) &&
+           verifier.VerifyString(detail()) &&
+           VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
+           VerifyOffset(verifier, VT_RESULTS) &&
+           verifier.VerifyVector(results()) &&
+           verifier.VerifyVectorOfTables(results()) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           verifier.VerifyVector(body()) &&
+           verifier.EndTable();
+  }
+  JobReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobReplyBuilder {
+  typedef JobReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(frostline::rpc::JobStatus status) {
+    fbb_.AddElement<int8_t>(JobReply::VT_STATUS, static_cast<int8_t>(status), 0);
+  }
+  void add_detail(flatbuffers::Offset<flatbuffers::String> detail) {
+    fbb_.AddOffset(JobReply::VT_DETAIL, detail);
+  }
+  void add_retry_after_ms(uint64_t retry_after_ms) {
+    fbb_.AddElement<uint64_t>(JobReply::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(JobReply::VT_TOTAL, total, 0);
+  }
+  void add_results(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>>> results) {
+    fbb_.AddOffset(JobReply::VT_RESULTS, results);
+  }
+  void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
+    fbb_.AddOffset(JobReply::VT_BODY, body);
+  }
+  explicit JobReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobReply> CreateJobReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    frostline::rpc::JobStatus status = frostline::rpc::JobStatus::OK,
+    flatbuffers::Offset<flatbuffers::String> detail = 0,
+    uint64_t retry_after_ms = 0,
+    uint64_t total = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>>> results = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+  JobReplyBuilder builder_(_fbb);
+  builder_.add_total(total);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_body(body);
+  builder_.add_results(results);
+  builder_.add_detail(detail);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct JobReply::Traits {
+  using type = JobReply;
+  static auto constexpr Create = CreateJobReply;
+};
+
+inline flatbuffers::Offset<JobReply> CreateJobReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    frostline::rpc::JobStatus status = frostline::rpc::JobStatus::OK,
+    const char *detail = nullptr,
+    uint64_t retry_after_ms = 0,
+    uint64_t total = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *results = nullptr,
+    const std::vector<uint8_t> *body = nullptr) {
+  auto detail__ = detail ? _fbb.CreateString(detail) : 0;
+  auto results__ = results ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>>(*results) : 0;
+  auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
+  return frostline::rpc::CreateJobReply(
+      _fbb,
+      status,
+      detail__,
+      retry_after_ms,
+      total,
+      results__,
+      body__);
+}
+
+flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TaskRecord::UnPackTo(TaskRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = freshness_bound(); _o->freshness_bound = _e; }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = scorer(); if (_e) _o->scorer = _e->str(); }
+  { auto _e = batch_size(); _o->batch_size = _e; }
+  { auto _e = shards(); _o->shards = _e; }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
+  auto _model = _o->model.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->model);
+  auto _priority = _o->priority;
+  auto _freshness_bound = _o->freshness_bound;
+  auto _engines = _fbb.CreateVectorOfStrings(_o->engines);
+  auto _scorer = _o->scorer.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->scorer);
+  auto _batch_size = _o->batch_size;
+  auto _shards = _o->shards;
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateTaskRecord(
+      _fbb,
+      _name,
+      _model,
+      _priority,
+      _freshness_bound,
+      _engines,
+      _scorer,
+      _batch_size,
+      _shards,
+      _change_token);
+}
+
+inline VersionRecordT *VersionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VersionRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VersionRecord::UnPackTo(VersionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = weights(); if (_e) _o->weights = _e->str(); }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<VersionRecord> VersionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVersionRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VersionRecord> CreateVersionRecord(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VersionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->task);
+  auto _version = _o->version;
+  auto _weights = _o->weights.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->weights);
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateVersionRecord(
+      _fbb,
+      _task,
+      _version,
+      _weights,
+      _change_token);
+}
+
+inline RouteRecordT *RouteRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RouteRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RouteRecord::UnPackTo(RouteRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
+  { auto _e = backends(); if (_e) { _o->backends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backends[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = repeatable(); _o->repeatable = _e; }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = max_concurrent(); _o->max_concurrent = _e; }
+  { auto _e = max_queued(); _o->max_queued = _e; }
+  { auto _e = retry_budget_percent(); _o->retry_budget_percent = _e; }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<RouteRecord> RouteRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRouteRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RouteRecord> CreateRouteRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
+  auto _path_prefix = _o->path_prefix.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path_prefix);
+  auto _backends = _fbb.CreateVectorOfStrings(_o->backends);
+  auto _repeatable = _o->repeatable;
+  auto _deadline_ms = _o->deadline_ms;
+  auto _max_concurrent = _o->max_concurrent;
+  auto _max_queued = _o->max_queued;
+  auto _retry_budget_percent = _o->retry_budget_percent;
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateRouteRecord(
+      _fbb,
+      _name,
+      _path_prefix,
+      _backends,
+      _repeatable,
+      _deadline_ms,
       _max_concurrent,
       _max_queued,
       _retry_budget_percent,
@@ -7598,6 +8992,459 @@
       _leaving);
 }
 
+inline ScorerCallT *ScorerCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ScorerCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ScorerCall::UnPackTo(ScorerCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+}
+
+inline flatbuffers::Offset<ScorerCall> ScorerCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScorerCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateScorerCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ScorerCall> CreateScorerCall(flatbuffers::FlatBufferBuilder &_fbb, const ScorerCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ScorerCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->id);
+  auto _host = _o->host.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->host);
+  auto _path = _o->path.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path);
+  auto _body = _fbb.CreateVector(_o->body);
+  return frostline::rpc::CreateScorerCall(
+      _fbb,
+      _id,
+      _host,
+      _path,
+      _body);
+}
+
+inline HeaderFieldT *HeaderField::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HeaderFieldT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HeaderField::UnPackTo(HeaderFieldT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = value(); if (_e) _o->value = _e->str(); }
+}
+
+inline flatbuffers::Offset<HeaderField> HeaderField::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeaderFieldT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeaderField(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HeaderField> CreateHeaderField(flatbuffers::FlatBufferBuilder &_fbb, const HeaderFieldT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeaderFieldT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
+  auto _value = _o->value.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->value);
+  return frostline::rpc::CreateHeaderField(
+      _fbb,
+      _name,
+      _value);
+}
+
+inline JobItemT::JobItemT(const JobItemT &o)
+      : id(o.id),
+        path(o.path),
+        body(o.body),
+        tokens(o.tokens),
+        group(o.group),
+        scorer((o.scorer) ? new frostline::rpc::ScorerCallT(*o.scorer) : nullptr),
+        length_hint(o.length_hint) {
+  headers.reserve(o.headers.size());
+  for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new frostline::rpc::HeaderFieldT(*headers_) : nullptr); }
+}
+
+inline JobItemT &JobItemT::operator=(JobItemT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(path, o.path);
+  std::swap(headers, o.headers);
+  std::swap(body, o.body);
+  std::swap(tokens, o.tokens);
+  std::swap(group, o.group);
+  std::swap(scorer, o.scorer);
+  std::swap(length_hint, o.length_hint);
+  return *this;
+}
+
+inline JobItemT *JobItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobItemT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobItem::UnPackTo(JobItemT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = headers(); if (_e) { _o->headers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->headers[_i] = std::unique_ptr<frostline::rpc::HeaderFieldT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = scorer(); if (_e) _o->scorer = std::unique_ptr<frostline::rpc::ScorerCallT>(_e->UnPack(_resolver)); }
+  { auto _e = length_hint(); _o->length_hint = _e; }
+}
+
+inline flatbuffers::Offset<JobItem> JobItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobItem(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobItem> CreateJobItem(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobItemT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->id);
+  auto _path = _o->path.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path);
+  auto _headers = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::HeaderField>> (_o->headers.size(), [](size_t i, _VectorArgs *__va) { return CreateHeaderField(*__va->__fbb, __va->__o->headers[i].get(), __va->__rehasher); }, &_va );
+  auto _body = _fbb.CreateVector(_o->body);
+  auto _tokens = _o->tokens;
+  auto _group = _o->group.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->group);
+  auto _scorer = _o->scorer ? CreateScorerCall(_fbb, _o->scorer.get(), _rehasher) : 0;
+  auto _length_hint = _o->length_hint;
+  return frostline::rpc::CreateJobItem(
+      _fbb,
+      _id,
+      _path,
+      _headers,
+      _body,
+      _tokens,
+      _group,
+      _scorer,
+      _length_hint);
+}
+
+inline JobRecordT::JobRecordT(const JobRecordT &o)
+      : id(o.id),
+        host(o.host),
+        path(o.path),
+        model(o.model),
+        step(o.step),
+        min_version(o.min_version),
+        desired(o.desired) {
+  items.reserve(o.items.size());
+  for (const auto &items_ : o.items) { items.emplace_back((items_) ? new frostline::rpc::JobItemT(*items_) : nullptr); }
+}
+
+inline JobRecordT &JobRecordT::operator=(JobRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(id, o.id);
+  std::swap(host, o.host);
+  std::swap(path, o.path);
+  std::swap(model, o.model);
+  std::swap(step, o.step);
+  std::swap(min_version, o.min_version);
+  std::swap(desired, o.desired);
+  std::swap(items, o.items);
+  return *this;
+}
+
+inline JobRecordT *JobRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobRecord::UnPackTo(JobRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = path(); if (_e) _o->path = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = step(); _o->step = _e; }
+  { auto _e = min_version(); _o->min_version = _e; }
+  { auto _e = desired(); _o->desired = _e; }
+  { auto _e = items(); if (_e) { _o->items.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->items[_i] = std::unique_ptr<frostline::rpc::JobItemT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->id);
+  auto _host = _o->host.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->host);
+  auto _path = _o->path.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path);
+  auto _model = _o->model.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->model);
+  auto _step = _o->step;
+  auto _min_version = _o->min_version;
+  auto _desired = _o->desired;
+  auto _items = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::JobItem>> (_o->items.size(), [](size_t i, _VectorArgs *__va) { return CreateJobItem(*__va->__fbb, __va->__o->items[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateJobRecord(
+      _fbb,
+      _id,
+      _host,
+      _path,
+      _model,
+      _step,
+      _min_version,
+      _desired,
+      _items);
+}
+
+inline SampleResultT *SampleResult::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SampleResultT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SampleResult::UnPackTo(SampleResultT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = outcome(); _o->outcome = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = _e->Get(_i); } } }
+  { auto _e = score(); if (_e) _o->score = _e->str(); }
+}
+
+inline flatbuffers::Offset<SampleResult> SampleResult::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SampleResultT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSampleResult(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SampleResult> CreateSampleResult(flatbuffers::FlatBufferBuilder &_fbb, const SampleResultT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SampleResultT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->id);
+  auto _outcome = _o->outcome;
+  auto _text = _o->text.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->text);
+  auto _versions = _fbb.CreateVector(_o->versions);
+  auto _score = _o->score.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->score);
+  return frostline::rpc::CreateSampleResult(
+      _fbb,
+      _id,
+      _outcome,
+      _text,
+      _versions,
+      _score);
+}
+
+inline ResultBatchT::ResultBatchT(const ResultBatchT &o)
+      : job(o.job),
+        first(o.first) {
+  results.reserve(o.results.size());
+  for (const auto &results_ : o.results) { results.emplace_back((results_) ? new frostline::rpc::SampleResultT(*results_) : nullptr); }
+}
+
+inline ResultBatchT &ResultBatchT::operator=(ResultBatchT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(job, o.job);
+  std::swap(first, o.first);
+  std::swap(results, o.results);
+  return *this;
+}
+
+inline ResultBatchT *ResultBatch::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ResultBatchT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ResultBatch::UnPackTo(ResultBatchT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = first(); _o->first = _e; }
+  { auto _e = results(); if (_e) { _o->results.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->results[_i] = std::unique_ptr<frostline::rpc::SampleResultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ResultBatch> ResultBatch::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultBatchT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateResultBatch(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ResultBatch> CreateResultBatch(flatbuffers::FlatBufferBuilder &_fbb, const ResultBatchT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ResultBatchT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->job);
+  auto _first = _o->first;
+  auto _results = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>> (_o->results.size(), [](size_t i, _VectorArgs *__va) { return CreateSampleResult(*__va->__fbb, __va->__o->results[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateResultBatch(
+      _fbb,
+      _job,
+      _first,
+      _results);
+}
+
+inline PoolOwnerT *PoolOwner::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PoolOwnerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PoolOwner::UnPackTo(PoolOwnerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = token(); if (_e) _o->token = _e->str(); }
+}
+
+inline flatbuffers::Offset<PoolOwner> PoolOwner::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PoolOwnerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePoolOwner(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PoolOwner> CreatePoolOwner(flatbuffers::FlatBufferBuilder &_fbb, const PoolOwnerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PoolOwnerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->node);
+  auto _address = _o->address.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->address);
+  auto _token = _o->token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->token);
+  return frostline::rpc::CreatePoolOwner(
+      _fbb,
+      _node,
+      _address,
+      _token);
+}
+
+inline JobCallT::JobCallT(const JobCallT &o)
+      : action(o.action),
+        job(o.job),
+        after(o.after),
+        wait_ms(o.wait_ms),
+        deadline_ms(o.deadline_ms),
+        item(o.item),
+        record((o.record) ? new frostline::rpc::JobRecordT(*o.record) : nullptr),
+        pool(o.pool) {
+}
+
+inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(action, o.action);
+  std::swap(job, o.job);
+  std::swap(after, o.after);
+  std::swap(wait_ms, o.wait_ms);
+  std::swap(deadline_ms, o.deadline_ms);
+  std::swap(item, o.item);
+  std::swap(record, o.record);
+  std::swap(pool, o.pool);
+  return *this;
+}
+
+inline JobCallT *JobCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobCall::UnPackTo(JobCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = action(); _o->action = _e; }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = after(); _o->after = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = item(); if (_e) _o->item = _e->str(); }
+  { auto _e = record(); if (_e) _o->record = std::unique_ptr<frostline::rpc::JobRecordT>(_e->UnPack(_resolver)); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+}
+
+inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _action = _o->action;
+  auto _job = _o->job.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->job);
+  auto _after = _o->after;
+  auto _wait_ms = _o->wait_ms;
+  auto _deadline_ms = _o->deadline_ms;
+  auto _item = _o->item.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->item);
+  auto _record = _o->record ? CreateJobRecord(_fbb, _o->record.get(), _rehasher) : 0;
+  auto _pool = _o->pool.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->pool);
+  return frostline::rpc::CreateJobCall(
+      _fbb,
+      _action,
+      _job,
+      _after,
+      _wait_ms,
+      _deadline_ms,
+      _item,
+      _record,
+      _pool);
+}
+
+inline JobReplyT::JobReplyT(const JobReplyT &o)
+      : status(o.status),
+        detail(o.detail),
+        retry_after_ms(o.retry_after_ms),
+        total(o.total),
+        body(o.body) {
+  results.reserve(o.results.size());
+  for (const auto &results_ : o.results) { results.emplace_back((results_) ? new frostline::rpc::SampleResultT(*results_) : nullptr); }
+}
+
+inline JobReplyT &JobReplyT::operator=(JobReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(status, o.status);
+  std::swap(detail, o.detail);
+  std::swap(retry_after_ms, o.retry_after_ms);
+  std::swap(total, o.total);
+  std::swap(results, o.results);
+  std::swap(body, o.body);
+  return *this;
+}
+
+inline JobReplyT *JobReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobReply::UnPackTo(JobReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = status(); _o->status = _e; }
+  { auto _e = detail(); if (_e) _o->detail = _e->str(); }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = total(); _o->total = _e; }
+  { auto _e = results(); if (_e) { _o->results.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->results[_i] = std::unique_ptr<frostline::rpc::SampleResultT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+}
+
+inline flatbuffers::Offset<JobReply> JobReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _status = _o->status;
+  auto _detail = _o->detail.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->detail);
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _total = _o->total;
+  auto _results = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>> (_o->results.size(), [](size_t i, _VectorArgs *__va) { return CreateSampleResult(*__va->__fbb, __va->__o->results[i].get(), __va->__rehasher); }, &_va );
+  auto _body = _fbb.CreateVector(_o->body);
+  return frostline::rpc::CreateJobReply(
+      _fbb,
+      _status,
+      _detail,
+      _retry_after_ms,
+      _total,
+      _results,
+      _body);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -410,5 +410,103 @@
   kv_age_ms:uint32;
   leaving:[LeavingMark];
 }
+
+// ------------------------------------------------------------ batch jobs
+
+/// A call that scores a sample's text; only the body of a 2xx answer's proof counts.
+table ScorerCall {
+  id:string;
+  host:string;
+  path:string;
+  body:[ubyte];
+}
+table HeaderField {
+  name:string;
+  value:string;
+}
+/// One sample that a job asks for.
+table JobItem {
+  id:string;
+  path:string;
+  headers:[HeaderField];
+  body:[ubyte];
+  /// Tokens of the prompt and the most that may be generated, summed.
+  tokens:uint64;
+  group:string;
+  scorer:ScorerCall;
+  /// Tokens that the submitter expects to be generated; 0 if it gave no guess.
+  length_hint:uint64;
+}
+/// A job as it was accepted. Stored in the record store.
+table JobRecord {
+  id:string;
+  /// Host and path it was submitted to; they name its route.
+  host:string;
+  path:string;
+  model:string;
+  step:uint64;
+  /// Oldest version that may generate its samples.
+  min_version:uint64;
+  /// Whole groups that the trainer waits for.
+  desired:uint64;
+  items:[JobItem];
+}
+enum SampleOutcome : byte { COMPLETED = 0, DEAD = 1 }
+/// A listed sample. Its position in the job's list never changes.
+table SampleResult {
+  id:string;
+  outcome:SampleOutcome;
+  text:string;
+  versions:[uint64];
+  score:string;
+}
+/// Results at consecutive positions, committed together. Stored in the record store.
+table ResultBatch {
+  job:string;
+  first:uint64;
+  results:[SampleResult];
+}
+/// Who owns a pool's jobs and orders. Stored in the record store, bound to a lease.
+table PoolOwner {
+  node:string;
+  /// IP:port at which other nodes reach it.
+  address:string;
+  /// Unique for each acquisition.
+  token:string;
+}
+
+enum JobAction : byte { SUBMIT = 0, LIST = 1, BODY = 2, END = 3 }
+/// A job call that a node passes to the owner.
+table JobCall {
+  action:JobAction;
+  job:string;
+  /// LIST: first position wanted.
+  after:uint64;
+  /// LIST: how long to wait for a result.
+  wait_ms:uint64;
+  /// SUBMIT, END: how long the caller waits.
+  deadline_ms:uint64;
+  /// BODY: the item.
+  item:string;
+  /// SUBMIT only.
+  record:JobRecord;
+  /// Pool whose owner is asked.
+  pool:string;
+}
+enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4 }
+table JobReply {
+  status:JobStatus;
+  detail:string;
+  /// UNAVAILABLE: when to come back.
+  retry_after_ms:uint64;
+  /// LIST: items of the job.
+  total:uint64;
+  results:[SampleResult];
+  /// BODY: the item's body.
+  body:[ubyte];
+}
+rpc_service JobService {
+  Call(JobCall):JobReply;
+}
 )schema";
 }  // namespace frostline::schema
--- /dev/null
+++ b/tests/platform_standin/platform_cluster.cc
@@ -0,0 +1,239 @@
+#include "platform_cluster.h"
+
+#include <boost/json.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "base/encoding.h"
+#include "cluster.h"
+#include "http/json_fields.h"
+
+namespace frostline::testing {
+namespace {
+
+namespace json = boost::json;
+
+constexpr char k_engine_service[] = "engines";
+constexpr char k_app_service[] = "apps";
+
+std::string config_text(std::uint64_t version, std::string const& extra_routes) {
+  std::ostringstream text;
+  text << R"({"version":)" << version << R"(,"routes":[)"
+       << R"({"name":"calls","host":"test.example","path_prefix":"/calls/","kind":"safe",)"
+       << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
+       << R"("max_attempts":3},)"
+       << R"({"name":"once","host":"test.example","path_prefix":"/once/","kind":"unsafe",)"
+       << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
+       << R"("max_attempts":3},)"
+       << R"({"name":"stream","host":"test.example","path_prefix":"/stream/","kind":"streaming",)"
+       << R"("timeout_ms":5000,"target_latency_ms":400,"priority":1,"service":"engines",)"
+       << R"("max_attempts":3,"resumable":true},)"
+       << R"({"name":"jobs","host":"test.example","path_prefix":"/jobs/","kind":"rollout",)"
+       << R"("timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"engines",)"
+       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40})" << extra_routes
+       << R"(],"services":[{"name":"engines","health_path":"/health","max_conns":150,)"
+       << R"("engine":{"slots":8,"kv_capacity":100000,"models":[{"name":"model"}]}},)"
+       << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
+       << R"("limits":{"max_header_bytes":16384,"max_body_bytes":33554432,)"
+       << R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+  return text.str();
+}
+
+json::object write_item(test_item const& one) {
+  json::object item;
+  item["id"] = one.id;
+  item["path"] = "/jobs/run/" + one.id;
+  json::object headers;
+  headers["X-Frostline-Model"] = platform_cluster::k_model;
+  item["headers"] = std::move(headers);
+  item["body"] = base64_encode("prompt of " + one.id);
+  item["tokens"] = 100;
+  item["group"] = one.group;
+  if (!one.scored) return item;
+  json::object scorer;
+  scorer["id"] = "score-" + one.id;
+  scorer["host"] = platform_cluster::k_host;
+  scorer["path"] = "/calls/score";
+  scorer["body"] = base64_encode("score " + one.id);
+  item["scorer"] = std::move(scorer);
+  return item;
+}
+
+}  // namespace
+
+platform_cluster::platform_cluster(platform_options options)
+    : options_(options),
+      folder_(make_run_folder("platform")),
+      address_(own_loopback_address()),
+      store_address_(free_endpoint(address_)) {
+  store_ = std::make_unique<store_standin>(context_, store_address_);
+  for (std::uint32_t index = 0; index < options_.engines + options_.apps; ++index) {
+    bool const is_engine = index < options_.engines;
+    server_options server;
+    server.id = (is_engine ? "engine-" : "app-") + std::to_string(index) + ".1";
+    server.service = is_engine ? k_engine_service : k_app_service;
+    server.address = free_endpoint(address_);
+    server.events = options_.events;
+    server.event_gap = options_.event_gap;
+    if (is_engine) server.model = k_model;
+    auto& kind = is_engine ? engines_ : apps_;
+    kind.push_back(std::make_unique<server_standin>(context_, server));
+    server_standin* const made = kind.back().get();
+    announce(*made, "ready");
+    made->on_version([this, made] { announce(*made, "ready"); });
+  }
+  put_config(1);
+  thread_ = std::thread([this] {
+    auto const work = asio::make_work_guard(context_);
+    context_.run();
+  });
+  nodes_.resize(options_.nodes);
+  for (std::size_t index = 0; index < options_.nodes; ++index) {
+    addresses_.push_back(
+        {free_endpoint(address_), free_endpoint(address_), free_endpoint(address_)});
+    start_node(index);
+  }
+  for (std::size_t index = 0; index < options_.nodes; ++index) {
+    wait_until("node " + std::to_string(index) + " is ready", [&] { return is_ready(index); });
+  }
+}
+
+platform_cluster::~platform_cluster() {
+  nodes_.clear();
+  context_.stop();
+  thread_.join();
+}
+
+void platform_cluster::announce(server_standin const& server, std::string const& state) {
+  store_->put("servers/" + server.id(), server.record(state));
+}
+
+void platform_cluster::withdraw(server_standin const& server) {
+  store_->remove("servers/" + server.id());
+}
+
+void platform_cluster::put_config(std::uint64_t version, std::string const& extra_routes) {
+  store_->put("op/config", config_text(version, extra_routes));
+}
+
+void platform_cluster::name_version(std::uint64_t version) {
+  json::object body;
+  body["model"] = k_model;
+  body["version"] = version;
+  store_->put("op/version/" + std::string(k_model), json::serialize(body));
+}
+
+void platform_cluster::write_settings(std::size_t index) {
+  node_addresses const& where = addresses_.at(index);
+  std::ofstream file(folder_ + "/node-" + std::to_string(index) + ".toml");
+  file << "[node]\nrole = \"gateway\"\nid = \"node-" << index << "\"\nzone = \"a\"\n"
+       << "[listen]\nclients = \"" << where.clients.to_string() << "\"\nreadiness = \""
+       << where.readiness.to_string() << "\"\npeers = \"" << where.peers.to_string() << "\"\n"
+       << "[record_store]\naddress = \"" << store_address_.to_string() << "\"\n"
+       << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
+}
+
+void platform_cluster::start_node(std::size_t index) {
+  write_settings(index);
+  std::string const name = folder_ + "/node-" + std::to_string(index);
+  std::vector<std::string> const arguments = {"--config=" + name + ".toml"};
+  nodes_.at(index) =
+      std::make_unique<child_process>(program_path("frostline-gateway"), arguments, name + ".log");
+}
+
+bool platform_cluster::is_ready(std::size_t index) {
+  auto const answer = client_.exchange(addresses_.at(index).readiness, http::make_get("/ready"),
+                                       milliseconds(1000));
+  return answer && answer.value().result() == http::status::ok;
+}
+
+std::string platform_cluster::log(std::size_t index) const {
+  std::ifstream file(folder_ + "/node-" + std::to_string(index) + ".log");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::size_t platform_cluster::owner() {
+  std::size_t found = addresses_.size();
+  wait_until("a node owns the pool", [&] {
+    std::string const value = on_platform([&] {
+      auto const record = store_->items().find("frostline/owners/engines");
+      return record == store_->items().end() ? std::string() : record->second.value;
+    });
+    for (std::size_t index = 0; index < addresses_.size(); ++index) {
+      if (value.find("node-" + std::to_string(index)) != std::string::npos) found = index;
+    }
+    return found < addresses_.size();
+  });
+  return found;
+}
+
+result<http::response> platform_cluster::call(std::size_t node, http::verb method,
+                                              std::string const& path,
+                                              std::string const& request_id,
+                                              std::string const& body, milliseconds timeout) {
+  // The blocking client names the node as host, which no route knows: a proxy's absolute form is
+  // not wanted either, so the request is written by hand.
+  asio::io_context context(1);
+  http::beast::tcp_stream stream(context);
+  http::request message(method, path, 11);
+  message.set(http::field::host, k_host);
+  if (!request_id.empty()) message.set("X-Frostline-Request-Id", request_id);
+  message.set("X-Frostline-Deadline-Ms", std::to_string(timeout.count()));
+  message.body() = body;
+  message.prepare_payload();
+  endpoint const where = addresses_.at(node).clients;
+  auto exchange = [&]() -> awaitable<result<http::response>> {
+    stream.expires_after(timeout);
+    tcp::endpoint const remote(asio::ip::make_address(where.address), where.port);
+    auto [unconnected] = co_await stream.async_connect(remote, k_as_tuple);
+    if (unconnected) co_return std::error_code(http::errc::connect_failed);
+    auto [unsent, sent] = co_await http::bhttp::async_write(stream, message, k_as_tuple);
+    if (unsent) co_return std::error_code(http::errc::exchange_failed);
+    http::beast::flat_buffer buffer;
+    http::response answer;
+    auto [failure, count] = co_await http::bhttp::async_read(stream, buffer, answer, k_as_tuple);
+    if (failure) co_return std::error_code(http::errc::answer_truncated);
+    co_return answer;
+  };
+  return rpc::run_blocking(context, exchange());
+}
+
+unsigned platform_cluster::submit(std::size_t node, std::string const& job,
+                                  std::vector<test_item> const& items, std::uint64_t min_version) {
+  json::array list;
+  for (test_item const& one : items) list.push_back(write_item(one));
+  json::object body;
+  body["step"] = 0;
+  body["model"] = k_model;
+  body["min_version"] = min_version;
+  body["desired"] = 1;
+  body["requests"] = std::move(list);
+  auto const answer = call(node, http::verb::post, "/jobs/" + job, job, json::serialize(body));
+  return answer ? answer.value().result_int() : 0;
+}
+
+std::optional<json::object> platform_cluster::results(std::size_t node, std::string const& job,
+                                                      std::uint64_t after) {
+  auto const answer =
+      call(node, http::verb::get, "/api/lots/" + job + "?after_rev=" + std::to_string(after), "");
+  if (!answer || answer.value().result() != http::status::ok) return std::nullopt;
+  return parse_json_object(answer.value().body());
+}
+
+json::object platform_cluster::wait_for_results(std::size_t node, std::string const& job,
+                                                std::size_t count) {
+  std::optional<json::object> found;
+  wait_until(std::to_string(count) + " results of " + job, [&] {
+    found = results(node, job);
+    return found && found->at("results").as_array().size() >= count;
+  });
+  return *found;
+}
+
+void platform_cluster::wait_until(std::string const& what, std::function<bool()> condition) {
+  cluster::wait_until(what, std::move(condition));
+}
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/platform_standin/platform_cluster.h
@@ -0,0 +1,104 @@
+/// @file A whole system on the users' platform: real gateway processes before stand-ins of the
+/// store and the servers, which run on a thread of the test.
+#pragma once
+
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "process.h"
+#include "rpc/blocking.h"
+#include "server_standin.h"
+#include "store_standin.h"
+
+namespace frostline::testing {
+
+struct platform_options {
+  std::uint32_t nodes = 3;
+  std::uint32_t engines = 2;
+  std::uint32_t apps = 2;
+  std::uint32_t events = 5;
+  milliseconds event_gap{5};
+};
+
+/// One item of a job, in the words of the test.
+struct test_item {
+  std::string id;
+  std::string group;
+  bool scored = true;
+};
+
+class platform_cluster {
+ public:
+  explicit platform_cluster(platform_options options);
+  ~platform_cluster();
+  platform_cluster(platform_cluster const&) = delete;
+  platform_cluster& operator=(platform_cluster const&) = delete;
+
+  /// Runs `work` on the stand-ins' thread and returns its value.
+  template <class Work>
+  auto on_platform(Work work) {
+    std::packaged_task<decltype(work())()> task(std::move(work));
+    auto outcome = task.get_future();
+    asio::post(context_, [&task] { task(); });
+    return outcome.get();
+  }
+
+  store_standin& store() { return *store_; }
+  server_standin& engine(std::size_t index) { return *engines_.at(index); }
+  server_standin& app(std::size_t index) { return *apps_.at(index); }
+  std::size_t engines() const { return engines_.size(); }
+  void announce(server_standin const& server, std::string const& state);
+  void withdraw(server_standin const& server);
+  void put_config(std::uint64_t version, std::string const& extra_routes = "");
+  void name_version(std::uint64_t version);
+
+  void start_node(std::size_t index);
+  child_process& node(std::size_t index) { return *nodes_.at(index); }
+  bool is_ready(std::size_t index);
+  std::string log(std::size_t index) const;
+  /// Index of the node that owns the pool, by the store's record.
+  std::size_t owner();
+  /// One call to a node's client address. @param headers beyond Host and the request's identifier.
+  result<http::response> call(std::size_t node, http::verb method, std::string const& path,
+                              std::string const& request_id, std::string const& body = "",
+                              milliseconds timeout = milliseconds(5000));
+  unsigned submit(std::size_t node, std::string const& job, std::vector<test_item> const& items,
+                  std::uint64_t min_version = 1);
+  /// Results of a job from a position on; nothing if the node does not answer 200.
+  std::optional<boost::json::object> results(std::size_t node, std::string const& job,
+                                             std::uint64_t after = 0);
+  /// Waits until `count` results are listed.
+  boost::json::object wait_for_results(std::size_t node, std::string const& job, std::size_t count);
+  static void wait_until(std::string const& what, std::function<bool()> condition);
+
+  static constexpr char k_host[] = "test.example";
+  static constexpr char k_model[] = "model";
+
+ private:
+  void write_settings(std::size_t index);
+
+  platform_options options_;
+  std::string folder_;
+  std::string address_;
+  asio::io_context context_{1};
+  std::unique_ptr<store_standin> store_;
+  std::vector<std::unique_ptr<server_standin>> engines_;
+  std::vector<std::unique_ptr<server_standin>> apps_;
+  std::thread thread_;
+  endpoint store_address_;
+  struct node_addresses {
+    endpoint clients;
+    endpoint readiness;
+    endpoint peers;
+  };
+  std::vector<node_addresses> addresses_;
+  std::vector<std::unique_ptr<child_process>> nodes_;
+  rpc::blocking_client client_;
+};
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/platform_standin/server_standin.cc
@@ -0,0 +1,201 @@
+#include "server_standin.h"
+
+#include <charconv>
+#include <stdexcept>
+
+#include "http/json_fields.h"
+
+namespace frostline::testing {
+namespace {
+
+namespace json = boost::json;
+
+constexpr seconds k_silence{60};
+constexpr char k_id[] = "X-Frostline-Request-Id";
+constexpr char k_stamp[] = "X-Frostline-Server-Stamp";
+constexpr char k_versions[] = "X-Frostline-Weight-Versions";
+
+void set(http::response& answer, char const* name, std::string const& value) {
+  answer.set(name, value);
+}
+
+}  // namespace
+
+server_standin::server_standin(asio::io_context& context, server_options options)
+    : context_(context),
+      options_(std::move(options)),
+      server_(
+          context, http::server_limits(),
+          [this](http::request message) { return handle(std::move(message)); },
+          [this](http::request const& message, http::stream_writer& writer) {
+            return stream(message, writer);
+          }) {
+  std::string const failure = server_.listen(options_.address);
+  if (!failure.empty()) throw std::runtime_error(failure);
+}
+
+std::string server_standin::record(std::string const& state) const {
+  json::object body;
+  body["service"] = options_.service;
+  body["address"] = options_.address.to_string();
+  body["zone"] = options_.zone;
+  body["version"] = "v1";
+  body["slots"] = options_.slots;
+  body["state"] = state;
+  body["cold_left_ms"] = 0;
+  body["sequence"] = sequence_;
+  if (!options_.model.empty()) {
+    json::object model;
+    model["name"] = options_.model;
+    model["version"] = version_;
+    json::array models;
+    models.push_back(std::move(model));
+    body["models"] = std::move(models);
+  }
+  return json::serialize(body);
+}
+
+arrival server_standin::note(http::request const& message) {
+  arrival one;
+  one.request = std::string(http::header(message, k_id));
+  one.path = std::string(message.target());
+  one.body = message.body();
+  one.expected_instance = std::string(http::header(message, "X-Frostline-Expect-Instance"));
+  one.last_event = std::string(http::header(message, "Last-Event-Id"));
+  one.deadline = std::string(http::header(message, "X-Frostline-Deadline-Ms"));
+  return one;
+}
+
+bool server_standin::refuses(http::request const& message) const {
+  std::string_view const expected = http::header(message, "X-Frostline-Expect-Instance");
+  return faults_.full || busy_ || (!expected.empty() && expected != options_.id);
+}
+
+http::response server_standin::refusal(http::request const& message) const {
+  std::string_view const expected = http::header(message, "X-Frostline-Expect-Instance");
+  bool const misdirected = !expected.empty() && expected != options_.id;
+  auto const code =
+      misdirected ? http::status::misdirected_request : http::status::service_unavailable;
+  http::response answer = http::make_response(code, "", "text/plain");
+  set(answer, "X-Frostline-Not-Executed", "1");
+  set(answer, k_id, std::string(http::header(message, k_id)));
+  return answer;
+}
+
+http::response server_standin::report() const {
+  json::object model;
+  model["name"] = options_.model;
+  model["version"] = version_;
+  json::array models;
+  models.push_back(std::move(model));
+  json::object body;
+  body["models"] = std::move(models);
+  body["busy"] = busy_;
+  body["sequence"] = sequence_;
+  return json_response(http::status::ok, body);
+}
+
+awaitable<void> server_standin::load(std::uint64_t version) {
+  co_await wait_for(options_.load_time);
+  version_ = version;
+  busy_ = false;
+  if (on_version_) on_version_();
+}
+
+awaitable<http::response> server_standin::order(std::string text) {
+  auto const body = parse_json_object(text);
+  if (!body) co_return http::make_response(http::status::bad_request, "", "text/plain");
+  order_arrival one;
+  one.holder = json_text(*body, "holder");
+  one.fence = static_cast<std::uint64_t>(json_number(*body, "fence"));
+  one.version = static_cast<std::uint64_t>(json_number(*body, "version"));
+  one.at = steady_clock::now();
+  orders_.push_back(one);
+  bool const sequence_differs =
+      body->if_contains("expected") != nullptr &&
+      static_cast<std::uint64_t>(json_number(*body, "expected")) != sequence_;
+  if (one.version == version_ && !busy_) {
+    co_return http::make_response(http::status::ok, "", "text/plain");
+  }
+  if (busy_ || sequence_differs) {
+    co_return http::make_response(http::status::conflict, "", "text/plain");
+  }
+  busy_ = true;
+  ++sequence_;
+  spawn(context_, load(one.version));
+  if (faults_.lost_orders > 0) {
+    --faults_.lost_orders;
+    co_await wait_for(k_silence);
+  }
+  co_return http::make_response(http::status::accepted, "", "text/plain");
+}
+
+awaitable<http::response> server_standin::handle(http::request message) {
+  if (faults_.silent) co_await wait_for(k_silence);
+  std::string const target(message.target());
+  if (target == "/api/report") co_return report();
+  if (target == "/api/order") co_return co_await order(message.body());
+  arrival one = note(message);
+  bool const refused = refuses(message);
+  one.ran = !refused;
+  arrivals_.push_back(one);
+  if (refused) co_return refusal(message);
+  bool const fails = faults_.failures > 0;
+  if (fails) --faults_.failures;
+  auto const code = fails ? http::status::internal_server_error : http::status::ok;
+  http::response answer =
+      http::make_response(code, "answer to " + one.request + " of " + options_.id, "text/plain");
+  set(answer, k_id, one.request);
+  set(answer, k_stamp, "stamp-" + one.request);
+  co_return answer;
+}
+
+awaitable<bool> server_standin::stream(http::request const& message, http::stream_writer& writer) {
+  std::string const target(message.target());
+  bool const plain = options_.model.empty() || target.starts_with("/api/") || refuses(message) ||
+                     faults_.failures > 0 || faults_.silent;
+  if (plain) co_return false;
+  arrival one = note(message);
+  one.ran = true;
+  arrivals_.push_back(one);
+  std::uint64_t from = 0;
+  if (!one.last_event.empty()) {
+    std::from_chars(one.last_event.data(), one.last_event.data() + one.last_event.size(), from);
+    ++from;
+  }
+  http::response head = http::make_response(http::status::ok, "", "text/event-stream");
+  set(head, k_id, one.request);
+  set(head, k_stamp, "stamp-" + one.request);
+  set(head, k_versions, std::to_string(version_));
+  if (!co_await writer.begin(std::move(head))) co_return true;
+  co_return co_await write_events(writer, one.request, from);
+}
+
+awaitable<bool> server_standin::write_events(http::stream_writer& writer, std::string request,
+                                             std::uint64_t from) {
+  std::uint64_t told = version_;
+  std::uint32_t written = 0;
+  for (std::uint64_t id = from; id < options_.events; ++id) {
+    if (faults_.breaks > 0 && written >= faults_.break_after) {
+      --faults_.breaks;
+      co_await writer.write("id: " + std::to_string(id) + "\nda");
+      co_return true;
+    }
+    co_await wait_for(options_.event_gap);
+    std::string event;
+    if (told != version_) {
+      told = version_;
+      event += "x-frostline-weight-versions: " + std::to_string(told) + "\n";
+    }
+    event += "id: " + std::to_string(id) + "\ndata: " + request + "." + std::to_string(id) + "\n\n";
+    if (writer.peer_gone() || !co_await writer.write(std::move(event))) {
+      ++abandoned_;
+      co_return true;
+    }
+    ++written;
+  }
+  co_await writer.finish();
+  co_return true;
+}
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/platform_standin/server_standin.h
@@ -0,0 +1,113 @@
+/// @file Stand-ins of the users' platform's servers, by their published protocol: application
+/// servers and model servers, with incarnations, refusals, broken streams, late orders.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "http/server.h"
+
+namespace frostline::testing {
+
+/// One request that reached a server.
+struct arrival {
+  std::string request;
+  std::string path;
+  std::string body;
+  std::string expected_instance;
+  std::string last_event;
+  std::string deadline;
+  /// It was run, not refused.
+  bool ran = false;
+};
+
+/// One order that reached a model server.
+struct order_arrival {
+  std::string holder;
+  std::uint64_t fence = 0;
+  std::uint64_t version = 0;
+  time_point at{};
+};
+
+struct server_faults {
+  /// Refuse everything as full.
+  bool full = false;
+  /// Never answer.
+  bool silent = false;
+  /// So many answers of 500.
+  std::uint32_t failures = 0;
+  /// Streams break off after so many events; 0: they do not.
+  std::uint32_t break_after = 0;
+  /// So many streams break off.
+  std::uint32_t breaks = 0;
+  /// So many orders get no answer; they are carried out.
+  std::uint32_t lost_orders = 0;
+  /// So many answers are followed by another one.
+  std::uint32_t surplus = 0;
+};
+
+struct server_options {
+  std::string id;
+  std::string service;
+  std::string zone = "a";
+  endpoint address;
+  std::uint32_t slots = 8;
+  /// Model servers only.
+  std::string model;
+  std::uint32_t events = 5;
+  milliseconds event_gap{5};
+  milliseconds load_time{40};
+};
+
+class server_standin {
+ public:
+  server_standin(asio::io_context& context, server_options options);
+
+  /// Its record in the store.
+  std::string record(std::string const& state) const;
+  /// A new life at the same address.
+  void restart(std::string const& id) {
+    options_.id = id;
+    sequence_ = 0;
+  }
+  std::string const& id() const { return options_.id; }
+  std::string const& service() const { return options_.service; }
+  server_faults& faults() { return faults_; }
+  std::vector<arrival> const& arrivals() const { return arrivals_; }
+  std::vector<order_arrival> const& orders() const { return orders_; }
+  std::uint64_t version() const { return version_; }
+  /// Runs whose connection was closed before they ended.
+  std::uint32_t abandoned() const { return abandoned_; }
+  void on_version(std::function<void()> listener) { on_version_ = std::move(listener); }
+
+ private:
+  awaitable<http::response> handle(http::request message);
+  awaitable<bool> stream(http::request const& message, http::stream_writer& writer);
+  awaitable<bool> write_events(http::stream_writer& writer, std::string request,
+                               std::uint64_t from);
+  awaitable<http::response> order(std::string body);
+  awaitable<void> load(std::uint64_t version);
+  http::response report() const;
+  arrival note(http::request const& message);
+  bool refuses(http::request const& message) const;
+  http::response refusal(http::request const& message) const;
+
+  asio::io_context& context_;
+  server_options options_;
+  http::server server_;
+  server_faults faults_;
+  std::vector<arrival> arrivals_;
+  std::vector<order_arrival> orders_;
+  std::uint64_t version_ = 1;
+  std::uint64_t sequence_ = 0;
+  bool busy_ = false;
+  std::uint32_t abandoned_ = 0;
+  std::function<void()> on_version_;
+};
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/platform_standin/store_standin.cc
@@ -0,0 +1,280 @@
+#include "store_standin.h"
+
+#include <charconv>
+#include <stdexcept>
+
+#include "base/encoding.h"
+#include "http/json_fields.h"
+
+namespace frostline::testing {
+namespace {
+
+namespace json = boost::json;
+
+constexpr milliseconds k_expiry_tick{20};
+constexpr seconds k_silence{60};
+
+std::string query_value(std::string const& target, std::string const& name) {
+  std::string const query = target.substr(std::min(target.find('?') + 1, target.size()));
+  std::size_t begin = 0;
+  while (begin < query.size()) {
+    std::size_t const end = std::min(query.find('&', begin), query.size());
+    std::string const part = query.substr(begin, end - begin);
+    if (part.starts_with(name + "=")) return part.substr(name.size() + 1);
+    begin = end + 1;
+  }
+  return {};
+}
+
+std::uint64_t to_number(std::string const& text) {
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+json::object write_item(std::string const& key, store_standin::item const& one) {
+  json::object body;
+  body["key"] = key;
+  body["value"] = base64_encode(one.value);
+  body["revision"] = one.revision;
+  body["created"] = one.created;
+  body["lease"] = one.lease;
+  return body;
+}
+
+http::response answer(unsigned status, json::object const& body) {
+  return json_response(static_cast<http::status>(status), body);
+}
+
+std::uint64_t field(json::object const& body, std::string_view name) {
+  return static_cast<std::uint64_t>(json_number(body, name));
+}
+
+}  // namespace
+
+store_standin::store_standin(asio::io_context& context, endpoint where)
+    : context_(context),
+      server_(context, http::server_limits(),
+              [this](http::request message) { return handle(std::move(message)); }),
+      changed_(context) {
+  std::string const failure = server_.listen(where);
+  if (!failure.empty()) throw std::runtime_error(failure);
+  spawn(context_, expire_loop());
+}
+
+void store_standin::note(std::string const& key, bool gone) {
+  change one;
+  one.revision = revision_;
+  one.key = key;
+  one.gone = gone;
+  if (!gone) one.after = items_[key];
+  history_.push_back(std::move(one));
+}
+
+void store_standin::put(std::string const& key, std::string const& value, std::uint64_t lease) {
+  ++revision_;
+  item& one = items_[key];
+  if (one.created == 0) one.created = revision_;
+  one.value = value;
+  one.revision = revision_;
+  one.lease = lease;
+  note(key, false);
+  changed_.notify_all();
+}
+
+void store_standin::remove(std::string const& key) {
+  if (items_.erase(key) == 0) return;
+  ++revision_;
+  note(key, true);
+  changed_.notify_all();
+}
+
+void store_standin::compact() {
+  history_.clear();
+  forgotten_ = revision_;
+  ++cuts_;
+  changed_.notify_all();
+}
+
+void store_standin::end_lease(std::uint64_t id) {
+  leases_.erase(id);
+  std::vector<std::string> gone;
+  for (auto const& [key, one] : items_) {
+    if (one.lease == id) gone.push_back(key);
+  }
+  for (std::string const& key : gone) remove(key);
+}
+
+void store_standin::expire_leases() {
+  while (!leases_.empty()) end_lease(leases_.begin()->first);
+}
+
+awaitable<void> store_standin::expire_loop() {
+  while (true) {
+    co_await wait_for(k_expiry_tick);
+    // While the store is down, leases wait.
+    if (faults_.silent || faults_.busy) continue;
+    std::vector<std::uint64_t> over;
+    for (auto const& [id, one] : leases_) {
+      if (one.ends <= steady_clock::now()) over.push_back(id);
+    }
+    for (std::uint64_t id : over) end_lease(id);
+  }
+}
+
+awaitable<http::response> store_standin::handle(http::request message) {
+  if (faults_.silent) co_await wait_for(k_silence);
+  if (faults_.busy) co_return answer(503, {});
+  if (faults_.delay > milliseconds(0)) co_await wait_for(faults_.delay);
+  std::string const target(message.target());
+  if (target.starts_with("/api/kv-watch?")) co_return co_await watch(target);
+  if (target == "/api/kv-txn") co_return co_await transaction(message.body());
+  if (target.starts_with("/api/kv-key?")) co_return read_key(target);
+  if (target.starts_with("/api/kv-range?")) co_return read_range(target);
+  if (target == "/api/kv-lease") co_return grant(message.body());
+  std::string const number = target.substr(target.rfind('/') + 1);
+  if (target.starts_with("/api/kv-keep/")) co_return renew(to_number(number));
+  if (target.starts_with("/api/kv-lease-end/")) {
+    end_lease(to_number(number));
+    co_return answer(200, {});
+  }
+  co_return answer(400, {});
+}
+
+http::response store_standin::read_key(std::string const& target) {
+  std::string const key = query_value(target, "key");
+  auto const found = items_.find(key);
+  if (found == items_.end()) return answer(404, {});
+  json::object body = write_item(key, found->second);
+  body["at"] = revision_;
+  return answer(200, body);
+}
+
+http::response store_standin::read_range(std::string const& target) {
+  std::string const prefix = query_value(target, "path_prefix");
+  std::string const after = query_value(target, "after_rev");
+  json::array items;
+  bool more = false;
+  for (auto const& [key, one] : items_) {
+    if (!key.starts_with(prefix) || key <= after) continue;
+    // Small pages, so that tests meet several.
+    more = items.size() == 50;
+    if (more) break;
+    items.push_back(write_item(key, one));
+  }
+  json::object body;
+  body["requests"] = std::move(items);
+  body["more"] = more;
+  body["at"] = revision_;
+  return answer(200, body);
+}
+
+awaitable<http::response> store_standin::watch(std::string target) {
+  std::string const prefix = query_value(target, "path_prefix");
+  std::uint64_t const after = to_number(query_value(target, "after_rev"));
+  time_point const deadline =
+      steady_clock::now() + milliseconds(to_number(query_value(target, "wait_ms")));
+  std::uint64_t const cuts = cuts_;
+  json::array events;
+  while (true) {
+    if (after < forgotten_ || cuts != cuts_) co_return answer(410, {});
+    for (change const& one : history_) {
+      if (one.revision <= after || !one.key.starts_with(prefix)) continue;
+      json::object event = write_item(one.key, one.after);
+      event["revision"] = one.revision;
+      if (one.gone) event["gone"] = true;
+      events.push_back(std::move(event));
+    }
+    if (!events.empty() || steady_clock::now() >= deadline) break;
+    co_await changed_.wait_until(deadline);
+  }
+  json::object body;
+  body["events"] = std::move(events);
+  body["at"] = revision_;
+  co_return answer(200, body);
+}
+
+awaitable<void> store_standin::apply_later(std::string body, milliseconds pause) {
+  co_await wait_for(pause);
+  apply(body);
+}
+
+awaitable<http::response> store_standin::transaction(std::string body) {
+  ++transactions_;
+  if (faults_.late_transactions > 0) {
+    --faults_.late_transactions;
+    spawn(context_, apply_later(body, faults_.lateness));
+    co_await wait_for(k_silence);
+  }
+  http::response outcome = apply(body);
+  if (faults_.lost_transactions > 0) {
+    --faults_.lost_transactions;
+    co_await wait_for(k_silence);
+  }
+  co_return outcome;
+}
+
+http::response store_standin::apply(std::string const& text) {
+  auto const body = parse_json_object(text);
+  if (!body) return answer(400, {});
+  json::array rows;
+  bool holds = true;
+  for (json::value const& row : body->at("expected").as_array()) {
+    std::string const key = json_text(row.as_object(), "key");
+    auto const found = items_.find(key);
+    std::uint64_t const now = found == items_.end() ? 0 : found->second.revision;
+    if (now != field(row.as_object(), "revision")) holds = false;
+    if (found == items_.end()) {
+      json::object absent;
+      absent["key"] = key;
+      absent["revision"] = 0;
+      rows.push_back(std::move(absent));
+    } else {
+      rows.push_back(write_item(key, found->second));
+    }
+  }
+  if (!holds) {
+    json::object refusal;
+    refusal["requests"] = std::move(rows);
+    return answer(412, refusal);
+  }
+  for (json::value const& one : body->at("put").as_array()) {
+    std::uint64_t const lease = field(one.as_object(), "lease");
+    if (lease != 0 && !leases_.contains(lease)) return answer(404, {});
+  }
+  for (json::value const& one : body->at("put").as_array()) {
+    auto const value = base64_decode(json_text(one.as_object(), "value"));
+    put(json_text(one.as_object(), "key"), value.value_or(""), field(one.as_object(), "lease"));
+  }
+  for (json::value const& key : body->at("remove").as_array()) {
+    remove(std::string(key.as_string()));
+  }
+  json::object done;
+  done["revision"] = revision_;
+  return answer(200, done);
+}
+
+http::response store_standin::grant(std::string const& text) {
+  auto const body = parse_json_object(text);
+  if (!body) return answer(400, {});
+  lease one;
+  one.time_to_live = milliseconds(field(*body, "ttl_ms"));
+  one.ends = steady_clock::now() + one.time_to_live;
+  std::uint64_t const id = next_lease_++;
+  leases_[id] = one;
+  json::object granted;
+  granted["lease"] = id;
+  granted["ttl_ms"] = one.time_to_live.count();
+  return answer(200, granted);
+}
+
+http::response store_standin::renew(std::uint64_t id) {
+  auto const found = leases_.find(id);
+  if (found == leases_.end()) return answer(404, {});
+  found->second.ends = steady_clock::now() + found->second.time_to_live;
+  json::object renewed;
+  renewed["ttl_ms"] = found->second.time_to_live.count();
+  return answer(200, renewed);
+}
+
+}  // namespace frostline::testing
