--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -87,10 +87,10 @@
                                                      connections_, selector_, adapter_.names()}};
   jobs::pool_map pools_;
   jobs::job_client job_client_{context_, transport_, pools_, settings_.id};
-  std::unique_ptr<kv::follower> configuration_follower_;
-  std::unique_ptr<kv::follower> servers_follower_;
-  std::unique_ptr<kv::follower> owners_follower_;
-  std::unique_ptr<kv::follower> operators_follower_;
+  std::shared_ptr<kv::follower> configuration_follower_;
+  std::shared_ptr<kv::follower> servers_follower_;
+  std::shared_ptr<kv::follower> owners_follower_;
+  std::shared_ptr<kv::follower> operators_follower_;
   std::map<std::string, bool> emptied_;
   rpc::dispatcher peer_methods_;
   metrics metrics_;
@@ -172,14 +172,14 @@
     if (!event.deleted) take_configuration(event.entry.value);
   };
   kv::record_store& store = adapter_.store();
-  configuration_follower_ = std::make_unique<kv::follower>(
+  configuration_follower_ = std::make_shared<kv::follower>(
       context_, store, adapter_.keys().configuration, std::move(on_configuration),
       kv::follower_options{k_configuration_pause});
   kv::follower_callbacks on_servers;
   on_servers.snapshot = [this](kv::range_answer const& all) { take_servers(all); };
   on_servers.event = [this](kv::watch_event const& event) { take_server(event); };
   servers_follower_ =
-      std::make_unique<kv::follower>(context_, store, adapter_.keys().servers_prefix,
+      std::make_shared<kv::follower>(context_, store, adapter_.keys().servers_prefix,
                                      std::move(on_servers), kv::follower_options{k_servers_pause});
   kv::follower_callbacks on_owners;
   on_owners.snapshot = [this](kv::range_answer const& all) { take_owners(all); };
@@ -187,7 +187,7 @@
     take_owner(event.entry.key, event.deleted ? nullptr : &event.entry);
   };
   owners_follower_ =
-      std::make_unique<kv::follower>(context_, store, ownership::pool_lease::owners_prefix(),
+      std::make_shared<kv::follower>(context_, store, ownership::pool_lease::owners_prefix(),
                                      std::move(on_owners), kv::follower_options());
   configuration_follower_->start();
   servers_follower_->start();
@@ -286,6 +286,7 @@
     return entry.second.lease->state() == ownership::lease_state::owner;
   });
   if (!owner) {
+    if (operators_follower_) operators_follower_->stop();
     operators_follower_.reset();
     return;
   }
@@ -298,7 +299,7 @@
     if (!event.deleted) take_request(event.entry);
   };
   operators_follower_ =
-      std::make_unique<kv::follower>(context_, adapter_.store(), adapter_.keys().operators_prefix,
+      std::make_shared<kv::follower>(context_, adapter_.store(), adapter_.keys().operators_prefix,
                                      std::move(on_request), kv::follower_options{k_versions_pause});
   operators_follower_->start();
 }
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "kv/record_store.h"
@@ -22,12 +23,15 @@
   milliseconds watch_wait{25'000};
 };
 
-class follower {
+/// Held by a shared pointer: a watch that waits keeps it alive.
+class follower : public std::enable_shared_from_this<follower> {
  public:
   follower(asio::io_context& context, record_store& store, std::string prefix,
            follower_callbacks callbacks, follower_options options);
 
   void start();
+  /// Nothing is told any more; a watch that waits ends by itself.
+  void stop() { ++round_; }
   /// Gives the current watch up and lists anew: after silence of the store or of this process.
   void resynchronize();
   /// Whether a snapshot has ever arrived.
@@ -36,7 +40,7 @@
   revision at() const { return at_; }
 
  private:
-  awaitable<void> follow_loop(std::uint64_t round);
+  awaitable<void> follow_loop(std::shared_ptr<follower> self, std::uint64_t round);
   awaitable<bool> list_once(std::uint64_t round);
   awaitable<bool> watch_once(std::uint64_t round);
 
