Loads go first to the model that lacks engines the most

A load also kept other models' runs off its engine, although it concerns one model. Change: models without a usable engine first, then those with the smallest part of what they want, by their jobs' tokens; runs of other models go on during a load. Jobs have marks apart from their data, so a new owner reads only open jobs; a restarted process takes its own machine's ownership over at once; candidates wait 30-270 ms.

--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -41,7 +41,9 @@
 bool engine_board::can_run(board_engine const& one, run_need const& need, time_point now) const {
   if (one.server.service != need.service) return false;
   if (one.server.state != directory::server_state::ready) return false;
-  if (one.load == load_state::ordered || one.blocked_until > now) return false;
+  // A load concerns the runs of its own model only.
+  bool const loading = one.load == load_state::ordered && one.ordered_model == need.model;
+  if (loading || one.blocked_until > now) return false;
   if (one.in_flight >= one.server.slots) return false;
   bool const fits = cache_tokens_ == 0 || one.in_flight == 0 ||
                     one.tokens_in_flight + need.tokens <= cache_tokens_;
--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -1,6 +1,7 @@
 #include "engines/version_planner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
@@ -17,88 +18,130 @@
   return one.server.state == directory::server_state::ready;
 }
 
-/// Engines that a model should be served by: all if it is alone, else its share and one more.
-std::size_t wanted_engines(std::size_t engines, std::size_t models) {
+/// Engines beyond its share that a model is served by, so that one model's long step finds room.
+constexpr std::size_t k_extra_engines = 1;
+constexpr std::size_t k_fewest_engines = 2;
+
+/// Where one model stands, and what it still lacks.
+struct model_plan {
+  std::string model;
+  model_need need;
+  std::size_t wanted = 0;
+  std::size_t fresh_wanted = 0;
+  /// Engines that hold the newest version, or load it.
+  std::size_t fresh = 0;
+  /// Engines that a job may use.
+  std::size_t usable = 0;
+  /// Engines to load, the best one last.
+  std::vector<candidate> others;
+
+  bool lacks_usable() const { return usable < wanted; }
+  bool lacks_any() const { return !others.empty() && (lacks_usable() || fresh < fresh_wanted); }
+};
+
+/// Engines that a model should be served by: its share of the demand and some more.
+std::size_t wanted_engines(std::size_t engines, model_need const& need, double total_demand,
+                           std::size_t models) {
   if (models <= 1) return engines;
-  std::size_t const share = (engines + models - 1) / models;
-  return std::min(engines, share + 1);
+  bool const known = need.demand > 0 && total_demand > 0;
+  double const share = known ? need.demand / total_demand : 1.0 / static_cast<double>(models);
+  auto const part = static_cast<std::size_t>(std::ceil(static_cast<double>(engines) * share));
+  return std::min(engines, std::max(part, k_fewest_engines) + k_extra_engines);
 }
 
 /// Models for which an engine holds a recent version.
-std::size_t count_homes(board_engine const& one, named_versions const& named) {
+std::size_t count_homes(board_engine const& one, model_needs const& needs) {
   std::size_t homes = 0;
-  for (auto const& [model, newest] : named) {
+  for (auto const& [model, need] : needs) {
     auto const held = one.versions.find(model);
-    if (newest > 2 && held != one.versions.end() && held->second + 1 >= newest) ++homes;
+    if (need.newest > 2 && held != one.versions.end() && held->second + 1 >= need.newest) ++homes;
   }
   return homes;
 }
 
-void plan_model(engine_board const& board, named_versions const& named, std::string const& model,
-                std::uint64_t newest, std::uint64_t slack, std::size_t models,
-                std::vector<planned_order>& orders) {
-  std::vector<candidate> others;
-  std::size_t ready = 0;
-  std::size_t fresh = 0;
-  std::size_t usable = 0;
-  for (auto const& [id, one] : board.engines()) {
-    auto const held = one.versions.find(model);
-    if (!is_ready(one) || held == one.versions.end()) continue;
-    ++ready;
-    bool const coming = one.load == load_state::ordered && one.ordered_model == model &&
-                        one.ordered_version >= newest;
-    if (held->second >= newest || coming) {
-      ++fresh;
-      ++usable;
-      continue;
-    }
-    bool const still_usable = held->second + slack >= newest;
-    if (still_usable) ++usable;
-    if (one.load == load_state::ordered) continue;
-    others.push_back({&one, held->second, count_homes(one, named)});
+void take_engine(model_plan& plan, board_engine const& one, model_needs const& needs) {
+  auto const held = one.versions.find(plan.model);
+  if (!is_ready(one) || held == one.versions.end()) return;
+  ++plan.wanted;
+  bool const coming = one.load == load_state::ordered && one.ordered_model == plan.model &&
+                      one.ordered_version >= plan.need.newest;
+  if (held->second >= plan.need.newest || coming) {
+    ++plan.fresh;
+    ++plan.usable;
+    return;
   }
-  std::size_t const wanted = wanted_engines(ready, models);
-  std::size_t const fresh_wanted = slack == 0 ? wanted : (wanted + 1) / 2;
-  std::size_t const for_fresh = fresh_wanted > fresh ? fresh_wanted - fresh : 0;
-  std::size_t const for_use = wanted > usable ? wanted - usable : 0;
-  std::size_t count = std::max(for_fresh, for_use);
-  std::sort(others.begin(), others.end(), [&](candidate const& left, candidate const& right) {
-    auto const rank = [&](candidate const& one) {
-      bool const useless = one.version + slack < newest;
-      // Useless ones first; of these the ones that held a recent version, then the idlest.
-      return std::tuple(!useless, newest - one.version, one.homes, one.engine->in_flight,
-                        one.engine->server.id);
-    };
-    return rank(left) < rank(right);
-  });
-  for (candidate const& one : others) {
-    if (count-- == 0) return;
-    orders.push_back({one.engine->server.id, model, newest});
+  if (held->second + plan.need.slack >= plan.need.newest) ++plan.usable;
+  if (one.load == load_state::ordered) return;
+  plan.others.push_back({&one, held->second, count_homes(one, needs)});
+}
+
+/// The best engine to load comes last: one that no job can use, of these one that held a recent
+/// version, then the idlest.
+void sort_candidates(model_plan& plan) {
+  auto const rank = [&](candidate const& one) {
+    bool const useless = one.version + plan.need.slack < plan.need.newest;
+    return std::tuple(!useless, plan.need.newest - one.version, one.homes, one.engine->in_flight,
+                      one.engine->server.id);
+  };
+  std::sort(plan.others.begin(), plan.others.end(),
+            [&](candidate const& left, candidate const& right) { return rank(right) < rank(left); });
+}
+
+model_plan plan_model(engine_board const& board, model_needs const& needs,
+                      std::string const& model, model_need const& need, double total_demand) {
+  model_plan plan;
+  plan.model = model;
+  plan.need = need;
+  for (auto const& [id, one] : board.engines()) take_engine(plan, one, needs);
+  plan.wanted = wanted_engines(plan.wanted, need, total_demand, needs.size());
+  plan.fresh_wanted = need.slack == 0 ? plan.wanted : std::max<std::size_t>(plan.wanted / 2, 1);
+  sort_candidates(plan);
+  return plan;
+}
+
+/// The model whose next load is the most pressing; null if none lacks anything.
+model_plan* most_pressing(std::vector<model_plan>& plans) {
+  model_plan* best = nullptr;
+  auto const rank = [](model_plan const& one) {
+    double const part = static_cast<double>(one.usable) / static_cast<double>(one.wanted);
+    return std::tuple(one.usable > 0, !one.lacks_usable(), part, one.fresh, one.model);
+  };
+  for (model_plan& one : plans) {
+    if (!one.lacks_any()) continue;
+    if (best == nullptr || rank(one) < rank(*best)) best = &one;
   }
+  return best;
 }
 
 }  // namespace
 
-std::vector<planned_order> plan_orders(engine_board const& board, named_versions const& named,
-                                       version_slack const& slack, planner_options const& options) {
-  std::vector<planned_order> wanted;
-  for (auto const& [model, newest] : named) {
-    auto const known = slack.find(model);
-    std::uint64_t const behind = known == slack.end() ? 1 : known->second;
-    plan_model(board, named, model, newest, behind, named.size(), wanted);
+std::vector<planned_order> plan_orders(engine_board const& board, model_needs const& needs,
+                                       planner_options const& options) {
+  double total_demand = 0;
+  for (auto const& [model, need] : needs) total_demand += need.demand;
+  std::vector<model_plan> plans;
+  for (auto const& [model, need] : needs) {
+    if (need.newest > 0) plans.push_back(plan_model(board, needs, model, need, total_demand));
   }
   std::size_t loading = 0;
   for (auto const& [id, one] : board.engines()) {
     if (one.load == load_state::ordered) ++loading;
   }
-  std::vector<planned_order> now;
+  std::vector<planned_order> orders;
   std::set<std::string> taken;
-  for (planned_order& order : wanted) {
-    if (loading + now.size() >= options.parallel_loads) break;
-    if (!taken.insert(order.engine).second) continue;
-    now.push_back(std::move(order));
+  while (loading + orders.size() < options.parallel_loads) {
+    model_plan* const plan = most_pressing(plans);
+    if (plan == nullptr) break;
+    candidate const next = plan->others.back();
+    plan->others.pop_back();
+    bool const useless = next.version + plan->need.slack < plan->need.newest;
+    // An engine that a more pressing model takes is there for this one later.
+    if (!taken.insert(next.engine->server.id).second) continue;
+    ++plan->fresh;
+    if (useless) ++plan->usable;
+    orders.push_back({next.engine->server.id, plan->model, plan->need.newest});
   }
-  return now;
+  return orders;
 }
 
 }  // namespace frostline::engines
--- a/src/engines/version_planner.h
+++ b/src/engines/version_planner.h
@@ -27,14 +27,21 @@
   std::uint64_t version = 0;
 };
 
-/// Newest version of each model.
-using named_versions = std::map<std::string, std::uint64_t>;
+/// What is wanted of one model.
+struct model_need {
+  /// Newest version that was named.
+  std::uint64_t newest = 0;
+  /// How many versions behind the newest a job may use: learned from the jobs.
+  std::uint64_t slack = 1;
+  /// Size of its jobs, in any unit that all models share; 0: not known.
+  double demand = 0;
+};
 
-/// How many versions behind the newest a job may use, by model: learned from the jobs.
-using version_slack = std::map<std::string, std::uint64_t>;
+using model_needs = std::map<std::string, model_need>;
 
-/// @return orders to give now, the most pressing first.
-std::vector<planned_order> plan_orders(engine_board const& board, named_versions const& named,
-                                       version_slack const& slack, planner_options const& options);
+/// @return orders to give now, the most pressing first: models that no engine can serve, then those
+/// that have the fewest engines for what they want, then what the next version will need.
+std::vector<planned_order> plan_orders(engine_board const& board, model_needs const& needs,
+                                       planner_options const& options);
 
 }  // namespace frostline::engines
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -37,22 +37,24 @@
     : context_(context), board_(board), control_(control), authority_(std::move(authority)) {}
 
 void weight_orders::name_version(std::string const& model, std::uint64_t version) {
-  std::uint64_t& newest = named_[model];
-  if (version <= newest) return;
-  newest = version;
+  model_need& need = needs_[model];
+  if (version <= need.newest) return;
+  need.newest = version;
   log_line(log_level::info, k_part, "Version named.", {{"model", model}, {"version", version}});
 }
 
-void weight_orders::note_job(std::string const& model, std::uint64_t min_version) {
-  std::uint64_t const known = newest(model);
-  std::uint64_t const behind = known > min_version ? known - min_version : 0;
+void weight_orders::note_job(std::string const& model, std::uint64_t min_version,
+                             std::uint64_t size) {
+  model_need& need = needs_[model];
+  need.demand = static_cast<double>(size);
+  std::uint64_t const behind = need.newest > min_version ? need.newest - min_version : 0;
   // Before anything is named, the first jobs say nothing about later ones.
-  if (known >= 2) slack_[model] = std::min(behind, k_most_slack);
+  if (need.newest >= 2) need.slack = std::min(behind, k_most_slack);
 }
 
 std::uint64_t weight_orders::newest(std::string const& model) const {
-  auto const found = named_.find(model);
-  return found == named_.end() ? 0 : found->second;
+  auto const found = needs_.find(model);
+  return found == needs_.end() ? 0 : found->second.newest;
 }
 
 void weight_orders::begin_term() {
@@ -158,7 +160,7 @@
 void weight_orders::advance(time_point now) {
   settle(now);
   if (!authority_.may_order()) return;
-  for (planned_order const& order : plan_orders(board_, named_, slack_, options_)) {
+  for (planned_order const& order : plan_orders(board_, needs_, options_)) {
     board_engine* const one = board_.find(order.engine);
     // After a refusal `ordered_at` lies ahead.
     if (one == nullptr || one->ordered_at > now || one->blocked_until > now) continue;
--- a/src/engines/weight_orders.h
+++ b/src/engines/weight_orders.h
@@ -32,7 +32,8 @@
 
   void name_version(std::string const& model, std::uint64_t version);
   /// A job of this model was accepted that allows versions from `min_version` on.
-  void note_job(std::string const& model, std::uint64_t min_version);
+  /// @param size of the job, in tokens.
+  void note_job(std::string const& model, std::uint64_t min_version, std::uint64_t size);
   std::uint64_t newest(std::string const& model) const;
   /// Plans and sends what is due. Called whenever something changed, and now and then.
   void advance(time_point now);
@@ -58,8 +59,7 @@
   engine_control& control_;
   order_authority authority_;
   planner_options options_;
-  named_versions named_;
-  version_slack slack_;
+  model_needs needs_;
   std::map<std::string, engine_sequence> sequences_;
   std::uint64_t sent_ = 0;
 };
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -18,7 +18,7 @@
 constexpr std::string_view k_part = "gateway";
 /// Changes of servers are read together; far below the time in which a leaving server must get
 /// nothing more.
-constexpr milliseconds k_servers_pause{500};
+constexpr milliseconds k_servers_pause{1000};
 constexpr milliseconds k_configuration_pause{100};
 constexpr milliseconds k_versions_pause{20};
 constexpr milliseconds k_probe_interval{1000};
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -19,6 +19,7 @@
   held = std::make_unique<job>();
   held->record = std::move(record);
   held->accepted_at = now;
+  held->sequence = next_sequence_++;
   held->samples.resize(held->record.items.size());
   for (std::size_t index = 0; index < held->samples.size(); ++index) {
     held->samples[index].spec = held->record.items[index].get();
@@ -78,7 +79,7 @@
     sample const& which = one.owner->samples[one.index];
     // What has begun is nearest to its end and is waited for already.
     bool const fresh = which.events == 0;
-    return std::tuple(one.owner->terms.priority, one.owner->accepted_at, fresh,
+    return std::tuple(one.owner->terms.priority, one.owner->sequence, fresh,
                       -static_cast<std::int64_t>(which.spec->length_hint), one.index);
   };
   std::sort(all.begin(), all.end(), [&](run_candidate const& left, run_candidate const& right) {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -54,6 +54,8 @@
   rpc::JobRecordT record;
   job_terms terms;
   time_point accepted_at{};
+  /// Place in the order of acceptance.
+  std::uint64_t sequence = 0;
   bool ended = false;
   std::vector<sample> samples;
   /// Samples in the order of their positions.
@@ -129,6 +131,7 @@
   void finish(job& owner, std::uint32_t index, time_point now);
 
   std::map<std::string, std::unique_ptr<job>> jobs_;
+  std::uint64_t next_sequence_ = 1;
 };
 
 }  // namespace frostline::jobs
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -25,6 +25,13 @@
   return reply;
 }
 
+/// Tokens of all items, as their submitter bounds them.
+std::uint64_t size_of(rpc::JobRecordT const& record) {
+  std::uint64_t tokens = 0;
+  for (auto const& item : record.items) tokens += item->tokens;
+  return tokens;
+}
+
 engines::order_authority make_authority(owner_parts const& parts, sample_runner const& runner) {
   engines::order_authority authority;
   authority.holder = parts.node;
@@ -81,40 +88,70 @@
   state_ = owner_state::standby;
   runner_.abort_runs({});
   table_.jobs().clear();
+  ended_unread_.clear();
   listed_.notify_all();
 }
 
 awaitable<void> pool_owner::load(std::uint64_t term) {
-  while (term == term_) {
-    auto answer = co_await parts_.store.list(record_keys::pool_prefix(parts_.lease.pool()));
-    if (term != term_) co_return;
-    if (answer) {
-      restore(read_stored_jobs(parts_.lease.pool(), answer.value().entries));
-      log_.open(ownership::pool_lease::key_of(parts_.lease.pool()), parts_.lease.epoch());
-      orders_.begin_term();
-      state_ = owner_state::active;
-      log_line(log_level::info, k_part, "Jobs loaded.",
-               {{"pool", parts_.lease.pool()},
-                {"epoch", parts_.lease.epoch()},
-                {"revision", answer.value().store_revision},
-                {"jobs", table_.jobs().size()}});
-      notify();
-      co_return;
-    }
+  time_point const begin = steady_clock::now();
+  bool done = co_await load_marks(term);
+  while (!done && term == term_) {
     co_await wait_for(with_jitter(k_load_pause));
+    done = co_await load_marks(term);
   }
+  if (term != term_) co_return;
+  log_.open(ownership::pool_lease::key_of(parts_.lease.pool()), parts_.lease.epoch());
+  orders_.begin_term();
+  state_ = owner_state::active;
+  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  log_line(log_level::info, k_part, "Jobs loaded.",
+           {{"pool", parts_.lease.pool()},
+            {"epoch", parts_.lease.epoch()},
+            {"jobs", table_.jobs().size()},
+            {"ended", ended_unread_.size()},
+            {"after_ms", spent.count()}});
+  listed_.notify_all();
+  notify();
 }
 
-void pool_owner::restore(stored_jobs stored) {
-  time_point const now = steady_clock::now();
-  for (rpc::JobRecordT& record : stored.records) table_.add(std::move(record), now);
+awaitable<bool> pool_owner::load_marks(std::uint64_t term) {
+  std::string const pool = parts_.lease.pool();
+  auto answer = co_await parts_.store.list(record_keys::marks_prefix(pool));
+  if (!answer || term != term_) co_return false;
+  stored_marks const marks = read_marks(pool, answer.value().entries);
+  for (std::string const& id : marks.ended) {
+    if (!table_.end(id)) ended_unread_.insert(id);
+  }
   for (auto const& [id, held] : table_.jobs()) held->committing = 0;
-  for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
-  for (std::string const& id : stored.ends) table_.end(id);
-  for (auto const& [id, held] : table_.jobs()) {
-    orders_.note_job(held->record.model, held->record.min_version);
+  for (std::string const& id : marks.open) {
+    bool const loaded = co_await load_job(id);
+    if (!loaded || term != term_) co_return false;
   }
-  listed_.notify_all();
+  co_return true;
+}
+
+awaitable<bool> pool_owner::load_job(std::string id) {
+  std::string const pool = parts_.lease.pool();
+  auto answer = co_await parts_.store.list(record_keys::data_prefix(pool, id));
+  if (!answer) co_return false;
+  stored_job stored = read_job(pool, id, answer.value().entries);
+  if (!stored.record) {
+    log_line(log_level::error, k_part, "A job's record can't be read.", {{"job", id}});
+    co_return true;
+  }
+  orders_.note_job(stored.record->model, stored.record->min_version, size_of(*stored.record));
+  table_.add(std::move(*stored.record), steady_clock::now());
+  for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
+  co_return true;
+}
+
+awaitable<void> pool_owner::ensure_loaded(std::string id) {
+  if (!ended_unread_.contains(id)) co_return;
+  std::uint64_t const term = term_;
+  bool const loaded = co_await load_job(id);
+  if (!loaded || term != term_) co_return;
+  table_.end(id);
+  ended_unread_.erase(id);
 }
 
 awaitable<void> pool_owner::advance_loop() {
@@ -194,17 +231,26 @@
 void pool_owner::forget_old(time_point now) {
   std::vector<std::string> old;
   for (auto const& [id, held] : table_.jobs()) {
-    if (held->ended && now - held->accepted_at > parts_.retention) old.push_back(id);
+    if (!held->is_open() && now - held->accepted_at > parts_.retention) old.push_back(id);
   }
   for (std::string const& id : old) {
-    std::vector<std::string> keys;
-    keys.push_back(record_keys::record(parts_.lease.pool(), id, 0));
-    keys.push_back(record_keys::end(parts_.lease.pool(), id));
-    log_.remove_job(std::move(keys));
     table_.forget(id);
+    spawn(parts_.context, erase(id));
   }
 }
 
+awaitable<void> pool_owner::erase(std::string id) {
+  std::string const pool = parts_.lease.pool();
+  auto answer = co_await parts_.store.list(record_keys::data_prefix(pool, id));
+  // What is not erased now is erased by a later owner.
+  if (!answer || state_ != owner_state::active) co_return;
+  std::vector<std::string> keys;
+  keys.push_back(record_keys::accepted_mark(pool, id));
+  keys.push_back(record_keys::ended_mark(pool, id));
+  for (kv::key_value const& one : answer.value().entries) keys.push_back(one.key);
+  log_.remove(std::move(keys));
+}
+
 awaitable<void> pool_owner::flush(time_point deadline) {
   if (state_ != owner_state::active) co_return;
   commit_results(true);
@@ -233,7 +279,7 @@
 
 void pool_owner::accept(rpc::JobRecordT record) {
   std::string const id = record.id;
-  orders_.note_job(record.model, record.min_version);
+  orders_.note_job(record.model, record.min_version, size_of(record));
   log_line(log_level::info, k_part, "Job accepted.",
            {{"job", id},
             {"model", record.model},
@@ -252,7 +298,8 @@
     co_return reply_with(rpc::JobStatus::INVALID, "no items");
   }
   std::string const id = call.record->id;
-  if (table_.find(id) != nullptr && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
+  bool const known = table_.find(id) != nullptr || ended_unread_.contains(id);
+  if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
   if (state_ != owner_state::active) {
     co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
@@ -281,9 +328,10 @@
   time_point const deadline = steady_clock::now() + wait;
   while (true) {
     if (!can_read()) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
+    co_await ensure_loaded(call.job);
     job* const owner = table_.find(call.job);
     if (owner == nullptr) {
-      bool const sure = state_ == owner_state::active;
+      bool const sure = state_ == owner_state::active && !ended_unread_.contains(call.job);
       co_return reply_with(sure ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE, {});
     }
     bool const waiting =
@@ -324,6 +372,7 @@
   if (state_ != owner_state::active) {
     co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
+  if (ended_unread_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
   job* const owner = table_.find(call.job);
   if (owner == nullptr) co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, {});
   if (owner->ended && !writing_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/asio.h"
@@ -67,13 +68,18 @@
   void lost();
   void drop_everything();
   awaitable<void> load(std::uint64_t term);
-  void restore(stored_jobs stored);
+  awaitable<bool> load_marks(std::uint64_t term);
+  /// Reads a job's data. @return false if the store did not answer.
+  awaitable<bool> load_job(std::string id);
+  /// Loads an ended job that somebody asks for.
+  awaitable<void> ensure_loaded(std::string id);
   awaitable<void> advance_loop();
   void advance();
   void refresh_terms();
   void refresh_board();
   void commit_results(bool all);
   void forget_old(time_point now);
+  awaitable<void> erase(std::string id);
   awaitable<rpc::JobReplyT> submit(rpc::JobCallT call);
   void accept(rpc::JobRecordT record);
   awaitable<rpc::JobReplyT> list(rpc::JobCallT call);
@@ -93,6 +99,8 @@
   /// Jobs whose record is being written.
   std::map<std::string, std::shared_ptr<write_outcome const>> writing_;
   std::map<std::string, bool> submitting_;
+  /// Ended jobs whose data has not been read.
+  std::set<std::string> ended_unread_;
   async_condition work_;
   async_condition listed_;
   async_condition written_;
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <map>
+#include <set>
 
 #include "base/jitter.h"
 #include "base/log.h"
@@ -13,9 +14,13 @@
 
 constexpr std::string_view k_part = "jobs";
 constexpr std::string_view k_prefix = "frostline/jobs/";
-constexpr std::string_view k_record_part = "/record/";
-constexpr std::string_view k_results_part = "/results/";
-constexpr std::string_view k_end_part = "/end";
+constexpr std::string_view k_marks_part = "/marks/";
+constexpr std::string_view k_data_part = "/data/";
+constexpr std::string_view k_record_part = "record/";
+constexpr std::string_view k_results_part = "results/";
+constexpr std::string_view k_accepted = "/accepted";
+constexpr std::string_view k_ended = "/ended";
+constexpr char k_mark_value[] = "1";
 constexpr milliseconds k_transaction_timeout{1500};
 constexpr milliseconds k_retry_pause{120};
 /// Rooms left in a transaction's body for keys and framing.
@@ -34,57 +39,70 @@
   return one;
 }
 
-/// Parts of job records, gathered until each job is whole.
-using part_map = std::map<std::string, std::string>;
-
 }  // namespace
 
-std::string record_keys::pool_prefix(std::string const& pool) {
-  return std::string(k_prefix) + pool + "/";
+std::string record_keys::marks_prefix(std::string const& pool) {
+  return std::string(k_prefix) + pool + std::string(k_marks_part);
+}
+
+std::string record_keys::accepted_mark(std::string const& pool, std::string const& job) {
+  return marks_prefix(pool) + job + std::string(k_accepted);
 }
 
-std::string record_keys::job_prefix(std::string const& pool, std::string const& job) {
-  return pool_prefix(pool) + job;
+std::string record_keys::ended_mark(std::string const& pool, std::string const& job) {
+  return marks_prefix(pool) + job + std::string(k_ended);
 }
 
-std::string record_keys::record(std::string const& pool, std::string const& job, std::size_t part) {
-  return job_prefix(pool, job) + std::string(k_record_part) + padded(part);
+std::string record_keys::data_prefix(std::string const& pool, std::string const& job) {
+  return std::string(k_prefix) + pool + std::string(k_data_part) + job + "/";
+}
+
+std::string record_keys::record(std::string const& pool, std::string const& job,
+                                std::size_t part) {
+  return data_prefix(pool, job) + std::string(k_record_part) + padded(part);
 }
 
 std::string record_keys::results(std::string const& pool, std::string const& job,
                                  std::uint64_t first) {
-  return job_prefix(pool, job) + std::string(k_results_part) + padded(first);
+  return data_prefix(pool, job) + std::string(k_results_part) + padded(first);
 }
 
-std::string record_keys::end(std::string const& pool, std::string const& job) {
-  return job_prefix(pool, job) + std::string(k_end_part);
+stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records) {
+  std::size_t const prefix = record_keys::marks_prefix(pool).size();
+  // Several jobs may be accepted in one transaction, and so at one revision.
+  std::set<std::pair<kv::revision, std::string>> accepted;
+  std::set<std::string> ended;
+  for (kv::key_value const& one : records) {
+    std::string const rest = one.key.substr(std::min(prefix, one.key.size()));
+    std::string const job = rest.substr(0, rest.find('/'));
+    if (rest.ends_with(k_accepted)) accepted.emplace(one.create_revision, job);
+    if (rest.ends_with(k_ended)) ended.insert(job);
+  }
+  stored_marks marks;
+  for (auto const& [revision, job] : accepted) {
+    (ended.contains(job) ? marks.ended : marks.open).push_back(job);
+  }
+  return marks;
 }
 
-stored_jobs read_stored_jobs(std::string const& pool, std::vector<kv::key_value> const& records) {
-  std::string const prefix = record_keys::pool_prefix(pool);
-  stored_jobs all;
-  part_map parts;
-  // Keys come in order, so the parts of a record and the results of a job do, too.
+stored_job read_job(std::string const& pool, std::string const& job,
+                    std::vector<kv::key_value> const& records) {
+  std::size_t const prefix = record_keys::data_prefix(pool, job).size();
+  // Keys come in order, so the parts of a record and the results do, too.
   std::map<std::string, std::string> sorted;
-  for (kv::key_value const& one : records) sorted[one.key] = one.value;
-  for (auto const& [key, value] : sorted) {
-    std::string const rest = key.substr(std::min(prefix.size(), key.size()));
-    std::string const job = rest.substr(0, rest.find('/'));
-    std::string const kind = rest.substr(std::min(job.size(), rest.size()));
-    if (kind.starts_with(k_record_part)) {
-      parts[job] += value;
-    } else if (kind.starts_with(k_results_part)) {
-      auto batch = rpc::decode<rpc::ResultBatchT>(value);
-      if (batch) all.batches.push_back(std::move(*batch));
-    } else if (kind == k_end_part) {
-      all.ends.push_back(job);
-    }
+  for (kv::key_value const& one : records) {
+    sorted[one.key.substr(std::min(prefix, one.key.size()))] = one.value;
   }
-  for (auto const& [job, bytes] : parts) {
-    auto record = rpc::decode<rpc::JobRecordT>(bytes);
-    if (record) all.records.push_back(std::move(*record));
+  stored_job found;
+  std::string record;
+  for (auto const& [key, value] : sorted) {
+    if (key.starts_with(k_record_part)) record += value;
+    if (!key.starts_with(k_results_part)) continue;
+    auto batch = rpc::decode<rpc::ResultBatchT>(value);
+    if (batch) found.batches.push_back(std::move(*batch));
   }
-  return all;
+  found.record = rpc::decode<rpc::JobRecordT>(record);
+  return found;
 }
 
 record_log::record_log(asio::io_context& context, kv::record_store& store, kv::store_limits limits,
@@ -133,6 +151,7 @@
     one.operations.push_back(
         put(record_keys::record(pool_, record.id, part), bytes.substr(part * limit, limit)));
   }
+  one.operations.push_back(put(record_keys::accepted_mark(pool_, record.id), k_mark_value));
   if (one.operations.size() + 1 > limits_.operations_per_transaction / 2) {
     one.on_done(write_outcome::too_large);
     return;
@@ -151,19 +170,22 @@
 void record_log::write_end(std::string const& job, done on_done) {
   entry one;
   one.on_done = std::move(on_done);
-  one.operations.push_back(put(record_keys::end(pool_, job), "1"));
+  one.operations.push_back(put(record_keys::ended_mark(pool_, job), k_mark_value));
   enqueue(std::move(one));
 }
 
-void record_log::remove_job(std::vector<std::string> keys) {
+void record_log::remove(std::vector<std::string> keys) {
   entry one;
   for (std::string& key : keys) {
     kv::operation removal;
     removal.kind = kv::operation_kind::remove;
     removal.key = std::move(key);
     one.operations.push_back(std::move(removal));
+    if (one.operations.size() + 1 < limits_.operations_per_transaction / 2) continue;
+    enqueue(std::move(one));
+    one = entry();
   }
-  if (one.operations.size() < limits_.operations_per_transaction / 2) enqueue(std::move(one));
+  if (!one.operations.empty()) enqueue(std::move(one));
 }
 
 std::vector<record_log::entry> record_log::take_group() {
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,24 +24,33 @@
   too_large,
 };
 
-/// What the record store holds of a pool's jobs.
-struct stored_jobs {
-  std::vector<rpc::JobRecordT> records;
-  std::vector<rpc::ResultBatchT> batches;
-  std::vector<std::string> ends;
-};
-
-/// Keys of a pool's records.
+/// Keys of a pool's records. Marks are small and listed as a whole; the data of a job is read only
+/// when it is needed.
 struct record_keys {
-  static std::string pool_prefix(std::string const& pool);
-  static std::string job_prefix(std::string const& pool, std::string const& job);
+  static std::string marks_prefix(std::string const& pool);
+  static std::string accepted_mark(std::string const& pool, std::string const& job);
+  static std::string ended_mark(std::string const& pool, std::string const& job);
+  static std::string data_prefix(std::string const& pool, std::string const& job);
   static std::string record(std::string const& pool, std::string const& job, std::size_t part);
   static std::string results(std::string const& pool, std::string const& job, std::uint64_t first);
-  static std::string end(std::string const& pool, std::string const& job);
 };
 
-/// Reads what was listed below a pool's prefix. Malformed records are left out.
-stored_jobs read_stored_jobs(std::string const& pool, std::vector<kv::key_value> const& records);
+/// A pool's jobs by their marks, in the order in which they were accepted.
+struct stored_marks {
+  std::vector<std::string> open;
+  std::vector<std::string> ended;
+};
+
+/// The data of one job.
+struct stored_job {
+  std::optional<rpc::JobRecordT> record;
+  std::vector<rpc::ResultBatchT> batches;
+};
+
+stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records);
+/// Malformed records are left out.
+stored_job read_job(std::string const& pool, std::string const& job,
+                    std::vector<kv::key_value> const& records);
 
 class record_log {
  public:
@@ -57,8 +67,8 @@
   void write_record(rpc::JobRecordT const& record, done on_done);
   void write_results(rpc::ResultBatchT const& batch, done on_done);
   void write_end(std::string const& job, done on_done);
-  /// Removes the records of a job that nobody may ask for any more.
-  void remove_job(std::vector<std::string> keys);
+  /// Removes records that nobody may ask for any more.
+  void remove(std::vector<std::string> keys);
 
   bool is_idle() const { return queue_.empty() && !writing_; }
   std::uint64_t transactions() const { return transactions_; }
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/pool_lease.cc
@@ -12,8 +12,8 @@
 constexpr std::string_view k_prefix = "frostline/owners/";
 /// A node that has just owned the pool asks for it again before the others do.
 constexpr milliseconds k_return_delay{20};
-constexpr milliseconds k_first_delay{120};
-constexpr milliseconds k_delay_spread{500};
+constexpr milliseconds k_first_delay{30};
+constexpr milliseconds k_delay_spread{240};
 constexpr milliseconds k_retry_pause{200};
 constexpr milliseconds k_transaction_timeout{1500};
 
@@ -54,16 +54,17 @@
   if (!decoded) return;
   auto const address = parse_endpoint(decoded->address);
   if (!address) return;
-  bool const news = !owner_ || owner_->epoch != record->create_revision;
-  owner_ = known_owner{decoded->node, *address, record->create_revision};
+  bool const news = !owner_ || owner_->epoch != record->mod_revision;
+  owner_ = known_owner{decoded->node, *address, record->mod_revision};
+  record_revision_ = record->mod_revision;
   last_owner_ = decoded->node;
   bool const own = decoded->token == token_;
-  if (own && state_ == lease_state::acquiring) become_owner(record->create_revision);
-  bool const overtaken = state_ == lease_state::owner && record->create_revision != epoch_;
+  if (own && state_ == lease_state::acquiring) become_owner(record->mod_revision);
+  bool const overtaken = state_ == lease_state::owner && record->mod_revision != epoch_;
   if (!own && overtaken) stop_owning("another owner");
   if (news) {
     log_line(log_level::info, k_part, "Owner known.",
-             {{"pool", pool_}, {"owner", decoded->node}, {"epoch", record->create_revision}});
+             {{"pool", pool_}, {"owner", decoded->node}, {"epoch", record->mod_revision}});
     changed_.notify_all();
   }
 }
@@ -71,10 +72,9 @@
 void pool_lease::become_owner(std::uint64_t epoch) {
   state_ = lease_state::owner;
   epoch_ = epoch;
-  bool const no_other = last_owner_.empty() || last_owner_ == options_.node;
-  bool const again = no_other && was_owner_before_;
+  // Orders of one machine, whichever of its processes gives them, never count as another's.
+  bool const again = last_owner_ == options_.node;
   orders_from_ = again ? steady_clock::now() : steady_clock::now() + order_gap_;
-  was_owner_before_ = true;
   last_owner_ = options_.node;
   owner_ = known_owner{options_.node, options_.address, epoch};
   log_line(log_level::info, k_part, "Pool acquired.", {{"pool", pool_}, {"epoch", epoch}});
@@ -95,7 +95,7 @@
   while (!released_) {
     if (state_ == lease_state::owner) {
       co_await renew();
-    } else if (record_known_ && !owner_) {
+    } else if (record_known_ && (!owner_ || owner_->node == options_.node)) {
       co_await compete();
     } else {
       co_await changed_.wait_until(steady_clock::now() + seconds(1));
@@ -104,22 +104,24 @@
 }
 
 awaitable<void> pool_lease::compete() {
-  bool const returning = was_owner_before_ && last_owner_ == options_.node;
+  bool const returning = last_owner_ == options_.node;
   milliseconds const delay =
       returning ? k_return_delay : k_first_delay + with_jitter(k_delay_spread);
   co_await changed_.wait_until(steady_clock::now() + delay);
-  if (owner_ || released_) co_return;
+  bool const own_former = owner_ && owner_->node == options_.node;
+  if ((owner_ && !own_former) || released_) co_return;
   state_ = lease_state::acquiring;
-  bool const done = co_await create_record();
+  bool const done = co_await create_record(own_former ? record_revision_ : 0);
   if (state_ != lease_state::acquiring) co_return;
   state_ = lease_state::standby;
   if (!done) co_await changed_.wait_until(steady_clock::now() + with_jitter(k_retry_pause));
 }
 
-awaitable<bool> pool_lease::create_record() {
+awaitable<bool> pool_lease::create_record(kv::revision replaced) {
   time_point const asked = steady_clock::now();
   auto lease = co_await store_.grant_lease(options_.time_to_live);
-  if (!lease || owner_) co_return false;
+  bool const overtaken = owner_ && (replaced == 0 || record_revision_ != replaced);
+  if (!lease || overtaken) co_return false;
   lease_ = lease.value();
   token_ = make_unique_token();
   rpc::PoolOwnerT record;
@@ -127,7 +129,7 @@
   record.address = options_.address.to_string();
   record.token = token_;
   kv::transaction change;
-  change.compares.push_back({key_of(pool_), 0});
+  change.compares.push_back({key_of(pool_), replaced});
   kv::operation put;
   put.key = key_of(pool_);
   put.value = rpc::encode(record);
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/pool_lease.h
@@ -70,7 +70,8 @@
  private:
   awaitable<void> run();
   awaitable<void> compete();
-  awaitable<bool> create_record();
+  /// @param replaced revision of the record of this machine's own former process; 0: none.
+  awaitable<bool> create_record(kv::revision replaced);
   awaitable<void> renew();
   void become_owner(std::uint64_t epoch);
   void stop_owning(std::string_view cause);
@@ -87,9 +88,10 @@
   time_point orders_from_ = time_point::max();
   milliseconds order_gap_{3000};
   std::optional<known_owner> owner_;
+  /// Revision of the owner's record.
+  kv::revision record_revision_ = 0;
   /// Node that owned the pool last, as far as is known.
   std::string last_owner_;
-  bool was_owner_before_ = false;
   bool record_known_ = false;
   bool released_ = false;
   std::function<void()> on_gained_;
--- /dev/null
+++ b/tests/support/memory_record_store.h
@@ -0,0 +1,63 @@
+/// @file A record store in memory for unit tests, with lost answers and late writes.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "kv/record_store.h"
+
+namespace frostline::testing {
+
+class memory_record_store final : public kv::record_store {
+ public:
+  explicit memory_record_store(asio::io_context& context) : changed_(context) {}
+
+  awaitable<result<kv::range_answer>> list(std::string prefix) override;
+  awaitable<result<kv::transaction_answer>> apply(kv::transaction change,
+                                                  milliseconds timeout) override;
+  awaitable<result<kv::watch_batch>> watch(std::string prefix, kv::revision after,
+                                           milliseconds wait) override;
+  awaitable<result<kv::lease_id>> grant_lease(milliseconds time_to_live) override;
+  awaitable<result<milliseconds>> renew_lease(kv::lease_id lease) override;
+  awaitable<result<bool>> end_lease(kv::lease_id lease) override;
+  awaitable<result<bool>> probe(milliseconds timeout) override;
+
+  void put_now(std::string const& key, std::string const& value);
+  void remove_now(std::string const& key);
+  std::vector<kv::key_value> list_now(std::string const& prefix) const;
+  kv::revision revision_of(std::string const& key) const;
+  std::uint32_t writes_of(std::string const& key) const;
+  /// The next transactions take effect and have no answer.
+  void lose_answers(std::uint32_t count) { lost_answers_ = count; }
+  /// The next transaction has no answer and takes effect with apply_delayed, if it still may.
+  void delay_next_write() { delay_next_ = true; }
+  void apply_delayed();
+  /// Every lease runs out.
+  void expire_leases();
+  /// Watches from before now get no history.
+  void compact();
+  /// No call is answered: all fail as unavailable.
+  void set_down(bool down) { down_ = down; }
+  std::uint64_t watches() const { return watches_; }
+
+ private:
+  kv::transaction_answer apply_now(kv::transaction const& change);
+
+  async_condition changed_;
+  std::map<std::string, kv::key_value> items_;
+  std::vector<kv::watch_event> history_;
+  std::map<std::string, std::uint32_t> writes_;
+  kv::revision revision_ = 1;
+  kv::revision forgotten_ = 0;
+  kv::lease_id next_lease_ = 1;
+  std::vector<kv::lease_id> leases_;
+  std::uint32_t lost_answers_ = 0;
+  bool delay_next_ = false;
+  bool down_ = false;
+  std::uint64_t watches_ = 0;
+  std::optional<kv::transaction> delayed_;
+};
+
+}  // namespace frostline::testing
--- /dev/null
+++ b/tests/unit/jobs/record_log_test.cc
@@ -0,0 +1,144 @@
+/// @file What is read back of a pool's jobs, and how entries are written until their outcome is
+/// known.
+
+#include "jobs/record_log.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "memory_record_store.h"
+#include "rpc/blocking.h"
+#include "rpc/codec.h"
+
+using namespace frostline;
+using namespace frostline::jobs;
+using frostline::testing::memory_record_store;
+
+namespace {
+
+constexpr char k_pool[] = "pool";
+constexpr char k_owner_key[] = "owner";
+
+kv::key_value mark(std::string const& key, kv::revision revision) {
+  kv::key_value one;
+  one.key = key;
+  one.create_revision = revision;
+  return one;
+}
+
+rpc::JobRecordT job_of(std::string const& id, std::size_t body_bytes = 10) {
+  rpc::JobRecordT job;
+  job.id = id;
+  auto item = std::make_unique<rpc::JobItemT>();
+  item->id = id + "-item";
+  item->body.assign(body_bytes, 7);
+  job.items.push_back(std::move(item));
+  return job;
+}
+
+}  // namespace
+
+TEST_GROUP(record_log_test) {
+  asio::io_context context{1};
+  memory_record_store store{context};
+  record_log log{context, store, kv::store_limits(), k_pool};
+  std::vector<write_outcome> outcomes;
+
+  void setup() override {
+    store.put_now(k_owner_key, "me");
+    log.open(k_owner_key, store.revision_of(k_owner_key));
+  }
+
+  record_log::done note() {
+    return [this](write_outcome outcome) { outcomes.push_back(outcome); };
+  }
+
+  void run_until_idle() {
+    while (!log.is_idle() && context.run_one() > 0) {
+    }
+  }
+};
+
+TEST(record_log_test, jobs_accepted_in_one_transaction_are_all_found_again) {
+  std::vector<kv::key_value> records;
+  records.push_back(mark(record_keys::accepted_mark(k_pool, "first"), 5));
+  records.push_back(mark(record_keys::accepted_mark(k_pool, "second"), 5));
+  records.push_back(mark(record_keys::accepted_mark(k_pool, "earlier"), 4));
+  records.push_back(mark(record_keys::accepted_mark(k_pool, "over"), 5));
+  records.push_back(mark(record_keys::ended_mark(k_pool, "over"), 6));
+  stored_marks const marks = read_marks(k_pool, records);
+  LONGS_EQUAL(3, marks.open.size());
+  STRCMP_EQUAL("earlier", marks.open.front().c_str());
+  LONGS_EQUAL(1, marks.ended.size());
+  STRCMP_EQUAL("over", marks.ended.front().c_str());
+}
+
+TEST(record_log_test, entries_that_wait_share_a_transaction) {
+  log.write_record(job_of("a"), note());
+  log.write_record(job_of("b"), note());
+  log.write_record(job_of("c"), note());
+  run_until_idle();
+  LONGS_EQUAL(3, outcomes.size());
+  for (write_outcome outcome : outcomes) CHECK(outcome == write_outcome::stored);
+  // The first goes alone; the others gather while it is under way.
+  CHECK(log.transactions() <= 2);
+}
+
+TEST(record_log_test, large_record_is_stored_in_parts_and_read_back) {
+  kv::store_limits small;
+  small.value_bytes = 4096;
+  record_log small_log(context, store, small, k_pool);
+  small_log.open(k_owner_key, store.revision_of(k_owner_key));
+  small_log.write_record(job_of("large", 9000), note());
+  while (!small_log.is_idle() && context.run_one() > 0) {
+  }
+  CHECK(outcomes.at(0) == write_outcome::stored);
+  auto const records = store.list_now(record_keys::data_prefix(k_pool, "large"));
+  CHECK(records.size() > 3);
+  stored_job const read = read_job(k_pool, "large", records);
+  CHECK(read.record.has_value());
+  LONGS_EQUAL(9000, read.record->items.front()->body.size());
+}
+
+TEST(record_log_test, record_that_fits_no_transaction_is_refused_and_nothing_is_written) {
+  kv::store_limits small;
+  small.value_bytes = 1024;
+  record_log small_log(context, store, small, k_pool);
+  small_log.open(k_owner_key, store.revision_of(k_owner_key));
+  small_log.write_record(job_of("large", 100'000), note());
+  CHECK(outcomes.at(0) == write_outcome::too_large);
+  LONGS_EQUAL(0, store.list_now(record_keys::data_prefix(k_pool, "large")).size());
+}
+
+TEST(record_log_test, write_whose_answer_is_lost_is_stored_once_and_told_so) {
+  store.lose_answers(1);
+  log.write_record(job_of("job"), note());
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::stored);
+  LONGS_EQUAL(1, store.writes_of(record_keys::accepted_mark(k_pool, "job")));
+}
+
+TEST(record_log_test, late_copy_of_a_lost_write_changes_nothing) {
+  store.delay_next_write();
+  log.write_record(job_of("job"), note());
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::stored);
+  store.apply_delayed();
+  LONGS_EQUAL(1, store.writes_of(record_keys::accepted_mark(k_pool, "job")));
+}
+
+TEST(record_log_test, former_owner_writes_nothing) {
+  store.put_now(k_owner_key, "another");
+  log.write_end("job", note());
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::ownership_lost);
+  LONGS_EQUAL(0, store.writes_of(record_keys::ended_mark(k_pool, "job")));
+}
+
+TEST(record_log_test, closing_ends_what_is_queued) {
+  log.write_end("a", note());
+  log.write_end("b", note());
+  log.close();
+  context.run_for(std::chrono::seconds(1));
+  LONGS_EQUAL(2, outcomes.size());
+  for (write_outcome outcome : outcomes) CHECK(outcome == write_outcome::ownership_lost);
+}
