--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -173,6 +173,8 @@
     if (steady_clock::now() >= one.deadline) break;
     auto const ready = parts_.servers.ready_servers(one.service);
     directory::server const* chosen = parts_.selector.pick(ready, one.tried, steady_clock::now());
+    bool const all_failed = chosen == nullptr && one.may_have_run && one.by->is_repeatable();
+    if (all_failed) chosen = parts_.selector.pick(ready, {}, steady_clock::now());
     if (chosen == nullptr) break;
     one.tried.insert(chosen->id);
     one.server = chosen->id;
@@ -266,8 +268,8 @@
     co_await from.answer(give_up_answer(give_up_reason::no_route));
     co_return;
   }
-  time_point const latest = steady_clock::now() + by->timeout - k_answer_margin;
-  journey one = begin(table, *by, std::move(message), std::min(deadline, latest), &from);
+  time_point const latest = std::min(deadline, steady_clock::now() + by->timeout);
+  journey one = begin(table, *by, std::move(message), latest - k_answer_margin, &from);
   if (by->kind == route_kind::streaming) {
     co_await run_stream(one);
     co_return;
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -1,8 +1,11 @@
 /// @file Batch jobs on the users' platform, through real gateway processes.
 
 #include <CppUTest/TestHarness.h>
+#include <signal.h>
 
 #include <boost/json.hpp>
+#include <map>
+#include <set>
 
 #include "http/json_fields.h"
 #include "platform_cluster.h"
@@ -10,38 +13,63 @@
 using namespace frostline;
 using namespace frostline::testing;
 
-TEST_GROUP(jobs_test) {
-  platform_cluster system{platform_options()};
+namespace {
 
-  static std::vector<test_item> make_items(std::string const& job, std::size_t count) {
-    std::vector<test_item> items;
-    for (std::size_t index = 0; index < count; ++index) {
-      items.push_back({job + "-" + std::to_string(index), "group-" + std::to_string(index / 4)});
-    }
-    return items;
+constexpr std::uint32_t k_events = 5;
+
+platform_options with_slow_runs() {
+  platform_options options;
+  options.event_gap = milliseconds(150);
+  return options;
+}
+
+std::vector<test_item> make_items(std::string const& job, std::size_t count) {
+  std::vector<test_item> items;
+  for (std::size_t index = 0; index < count; ++index) {
+    items.push_back({job + "-" + std::to_string(index), "group-" + std::to_string(index / 4)});
   }
+  return items;
+}
 
-  static std::string whole_text(std::string const& item, std::uint32_t events) {
-    std::string text;
-    for (std::uint32_t id = 0; id < events; ++id) {
-      text += (id == 0 ? "" : "\n") + item + "." + std::to_string(id);
-    }
-    return text;
+std::string whole_text(std::string const& item) {
+  std::string text;
+  for (std::uint32_t id = 0; id < k_events; ++id) {
+    text += (id == 0 ? "" : "\n") + item + "." + std::to_string(id);
   }
+  return text;
+}
 
-  static void check_whole(boost::json::object const& listed, std::size_t count) {
-    auto const& results = listed.at("results").as_array();
-    LONGS_EQUAL(count, results.size());
-    for (auto const& one : results) {
-      std::string const id = json_text(one.as_object(), "id");
-      STRCMP_EQUAL("completed", json_text(one.as_object(), "state").c_str());
-      STRCMP_EQUAL(whole_text(id, 5).c_str(), json_text(one.as_object(), "text").c_str());
-      STRCMP_EQUAL(("stamp-score-" + id).c_str(), json_text(one.as_object(), "score").c_str());
-    }
+/// Every result is whole, scored by its own scorer, and stands at one position.
+void check_whole(boost::json::object const& listed, std::size_t count) {
+  auto const& results = listed.at("results").as_array();
+  LONGS_EQUAL(count, results.size());
+  std::set<std::string> seen;
+  for (auto const& one : results) {
+    std::string const id = json_text(one.as_object(), "id");
+    CHECK(seen.insert(id).second);
+    STRCMP_EQUAL("completed", json_text(one.as_object(), "state").c_str());
+    STRCMP_EQUAL(whole_text(id).c_str(), json_text(one.as_object(), "text").c_str());
+    STRCMP_EQUAL(("stamp-score-" + id).c_str(), json_text(one.as_object(), "score").c_str());
   }
-};
+}
+
+std::vector<arrival> engine_arrivals(platform_cluster& system) {
+  return system.on_platform([&] {
+    std::vector<arrival> all;
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      auto const& some = system.engine(index).arrivals();
+      all.insert(all.end(), some.begin(), some.end());
+    }
+    return all;
+  });
+}
+
+}  // namespace
+
+TEST_GROUP(jobs_test){};
 
 TEST(jobs_test, job_is_run_scored_listed_and_ended_through_any_node) {
+  platform_cluster system{platform_options()};
   LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 12)));
   check_whole(system.wait_for_results(1, "job", 12), 12);
   auto const ended = system.call(2, http::verb::delete_, "/api/lots/job", "");
@@ -49,3 +77,208 @@
   LONGS_EQUAL(200, ended.value().result_int());
   check_whole(system.wait_for_results(2, "job", 12), 12);
 }
+
+TEST(jobs_test, job_that_comes_at_two_nodes_is_taken_once) {
+  platform_cluster system{platform_options()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 4)));
+  LONGS_EQUAL(202, system.submit(1, "job", make_items("job", 4)));
+  check_whole(system.wait_for_results(2, "job", 4), 4);
+  std::map<std::string, int> runs;
+  for (arrival const& one : engine_arrivals(system)) ++runs[one.request];
+  for (auto const& [id, count] : runs) LONGS_EQUAL(1, count);
+}
+
+TEST(jobs_test, broken_streams_are_resumed_after_their_last_event) {
+  platform_cluster system{platform_options()};
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      system.engine(index).faults().break_after = 2;
+      system.engine(index).faults().breaks = 2;
+    }
+    return 0;
+  });
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 8)));
+  check_whole(system.wait_for_results(1, "job", 8), 8);
+  int resumed = 0;
+  for (arrival const& one : engine_arrivals(system)) {
+    if (one.last_event == "1") ++resumed;
+  }
+  CHECK(resumed >= 1);
+}
+
+TEST(jobs_test, item_that_fails_at_each_run_is_dead_after_its_attempts) {
+  platform_options options;
+  options.engines = 1;
+  platform_cluster system{options};
+  system.on_platform([&] {
+    system.engine(0).faults().failures = 1000;
+    return 0;
+  });
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 1)));
+  auto const listed = system.wait_for_results(1, "job", 1);
+  auto const& result = listed.at("results").as_array().front().as_object();
+  STRCMP_EQUAL("dead", json_text(result, "state").c_str());
+  LONGS_EQUAL(3, engine_arrivals(system).size());
+}
+
+TEST(jobs_test, body_of_an_item_comes_back_until_the_job_is_ended) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 2)));
+  auto const body = system.call(1, http::verb::get, "/api/items/job?id=job-1", "");
+  CHECK(body.has_value());
+  LONGS_EQUAL(200, body.value().result_int());
+  STRCMP_EQUAL("prompt of job-1", body.value().body().c_str());
+  CHECK(system.call(2, http::verb::delete_, "/api/lots/job", "").has_value());
+  auto const gone = system.call(1, http::verb::get, "/api/items/job?id=job-1", "");
+  LONGS_EQUAL(404, gone.value().result_int());
+}
+
+TEST(jobs_test, unknown_job_is_told_so_and_malformed_one_is_refused) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  auto const unknown = system.call(0, http::verb::get, "/api/lots/nothing?after_rev=0", "");
+  LONGS_EQUAL(404, unknown.value().result_int());
+  auto const malformed = system.call(0, http::verb::post, "/jobs/bad", "bad", "{\"requests\":7}");
+  LONGS_EQUAL(400, malformed.value().result_int());
+  auto const empty = system.call(0, http::verb::post, "/jobs/bad", "bad", "{\"requests\":[]}");
+  LONGS_EQUAL(400, empty.value().result_int());
+}
+
+TEST(jobs_test, nothing_of_an_ended_job_reaches_an_engine) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 60)));
+  platform_cluster::wait_until("runs have begun", [&] { return !engine_arrivals(system).empty(); });
+  CHECK(system.call(1, http::verb::delete_, "/api/lots/job", "").has_value());
+  // What was under way when the end was acknowledged has arrived once a later job is done.
+  LONGS_EQUAL(202, system.submit(2, "next", make_items("next", 4)));
+  system.wait_for_results(0, "next", 4);
+  std::size_t const before = engine_arrivals(system).size();
+  LONGS_EQUAL(202, system.submit(1, "last", make_items("last", 4)));
+  system.wait_for_results(0, "last", 4);
+  auto const after = engine_arrivals(system);
+  CHECK(after.size() > before);
+  CHECK(after.size() < 60);
+  std::size_t of_ended = 0;
+  for (std::size_t index = 0; index < system.engines(); ++index) {
+    auto const arrivals = system.on_platform([&] { return system.engine(index).arrivals(); });
+    bool later_job_seen = false;
+    for (arrival const& one : arrivals) {
+      later_job_seen = later_job_seen || one.request.starts_with("last");
+      if (later_job_seen && one.request.starts_with("job")) ++of_ended;
+    }
+  }
+  LONGS_EQUAL(0, of_ended);
+}
+
+TEST(jobs_test, killed_owner_is_followed_and_positions_stay) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 24)));
+  system.wait_for_results(0, "job", 4);
+  std::size_t const owner = system.owner();
+  std::size_t const other = (owner + 1) % 3;
+  auto const before = system.results(other, "job");
+  CHECK(before.has_value());
+  system.node(owner).kill();
+  auto const after = system.wait_for_results(other, "job", 24);
+  check_whole(after, 24);
+  auto const& kept = before->at("results").as_array();
+  for (std::size_t place = 0; place < kept.size(); ++place) {
+    CHECK(kept[place] == after.at("results").as_array()[place]);
+  }
+}
+
+TEST(jobs_test, restarted_owner_goes_on_without_waiting_for_its_own_former_lease) {
+  platform_cluster system{platform_options()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 4)));
+  std::size_t const owner = system.owner();
+  // Only this node is left, so nobody else can take the pool.
+  for (std::size_t index = 0; index < 3; ++index) system.node(index).kill();
+  system.start_node(owner);
+  platform_cluster::wait_until("it is ready", [&] { return system.is_ready(owner); });
+  check_whole(system.wait_for_results(owner, "job", 4), 4);
+  STRCMP_CONTAINS("Pool acquired", system.log(owner).c_str());
+}
+
+TEST(jobs_test, all_nodes_are_killed_at_once_and_nothing_accepted_is_lost) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 8)));
+  for (std::size_t index = 0; index < 3; ++index) system.node(index).kill();
+  for (std::size_t index = 0; index < 3; ++index) system.start_node(index);
+  check_whole(system.wait_for_results(1, "job", 8), 8);
+}
+
+TEST(jobs_test, results_finished_while_the_store_is_silent_are_listed_after_it) {
+  platform_cluster system{platform_options()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 8)));
+  system.on_platform([&] {
+    system.store().faults().busy = true;
+    return 0;
+  });
+  platform_cluster::wait_until("all runs have ended", [&] {
+    return system.on_platform([&] {
+      std::size_t scored = 0;
+      for (std::size_t index = 0; index < 2; ++index) scored += system.app(index).arrivals().size();
+      return scored >= 8;
+    });
+  });
+  system.on_platform([&] {
+    system.store().faults().busy = false;
+    return 0;
+  });
+  check_whole(system.wait_for_results(2, "job", 8), 8);
+}
+
+TEST(jobs_test, accepted_once_when_the_stores_answer_is_lost_or_late) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  system.on_platform([&] {
+    system.store().faults().lost_transactions = 1;
+    return 0;
+  });
+  LONGS_EQUAL(202, system.submit(0, "lost", make_items("lost", 4)));
+  system.on_platform([&] {
+    system.store().faults().late_transactions = 1;
+    system.store().faults().lateness = milliseconds(500);
+    return 0;
+  });
+  LONGS_EQUAL(202, system.submit(1, "late", make_items("late", 4)));
+  check_whole(system.wait_for_results(2, "lost", 4), 4);
+  check_whole(system.wait_for_results(2, "late", 4), 4);
+}
+
+TEST(jobs_test, lapsed_lease_costs_no_result) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 16)));
+  system.wait_for_results(0, "job", 1);
+  system.on_platform([&] {
+    system.store().expire_leases();
+    return 0;
+  });
+  check_whole(system.wait_for_results(1, "job", 16), 16);
+}
+
+TEST(jobs_test, planned_stop_of_the_owner_hands_its_jobs_on) {
+  platform_cluster system{with_slow_runs()};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 24)));
+  std::size_t const owner = system.owner();
+  system.node(owner).send_signal(SIGTERM);
+  std::size_t const other = (owner + 1) % 3;
+  check_whole(system.wait_for_results(other, "job", 24), 24);
+  LONGS_EQUAL(0, system.node(owner).wait(15));
+}
+
+TEST(jobs_test, machine_that_is_to_be_emptied_is_reported_empty) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  system.on_platform([&] {
+    system.store().put("op/retire/storage-1", "{\"duration_s\":10}");
+    return 0;
+  });
+  platform_cluster::wait_until("the report is there", [&] {
+    return system.on_platform([&] {
+      auto const found = system.store().items().find("status/retire/storage-1");
+      return found != system.store().items().end() &&
+             found->second.value.find("completed") != std::string::npos;
+    });
+  });
+}
