More unit tests; the machine list's folder is named after what it holds

Cause: followers, pool leases, routes, events, settings and the platform's codecs had no tests of their own; src/platform held the machine list and was mistaken for platform/.

--- a/src/engines/controller.cc
+++ b/src/engines/controller.cc
@@ -53,7 +53,7 @@
 
 controller::controller(asio::io_context& context, http::client& transport,
                        config::store const& store, routing::leaving_tracker& leaving,
-                       platform::machine machine, kv::revision epoch)
+                       machines::machine machine, kv::revision epoch)
     : context_(context),
       store_(store),
       leaving_(leaving),
--- a/src/engines/controller.h
+++ b/src/engines/controller.h
@@ -10,7 +10,7 @@
 #include "config/store.h"
 #include "engines/engine_client.h"
 #include "engines/spans.h"
-#include "platform/machine_list.h"
+#include "machines/machine_list.h"
 #include "routing/leaving_tracker.h"
 
 namespace frostline::engines {
@@ -36,7 +36,7 @@
 class controller : public std::enable_shared_from_this<controller> {
  public:
   controller(asio::io_context& context, http::client& transport, config::store const& store,
-             routing::leaving_tracker& leaving, platform::machine machine, kv::revision epoch);
+             routing::leaving_tracker& leaving, machines::machine machine, kv::revision epoch);
 
   void start();
   /// This node no longer owns the engine; samples in flight go on.
@@ -52,7 +52,7 @@
 
   rpc::EngineStatusT status() const;
   kv::revision epoch() const { return epoch_; }
-  platform::machine const& machine() const { return machine_; }
+  machines::machine const& machine() const { return machine_; }
   std::size_t in_flight() const { return running_.size(); }
 
  private:
@@ -79,7 +79,7 @@
   asio::io_context& context_;
   config::store const& store_;
   routing::leaving_tracker& leaving_;
-  platform::machine machine_;
+  machines::machine machine_;
   kv::revision epoch_;
   engine_client client_;
   async_condition wanted_changed_;
--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -83,12 +83,13 @@
     return std::tuple(!useless, plan.need.newest - one.version, one.homes, one.engine->in_flight,
                       one.engine->server.id);
   };
-  std::sort(plan.others.begin(), plan.others.end(),
-            [&](candidate const& left, candidate const& right) { return rank(right) < rank(left); });
+  std::sort(
+      plan.others.begin(), plan.others.end(),
+      [&](candidate const& left, candidate const& right) { return rank(right) < rank(left); });
 }
 
-model_plan plan_model(engine_board const& board, model_needs const& needs,
-                      std::string const& model, model_need const& need, double total_demand) {
+model_plan plan_model(engine_board const& board, model_needs const& needs, std::string const& model,
+                      model_need const& need, double total_demand) {
   model_plan plan;
   plan.model = model;
   plan.need = need;
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -57,8 +57,7 @@
   return std::string(k_prefix) + pool + std::string(k_data_part) + job + "/";
 }
 
-std::string record_keys::record(std::string const& pool, std::string const& job,
-                                std::size_t part) {
+std::string record_keys::record(std::string const& pool, std::string const& job, std::size_t part) {
   return data_prefix(pool, job) + std::string(k_record_part) + padded(part);
 }
 
--- a/src/platform/machine_list.cc
+++ b/src/machines/machine_list.cc
@@ -1,9 +1,9 @@
-#include "platform/machine_list.h"
+#include "machines/machine_list.h"
 
 #include "base/log.h"
 #include "http/json_fields.h"
 
-namespace frostline::platform {
+namespace frostline::machines {
 namespace {
 
 constexpr std::string_view k_part = "machines";
@@ -76,4 +76,4 @@
   }
 }
 
-}  // namespace frostline::platform
+}  // namespace frostline::machines
--- a/src/platform/machine_list.h
+++ b/src/machines/machine_list.h
@@ -9,7 +9,7 @@
 #include "base/endpoint.h"
 #include "http/client.h"
 
-namespace frostline::platform {
+namespace frostline::machines {
 
 enum class machine_kind { engine, app, node, other };
 
@@ -56,4 +56,4 @@
   std::vector<std::function<void()>> listeners_;
 };
 
-}  // namespace frostline::platform
+}  // namespace frostline::machines
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -75,7 +75,7 @@
   membership::gossip_service gossip_{context_, members_};
   config::store config_;
   config::sync config_sync_{context_, kv_, transport_, members_, config_};
-  platform::machine_list machines_{context_, transport_, settings_.machines};
+  machines::machine_list machines_{context_, transport_, settings_.machines};
   routing::leaving_tracker leaving_;
   std::unique_ptr<bulk::store> bulk_store_;
   std::unique_ptr<bulk::client> bulk_;
@@ -112,11 +112,11 @@
                                                 [this] { return rollout_->list_resources(); });
   routing::proxy_hooks hooks;
   hooks.is_cut_off = [this] { return is_cut_off(); };
-  hooks.is_leaving = [this](platform::machine const& server) {
+  hooks.is_leaving = [this](machines::machine const& server) {
     take_gossiped_leaving();
     return leaving_.is_leaving(server.id, server.incarnation, server.incarnation);
   };
-  hooks.heard_leaving = [this](platform::machine const& server) {
+  hooks.heard_leaving = [this](machines::machine const& server) {
     members_.spread_leaving(server.id, server.incarnation);
   };
   proxy_ = std::make_unique<routing::proxy>(context_, transport_, config_, machines_, claims_,
@@ -261,7 +261,7 @@
       // A list that flaps may show it to some nodes only.
       members_.spread_leaving(id, machine.incarnation);
     }
-    if (machine.kind != platform::machine_kind::node || machine.leaving) continue;
+    if (machine.kind != machines::machine_kind::node || machine.leaving) continue;
     membership::member_update seed;
     seed.id = id;
     seed.zone = machine.zone;
--- a/src/operators/service.cc
+++ b/src/operators/service.cc
@@ -93,7 +93,7 @@
 
 service::service(kv::client& kv_service, http::client& transport, config::store const& store,
                  config::sync& sync, membership::table const& members,
-                 platform::machine_list const& machines,
+                 machines::machine_list const& machines,
                  std::function<void(rpc::GetStatusResponseT&)> describe_local)
     : kv_(kv_service),
       transport_(transport),
@@ -169,7 +169,7 @@
 }
 
 awaitable<service::change_reply> service::set_drain(rpc::SetDrainRequestT request) {
-  platform::machine const* machine = machines_.find(request.backend);
+  machines::machine const* machine = machines_.find(request.backend);
   if (machine == nullptr) co_return not_found("no such back end in the machine list");
   rpc::DrainRecordT record;
   record.backend = request.backend;
@@ -268,7 +268,7 @@
   std::set<std::string> controlled;
   for (auto const& engine : status.engines) controlled.insert(engine->id);
   for (auto const& [id, machine] : machines_.machines()) {
-    if (machine.kind != platform::machine_kind::engine || controlled.contains(id)) continue;
+    if (machine.kind != machines::machine_kind::engine || controlled.contains(id)) continue;
     auto item = std::make_unique<rpc::EngineStatusT>();
     item->id = id;
     item->address = machine.address.to_string();
--- a/src/operators/service.h
+++ b/src/operators/service.h
@@ -9,8 +9,8 @@
 #include "config/sync.h"
 #include "http/client.h"
 #include "kv/client.h"
+#include "machines/machine_list.h"
 #include "membership/table.h"
-#include "platform/machine_list.h"
 #include "rpc/dispatcher.h"
 
 namespace frostline::operators {
@@ -24,7 +24,7 @@
   /// @param describe_local adds what only this node knows to a status.
   service(kv::client& kv_service, http::client& transport, config::store const& store,
           config::sync& sync, membership::table const& members,
-          platform::machine_list const& machines,
+          machines::machine_list const& machines,
           std::function<void(rpc::GetStatusResponseT&)> describe_local);
 
   void register_methods(rpc::dispatcher& methods);
@@ -60,7 +60,7 @@
   config::store const& store_;
   config::sync& sync_;
   membership::table const& members_;
-  platform::machine_list const& machines_;
+  machines::machine_list const& machines_;
   std::function<void(rpc::GetStatusResponseT&)> describe_local_;
 };
 
--- a/src/rollout/context.h
+++ b/src/rollout/context.h
@@ -12,9 +12,9 @@
 #include "engines/controller.h"
 #include "http/client.h"
 #include "kv/client.h"
+#include "machines/machine_list.h"
 #include "membership/table.h"
 #include "ownership/keeper.h"
-#include "platform/machine_list.h"
 #include "routing/leaving_tracker.h"
 
 namespace frostline::rollout {
@@ -28,7 +28,7 @@
   config::sync& config_sync;
   membership::table const& members;
   ownership::keeper const& owner;
-  platform::machine_list const& machines;
+  machines::machine_list const& machines;
   routing::leaving_tracker const& leaving;
   bulk::client& bulk;
   std::string zone;
--- a/src/rollout/service.cc
+++ b/src/rollout/service.cc
@@ -69,7 +69,7 @@
     }
   }
   for (auto const& [id, machine] : parts_.machines.machines()) {
-    if (machine.kind != platform::machine_kind::engine) continue;
+    if (machine.kind != machines::machine_kind::engine) continue;
     resources.push_back({config::key_of(config::k_engine_owners, id), machine.zone});
   }
   return resources;
@@ -111,7 +111,7 @@
     if (controller->in_flight() > 0) retired_.push_back(controller);
   };
   for (auto const& [id, machine] : parts_.machines.machines()) {
-    if (machine.kind != platform::machine_kind::engine) continue;
+    if (machine.kind != machines::machine_kind::engine) continue;
     kv::revision const epoch = parts_.owner.epoch_of(config::key_of(config::k_engine_owners, id));
     auto const existing = controllers_.find(id);
     bool const current = existing != controllers_.end() && existing->second->epoch() == epoch &&
--- a/src/rollout/shard_runs.cc
+++ b/src/rollout/shard_runs.cc
@@ -32,7 +32,7 @@
   auto const* task = task_record();
   std::set<std::string> usable;
   for (auto const& [id, machine] : parts_.machines.machines()) {
-    if (machine.kind != platform::machine_kind::engine) continue;
+    if (machine.kind != machines::machine_kind::engine) continue;
     auto const* owner = parts_.config.find_engine_owner(id);
     bool const leaves = machine.leaving || parts_.leaving.is_leaving(id, machine.incarnation, {});
     if (owner == nullptr || leaves || task == nullptr || !allows(*task, id)) continue;
--- a/src/routing/health_watch.cc
+++ b/src/routing/health_watch.cc
@@ -30,7 +30,7 @@
 awaitable<void> health_watch::watch_loop() {
   while (true) {
     for (auto const& [id, machine] : machines_.machines()) {
-      if (machine.kind != platform::machine_kind::app) continue;
+      if (machine.kind != machines::machine_kind::app) continue;
       auto const watchers = watchers_of(id, members_);
       bool const mine =
           std::find(watchers.begin(), watchers.end(), members_.self().id) != watchers.end();
@@ -40,7 +40,7 @@
   }
 }
 
-awaitable<void> health_watch::ask(platform::machine server) {
+awaitable<void> health_watch::ask(machines::machine server) {
   auto answer = co_await transport_.exchange(server.address, http::make_get("/healthz"), k_timeout);
   if (!answer) co_return;
   auto const body = parse_json_object(answer.value().body());
--- a/src/routing/health_watch.h
+++ b/src/routing/health_watch.h
@@ -7,8 +7,8 @@
 
 #include "base/asio.h"
 #include "http/client.h"
+#include "machines/machine_list.h"
 #include "membership/table.h"
-#include "platform/machine_list.h"
 
 namespace frostline::routing {
 
@@ -21,18 +21,18 @@
 class health_watch {
  public:
   health_watch(asio::io_context& context, http::client& transport,
-               platform::machine_list const& machines, membership::table& members)
+               machines::machine_list const& machines, membership::table& members)
       : context_(context), transport_(transport), machines_(machines), members_(members) {}
 
   void start();
 
  private:
   awaitable<void> watch_loop();
-  awaitable<void> ask(platform::machine server);
+  awaitable<void> ask(machines::machine server);
 
   asio::io_context& context_;
   http::client& transport_;
-  platform::machine_list const& machines_;
+  machines::machine_list const& machines_;
   membership::table& members_;
 };
 
--- a/src/routing/proxy.cc
+++ b/src/routing/proxy.cc
@@ -31,7 +31,7 @@
 }  // namespace
 
 proxy::proxy(asio::io_context& context, http::client& transport, config::store const& config,
-             platform::machine_list const& machines, claims& claim_registry, metrics& counters,
+             machines::machine_list const& machines, claims& claim_registry, metrics& counters,
              proxy_hooks hooks)
     : context_(context),
       transport_(transport),
@@ -96,7 +96,7 @@
 std::vector<std::string> proxy::usable_servers(rpc::RouteRecordT const& route) const {
   std::vector<std::string> usable;
   for (std::string const& id : route.backends) {
-    platform::machine const* server = machines_.find(id);
+    machines::machine const* server = machines_.find(id);
     if (server == nullptr || server->leaving) continue;
     if (!hooks_.is_leaving(*server)) usable.push_back(id);
   }
@@ -132,7 +132,7 @@
                                        k_no_back_end_retry);
   while (time_left(one.deadline).count() > 0) {
     auto const chosen = picker_.pick(usable_servers(one.route), one.tried, steady_clock::now());
-    platform::machine const* found = chosen ? machines_.find(*chosen) : nullptr;
+    machines::machine const* found = chosen ? machines_.find(*chosen) : nullptr;
     if (found == nullptr) co_return last;
     if (!claimed) {
       auto refusal = co_await claim_identifier(one);
@@ -144,7 +144,7 @@
     if (hooks_.is_cut_off()) {
       co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
     }
-    platform::machine const server = *found;
+    machines::machine const server = *found;
     one.tried.insert(server.id);
     try_outcome outcome = co_await try_once(one, server);
     if (outcome.answer) co_return std::move(*outcome.answer);
@@ -163,7 +163,7 @@
   co_return last;
 }
 
-awaitable<proxy::try_outcome> proxy::try_once(call& one, platform::machine const& server) {
+awaitable<proxy::try_outcome> proxy::try_once(call& one, machines::machine const& server) {
   auto const use =
       one.route.repeatable ? http::connection_use::pooled : http::connection_use::fresh;
   http::request copy = one.message;
@@ -174,7 +174,7 @@
   co_return take_answer(server, std::move(answer.value()));
 }
 
-proxy::try_outcome proxy::take_answer(platform::machine const& server, http::response answer) {
+proxy::try_outcome proxy::take_answer(machines::machine const& server, http::response answer) {
   picker_.note_answer(server.id);
   if (!http::header(answer, k_leaving_header).empty()) hooks_.heard_leaving(server);
   try_outcome outcome;
@@ -189,7 +189,7 @@
   return outcome;
 }
 
-proxy::try_outcome proxy::take_error(platform::machine const& server, std::error_code error) {
+proxy::try_outcome proxy::take_error(machines::machine const& server, std::error_code error) {
   picker_.note_failure(server.id, steady_clock::now());
   try_outcome outcome;
   std::string detail = "back end " + server.id + ": " + error.message();
--- a/src/routing/proxy.h
+++ b/src/routing/proxy.h
@@ -10,7 +10,7 @@
 #include "base/asio.h"
 #include "config/store.h"
 #include "http/client.h"
-#include "platform/machine_list.h"
+#include "machines/machine_list.h"
 #include "routing/admission.h"
 #include "routing/back_end_picker.h"
 #include "routing/claims.h"
@@ -32,15 +32,15 @@
   /// Whether this node may be cut off and must send nothing new.
   std::function<bool()> is_cut_off;
   /// Whether a server must get nothing new.
-  std::function<bool(platform::machine const&)> is_leaving;
+  std::function<bool(machines::machine const&)> is_leaving;
   /// A server has said in an answer that it leaves.
-  std::function<void(platform::machine const&)> heard_leaving;
+  std::function<void(machines::machine const&)> heard_leaving;
 };
 
 class proxy {
  public:
   proxy(asio::io_context& context, http::client& transport, config::store const& config,
-        platform::machine_list const& machines, claims& claim_registry, metrics& counters,
+        machines::machine_list const& machines, claims& claim_registry, metrics& counters,
         proxy_hooks hooks);
 
   /// Answers one request; a problem is answered at once.
@@ -71,17 +71,17 @@
 
   awaitable<call_reply> serve(call& one, route_state& state);
   awaitable<call_reply> send_with_retries(call& one, route_state& state);
-  awaitable<try_outcome> try_once(call& one, platform::machine const& server);
+  awaitable<try_outcome> try_once(call& one, machines::machine const& server);
   awaitable<std::optional<rpc::problem>> claim_identifier(call const& one);
   std::vector<std::string> usable_servers(rpc::RouteRecordT const& route) const;
-  try_outcome take_answer(platform::machine const& server, http::response answer);
-  try_outcome take_error(platform::machine const& server, std::error_code error);
+  try_outcome take_answer(machines::machine const& server, http::response answer);
+  try_outcome take_error(machines::machine const& server, std::error_code error);
   route_state& state_of(rpc::RouteRecordT const& route);
 
   asio::io_context& context_;
   http::client& transport_;
   config::store const& config_;
-  platform::machine_list const& machines_;
+  machines::machine_list const& machines_;
   claims& claims_;
   metrics& metrics_;
   proxy_hooks hooks_;
--- a/tests/fuzz/engine_events_fuzz.cc
+++ b/tests/fuzz/engine_events_fuzz.cc
@@ -2,7 +2,7 @@
 
 #include "engines/engine_client.h"
 #include "engines/sse_parser.h"
-#include "platform/machine_list.h"
+#include "machines/machine_list.h"
 
 extern "C" int LLVMFuzzerTestOneInput(std::uint8_t const* data, std::size_t size) {
   std::string const text(reinterpret_cast<char const*>(data), size);
@@ -16,6 +16,6 @@
     }
   }
   frostline::engines::parse_load_report(text);
-  frostline::platform::parse_machine_list(text);
+  frostline::machines::parse_machine_list(text);
   return 0;
 }
--- /dev/null
+++ b/tests/platform/codec_test.cc
@@ -0,0 +1,95 @@
+/// @file The platform's records and bodies, well-formed and not.
+
+#include "platform/codec.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "base/encoding.h"
+
+using namespace frostline;
+using namespace frostline::adapter;
+
+TEST_GROUP(codec_test){};
+
+TEST(codec_test, configuration_with_every_kind_of_route) {
+  auto const parsed = parse_configuration(
+      R"({"version":7,"routes":[)"
+      R"({"name":"a","host":"h","path_prefix":"/a/","kind":"safe","timeout_ms":1500,)"
+      R"("target_latency_ms":150,"priority":2,"max_attempts":2,)"
+      R"("split":[{"service":"x","weight":90},{"service":"y","weight":10}]},)"
+      R"({"name":"b","host":"h","path_prefix":"/b/","kind":"unsafe","service":"x"},)"
+      R"({"name":"c","host":"h","path_prefix":"/c/","kind":"streaming","service":"x",)"
+      R"("resumable":true},)"
+      R"({"name":"d","host":"h","path_prefix":"/d/","kind":"rollout","service":"x",)"
+      R"("due_ms":7500,"max_queue_s":40.5,"single_version":true}],)"
+      R"("services":[{"name":"x","max_conns":150,"engine":{"slots":8,"kv_capacity":100,)"
+      R"("models":[{"name":"m"}]}},{"name":"y"}],"limits":{"max_body_bytes":1000}})");
+  CHECK(parsed.has_value());
+  LONGS_EQUAL(4, parsed->routes.size());
+  LONGS_EQUAL(2, parsed->routes[0].shares.size());
+  CHECK(parsed->routes[0].is_repeatable());
+  CHECK_FALSE(parsed->routes[1].is_repeatable());
+  CHECK(parsed->routes[2].is_repeatable());
+  CHECK(parsed->routes[3].kind == calls::route_kind::job);
+  LONGS_EQUAL(40'500, parsed->routes[3].max_queue.count());
+  CHECK(parsed->routes[3].single_version);
+  LONGS_EQUAL(8, parsed->services.at("x").engines->slots);
+  CHECK(parsed->services.at("y").engines == nullptr);
+  LONGS_EQUAL(1000, parsed->limits.body_bytes);
+}
+
+TEST(codec_test, configuration_that_is_not_whole_is_not_taken) {
+  for (char const* text : {"", "{", "[]", "{}", R"({"version":1})", R"({"version":0,"routes":[]})",
+                           R"({"version":1,"routes":[7],"services":[]})"}) {
+    CHECK_FALSE(parse_configuration(text).has_value());
+  }
+}
+
+TEST(codec_test, server_with_its_models) {
+  auto const parsed = parse_server(
+      "servers/i-1",
+      R"({"service":"x","address":"10.0.0.1:80","zone":"z","slots":8,"state":"draining",)"
+      R"("models":[{"name":"m","version":3}],"sequence":4})");
+  CHECK(parsed.has_value());
+  STRCMP_EQUAL("i-1", parsed->id.c_str());
+  CHECK(parsed->state == directory::server_state::draining);
+  LONGS_EQUAL(3, parsed->models.at("m"));
+  LONGS_EQUAL(4, parsed->sequence);
+  CHECK_FALSE(parse_server("servers/i-1", R"({"address":"nowhere"})").has_value());
+}
+
+TEST(codec_test, job_with_scorers_and_one_without_items) {
+  auto const parsed = parse_job(
+      R"({"step":7,"model":"m","min_version":6,"desired":2,"requests":[{"id":"i","path":"/p",)"
+      R"("headers":{"X-Frostline-Length-Hint":"55"},"body":"q83vEjRWeJA=","tokens":940,)"
+      R"("group":"g","scorer":{"id":"s","host":"h","path":"/s","body":"3q2+7w=="}}]})");
+  CHECK(parsed.has_value());
+  LONGS_EQUAL(8, parsed->items[0]->body.size());
+  LONGS_EQUAL(55, parsed->items[0]->length_hint);
+  LONGS_EQUAL(4, parsed->items[0]->scorer->body.size());
+  for (char const* text : {"", "{}", R"({"requests":[]})", R"({"requests":[{}]})",
+                           R"({"requests":[{"id":"i","path":"/p","body":"***"}]})"}) {
+    CHECK_FALSE(parse_job(text).has_value());
+  }
+}
+
+TEST(codec_test, results_name_the_next_position) {
+  rpc::JobReplyT reply;
+  reply.total = 5;
+  auto result = std::make_unique<rpc::SampleResultT>();
+  result->id = "i";
+  result->text = "a\nb";
+  result->versions = {6, 7};
+  result->score = "s";
+  reply.results.push_back(std::move(result));
+  STRCMP_EQUAL(
+      R"({"total":5,"next_token":4,"results":[{"id":"i","state":"completed","text":"a\nb",)"
+      R"("versions":[6,7],"score":"s"}]})",
+      write_results(reply, 3).c_str());
+}
+
+TEST(codec_test, named_version_must_be_whole) {
+  LONGS_EQUAL(8, parse_named_version(R"({"model":"m","version":8})")->version);
+  CHECK_FALSE(parse_named_version(R"({"model":"m"})").has_value());
+  CHECK_FALSE(parse_named_version("8").has_value());
+}
--- a/tests/support/memory_record_store.cc
+++ b/tests/support/memory_record_store.cc
@@ -47,9 +47,9 @@
 
 kv::transaction_answer memory_record_store::apply_now(kv::transaction const& change) {
   kv::transaction_answer answer;
-  bool const holds = std::all_of(
-      change.compares.begin(), change.compares.end(),
-      [&](kv::compare const& one) { return revision_of(one.key) == one.mod_revision; });
+  bool const holds =
+      std::all_of(change.compares.begin(), change.compares.end(),
+                  [&](kv::compare const& one) { return revision_of(one.key) == one.mod_revision; });
   if (!holds) {
     for (kv::compare const& one : change.compares) {
       auto const found = items_.find(one.key);
@@ -124,8 +124,7 @@
     if (down_) co_return std::error_code(kv::errc::unavailable);
     batch.compacted = after < forgotten_;
     for (kv::watch_event const& event : history_) {
-      bool const wanted =
-          event.entry.mod_revision > after && event.entry.key.starts_with(prefix);
+      bool const wanted = event.entry.mod_revision > after && event.entry.key.starts_with(prefix);
       if (wanted) batch.events.push_back(event);
     }
     if (batch.compacted || !batch.events.empty() || steady_clock::now() >= deadline) break;
--- /dev/null
+++ b/tests/unit/calls/route_table_test.cc
@@ -0,0 +1,126 @@
+/// @file Routes, shares, events and the choice of a server.
+
+#include "calls/route_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "calls/event_stream.h"
+#include "calls/server_selector.h"
+
+using namespace frostline;
+using namespace frostline::calls;
+
+namespace {
+
+route make_route(std::string const& name, std::string const& host, std::string const& prefix) {
+  route one;
+  one.name = name;
+  one.host = host;
+  one.path_prefix = prefix;
+  one.shares = {{"service", 1}};
+  return one;
+}
+
+directory::server make_server(std::string const& id, std::string const& zone) {
+  directory::server one;
+  one.id = id;
+  one.service = "service";
+  one.zone = zone;
+  one.slots = 4;
+  return one;
+}
+
+}  // namespace
+
+TEST_GROUP(route_table_test) { time_point now{std::chrono::hours(1)}; };
+
+TEST(route_table_test, longest_prefix_of_the_host_wins) {
+  configuration all;
+  all.version = 1;
+  all.routes = {make_route("short", "a", "/x/"), make_route("long", "a", "/x/y/"),
+                make_route("other", "b", "/x/y/z/")};
+  route_table const table(std::move(all));
+  STRCMP_EQUAL("long", table.match("a", "/x/y/z/1")->name.c_str());
+  STRCMP_EQUAL("short", table.match("a:80", "/x/q")->name.c_str());
+  POINTERS_EQUAL(nullptr, table.match("a", "/x"));
+  POINTERS_EQUAL(nullptr, table.match("c", "/x/y/"));
+}
+
+TEST(route_table_test, older_configuration_is_never_taken) {
+  active_configuration active;
+  configuration all;
+  all.version = 7;
+  CHECK(active.offer(all));
+  all.version = 6;
+  CHECK_FALSE(active.offer(all));
+  all.version = 7;
+  CHECK_FALSE(active.offer(all));
+  LONGS_EQUAL(7, active.table()->all().version);
+}
+
+TEST(route_table_test, shares_hold_at_every_moment) {
+  route one = make_route("split", "a", "/");
+  one.shares = {{"large", 90}, {"small", 10}};
+  share_picker picker;
+  int small = 0;
+  for (int number = 1; number <= 200; ++number) {
+    if (picker.pick(one) == "small") ++small;
+    CHECK(std::abs(small - number / 10) <= 1);
+  }
+  LONGS_EQUAL(20, small);
+}
+
+TEST(route_table_test, events_are_found_however_the_bytes_are_cut) {
+  std::string const stream =
+      "id: 0\ndata: a\n\nx-weight-versions: 7\nid: 1\ndata: b\ndata: c\n\nid: 2\r\ndata: d\r\n\r\n";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    event_splitter splitter("X-Weight-Versions");
+    auto events = splitter.feed(stream.substr(0, cut));
+    for (auto& event : splitter.feed(stream.substr(cut))) events.push_back(std::move(event));
+    LONGS_EQUAL(3, events.size());
+    CHECK(splitter.is_between_events());
+    LONGS_EQUAL(1, *events[1].id);
+    LONGS_EQUAL(7, *events[1].version);
+    STRCMP_EQUAL("b\nc", events[1].data.c_str());
+    STRCMP_EQUAL("d", events[2].data.c_str());
+  }
+}
+
+TEST(route_table_test, half_an_event_is_told) {
+  event_splitter splitter("v");
+  LONGS_EQUAL(0, splitter.feed("id: 0\ndata: a").size());
+  CHECK_FALSE(splitter.is_between_events());
+}
+
+TEST(route_table_test, least_loaded_server_is_chosen_and_the_own_zone_among_equals) {
+  auto const far = make_server("far", "b");
+  auto const near = make_server("near", "a");
+  server_selector selector("a", 1);
+  std::vector<directory::server const*> const both = {&far, &near};
+  STRCMP_EQUAL("near", selector.pick(both, {}, now)->id.c_str());
+  selector.note_sent("near");
+  STRCMP_EQUAL("far", selector.pick(both, {}, now)->id.c_str());
+  STRCMP_EQUAL("near", selector.pick(both, {"far"}, now)->id.c_str());
+  POINTERS_EQUAL(nullptr, selector.pick(both, {"far", "near"}, now));
+}
+
+TEST(route_table_test, failing_server_is_avoided_for_a_while_but_used_if_it_is_the_only_one) {
+  auto const first = make_server("first", "a");
+  auto const second = make_server("second", "b");
+  server_selector selector("a", 1);
+  selector.note_sent("first");
+  selector.note_failure("first", now);
+  STRCMP_EQUAL("second", selector.pick({&first, &second}, {}, now)->id.c_str());
+  STRCMP_EQUAL("first", selector.pick({&first}, {}, now)->id.c_str());
+  STRCMP_EQUAL("first", selector.pick({&first, &second}, {}, now + seconds(5))->id.c_str());
+}
+
+TEST(route_table_test, outstanding_requests_are_counted_back_however_they_end) {
+  server_selector selector("a", 1);
+  for (int number = 0; number < 4; ++number) selector.note_sent("s");
+  selector.note_answer("s");
+  selector.note_failure("s", now);
+  selector.note_abandoned("s");
+  selector.note_full("s", now);
+  LONGS_EQUAL(0, selector.outstanding("s"));
+}
--- /dev/null
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -0,0 +1,55 @@
+/// @file A gateway's settings are checked as a whole.
+
+#include <CppUTest/TestHarness.h>
+
+#include <fstream>
+
+#include "cluster.h"
+#include "gateway/settings.h"
+
+using namespace frostline;
+using namespace frostline::gateway;
+
+TEST_GROUP(gateway_settings_test) {
+  std::string path = testing::make_run_folder("settings") + "/settings.toml";
+  settings all;
+
+  std::vector<settings_error> read(std::string const& text) {
+    std::ofstream(path) << text;
+    all = settings();
+    return read_settings(path, all);
+  }
+
+  static constexpr char k_good[] =
+      "[node]\nid = \"n\"\nzone = \"z\"\nfuture = 7\n"
+      "[listen]\nclients = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n"
+      "[record_store]\naddress = \"127.0.0.1:4\"\n[orders]\ngap_ms = 1500\n"
+      "[stop]\nseconds = 4.5\n[unknown]\nkey = 1\n";
+};
+
+TEST(gateway_settings_test, whole_file_is_read_and_unknown_keys_are_ignored) {
+  LONGS_EQUAL(0, read(k_good).size());
+  STRCMP_EQUAL("n", all.id.c_str());
+  LONGS_EQUAL(1500, all.order_gap.count());
+  LONGS_EQUAL(4500, all.stop_time.count());
+}
+
+TEST(gateway_settings_test, all_faults_are_told_at_once) {
+  auto const errors =
+      read("[node]\nid = 7\n[listen]\nclients = \"nowhere\"\n[orders]\ngap_ms = -1\n");
+  LONGS_EQUAL(7, errors.size());
+  bool address_told = false;
+  for (auto const& error : errors) address_told = address_told || error.key == "listen.clients";
+  CHECK(address_told);
+}
+
+TEST(gateway_settings_test, spare_needs_no_addresses) {
+  LONGS_EQUAL(0, read("[node]\nrole = \"spare\"\nid = \"s\"\n").size());
+  CHECK(all.role == process_role::spare);
+}
+
+TEST(gateway_settings_test, malformed_file_is_told_with_its_line) {
+  auto const errors = read("[node]\nid = \n");
+  LONGS_EQUAL(1, errors.size());
+  STRCMP_CONTAINS("line 2", errors[0].key.c_str());
+}
