--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -148,7 +148,7 @@
 }
 
 std::string application::parts::start() {
-  std::string const failure = listen();
+  std::string failure = listen();
   if (!failure.empty()) return failure;
   servers_.on_change([this] { note_progress(); });
   start_followers();
@@ -412,7 +412,7 @@
 
 awaitable<void> application::parts::handle(http::request message, calls::caller& from) {
   time_point const begin = steady_clock::now();
-  auto const about_job = adapter_.parse_job_request(message);
+  auto about_job = adapter_.parse_job_request(message);
   if (about_job) {
     co_await handle_job(std::move(*about_job), from);
     co_return;
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -2,6 +2,7 @@
 /// store and the servers, which run on a thread of the test.
 #pragma once
 
+#include <boost/json.hpp>
 #include <functional>
 #include <future>
 #include <map>
