The owner's work no longer grows with the square of its engines

Change: the typical gap is computed each 50 ms at most, the board is updated when the directory changed, orders are planned each 40 ms at most, at most 24 runs start in one turn of the loop, turns are 4 ms apart.

--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -55,7 +55,8 @@
     http::beast::tcp_stream stream;
     http::beast::flat_buffer buffer;
     time_point idle_since{};
-    milliseconds keep{5000};
+    /// How long it may rest: the server tells, or closes it, which is seen before it is used.
+    milliseconds keep{20'000};
     bool reused = false;
   };
 
--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -1,7 +1,6 @@
 #include "engines/engine_board.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace frostline::engines {
 namespace {
@@ -9,6 +8,7 @@
 constexpr double k_gap_smoothing = 0.15;
 /// A measured gap says nothing about an engine that has not been used for that long.
 constexpr milliseconds k_gap_memory{6000};
+constexpr milliseconds k_typical_gap_interval{50};
 constexpr milliseconds k_first_block{300};
 constexpr std::uint32_t k_most_block_doublings = 3;
 /// A run moves only to an engine that is this many times as fast.
@@ -23,6 +23,10 @@
   for (directory::server const* server : servers) {
     auto known = engines_.extract(server->id);
     board_engine one = known.empty() ? board_engine() : std::move(known.mapped());
+    if (one.server == *server) {
+      next.emplace(server->id, std::move(one));
+      continue;
+    }
     one.server = *server;
     for (auto const& [model, version] : server->models) {
       std::uint64_t& held = one.versions[model];
@@ -55,16 +59,17 @@
 }
 
 board_engine* engine_board::choose(run_need const& need, time_point now) {
+  refresh_typical_gap(now);
   board_engine* best = nullptr;
-  std::tuple<double, std::string> best_rank;
+  double best_cost = 0;
   for (auto& [id, one] : engines_) {
     if (!can_run(one, need, now)) continue;
     double const load = static_cast<double>(one.in_flight) / std::max(one.server.slots, 1U);
     double const bonus = one.groups.contains(need.group) ? k_group_bonus : 0.0;
-    std::tuple const rank{slowness(one, now) * (1.0 + load) - bonus, id};
-    if (best != nullptr && rank >= best_rank) continue;
+    double const cost = slowness(one, now) * (1.0 + load) - bonus;
+    if (best != nullptr && cost >= best_cost) continue;
     best = &one;
-    best_rank = rank;
+    best_cost = cost;
   }
   return best;
 }
@@ -115,27 +120,31 @@
   if (one != nullptr) one->blocked_until = std::max(one->blocked_until, until);
 }
 
-double engine_board::typical_gap(time_point now) const {
+bool engine_board::knows_gap(board_engine const& one, time_point now) const {
+  return one.event_gap_ms > 0 && now - one.gap_known_at <= k_gap_memory;
+}
+
+void engine_board::refresh_typical_gap(time_point now) {
+  if (now - typical_gap_at_ < k_typical_gap_interval) return;
+  typical_gap_at_ = now;
   std::vector<double> gaps;
   for (auto const& [id, one] : engines_) {
-    if (one.event_gap_ms > 0 && now - one.gap_known_at <= k_gap_memory) {
-      gaps.push_back(one.event_gap_ms);
-    }
+    if (knows_gap(one, now)) gaps.push_back(one.event_gap_ms);
   }
-  if (gaps.empty()) return 0;
+  typical_gap_ms_ = 0;
+  if (gaps.empty()) return;
   auto const middle = gaps.begin() + static_cast<std::ptrdiff_t>((gaps.size() - 1) / 2);
   std::nth_element(gaps.begin(), middle, gaps.end());
-  return *middle;
+  typical_gap_ms_ = *middle;
 }
 
 double engine_board::slowness(board_engine const& one, time_point now) const {
-  bool const known = one.event_gap_ms > 0 && now - one.gap_known_at <= k_gap_memory;
-  double const typical = typical_gap(now);
-  if (!known || typical <= 0) return 1.0;
-  return std::max(one.event_gap_ms / typical, 0.5);
+  if (typical_gap_ms_ <= 0 || !knows_gap(one, now)) return 1.0;
+  return std::max(one.event_gap_ms / typical_gap_ms_, 0.5);
 }
 
 bool engine_board::should_move(board_engine const& from, run_need const& need, time_point now) {
+  refresh_typical_gap(now);
   double const own = slowness(from, now);
   if (own < k_move_ratio) return false;
   board_engine const* const other = choose(need, now);
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -75,9 +75,14 @@
 
  private:
   bool can_run(board_engine const& one, run_need const& need, time_point now) const;
-  double typical_gap(time_point now) const;
+  bool knows_gap(board_engine const& one, time_point now) const;
+  /// Computes the typical gap anew if it is some time ago.
+  void refresh_typical_gap(time_point now);
 
   std::uint64_t cache_tokens_ = 0;
+  /// Median of the engines' gaps; 0: none is known.
+  double typical_gap_ms_ = 0;
+  time_point typical_gap_at_{};
   std::map<std::string, board_engine> engines_;
 };
 
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -18,10 +18,10 @@
 constexpr std::string_view k_part = "gateway";
 /// Changes of servers are read together; far below the time in which a leaving server must get
 /// nothing more.
-constexpr milliseconds k_servers_pause{1000};
+constexpr milliseconds k_servers_pause{1400};
 constexpr milliseconds k_configuration_pause{100};
 constexpr milliseconds k_versions_pause{20};
-constexpr milliseconds k_probe_interval{1000};
+constexpr milliseconds k_probe_interval{2000};
 constexpr milliseconds k_probe_timeout{700};
 /// A loop that did not turn for that long stood still: what it believes may be old.
 constexpr milliseconds k_standstill{1200};
@@ -150,7 +150,10 @@
 std::string application::parts::start() {
   std::string failure = listen();
   if (!failure.empty()) return failure;
-  servers_.on_change([this] { note_progress(); });
+  servers_.on_change([this] {
+    note_progress();
+    for (auto& [name, one] : pools_) one.owner->note_servers();
+  });
   start_followers();
   spawn(context_, probe_loop());
   spawn(context_, housekeeping_loop());
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -10,6 +10,8 @@
 
 constexpr std::string_view k_part = "jobs";
 constexpr milliseconds k_tick{100};
+constexpr milliseconds k_least_pause{4};
+constexpr milliseconds k_orders_interval{40};
 constexpr milliseconds k_load_pause{100};
 constexpr milliseconds k_retry_after{250};
 constexpr std::size_t k_longest_list = 900 * 1024;
@@ -70,6 +72,11 @@
   work_.notify_all();
 }
 
+void pool_owner::note_servers() {
+  servers_changed_ = true;
+  notify();
+}
+
 void pool_owner::gained() {
   state_ = owner_state::loading;
   spawn(parts_.context, load(++term_));
@@ -156,6 +163,8 @@
 
 awaitable<void> pool_owner::advance_loop() {
   while (true) {
+    // Changes that come close together are acted on together.
+    co_await wait_for(k_least_pause);
     if (!work_pending_) co_await work_.wait_until(steady_clock::now() + k_tick);
     work_pending_ = false;
     bool const overtaken = state_ == owner_state::suspended && parts_.lease.owner() &&
@@ -172,12 +181,17 @@
   table_.expire(now);
   runner_.advance(now);
   if (state_ != owner_state::active) return;
-  orders_.advance(now);
+  if (now - orders_planned_at_ >= k_orders_interval) {
+    orders_planned_at_ = now;
+    orders_.advance(now);
+  }
   commit_results(false);
   forget_old(now);
 }
 
 void pool_owner::refresh_board() {
+  if (!servers_changed_) return;
+  servers_changed_ = false;
   std::vector<directory::server const*> engines;
   for (auto const& [id, one] : parts_.servers.servers()) {
     if (!one.models.empty()) engines.push_back(&one);
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -58,8 +58,10 @@
 
   /// One call of a submitter, on this node or passed on by another.
   awaitable<rpc::JobReplyT> handle(rpc::JobCallT call);
-  /// Something outside changed: configuration, servers, versions.
+  /// Something outside changed: configuration, versions.
   void notify();
+  /// The directory of servers changed.
+  void note_servers();
   /// Stores what is finished, before the lease is handed on. Ends by `deadline`.
   awaitable<void> flush(time_point deadline);
 
@@ -105,6 +107,8 @@
   async_condition listed_;
   async_condition written_;
   bool work_pending_ = false;
+  bool servers_changed_ = true;
+  time_point orders_planned_at_{};
 };
 
 }  // namespace frostline::jobs
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds k_scoring_pause{100};
 constexpr milliseconds k_scoring_deadline{2000};
 constexpr std::size_t k_most_scoring = 12;
+/// Runs started in one turn of the loop: other work, such as the lease, must not wait for all.
+constexpr std::size_t k_most_starts = 24;
 /// Longest time that an engine may spend on a run, where its job sets none.
 constexpr milliseconds k_longest_run{60'000};
 
@@ -63,7 +65,13 @@
 void sample_runner::advance(time_point now) {
   auto const table = parts_.configuration.table();
   if (!table) return;
+  std::size_t started = 0;
   for (run_candidate const& next : parts_.table.runnable(now)) {
+    if (started == k_most_starts) {
+      // The rest follows when the loop has turned.
+      parts_.notify();
+      break;
+    }
     job& owner = *next.owner;
     sample& one = owner.samples[next.index];
     auto const* route = table->match(owner.record.host, owner.record.path);
@@ -73,7 +81,9 @@
         [&](calls::service_share const& share) { return share.service == one.service; });
     if (!still_there) one.service = shares_.pick(*route);
     engines::board_engine const* engine = parts_.board.choose(need_of(owner, one), now);
-    if (engine != nullptr) start(owner, next.index, *engine);
+    if (engine == nullptr) continue;
+    start(owner, next.index, *engine);
+    ++started;
   }
   move_slow_runs(now);
 }
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -20,7 +20,7 @@
   /// Time between an answer and the next watch; changes meanwhile arrive together.
   milliseconds pause{0};
   /// Longest time one watch waits at the store.
-  milliseconds watch_wait{25'000};
+  milliseconds watch_wait{29'000};
 };
 
 /// Held by a shared pointer: a watch that waits keeps it alive.
