--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -68,7 +68,10 @@
     if (left_until(deadline) <= k_retry_pause) break;
     co_await one.lease->wait_for_change(steady_clock::now() + k_retry_pause);
   }
-  co_return may_be_done ? outcome_unknown() : unavailable();
+  // Only what changes something can be left half known.
+  bool const changes =
+      call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
+  co_return may_be_done && changes ? outcome_unknown() : unavailable();
 }
 
 awaitable<rpc::JobReplyT> job_client::submit(std::string pool_name, rpc::JobCallT call,
