--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -91,6 +91,9 @@
   for (std::size_t index = 0; index < options_.nodes; ++index) {
     addresses_.push_back(
         {free_endpoint(address_), free_endpoint(address_), free_endpoint(address_)});
+    if (options_.proxied_store) {
+      store_proxies_.push_back(std::make_unique<fault_proxy>(store_address_));
+    }
     start_node(index);
   }
   for (std::size_t index = 0; index < options_.nodes; ++index) {
@@ -126,10 +129,12 @@
 void platform_cluster::write_settings(std::size_t index) {
   node_addresses const& where = addresses_.at(index);
   std::ofstream file(folder_ + "/node-" + std::to_string(index) + ".toml");
+  endpoint const store =
+      options_.proxied_store ? store_proxies_.at(index)->listen() : store_address_;
   file << "[node]\nrole = \"gateway\"\nid = \"node-" << index << "\"\nzone = \"a\"\n"
        << "[listen]\nclients = \"" << where.clients.to_string() << "\"\nreadiness = \""
        << where.readiness.to_string() << "\"\npeers = \"" << where.peers.to_string() << "\"\n"
-       << "[record_store]\naddress = \"" << store_address_.to_string() << "\"\n"
+       << "[record_store]\naddress = \"" << store.to_string() << "\"\n"
        << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
 }
 
@@ -148,7 +153,7 @@
 }
 
 std::string platform_cluster::log(std::size_t index) const {
-  std::ifstream file(folder_ + "/node-" + std::to_string(index) + ".log");
+  std::ifstream file(logs_.at(index));
   std::ostringstream text;
   text << file.rdbuf();
   return text.str();
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -11,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "fault_proxy.h"
 #include "process.h"
 #include "rpc/blocking.h"
 #include "server_standin.h"
@@ -24,6 +25,8 @@
   std::uint32_t apps = 2;
   std::uint32_t events = 5;
   milliseconds event_gap{5};
+  /// Each node reaches the store through a proxy of its own.
+  bool proxied_store = false;
 };
 
 /// One item of a job, in the words of the test.
@@ -53,6 +56,10 @@
   server_standin& engine(std::size_t index) { return *engines_.at(index); }
   server_standin& app(std::size_t index) { return *apps_.at(index); }
   std::size_t engines() const { return engines_.size(); }
+  std::size_t apps() const { return apps_.size(); }
+  std::size_t nodes() const { return nodes_.size(); }
+  /// The proxy between a node and the store; only with `proxied_store`.
+  fault_proxy& store_proxy(std::size_t node) { return *store_proxies_.at(node); }
   void announce(server_standin const& server, std::string const& state);
   void withdraw(server_standin const& server);
   void put_config(std::uint64_t version, std::string const& extra_routes = "");
@@ -61,7 +68,9 @@
   void start_node(std::size_t index);
   child_process& node(std::size_t index) { return *nodes_.at(index); }
   bool is_ready(std::size_t index);
+  /// What the node's present process has written.
   std::string log(std::size_t index) const;
+  std::string const& folder() const { return folder_; }
   /// Index of the node that owns the pool, by the store's record.
   std::size_t owner();
   /// One call to a node's client address. @param headers beyond Host and the request's identifier.
@@ -98,6 +107,8 @@
     endpoint peers;
   };
   std::vector<node_addresses> addresses_;
+  std::map<std::size_t, std::string> logs_;
+  std::vector<std::unique_ptr<fault_proxy>> store_proxies_;
   std::vector<std::unique_ptr<child_process>> nodes_;
   rpc::blocking_client client_;
 };
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -57,6 +57,7 @@
 
 arrival server_standin::note(http::request const& message) {
   arrival one;
+  one.at = steady_clock::now();
   one.request = std::string(http::header(message, k_id));
   one.path = std::string(message.target());
   one.body = message.body();
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -22,6 +22,7 @@
   std::string expected_instance;
   std::string last_event;
   std::string deadline;
+  time_point at{};
   /// It was run, not refused.
   bool ran = false;
 };
