--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -86,7 +86,8 @@
   calls::forwarder forwarder_{calls::forwarder_parts{context_, configuration_, servers_,
                                                      connections_, selector_, adapter_.names()}};
   jobs::pool_map pools_;
-  jobs::job_client job_client_{context_, transport_, pools_, settings_.id};
+  jobs::job_client job_client_{
+      context_, transport_, pools_, settings_.id, settings_.peers.to_string(), settings_.zone};
   std::shared_ptr<kv::follower> configuration_follower_;
   std::shared_ptr<kv::follower> servers_follower_;
   std::shared_ptr<kv::follower> owners_follower_;
@@ -125,6 +126,14 @@
         if (found != pools_.end()) reply = co_await found->second.owner->handle(std::move(call));
         co_return std::move(reply);
       });
+  peer_methods_.add<rpc::ProgressReportT, rpc::ProgressReplyT>(
+      "JobService", "Replicate",
+      [this](rpc::ProgressReportT report) -> awaitable<rpc::reply<rpc::ProgressReplyT>> {
+        auto const found = pools_.find(report.pool);
+        rpc::ProgressReplyT reply;
+        if (found != pools_.end()) reply = found->second.owner->replicate(std::move(report));
+        co_return std::move(reply);
+      });
 }
 
 std::string application::parts::listen() {
@@ -250,7 +259,7 @@
   one.owner = std::make_unique<jobs::pool_owner>(
       jobs::owner_parts{context_, adapter_.store(), settings_.store_limits, configuration_,
                         servers_, connections_, forwarder_, adapter_.names(), adapter_.engines(),
-                        *one.lease, settings_.id, settings_.retention});
+                        *one.lease, transport_, settings_.id, settings_.zone, settings_.retention});
   one.owner->start();
   return one;
 }
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -59,6 +59,11 @@
     if (local) {
       reply = co_await one.owner->handle(std::move(next));
     } else {
+      next.from_address = own_address_;
+      next.from_zone = zone_;
+      auto const uptime = steady_clock::now() - started_at_;
+      next.from_uptime_ms =
+          static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(uptime).count());
       reply = co_await ask_remote(owner->address, next, deadline);
     }
     if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_be_done = true;
@@ -69,9 +74,8 @@
     co_await one.lease->wait_for_change(steady_clock::now() + k_retry_pause);
   }
   // Only what changes something can be left half known.
-  bool const changes =
-      call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
-  co_return may_be_done && changes ? outcome_unknown() : unavailable();
+  bool const changes = call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
+  co_return may_be_done&& changes ? outcome_unknown() : unavailable();
 }
 
 awaitable<rpc::JobReplyT> job_client::submit(std::string pool_name, rpc::JobCallT call,
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -26,8 +26,15 @@
 
 class job_client {
  public:
-  job_client(asio::io_context& context, http::client& transport, pool_map& pools, std::string node)
-      : context_(context), transport_(transport), pools_(pools), node_(std::move(node)) {}
+  /// @param own_address where other nodes reach this one.
+  job_client(asio::io_context& context, http::client& transport, pool_map& pools, std::string node,
+             std::string own_address, std::string zone)
+      : context_(context),
+        transport_(transport),
+        pools_(pools),
+        node_(std::move(node)),
+        own_address_(std::move(own_address)),
+        zone_(std::move(zone)) {}
 
   /// Hands a job to the owner of `pool_name`.
   awaitable<rpc::JobReplyT> submit(std::string pool_name, rpc::JobCallT call, time_point deadline);
@@ -44,6 +51,9 @@
   http::client& transport_;
   pool_map& pools_;
   std::string node_;
+  std::string own_address_;
+  std::string zone_;
+  time_point started_at_ = steady_clock::now();
 };
 
 }  // namespace frostline::jobs
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -11,6 +11,40 @@
 
 rpc::SampleResultT copy_result(rpc::SampleResultT const& from) { return from; }
 
+/// The text so far, wherever the sample's state keeps it.
+std::string const& text_of(sample const& one) {
+  bool const moved = one.state == sample_state::scoring || one.state == sample_state::finished;
+  return moved ? one.result.text : one.text;
+}
+
+bool has_news(sample const& one) {
+  if (one.state == sample_state::listed) return false;
+  if (one.state == sample_state::finished && !one.replicated_result) return true;
+  return one.events != one.replicated_events;
+}
+
+rpc::SampleProgressT report_progress(std::string const& job, std::uint32_t index, sample& one) {
+  std::string const& text = text_of(one);
+  bool const anew = one.events < one.replicated_events || one.replicated_bytes > text.size();
+  rpc::SampleProgressT report;
+  report.job = job;
+  report.index = index;
+  report.from_bytes = anew ? 0 : one.replicated_bytes;
+  report.text = text.substr(report.from_bytes);
+  report.events = one.events;
+  report.has_last_event = one.last_event.has_value();
+  report.last_event = one.last_event.value_or(0);
+  report.versions = one.versions;
+  one.replicated_bytes = text.size();
+  one.replicated_events = one.events;
+  if (one.state != sample_state::finished) return report;
+  // The text has been sent; the result needs the rest only.
+  report.result = std::make_unique<rpc::SampleResultT>(one.result);
+  report.result->text.clear();
+  one.replicated_result = true;
+  return report;
+}
+
 }  // namespace
 
 bool job_table::add(rpc::JobRecordT record, time_point now) {
@@ -200,6 +234,52 @@
       std::count_if(whole.begin(), whole.end(), [](auto const& group) { return group.second; }));
 }
 
+std::vector<rpc::SampleProgressT> job_table::take_progress(std::size_t limit) {
+  std::vector<rpc::SampleProgressT> reports;
+  std::size_t bytes = 0;
+  for (auto const& [id, owner] : jobs_) {
+    if (!owner->is_open()) continue;
+    for (std::uint32_t index = 0; index < owner->samples.size(); ++index) {
+      sample& one = owner->samples[index];
+      if (!has_news(one)) continue;
+      if (bytes > limit) return reports;
+      reports.push_back(report_progress(id, index, one));
+      bytes += reports.back().text.size();
+    }
+  }
+  return reports;
+}
+
+void job_table::forget_replicated() {
+  for (auto const& [id, owner] : jobs_) {
+    for (sample& one : owner->samples) {
+      one.replicated_bytes = 0;
+      one.replicated_events = 0;
+      one.replicated_result = false;
+    }
+  }
+}
+
+bool job_table::adopt(rpc::SampleProgressT const& progress, time_point now) {
+  job* const owner = find(progress.job);
+  if (owner == nullptr || owner->ended || progress.index >= owner->samples.size()) return false;
+  sample& one = owner->samples[progress.index];
+  bool const open = one.state == sample_state::waiting || one.state == sample_state::running;
+  if (!open || (progress.events <= one.events && !progress.result)) return false;
+  if (one.state == sample_state::running) requeue(one, now);
+  one.events = progress.events;
+  one.last_event.reset();
+  if (progress.has_last_event) one.last_event = progress.last_event;
+  one.versions = progress.versions;
+  one.text = progress.text;
+  if (!progress.result) return true;
+  one.result = *progress.result;
+  one.result.text = std::move(one.text);
+  one.text.clear();
+  finish(*owner, progress.index, now);
+  return true;
+}
+
 bool job_table::is_commit_due(job const& owner, time_point now) const {
   if (owner.unlisted.empty() || owner.committing > 0 || owner.ended) return false;
   if (owner.listed.size() + owner.unlisted.size() == owner.samples.size()) return true;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -48,6 +48,10 @@
   time_point not_before = time_point::min();
   time_point finished_at{};
   rpc::SampleResultT result;
+  /// What the replica has been sent of it.
+  std::size_t replicated_bytes = 0;
+  std::uint64_t replicated_events = 0;
+  bool replicated_result = false;
 };
 
 struct job {
@@ -118,6 +122,14 @@
   /// Gives samples up that are over their job's longest time.
   void expire(time_point now);
 
+  /// What has changed since the last call and is not listed, up to `limit` bytes of text.
+  std::vector<rpc::SampleProgressT> take_progress(std::size_t limit);
+  /// The replica has nothing: the next report is whole.
+  void forget_replicated();
+  /// Takes over what a former owner reported of a sample, if it came further there than here. A run
+  /// of it here is not wanted any more. @return whether it was taken.
+  bool adopt(rpc::SampleProgressT const& progress, time_point now);
+
   /// The next results to commit, if there are any and it is time. At most `limit` bytes.
   std::optional<rpc::ResultBatchT> next_batch(job& owner, time_point now, std::size_t limit);
   /// The batch is in the record store: its positions may be shown.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -4,6 +4,7 @@
 
 #include "base/jitter.h"
 #include "base/log.h"
+#include "rpc/client.h"
 
 namespace frostline::jobs {
 namespace {
@@ -12,8 +13,11 @@
 constexpr milliseconds k_tick{100};
 constexpr milliseconds k_least_pause{4};
 constexpr milliseconds k_orders_interval{40};
+/// An owner whose lease has lapsed begins runs for that long, unless it hears of another owner.
+constexpr milliseconds k_lapsed_work{8000};
 constexpr milliseconds k_load_pause{100};
 constexpr milliseconds k_retry_after{250};
+constexpr milliseconds k_offer_timeout{1000};
 constexpr std::size_t k_longest_list = 900 * 1024;
 constexpr milliseconds k_longest_wait{1000};
 
@@ -58,12 +62,17 @@
       log_(parts_.context, parts_.store, parts_.limits, parts_.lease.pool()),
       runner_(runner_parts{parts_.context, parts_.configuration, parts_.servers, parts_.connections,
                            parts_.forwarder, parts_.names, board_, table_, [this] { notify(); }}),
+      progress_(parts_.context, parts_.transport, parts_.lease.pool(), parts_.zone),
       work_(parts_.context),
       listed_(parts_.context),
       written_(parts_.context) {}
 
 void pool_owner::start() {
   parts_.lease.on_change([this] { gained(); }, [this] { lost(); });
+  progress_.on_newer_owner([this](std::uint64_t epoch) {
+    newer_epoch_ = std::max(newer_epoch_, epoch);
+    notify();
+  });
   spawn(parts_.context, advance_loop());
 }
 
@@ -107,6 +116,8 @@
     done = co_await load_marks(term);
   }
   if (term != term_) co_return;
+  replica_.clear();
+  progress_.begin_term();
   log_.open(ownership::pool_lease::key_of(parts_.lease.pool()), parts_.lease.epoch());
   orders_.begin_term();
   state_ = owner_state::active;
@@ -147,8 +158,17 @@
     co_return true;
   }
   orders_.note_job(stored.record->model, stored.record->min_version, size_of(*stored.record));
-  table_.add(std::move(*stored.record), steady_clock::now());
+  time_point const now = steady_clock::now();
+  table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
+  std::size_t adopted = 0;
+  for (rpc::SampleProgressT const& progress : replica_.of_job(id)) {
+    if (table_.adopt(progress, now)) ++adopted;
+  }
+  if (adopted > 0) {
+    log_line(log_level::info, k_part, "Progress of the former owner taken over.",
+             {{"job", id}, {"samples", adopted}});
+  }
   co_return true;
 }
 
@@ -167,9 +187,15 @@
     co_await wait_for(k_least_pause);
     if (!work_pending_) co_await work_.wait_until(steady_clock::now() + k_tick);
     work_pending_ = false;
-    bool const overtaken = state_ == owner_state::suspended && parts_.lease.owner() &&
-                           parts_.lease.owner()->node != parts_.node;
-    if (overtaken) drop_everything();
+    bool const seen = state_ == owner_state::suspended && parts_.lease.owner() &&
+                      parts_.lease.owner()->node != parts_.node;
+    bool const told = newer_epoch_ > parts_.lease.epoch() && state_ != owner_state::standby &&
+                      !parts_.lease.holds(steady_clock::now());
+    if (told) lost();
+    if (seen || told) drop_everything();
+    offer_replica();
+    parts_.lease.set_preferred(state_ == owner_state::standby &&
+                               replica_.is_fresh(steady_clock::now()));
     if (state_ == owner_state::active || state_ == owner_state::suspended) advance();
   }
 }
@@ -179,7 +205,8 @@
   refresh_board();
   refresh_terms();
   table_.expire(now);
-  runner_.advance(now);
+  if (may_start_runs(now)) runner_.advance(now);
+  progress_.advance(table_, parts_.lease.epoch(), now);
   if (state_ != owner_state::active) return;
   if (now - orders_planned_at_ >= k_orders_interval) {
     orders_planned_at_ = now;
@@ -271,13 +298,73 @@
   while (state_ == owner_state::active && !log_.is_idle() && steady_clock::now() < deadline) {
     co_await wait_for(milliseconds(5));
   }
+  co_await progress_.finish(table_, parts_.lease.epoch());
+}
+
+bool pool_owner::is_certain() const {
+  return state_ == owner_state::active && parts_.lease.holds(steady_clock::now());
+}
+
+bool pool_owner::may_start_runs(time_point now) {
+  if (parts_.lease.holds(now)) held_at_ = now;
+  return now - held_at_ < k_lapsed_work;
 }
 
 bool pool_owner::can_read() const {
   return state_ == owner_state::active || state_ == owner_state::suspended;
 }
 
+rpc::ProgressReplyT pool_owner::replicate(rpc::ProgressReportT report) {
+  rpc::ProgressReplyT reply;
+  bool const own = state_ == owner_state::active || state_ == owner_state::suspended;
+  // Changes that a former owner still reports go on from what this node does not hold.
+  if (own && report.whole && report.epoch < parts_.lease.epoch()) {
+    adopt(report);
+    reply.taken = true;
+    return reply;
+  }
+  reply.taken = !own && replica_.take(std::move(report), steady_clock::now());
+  return reply;
+}
+
+void pool_owner::adopt(rpc::ProgressReportT const& report) {
+  std::size_t adopted = 0;
+  for (auto const& progress : report.entries) {
+    if (!table_.adopt(*progress, steady_clock::now())) continue;
+    runner_.abort_run(progress->job, progress->index);
+    ++adopted;
+  }
+  log_line(log_level::info, k_part, "Progress of the former owner taken over.",
+           {{"pool", report.pool}, {"former_epoch", report.epoch}, {"samples", adopted}});
+  notify();
+}
+
+void pool_owner::offer_replica() {
+  auto const& owner = parts_.lease.owner();
+  bool const followed = owner && owner->node != parts_.node && owner->epoch > replica_.epoch();
+  if (state_ != owner_state::standby || !followed) return;
+  if (replica_.is_fresh(steady_clock::now())) {
+    spawn(parts_.context, send_offer(owner->address, replica_.whole(parts_.lease.pool())));
+  }
+  replica_.clear();
+}
+
+awaitable<void> pool_owner::send_offer(endpoint where, rpc::ProgressReportT report) {
+  auto const reply = co_await rpc::call<rpc::ProgressReportT, rpc::ProgressReplyT>(
+      parts_.transport, where, "JobService", "Replicate", report, k_offer_timeout);
+  log_line(log_level::info, k_part, "Progress offered to the new owner.",
+           {{"pool", report.pool},
+            {"owner", where.to_string()},
+            {"samples", report.entries.size()},
+            {"taken", reply && reply.value().taken ? "yes" : "no"}});
+}
+
 awaitable<rpc::JobReplyT> pool_owner::handle(rpc::JobCallT call) {
+  auto const peer = parse_endpoint(call.from_address);
+  if (peer) {
+    progress_.note_peer(*peer, call.from_zone, milliseconds(call.from_uptime_ms),
+                        steady_clock::now());
+  }
   switch (call.action) {
     case rpc::JobAction::SUBMIT:
       co_return co_await submit(std::move(call));
@@ -345,7 +432,7 @@
     co_await ensure_loaded(call.job);
     job* const owner = table_.find(call.job);
     if (owner == nullptr) {
-      bool const sure = state_ == owner_state::active && !ended_unread_.contains(call.job);
+      bool const sure = is_certain() && !ended_unread_.contains(call.job);
       co_return reply_with(sure ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE, {});
     }
     bool const waiting =
@@ -369,7 +456,7 @@
 rpc::JobReplyT pool_owner::body(rpc::JobCallT const& call) {
   if (!can_read()) return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   job const* const owner = table_.find(call.job);
-  if (owner == nullptr && state_ != owner_state::active) {
+  if (owner == nullptr && !is_certain()) {
     return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
   if (owner == nullptr || owner->ended) return reply_with(rpc::JobStatus::UNKNOWN_JOB, {});
@@ -388,7 +475,10 @@
   }
   if (ended_unread_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
   job* const owner = table_.find(call.job);
-  if (owner == nullptr) co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, {});
+  if (owner == nullptr) {
+    auto const status = is_certain() ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE;
+    co_return reply_with(status, {});
+  }
   if (owner->ended && !writing_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
   bool const lost = writing_.contains(call.job) && writing_[call.job] &&
                     *writing_[call.job] != write_outcome::stored;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -15,6 +15,7 @@
 #include "engines/engine_control.h"
 #include "engines/weight_orders.h"
 #include "jobs/job_table.h"
+#include "jobs/progress_replica.h"
 #include "jobs/record_log.h"
 #include "jobs/sample_runner.h"
 #include "kv/record_store.h"
@@ -35,7 +36,9 @@
   calls::header_names const& names;
   engines::engine_control& control;
   ownership::pool_lease& lease;
+  http::client& transport;
   std::string node;
+  std::string zone;
   /// Ended jobs are forgotten that long after they were accepted.
   milliseconds retention{140'000};
 };
@@ -58,6 +61,8 @@
 
   /// One call of a submitter, on this node or passed on by another.
   awaitable<rpc::JobReplyT> handle(rpc::JobCallT call);
+  /// What the pool's owner reports to this node, or what a node holds of this owner's forerunner.
+  rpc::ProgressReplyT replicate(rpc::ProgressReportT report);
   /// Something outside changed: configuration, versions.
   void notify();
   /// The directory of servers changed.
@@ -87,7 +92,16 @@
   awaitable<rpc::JobReplyT> list(rpc::JobCallT call);
   rpc::JobReplyT body(rpc::JobCallT const& call);
   awaitable<rpc::JobReplyT> end(rpc::JobCallT call);
+  /// Gives what this node holds of a former owner to another node that follows it.
+  void offer_replica();
+  awaitable<void> send_offer(endpoint where, rpc::ProgressReportT report);
+  void adopt(rpc::ProgressReportT const& report);
   bool can_read() const;
+  /// Whether what this node does not know does not exist: it holds the lease now.
+  bool is_certain() const;
+  /// Whether runs may begin: with the lease, or for a while after it in case only the store is
+  /// gone.
+  bool may_start_runs(time_point now);
 
   owner_parts parts_;
   owner_state state_ = owner_state::standby;
@@ -98,6 +112,8 @@
   job_table table_;
   record_log log_;
   sample_runner runner_;
+  progress_replica replica_;
+  progress_sender progress_;
   /// Jobs whose record is being written.
   std::map<std::string, std::shared_ptr<write_outcome const>> writing_;
   std::map<std::string, bool> submitting_;
@@ -109,6 +125,10 @@
   bool work_pending_ = false;
   bool servers_changed_ = true;
   time_point orders_planned_at_{};
+  /// When this node last held the lease.
+  time_point held_at_{};
+  /// Newest epoch of another owner that a replica told of.
+  std::uint64_t newer_epoch_ = 0;
 };
 
 }  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/progress_replica.cc
@@ -0,0 +1,168 @@
+#include "jobs/progress_replica.h"
+
+#include <algorithm>
+#include <set>
+
+#include "base/log.h"
+#include "rpc/client.h"
+
+namespace frostline::jobs {
+namespace {
+
+constexpr std::string_view k_part = "jobs";
+/// Reports are this far apart; with nothing new, one tells that the owner lives.
+constexpr milliseconds k_report_interval{250};
+constexpr milliseconds k_idle_interval{1000};
+constexpr milliseconds k_report_timeout{500};
+constexpr std::size_t k_report_bytes = 512 * 1024;
+/// A replica that has not been told anything for that long may be far behind.
+constexpr milliseconds k_fresh_time{12'000};
+constexpr milliseconds k_peer_memory{20'000};
+constexpr milliseconds k_avoid_time{3000};
+constexpr milliseconds k_much_younger{3000};
+
+}  // namespace
+
+bool progress_replica::take(rpc::ProgressReportT report, time_point now) {
+  if (report.epoch < epoch_) return false;
+  epoch_ = report.epoch;
+  heard_at_ = now;
+  std::set<std::string> const open(report.jobs.begin(), report.jobs.end());
+  std::erase_if(jobs_, [&](auto const& entry) { return !open.contains(entry.first); });
+  for (auto& entry : report.entries) {
+    auto& held = jobs_[entry->job];
+    auto const found = held.find(entry->index);
+    std::size_t const known = found == held.end() ? 0 : found->second.text.size();
+    if (entry->from_bytes > known) return false;
+    std::string text = found == held.end() ? "" : found->second.text.substr(0, entry->from_bytes);
+    text += entry->text;
+    entry->text = std::move(text);
+    held[entry->index] = std::move(*entry);
+  }
+  return true;
+}
+
+bool progress_replica::is_fresh(time_point now) const {
+  return epoch_ != 0 && now - heard_at_ < k_fresh_time;
+}
+
+std::vector<rpc::SampleProgressT> progress_replica::of_job(std::string const& job) const {
+  std::vector<rpc::SampleProgressT> all;
+  auto const found = jobs_.find(job);
+  if (found == jobs_.end()) return all;
+  for (auto const& [index, progress] : found->second) all.push_back(progress);
+  return all;
+}
+
+rpc::ProgressReportT progress_replica::whole(std::string const& pool) const {
+  rpc::ProgressReportT report;
+  report.pool = pool;
+  report.epoch = epoch_;
+  report.whole = true;
+  for (auto const& [job, samples] : jobs_) {
+    report.jobs.push_back(job);
+    for (auto const& [index, progress] : samples) {
+      auto entry = std::make_unique<rpc::SampleProgressT>(progress);
+      entry->from_bytes = 0;
+      report.entries.push_back(std::move(entry));
+    }
+  }
+  return report;
+}
+
+void progress_replica::clear() {
+  jobs_.clear();
+  epoch_ = 0;
+}
+
+void progress_sender::note_peer(endpoint const& where, std::string const& zone, milliseconds uptime,
+                                time_point now) {
+  peer& one = peers_[where];
+  one.zone = zone;
+  one.started_at = now - uptime;
+  one.heard_at = now;
+}
+
+void progress_sender::begin_term() {
+  whole_ = true;
+  replica_.reset();
+}
+
+bool progress_sender::is_better(endpoint const& left, endpoint const& right) const {
+  peer const& first = peers_.at(left);
+  peer const& second = peers_.at(right);
+  if (first.started_at > second.started_at + k_much_younger) return true;
+  if (second.started_at > first.started_at + k_much_younger) return false;
+  if (replica_ && (left == *replica_ || right == *replica_)) return left == *replica_;
+  return first.zone == zone_ && second.zone != zone_;
+}
+
+std::optional<endpoint> progress_sender::choose(time_point now) {
+  std::erase_if(peers_, [&](auto const& entry) {
+    return now - entry.second.heard_at > k_peer_memory && entry.first != replica_;
+  });
+  std::optional<endpoint> best;
+  for (auto const& [where, one] : peers_) {
+    if (one.avoided_until > now) continue;
+    if (!best || is_better(where, *best)) best = where;
+  }
+  if (best != replica_) whole_ = true;
+  replica_ = best;
+  return best;
+}
+
+std::optional<rpc::ProgressReportT> progress_sender::make_report(job_table& table,
+                                                                 std::uint64_t epoch) {
+  if (whole_) table.forget_replicated();
+  whole_ = false;
+  rpc::ProgressReportT report;
+  report.pool = pool_;
+  report.epoch = epoch;
+  for (auto const& [id, held] : table.jobs()) {
+    if (held->is_open()) report.jobs.push_back(id);
+  }
+  for (auto& one : table.take_progress(k_report_bytes)) {
+    report.entries.push_back(std::make_unique<rpc::SampleProgressT>(std::move(one)));
+  }
+  return report;
+}
+
+void progress_sender::advance(job_table& table, std::uint64_t epoch, time_point now) {
+  if (sending_ || now - sent_at_ < k_report_interval) return;
+  auto const where = choose(now);
+  if (!where) return;
+  auto report = make_report(table, epoch);
+  bool const idle = report->entries.empty();
+  if (idle && now - sent_at_ < k_idle_interval) return;
+  sent_at_ = now;
+  sending_ = true;
+  spawn(context_, send(*where, std::move(*report)));
+}
+
+awaitable<void> progress_sender::finish(job_table& table, std::uint64_t epoch) {
+  while (sending_) co_await wait_for(milliseconds(5));
+  auto const where = choose(steady_clock::now());
+  if (!where) co_return;
+  auto report = make_report(table, epoch);
+  sending_ = true;
+  co_await send(*where, std::move(*report));
+}
+
+awaitable<void> progress_sender::send(endpoint where, rpc::ProgressReportT report) {
+  auto const reply = co_await rpc::call<rpc::ProgressReportT, rpc::ProgressReplyT>(
+      transport_, where, "JobService", "Replicate", report, k_report_timeout);
+  sending_ = false;
+  bool const overtaken = reply && reply.value().known_epoch > report.epoch;
+  if (overtaken && on_newer_owner_) on_newer_owner_(reply.value().known_epoch);
+  bool const taken = reply && reply.value().taken;
+  if (taken) co_return;
+  whole_ = true;
+  if (reply) co_return;
+  log_line(log_level::info, k_part, "Replica did not answer.",
+           {{"pool", pool_}, {"replica", where.to_string()}, {"error", reply.error().detail}});
+  auto const found = peers_.find(where);
+  if (found != peers_.end()) found->second.avoided_until = steady_clock::now() + k_avoid_time;
+  if (replica_ == where) replica_.reset();
+}
+
+}  // namespace frostline::jobs
--- /dev/null
+++ b/src/jobs/progress_replica.h
@@ -0,0 +1,92 @@
+/// @file A copy of an owner's unfinished and unstored work on another node, so that whoever follows
+/// the owner goes on instead of beginning anew.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "http/client.h"
+#include "jobs/job_table.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::jobs {
+
+/// What a node holds of another node's pool. Pure.
+class progress_replica {
+ public:
+  /// @return whether the report could be taken; if not, it must come whole.
+  bool take(rpc::ProgressReportT report, time_point now);
+  /// Whether the owner has reported lately.
+  bool is_fresh(time_point now) const;
+  /// Progress of a job's samples, with their whole texts.
+  std::vector<rpc::SampleProgressT> of_job(std::string const& job) const;
+  /// All that is held, for the owner that follows.
+  rpc::ProgressReportT whole(std::string const& pool) const;
+  std::uint64_t epoch() const { return epoch_; }
+  void clear();
+
+ private:
+  std::map<std::string, std::map<std::uint32_t, rpc::SampleProgressT>> jobs_;
+  std::uint64_t epoch_ = 0;
+  time_point heard_at_{};
+};
+
+/// Sends the owner's progress to one other node, one report at a time.
+class progress_sender {
+ public:
+  progress_sender(asio::io_context& context, http::client& transport, std::string pool,
+                  std::string zone)
+      : context_(context), transport_(transport), pool_(std::move(pool)), zone_(std::move(zone)) {}
+
+  /// `listener` runs with the epoch of another owner when the replica knows one that is newer.
+  void on_newer_owner(std::function<void(std::uint64_t)> listener) {
+    on_newer_owner_ = std::move(listener);
+  }
+  /// A node of whose life this one has just heard.
+  /// @param uptime of its process.
+  void note_peer(endpoint const& where, std::string const& zone, milliseconds uptime,
+                 time_point now);
+  /// Sends what has changed if none is under way and it is time.
+  void advance(job_table& table, std::uint64_t epoch, time_point now);
+  /// Sends what is left and waits for the answer.
+  awaitable<void> finish(job_table& table, std::uint64_t epoch);
+  /// A new term of ownership: the next report is whole.
+  void begin_term();
+
+ private:
+  struct peer {
+    std::string zone;
+    time_point heard_at{};
+    time_point started_at{};
+    /// Not chosen before.
+    time_point avoided_until = time_point::min();
+  };
+
+  /// The node to send to. A process that is much younger than the others comes first: where nodes
+  /// are restarted in turn, it is the last to go. Then the present one, one of the own zone, any.
+  std::optional<endpoint> choose(time_point now);
+  std::optional<rpc::ProgressReportT> make_report(job_table& table, std::uint64_t epoch);
+  awaitable<void> send(endpoint where, rpc::ProgressReportT report);
+
+  asio::io_context& context_;
+  http::client& transport_;
+  std::string pool_;
+  std::string zone_;
+  std::map<endpoint, peer> peers_;
+  /// Whether `left` follows this node better than `right`.
+  bool is_better(endpoint const& left, endpoint const& right) const;
+
+  std::optional<endpoint> replica_;
+  bool sending_ = false;
+  /// The next report must be whole.
+  bool whole_ = true;
+  time_point sent_at_{};
+  std::function<void(std::uint64_t)> on_newer_owner_;
+};
+
+}  // namespace frostline::jobs
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -124,6 +124,12 @@
   }
 }
 
+void sample_runner::abort_run(std::string const& job, std::uint32_t index) {
+  for (auto& [id, open] : runs_) {
+    if (keys_[id].job == job && keys_[id].index == index) open.exchange->abort();
+  }
+}
+
 http::request sample_runner::make_request(job const& owner, sample const& one) const {
   http::request message(http::verb::post, one.spec->path, 11);
   message.set(http::field::host, owner.record.host);
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -46,7 +46,8 @@
   void advance(time_point now);
   /// Closes the runs of one job, or of all jobs if `job` is empty.
   void abort_runs(std::string const& job);
-  /// Has a sample scored that waits for it, after a new owner has loaded it.
+  /// Closes the run of one sample.
+  void abort_run(std::string const& job, std::uint32_t index);
   std::size_t running() const { return runs_.size(); }
   /// Whether a run of this engine must not mix versions.
   bool has_single_version_run(std::string const& engine) const;
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/pool_lease.cc
@@ -12,7 +12,7 @@
 constexpr std::string_view k_prefix = "frostline/owners/";
 /// A node that has just owned the pool asks for it again before the others do.
 constexpr milliseconds k_return_delay{20};
-constexpr milliseconds k_first_delay{30};
+constexpr milliseconds k_first_delay{80};
 constexpr milliseconds k_delay_spread{240};
 constexpr milliseconds k_retry_pause{200};
 constexpr milliseconds k_transaction_timeout{1500};
@@ -104,7 +104,7 @@
 }
 
 awaitable<void> pool_lease::compete() {
-  bool const returning = last_owner_ == options_.node;
+  bool const returning = last_owner_ == options_.node || preferred_;
   milliseconds const delay =
       returning ? k_return_delay : k_first_delay + with_jitter(k_delay_spread);
   co_await changed_.wait_until(steady_clock::now() + delay);
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/pool_lease.h
@@ -57,6 +57,8 @@
   std::uint64_t epoch() const { return epoch_; }
   /// Earliest time for the first order: none of a former owner on another machine can follow.
   time_point orders_from() const { return orders_from_; }
+  /// Whether this node holds the owner's progress, and so asks for a free pool before the others.
+  void set_preferred(bool preferred) { preferred_ = preferred; }
   /// Time for which a former owner's orders count as close.
   void set_order_gap(milliseconds gap) { order_gap_ = gap; }
   std::optional<known_owner> const& owner() const { return owner_; }
@@ -94,6 +96,7 @@
   std::string last_owner_;
   bool record_known_ = false;
   bool released_ = false;
+  bool preferred_ = false;
   std::function<void()> on_gained_;
   std::function<void()> on_lost_;
   async_condition changed_;
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -228,6 +228,18 @@
 struct JobReplyBuilder;
 struct JobReplyT;
 
+struct SampleProgress;
+struct SampleProgressBuilder;
+struct SampleProgressT;
+
+struct ProgressReport;
+struct ProgressReportBuilder;
+struct ProgressReportT;
+
+struct ProgressReply;
+struct ProgressReplyBuilder;
+struct ProgressReplyT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -6742,6 +6754,9 @@
   std::string item{};
   std::unique_ptr<frostline::rpc::JobRecordT> record{};
   std::string pool{};
+  std::string from_address{};
+  std::string from_zone{};
+  uint64_t from_uptime_ms = 0;
   JobCallT() = default;
   JobCallT(const JobCallT &o);
   JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6764,7 +6779,10 @@
     VT_DEADLINE_MS = 12,
     VT_ITEM = 14,
     VT_RECORD = 16,
-    VT_POOL = 18
+    VT_POOL = 18,
+    VT_FROM_ADDRESS = 20,
+    VT_FROM_ZONE = 22,
+    VT_FROM_UPTIME_MS = 24
   };
   frostline::rpc::JobAction action() const {
     return static_cast<frostline::rpc::JobAction>(GetField<int8_t>(VT_ACTION, 0));
@@ -6796,6 +6814,17 @@
   const flatbuffers::String *pool() const {
     return GetPointer<const flatbuffers::String *>(VT_POOL);
   }
+  /// IP:port and zone of the node that passes the call on; absent if it came from itself.
+  const flatbuffers::String *from_address() const {
+    return GetPointer<const flatbuffers::String *>(VT_FROM_ADDRESS);
+  }
+  const flatbuffers::String *from_zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_FROM_ZONE);
+  }
+  /// For how long that node's process has run.
+  uint64_t from_uptime_ms() const {
+    return GetField<uint64_t>(VT_FROM_UPTIME_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_ACTION, 1) &&
@@ -6810,6 +6839,11 @@
            verifier.VerifyTable(record()) &&
            VerifyOffset(verifier, VT_POOL) &&
            verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_FROM_ADDRESS) &&
+           verifier.VerifyString(from_address()) &&
+           VerifyOffset(verifier, VT_FROM_ZONE) &&
+           verifier.VerifyString(from_zone()) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_UPTIME_MS, 8) &&
            verifier.EndTable();
   }
   JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6845,6 +6879,15 @@
   void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
     fbb_.AddOffset(JobCall::VT_POOL, pool);
   }
+  void add_from_address(flatbuffers::Offset<flatbuffers::String> from_address) {
+    fbb_.AddOffset(JobCall::VT_FROM_ADDRESS, from_address);
+  }
+  void add_from_zone(flatbuffers::Offset<flatbuffers::String> from_zone) {
+    fbb_.AddOffset(JobCall::VT_FROM_ZONE, from_zone);
+  }
+  void add_from_uptime_ms(uint64_t from_uptime_ms) {
+    fbb_.AddElement<uint64_t>(JobCall::VT_FROM_UPTIME_MS, from_uptime_ms, 0);
+  }
   explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6865,11 +6908,17 @@
     uint64_t deadline_ms = 0,
     flatbuffers::Offset<flatbuffers::String> item = 0,
     flatbuffers::Offset<frostline::rpc::JobRecord> record = 0,
-    flatbuffers::Offset<flatbuffers::String> pool = 0) {
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> from_address = 0,
+    flatbuffers::Offset<flatbuffers::String> from_zone = 0,
+    uint64_t from_uptime_ms = 0) {
   JobCallBuilder builder_(_fbb);
+  builder_.add_from_uptime_ms(from_uptime_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_wait_ms(wait_ms);
   builder_.add_after(after);
+  builder_.add_from_zone(from_zone);
+  builder_.add_from_address(from_address);
   builder_.add_pool(pool);
   builder_.add_record(record);
   builder_.add_item(item);
@@ -6892,10 +6941,15 @@
     uint64_t deadline_ms = 0,
     const char *item = nullptr,
     flatbuffers::Offset<frostline::rpc::JobRecord> record = 0,
-    const char *pool = nullptr) {
+    const char *pool = nullptr,
+    const char *from_address = nullptr,
+    const char *from_zone = nullptr,
+    uint64_t from_uptime_ms = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto item__ = item ? _fbb.CreateString(item) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto from_address__ = from_address ? _fbb.CreateString(from_address) : 0;
+  auto from_zone__ = from_zone ? _fbb.CreateString(from_zone) : 0;
   return frostline::rpc::CreateJobCall(
       _fbb,
       action,
@@ -6905,7 +6959,10 @@
       deadline_ms,
       item__,
       record,
-      pool__);
+      pool__,
+      from_address__,
+      from_zone__,
+      from_uptime_ms);
 }
 
 flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7061,6 +7118,412 @@
 
 flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SampleProgressT : public flatbuffers::NativeTable {
+  typedef SampleProgress TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SampleProgressT";
+  }
+  std::string job{};
+  uint32_t index = 0;
+  uint64_t from_bytes = 0;
+  std::string text{};
+  uint64_t events = 0;
+  bool has_last_event = false;
+  uint64_t last_event = 0;
+  std::vector<uint64_t> versions{};
+  std::unique_ptr<frostline::rpc::SampleResultT> result{};
+  SampleProgressT() = default;
+  SampleProgressT(const SampleProgressT &o);
+  SampleProgressT(SampleProgressT&&) FLATBUFFERS_NOEXCEPT = default;
+  SampleProgressT &operator=(SampleProgressT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// How far one sample has come at its pool's owner.
+struct SampleProgress FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SampleProgressT NativeTableType;
+  typedef SampleProgressBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SampleProgress";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_INDEX = 6,
+    VT_FROM_BYTES = 8,
+    VT_TEXT = 10,
+    VT_EVENTS = 12,
+    VT_HAS_LAST_EVENT = 14,
+    VT_LAST_EVENT = 16,
+    VT_VERSIONS = 18,
+    VT_RESULT = 20
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t index() const {
+    return GetField<uint32_t>(VT_INDEX, 0);
+  }
+  /// Bytes of the text that the replica holds already; 0 replaces what it holds.
+  uint64_t from_bytes() const {
+    return GetField<uint64_t>(VT_FROM_BYTES, 0);
+  }
+  const flatbuffers::String *text() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEXT);
+  }
+  uint64_t events() const {
+    return GetField<uint64_t>(VT_EVENTS, 0);
+  }
+  bool has_last_event() const {
+    return GetField<uint8_t>(VT_HAS_LAST_EVENT, 0) != 0;
+  }
+  uint64_t last_event() const {
+    return GetField<uint64_t>(VT_LAST_EVENT, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *versions() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_VERSIONS);
+  }
+  /// Present once the sample is finished.
+  const frostline::rpc::SampleResult *result() const {
+    return GetPointer<const frostline::rpc::SampleResult *>(VT_RESULT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyField<uint64_t>(verifier, VT_FROM_BYTES, 8) &&
+           VerifyOffset(verifier, VT_TEXT) &&
+           verifier.VerifyString(text()) &&
+           VerifyField<uint64_t>(verifier, VT_EVENTS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LAST_EVENT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_LAST_EVENT, 8) &&
+           VerifyOffset(verifier, VT_VERSIONS) &&
+           verifier.VerifyVector(versions()) &&
+           VerifyOffset(verifier, VT_RESULT) &&
+           verifier.VerifyTable(result()) &&
+           verifier.EndTable();
+  }
+  SampleProgressT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SampleProgressT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SampleProgress> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SampleProgressBuilder {
+  typedef SampleProgress Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(SampleProgress::VT_JOB, job);
+  }
+  void add_index(uint32_t index) {
+    fbb_.AddElement<uint32_t>(SampleProgress::VT_INDEX, index, 0);
+  }
+  void add_from_bytes(uint64_t from_bytes) {
+    fbb_.AddElement<uint64_t>(SampleProgress::VT_FROM_BYTES, from_bytes, 0);
+  }
+  void add_text(flatbuffers::Offset<flatbuffers::String> text) {
+    fbb_.AddOffset(SampleProgress::VT_TEXT, text);
+  }
+  void add_events(uint64_t events) {
+    fbb_.AddElement<uint64_t>(SampleProgress::VT_EVENTS, events, 0);
+  }
+  void add_has_last_event(bool has_last_event) {
+    fbb_.AddElement<uint8_t>(SampleProgress::VT_HAS_LAST_EVENT, static_cast<uint8_t>(has_last_event), 0);
+  }
+  void add_last_event(uint64_t last_event) {
+    fbb_.AddElement<uint64_t>(SampleProgress::VT_LAST_EVENT, last_event, 0);
+  }
+  void add_versions(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions) {
+    fbb_.AddOffset(SampleProgress::VT_VERSIONS, versions);
+  }
+  void add_result(flatbuffers::Offset<frostline::rpc::SampleResult> result) {
+    fbb_.AddOffset(SampleProgress::VT_RESULT, result);
+  }
+  explicit SampleProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SampleProgress> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SampleProgress>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SampleProgress> CreateSampleProgress(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t index = 0,
+    uint64_t from_bytes = 0,
+    flatbuffers::Offset<flatbuffers::String> text = 0,
+    uint64_t events = 0,
+    bool has_last_event = false,
+    uint64_t last_event = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions = 0,
+    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0) {
+  SampleProgressBuilder builder_(_fbb);
+  builder_.add_last_event(last_event);
+  builder_.add_events(events);
+  builder_.add_from_bytes(from_bytes);
+  builder_.add_result(result);
+  builder_.add_versions(versions);
+  builder_.add_text(text);
+  builder_.add_index(index);
+  builder_.add_job(job);
+  builder_.add_has_last_event(has_last_event);
+  return builder_.Finish();
+}
+
+struct SampleProgress::Traits {
+  using type = SampleProgress;
+  static auto constexpr Create = CreateSampleProgress;
+};
+
+inline flatbuffers::Offset<SampleProgress> CreateSampleProgressDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    uint32_t index = 0,
+    uint64_t from_bytes = 0,
+    const char *text = nullptr,
+    uint64_t events = 0,
+    bool has_last_event = false,
+    uint64_t last_event = 0,
+    const std::vector<uint64_t> *versions = nullptr,
+    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto text__ = text ? _fbb.CreateString(text) : 0;
+  auto versions__ = versions ? _fbb.CreateVector<uint64_t>(*versions) : 0;
+  return frostline::rpc::CreateSampleProgress(
+      _fbb,
+      job__,
+      index,
+      from_bytes,
+      text__,
+      events,
+      has_last_event,
+      last_event,
+      versions__,
+      result);
+}
+
+flatbuffers::Offset<SampleProgress> CreateSampleProgress(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProgressReportT : public flatbuffers::NativeTable {
+  typedef ProgressReport TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ProgressReportT";
+  }
+  std::string pool{};
+  uint64_t epoch = 0;
+  std::vector<std::string> jobs{};
+  std::vector<std::unique_ptr<frostline::rpc::SampleProgressT>> entries{};
+  bool whole = false;
+  ProgressReportT() = default;
+  ProgressReportT(const ProgressReportT &o);
+  ProgressReportT(ProgressReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  ProgressReportT &operator=(ProgressReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What has changed at a pool's owner and is not stored yet, for the node that may follow it.
+struct ProgressReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProgressReportT NativeTableType;
+  typedef ProgressReportBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ProgressReport";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_EPOCH = 6,
+    VT_JOBS = 8,
+    VT_ENTRIES = 10,
+    VT_WHOLE = 12
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  /// Open jobs; what the replica holds of others is forgotten.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *jobs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_JOBS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleProgress>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleProgress>> *>(VT_ENTRIES);
+  }
+  /// All that a replica holds, offered to the owner that follows; else what has changed.
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_JOBS) &&
+           verifier.VerifyVector(jobs()) &&
+           verifier.VerifyVectorOfStrings(jobs()) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           verifier.EndTable();
+  }
+  ProgressReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProgressReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProgressReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProgressReportBuilder {
+  typedef ProgressReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(ProgressReport::VT_POOL, pool);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(ProgressReport::VT_EPOCH, epoch, 0);
+  }
+  void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> jobs) {
+    fbb_.AddOffset(ProgressReport::VT_JOBS, jobs);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleProgress>>> entries) {
+    fbb_.AddOffset(ProgressReport::VT_ENTRIES, entries);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(ProgressReport::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  explicit ProgressReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProgressReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProgressReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProgressReport> CreateProgressReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> jobs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleProgress>>> entries = 0,
+    bool whole = false) {
+  ProgressReportBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_entries(entries);
+  builder_.add_jobs(jobs);
+  builder_.add_pool(pool);
+  builder_.add_whole(whole);
+  return builder_.Finish();
+}
+
+struct ProgressReport::Traits {
+  using type = ProgressReport;
+  static auto constexpr Create = CreateProgressReport;
+};
+
+inline flatbuffers::Offset<ProgressReport> CreateProgressReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    uint64_t epoch = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *jobs = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::SampleProgress>> *entries = nullptr,
+    bool whole = false) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*jobs) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleProgress>>(*entries) : 0;
+  return frostline::rpc::CreateProgressReport(
+      _fbb,
+      pool__,
+      epoch,
+      jobs__,
+      entries__,
+      whole);
+}
+
+flatbuffers::Offset<ProgressReport> CreateProgressReport(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ProgressReplyT : public flatbuffers::NativeTable {
+  typedef ProgressReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ProgressReplyT";
+  }
+  bool taken = false;
+  uint64_t known_epoch = 0;
+};
+
+struct ProgressReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProgressReplyT NativeTableType;
+  typedef ProgressReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.ProgressReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TAKEN = 4,
+    VT_KNOWN_EPOCH = 6
+  };
+  /// False: the replica lacks what the report goes on from; it must be sent whole.
+  bool taken() const {
+    return GetField<uint8_t>(VT_TAKEN, 0) != 0;
+  }
+  /// Epoch of the pool's owner as the replica knows it; 0 if it knows none.
+  uint64_t known_epoch() const {
+    return GetField<uint64_t>(VT_KNOWN_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_TAKEN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_KNOWN_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+  ProgressReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProgressReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ProgressReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProgressReplyBuilder {
+  typedef ProgressReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_taken(bool taken) {
+    fbb_.AddElement<uint8_t>(ProgressReply::VT_TAKEN, static_cast<uint8_t>(taken), 0);
+  }
+  void add_known_epoch(uint64_t known_epoch) {
+    fbb_.AddElement<uint64_t>(ProgressReply::VT_KNOWN_EPOCH, known_epoch, 0);
+  }
+  explicit ProgressReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ProgressReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ProgressReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ProgressReply> CreateProgressReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool taken = false,
+    uint64_t known_epoch = 0) {
+  ProgressReplyBuilder builder_(_fbb);
+  builder_.add_known_epoch(known_epoch);
+  builder_.add_taken(taken);
+  return builder_.Finish();
+}
+
+struct ProgressReply::Traits {
+  using type = ProgressReply;
+  static auto constexpr Create = CreateProgressReply;
+};
+
+flatbuffers::Offset<ProgressReply> CreateProgressReply(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TaskRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -9322,7 +9785,10 @@
         deadline_ms(o.deadline_ms),
         item(o.item),
         record((o.record) ? new frostline::rpc::JobRecordT(*o.record) : nullptr),
-        pool(o.pool) {
+        pool(o.pool),
+        from_address(o.from_address),
+        from_zone(o.from_zone),
+        from_uptime_ms(o.from_uptime_ms) {
 }
 
 inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
@@ -9334,6 +9800,9 @@
   std::swap(item, o.item);
   std::swap(record, o.record);
   std::swap(pool, o.pool);
+  std::swap(from_address, o.from_address);
+  std::swap(from_zone, o.from_zone);
+  std::swap(from_uptime_ms, o.from_uptime_ms);
   return *this;
 }
 
@@ -9354,6 +9823,9 @@
   { auto _e = item(); if (_e) _o->item = _e->str(); }
   { auto _e = record(); if (_e) _o->record = std::unique_ptr<frostline::rpc::JobRecordT>(_e->UnPack(_resolver)); }
   { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = from_address(); if (_e) _o->from_address = _e->str(); }
+  { auto _e = from_zone(); if (_e) _o->from_zone = _e->str(); }
+  { auto _e = from_uptime_ms(); _o->from_uptime_ms = _e; }
 }
 
 inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9372,6 +9844,9 @@
   auto _item = _o->item.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->item);
   auto _record = _o->record ? CreateJobRecord(_fbb, _o->record.get(), _rehasher) : 0;
   auto _pool = _o->pool.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->pool);
+  auto _from_address = _o->from_address.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->from_address);
+  auto _from_zone = _o->from_zone.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->from_zone);
+  auto _from_uptime_ms = _o->from_uptime_ms;
   return frostline::rpc::CreateJobCall(
       _fbb,
       _action,
@@ -9381,7 +9856,10 @@
       _deadline_ms,
       _item,
       _record,
-      _pool);
+      _pool,
+      _from_address,
+      _from_zone,
+      _from_uptime_ms);
 }
 
 inline JobReplyT::JobReplyT(const JobReplyT &o)
@@ -9445,6 +9923,166 @@
       _body);
 }
 
+inline SampleProgressT::SampleProgressT(const SampleProgressT &o)
+      : job(o.job),
+        index(o.index),
+        from_bytes(o.from_bytes),
+        text(o.text),
+        events(o.events),
+        has_last_event(o.has_last_event),
+        last_event(o.last_event),
+        versions(o.versions),
+        result((o.result) ? new frostline::rpc::SampleResultT(*o.result) : nullptr) {
+}
+
+inline SampleProgressT &SampleProgressT::operator=(SampleProgressT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(job, o.job);
+  std::swap(index, o.index);
+  std::swap(from_bytes, o.from_bytes);
+  std::swap(text, o.text);
+  std::swap(events, o.events);
+  std::swap(has_last_event, o.has_last_event);
+  std::swap(last_event, o.last_event);
+  std::swap(versions, o.versions);
+  std::swap(result, o.result);
+  return *this;
+}
+
+inline SampleProgressT *SampleProgress::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SampleProgressT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SampleProgress::UnPackTo(SampleProgressT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = index(); _o->index = _e; }
+  { auto _e = from_bytes(); _o->from_bytes = _e; }
+  { auto _e = text(); if (_e) _o->text = _e->str(); }
+  { auto _e = events(); _o->events = _e; }
+  { auto _e = has_last_event(); _o->has_last_event = _e; }
+  { auto _e = last_event(); _o->last_event = _e; }
+  { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = _e->Get(_i); } } }
+  { auto _e = result(); if (_e) _o->result = std::unique_ptr<frostline::rpc::SampleResultT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<SampleProgress> SampleProgress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSampleProgress(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SampleProgress> CreateSampleProgress(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SampleProgressT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->job);
+  auto _index = _o->index;
+  auto _from_bytes = _o->from_bytes;
+  auto _text = _o->text.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->text);
+  auto _events = _o->events;
+  auto _has_last_event = _o->has_last_event;
+  auto _last_event = _o->last_event;
+  auto _versions = _fbb.CreateVector(_o->versions);
+  auto _result = _o->result ? CreateSampleResult(_fbb, _o->result.get(), _rehasher) : 0;
+  return frostline::rpc::CreateSampleProgress(
+      _fbb,
+      _job,
+      _index,
+      _from_bytes,
+      _text,
+      _events,
+      _has_last_event,
+      _last_event,
+      _versions,
+      _result);
+}
+
+inline ProgressReportT::ProgressReportT(const ProgressReportT &o)
+      : pool(o.pool),
+        epoch(o.epoch),
+        jobs(o.jobs),
+        whole(o.whole) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new frostline::rpc::SampleProgressT(*entries_) : nullptr); }
+}
+
+inline ProgressReportT &ProgressReportT::operator=(ProgressReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(pool, o.pool);
+  std::swap(epoch, o.epoch);
+  std::swap(jobs, o.jobs);
+  std::swap(entries, o.entries);
+  std::swap(whole, o.whole);
+  return *this;
+}
+
+inline ProgressReportT *ProgressReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ProgressReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProgressReport::UnPackTo(ProgressReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<frostline::rpc::SampleProgressT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = whole(); _o->whole = _e; }
+}
+
+inline flatbuffers::Offset<ProgressReport> ProgressReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProgressReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ProgressReport> CreateProgressReport(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProgressReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _pool = _o->pool.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->pool);
+  auto _epoch = _o->epoch;
+  auto _jobs = _fbb.CreateVectorOfStrings(_o->jobs);
+  auto _entries = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleProgress>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateSampleProgress(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va );
+  auto _whole = _o->whole;
+  return frostline::rpc::CreateProgressReport(
+      _fbb,
+      _pool,
+      _epoch,
+      _jobs,
+      _entries,
+      _whole);
+}
+
+inline ProgressReplyT *ProgressReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ProgressReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ProgressReply::UnPackTo(ProgressReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = taken(); _o->taken = _e; }
+  { auto _e = known_epoch(); _o->known_epoch = _e; }
+}
+
+inline flatbuffers::Offset<ProgressReply> ProgressReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProgressReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ProgressReply> CreateProgressReply(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProgressReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _taken = _o->taken;
+  auto _known_epoch = _o->known_epoch;
+  return frostline::rpc::CreateProgressReply(
+      _fbb,
+      _taken,
+      _known_epoch);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -492,6 +492,11 @@
   record:JobRecord;
   /// Pool whose owner is asked.
   pool:string;
+  /// IP:port and zone of the node that passes the call on; absent if it came from itself.
+  from_address:string;
+  from_zone:string;
+  /// For how long that node's process has run.
+  from_uptime_ms:uint64;
 }
 enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4 }
 table JobReply {
@@ -505,8 +510,39 @@
   /// BODY: the item's body.
   body:[ubyte];
 }
+/// How far one sample has come at its pool's owner.
+table SampleProgress {
+  job:string;
+  index:uint32;
+  /// Bytes of the text that the replica holds already; 0 replaces what it holds.
+  from_bytes:uint64;
+  text:string;
+  events:uint64;
+  has_last_event:bool;
+  last_event:uint64;
+  versions:[uint64];
+  /// Present once the sample is finished.
+  result:SampleResult;
+}
+/// What has changed at a pool's owner and is not stored yet, for the node that may follow it.
+table ProgressReport {
+  pool:string;
+  epoch:uint64;
+  /// Open jobs; what the replica holds of others is forgotten.
+  jobs:[string];
+  entries:[SampleProgress];
+  /// All that a replica holds, offered to the owner that follows; else what has changed.
+  whole:bool;
+}
+table ProgressReply {
+  /// False: the replica lacks what the report goes on from; it must be sent whole.
+  taken:bool;
+  /// Epoch of the pool's owner as the replica knows it; 0 if it knows none.
+  known_epoch:uint64;
+}
 rpc_service JobService {
   Call(JobCall):JobReply;
+  Replicate(ProgressReport):ProgressReply;
 }
 )schema";
 }  // namespace frostline::schema
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -132,14 +132,16 @@
 }
 
 awaitable<http::response> server_standin::handle(http::request message) {
-  if (faults_.silent) co_await wait_for(k_silence);
   std::string const target(message.target());
-  if (target == "/api/report") co_return report();
-  if (target == "/api/order") co_return co_await order(message.body());
+  bool const is_request = !target.starts_with("/api/");
   arrival one = note(message);
   bool const refused = refuses(message);
   one.ran = !refused;
-  arrivals_.push_back(one);
+  // What a silent server does is not seen; that the request reached it is.
+  if (is_request) arrivals_.push_back(one);
+  if (faults_.silent) co_await wait_for(k_silence);
+  if (target == "/api/report") co_return report();
+  if (target == "/api/order") co_return co_await order(message.body());
   if (refused) co_return refusal(message);
   bool const fails = faults_.failures > 0;
   if (fails) --faults_.failures;
