Tests read the log of the node's present process

Change: each start has its log; the test waits for the line and checks that the owner's record was replaced, not made anew.

--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -196,7 +196,13 @@
   system.start_node(owner);
   platform_cluster::wait_until("it is ready", [&] { return system.is_ready(owner); });
   check_whole(system.wait_for_results(owner, "job", 4), 4);
-  STRCMP_CONTAINS("Pool acquired", system.log(owner).c_str());
+  platform_cluster::wait_until("the log tells so", [&] {
+    return system.log(owner).find("Pool acquired") != std::string::npos;
+  });
+  // The record of the former process was replaced; it had not gone with its lease.
+  auto const record =
+      system.on_platform([&] { return system.store().items().at("frostline/owners/engines"); });
+  CHECK(record.revision > record.created);
 }
 
 TEST(jobs_test, all_nodes_are_killed_at_once_and_nothing_accepted_is_lost) {
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -142,8 +142,11 @@
   write_settings(index);
   std::string const name = folder_ + "/node-" + std::to_string(index);
   std::vector<std::string> const arguments = {"--config=" + name + ".toml"};
-  nodes_.at(index) =
-      std::make_unique<child_process>(program_path("frostline-gateway"), arguments, name + ".log");
+  // Each start has a log of its own.
+  static std::size_t starts = 0;
+  logs_[index] = name + "." + std::to_string(++starts) + ".log";
+  nodes_.at(index) = std::make_unique<child_process>(program_path("frostline-gateway"), arguments,
+                                                     logs_.at(index));
 }
 
 bool platform_cluster::is_ready(std::size_t index) {
