--- a/tests/platform/calls_test.cc
+++ b/tests/platform/calls_test.cc
@@ -264,3 +264,10 @@
       "it says so", [&] { return system.log(1).find("Settings reloaded") != std::string::npos; });
   LONGS_EQUAL(200, system.call(1, http::verb::get, "/calls/x", "after").value().result_int());
 }
+
+TEST(calls_test, settings_are_read_again_when_their_file_changes) {
+  system.touch_settings(1);
+  platform_cluster::wait_until(
+      "it says so", [&] { return system.log(1).find("Settings reloaded") != std::string::npos; });
+  LONGS_EQUAL(200, system.call(1, http::verb::get, "/calls/x", "after").value().result_int());
+}
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -1,5 +1,6 @@
 #include "platform_cluster.h"
 
+#include <boost/filesystem.hpp>
 #include <boost/json.hpp>
 #include <fstream>
 #include <sstream>
@@ -138,6 +139,13 @@
        << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
 }
 
+void platform_cluster::touch_settings(std::size_t index) {
+  write_settings(index);
+  boost::filesystem::path const file = folder_ + "/node-" + std::to_string(index) + ".toml";
+  // Times of files may be whole seconds.
+  boost::filesystem::last_write_time(file, boost::filesystem::last_write_time(file) + 2);
+}
+
 void platform_cluster::start_node(std::size_t index) {
   write_settings(index);
   std::string const name = folder_ + "/node-" + std::to_string(index);
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -66,6 +66,8 @@
   void name_version(std::uint64_t version);
 
   void start_node(std::size_t index);
+  /// Writes a node's settings file again, with a later time.
+  void touch_settings(std::size_t index);
   child_process& node(std::size_t index) { return *nodes_.at(index); }
   bool is_ready(std::size_t index);
   /// What the node's present process has written.
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -103,15 +103,22 @@
   if (on_version_) on_version_();
 }
 
-awaitable<http::response> server_standin::order(std::string text) {
+order_arrival server_standin::note_order(std::string const& text) {
   auto const body = parse_json_object(text);
-  if (!body) co_return http::make_response(http::status::bad_request, "", "text/plain");
   order_arrival one;
+  if (!body) return one;
   one.holder = json_text(*body, "holder");
   one.fence = static_cast<std::uint64_t>(json_number(*body, "fence"));
   one.version = static_cast<std::uint64_t>(json_number(*body, "version"));
   one.at = steady_clock::now();
   orders_.push_back(one);
+  return one;
+}
+
+awaitable<http::response> server_standin::order(std::string text) {
+  auto const body = parse_json_object(text);
+  if (!body) co_return http::make_response(http::status::bad_request, "", "text/plain");
+  order_arrival const one = note_order(text);
   bool const sequence_differs =
       body->if_contains("expected") != nullptr &&
       static_cast<std::uint64_t>(json_number(*body, "expected")) != sequence_;
@@ -139,7 +146,11 @@
   one.ran = !refused;
   // What a silent server does is not seen; that the request reached it is.
   if (is_request) arrivals_.push_back(one);
-  if (faults_.silent) co_await wait_for(k_silence);
+  if (faults_.silent) {
+    if (target == "/api/order") note_order(message.body());
+    co_await wait_for(k_silence);
+    co_return http::make_response(http::status::service_unavailable, "", "text/plain");
+  }
   if (target == "/api/report") co_return report();
   if (target == "/api/order") co_return co_await order(message.body());
   if (refused) co_return refusal(message);
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -91,6 +91,7 @@
   awaitable<bool> stream(http::request const& message, http::stream_writer& writer);
   awaitable<bool> write_events(http::stream_writer& writer, std::string request,
                                std::uint64_t from);
+  order_arrival note_order(std::string const& body);
   awaitable<http::response> order(std::string body);
   awaitable<void> load(std::uint64_t version);
   http::response report() const;
