--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -30,6 +30,7 @@
 constexpr milliseconds k_leave_notice{2600};
 constexpr milliseconds k_stop_margin{700};
 constexpr milliseconds k_stop_poll{20};
+constexpr milliseconds k_last_requests{150};
 constexpr milliseconds k_default_deadline{10'000};
 constexpr milliseconds k_list_margin{500};
 constexpr milliseconds k_end_deadline{3000};
@@ -132,7 +133,7 @@
         auto const found = pools_.find(report.pool);
         rpc::ProgressReplyT reply;
         if (found != pools_.end()) reply = found->second.owner->replicate(std::move(report));
-        co_return std::move(reply);
+        co_return reply;
       });
 }
 
@@ -517,6 +518,12 @@
     co_await wait_for(k_stop_poll);
   }
   ingress_->close_listener();
+  // Connections that were just accepted may still bring a request.
+  time_point const last = std::min(steady_clock::now() + k_last_requests, deadline);
+  while (steady_clock::now() < last ||
+         (ingress_->in_flight() > 0 && steady_clock::now() < deadline)) {
+    co_await wait_for(k_stop_poll);
+  }
   log_line(log_level::info, k_part, "Planned stop ends.", {{"cut", ingress_->in_flight()}});
   state_ = application_state::stopped;
   flush_logs();
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -47,6 +47,12 @@
 
 }  // namespace
 
+std::uint64_t tokens_of(rpc::JobRecordT const& record) {
+  std::uint64_t tokens = 0;
+  for (auto const& item : record.items) tokens += item->tokens;
+  return tokens;
+}
+
 bool job_table::add(rpc::JobRecordT record, time_point now) {
   auto& held = jobs_[record.id];
   if (held) return false;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -72,6 +72,9 @@
   bool is_open() const { return !ended && listed.size() < samples.size(); }
 };
 
+/// Tokens of all items, as their submitter bounds them.
+std::uint64_t tokens_of(rpc::JobRecordT const& record);
+
 /// Names one run of one sample.
 struct run_key {
   std::string job;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -4,7 +4,6 @@
 
 #include "base/jitter.h"
 #include "base/log.h"
-#include "rpc/client.h"
 
 namespace frostline::jobs {
 namespace {
@@ -16,27 +15,6 @@
 /// An owner whose lease has lapsed begins runs for that long, unless it hears of another owner.
 constexpr milliseconds k_lapsed_work{8000};
 constexpr milliseconds k_load_pause{100};
-constexpr milliseconds k_retry_after{250};
-constexpr milliseconds k_offer_timeout{1000};
-constexpr std::size_t k_longest_list = 900 * 1024;
-constexpr milliseconds k_longest_wait{1000};
-
-rpc::JobReplyT reply_with(rpc::JobStatus status, std::string detail) {
-  rpc::JobReplyT reply;
-  reply.status = status;
-  reply.detail = std::move(detail);
-  if (status == rpc::JobStatus::UNAVAILABLE) {
-    reply.retry_after_ms = static_cast<std::uint64_t>(k_retry_after.count());
-  }
-  return reply;
-}
-
-/// Tokens of all items, as their submitter bounds them.
-std::uint64_t size_of(rpc::JobRecordT const& record) {
-  std::uint64_t tokens = 0;
-  for (auto const& item : record.items) tokens += item->tokens;
-  return tokens;
-}
 
 engines::order_authority make_authority(owner_parts const& parts, sample_runner const& runner) {
   engines::order_authority authority;
@@ -157,7 +135,7 @@
     log_line(log_level::error, k_part, "A job's record can't be read.", {{"job", id}});
     co_return true;
   }
-  orders_.note_job(stored.record->model, stored.record->min_version, size_of(*stored.record));
+  orders_.note_job(stored.record->model, stored.record->min_version, tokens_of(*stored.record));
   time_point const now = steady_clock::now();
   table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
@@ -314,199 +292,4 @@
   return state_ == owner_state::active || state_ == owner_state::suspended;
 }
 
-rpc::ProgressReplyT pool_owner::replicate(rpc::ProgressReportT report) {
-  rpc::ProgressReplyT reply;
-  bool const own = state_ == owner_state::active || state_ == owner_state::suspended;
-  // Changes that a former owner still reports go on from what this node does not hold.
-  if (own && report.whole && report.epoch < parts_.lease.epoch()) {
-    adopt(report);
-    reply.taken = true;
-    return reply;
-  }
-  reply.taken = !own && replica_.take(std::move(report), steady_clock::now());
-  return reply;
-}
-
-void pool_owner::adopt(rpc::ProgressReportT const& report) {
-  std::size_t adopted = 0;
-  for (auto const& progress : report.entries) {
-    if (!table_.adopt(*progress, steady_clock::now())) continue;
-    runner_.abort_run(progress->job, progress->index);
-    ++adopted;
-  }
-  log_line(log_level::info, k_part, "Progress of the former owner taken over.",
-           {{"pool", report.pool}, {"former_epoch", report.epoch}, {"samples", adopted}});
-  notify();
-}
-
-void pool_owner::offer_replica() {
-  auto const& owner = parts_.lease.owner();
-  bool const followed = owner && owner->node != parts_.node && owner->epoch > replica_.epoch();
-  if (state_ != owner_state::standby || !followed) return;
-  if (replica_.is_fresh(steady_clock::now())) {
-    spawn(parts_.context, send_offer(owner->address, replica_.whole(parts_.lease.pool())));
-  }
-  replica_.clear();
-}
-
-awaitable<void> pool_owner::send_offer(endpoint where, rpc::ProgressReportT report) {
-  auto const reply = co_await rpc::call<rpc::ProgressReportT, rpc::ProgressReplyT>(
-      parts_.transport, where, "JobService", "Replicate", report, k_offer_timeout);
-  log_line(log_level::info, k_part, "Progress offered to the new owner.",
-           {{"pool", report.pool},
-            {"owner", where.to_string()},
-            {"samples", report.entries.size()},
-            {"taken", reply && reply.value().taken ? "yes" : "no"}});
-}
-
-awaitable<rpc::JobReplyT> pool_owner::handle(rpc::JobCallT call) {
-  auto const peer = parse_endpoint(call.from_address);
-  if (peer) {
-    progress_.note_peer(*peer, call.from_zone, milliseconds(call.from_uptime_ms),
-                        steady_clock::now());
-  }
-  switch (call.action) {
-    case rpc::JobAction::SUBMIT:
-      co_return co_await submit(std::move(call));
-    case rpc::JobAction::LIST:
-      co_return co_await list(std::move(call));
-    case rpc::JobAction::BODY:
-      co_return body(call);
-    case rpc::JobAction::END:
-      co_return co_await end(std::move(call));
-  }
-  co_return reply_with(rpc::JobStatus::INVALID, "unknown action");
-}
-
-void pool_owner::accept(rpc::JobRecordT record) {
-  std::string const id = record.id;
-  orders_.note_job(record.model, record.min_version, size_of(record));
-  log_line(log_level::info, k_part, "Job accepted.",
-           {{"job", id},
-            {"model", record.model},
-            {"step", record.step},
-            {"min_version", record.min_version},
-            {"newest_version", orders_.newest(record.model)},
-            {"items", record.items.size()},
-            {"desired", record.desired},
-            {"epoch", parts_.lease.epoch()}});
-  table_.add(std::move(record), steady_clock::now());
-  notify();
-}
-
-awaitable<rpc::JobReplyT> pool_owner::submit(rpc::JobCallT call) {
-  if (!call.record || call.record->items.empty()) {
-    co_return reply_with(rpc::JobStatus::INVALID, "no items");
-  }
-  std::string const id = call.record->id;
-  bool const known = table_.find(id) != nullptr || ended_unread_.contains(id);
-  if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
-  if (state_ != owner_state::active) {
-    co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-  }
-  if (!submitting_.contains(id)) {
-    submitting_[id] = true;
-    std::uint64_t const term = term_;
-    auto record = std::make_shared<rpc::JobRecordT>(std::move(*call.record));
-    log_.write_record(*record, [this, term, id, record](write_outcome outcome) {
-      if (term == term_) {
-        submitting_.erase(id);
-        if (outcome == write_outcome::stored) accept(std::move(*record));
-      }
-      written_.notify_all();
-    });
-  }
-  time_point const deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  while (submitting_.contains(id) && steady_clock::now() < deadline) {
-    co_await written_.wait_until(deadline);
-  }
-  if (table_.find(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
-  co_return reply_with(rpc::JobStatus::OUTCOME_UNKNOWN, "the record store has not answered");
-}
-
-awaitable<rpc::JobReplyT> pool_owner::list(rpc::JobCallT call) {
-  auto const wait = std::min(milliseconds(call.wait_ms), k_longest_wait);
-  time_point const deadline = steady_clock::now() + wait;
-  while (true) {
-    if (!can_read()) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-    co_await ensure_loaded(call.job);
-    job* const owner = table_.find(call.job);
-    if (owner == nullptr) {
-      bool const sure = is_certain() && !ended_unread_.contains(call.job);
-      co_return reply_with(sure ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE, {});
-    }
-    bool const waiting =
-        owner->listed.size() <= call.after && steady_clock::now() < deadline && owner->is_open();
-    if (!waiting) break;
-    co_await listed_.wait_until(deadline);
-  }
-  job const& owner = *table_.find(call.job);
-  rpc::JobReplyT reply;
-  reply.total = owner.samples.size();
-  std::size_t bytes = 0;
-  for (std::size_t place = call.after; place < owner.listed.size(); ++place) {
-    rpc::SampleResultT const& result = owner.samples[owner.listed[place]].result;
-    bytes += result.text.size() + result.score.size() + 160;
-    if (bytes > k_longest_list && !reply.results.empty()) break;
-    reply.results.push_back(std::make_unique<rpc::SampleResultT>(result));
-  }
-  co_return reply;
-}
-
-rpc::JobReplyT pool_owner::body(rpc::JobCallT const& call) {
-  if (!can_read()) return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-  job const* const owner = table_.find(call.job);
-  if (owner == nullptr && !is_certain()) {
-    return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-  }
-  if (owner == nullptr || owner->ended) return reply_with(rpc::JobStatus::UNKNOWN_JOB, {});
-  for (sample const& one : owner->samples) {
-    if (one.spec->id != call.item) continue;
-    rpc::JobReplyT reply;
-    reply.body = one.spec->body;
-    return reply;
-  }
-  return reply_with(rpc::JobStatus::UNKNOWN_JOB, "no such item");
-}
-
-awaitable<rpc::JobReplyT> pool_owner::end(rpc::JobCallT call) {
-  if (state_ != owner_state::active) {
-    co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-  }
-  if (ended_unread_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
-  job* const owner = table_.find(call.job);
-  if (owner == nullptr) {
-    auto const status = is_certain() ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE;
-    co_return reply_with(status, {});
-  }
-  if (owner->ended && !writing_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
-  bool const lost = writing_.contains(call.job) && writing_[call.job] &&
-                    *writing_[call.job] != write_outcome::stored;
-  if (!owner->ended || lost) {
-    table_.end(call.job);
-    runner_.abort_runs(call.job);
-    writing_[call.job] = nullptr;
-    log_.write_end(call.job, [this, id = call.job](write_outcome outcome) {
-      writing_[id] = std::make_shared<write_outcome const>(outcome);
-      written_.notify_all();
-    });
-  }
-  time_point const deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  while (writing_.contains(call.job) && !writing_[call.job] && steady_clock::now() < deadline) {
-    co_await written_.wait_until(deadline);
-  }
-  auto const found = writing_.find(call.job);
-  bool const pending = found != writing_.end() && !found->second;
-  bool const stored =
-      found == writing_.end() || (found->second && *found->second == write_outcome::stored);
-  if (!pending && stored) {
-    writing_.erase(call.job);
-    log_line(log_level::info, k_part, "Job ended.",
-             {{"job", call.job}, {"epoch", parts_.lease.epoch()}});
-    notify();
-    co_return reply_with(rpc::JobStatus::OK, {});
-  }
-  co_return reply_with(rpc::JobStatus::OUTCOME_UNKNOWN, "the record store has not answered");
-}
-
 }  // namespace frostline::jobs
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -230,6 +230,35 @@
   return answer ? answer.value().result_int() : 0;
 }
 
+unsigned platform_cluster::end_job(std::size_t node, std::string const& job) {
+  auto const answer = call(node, http::verb::delete_, "/api/lots/" + job, "");
+  return answer ? answer.value().result_int() : 0;
+}
+
+result<http::response> platform_cluster::item_body(std::size_t node, std::string const& job,
+                                                   std::string const& item) {
+  return call(node, http::verb::get, "/api/items/" + job + "?id=" + item, "");
+}
+
+std::string platform_cluster::stamp_of(http::response const& answer) {
+  return std::string(http::header(answer, "X-Frostline-Server-Stamp"));
+}
+
+void platform_cluster::ask_to_empty(std::string const& machine) {
+  on_platform([&] {
+    store_->put("op/retire/" + machine, "{\"duration_s\":10}");
+    return 0;
+  });
+}
+
+bool platform_cluster::is_reported_empty(std::string const& machine) {
+  return on_platform([&] {
+    auto const found = store_->items().find("status/retire/" + machine);
+    return found != store_->items().end() &&
+           found->second.value.find("completed") != std::string::npos;
+  });
+}
+
 std::optional<json::object> platform_cluster::results(std::size_t node, std::string const& job,
                                                       std::uint64_t after) {
   auto const answer =
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -81,6 +81,16 @@
                               milliseconds timeout = milliseconds(5000));
   unsigned submit(std::size_t node, std::string const& job, std::vector<test_item> const& items,
                   std::uint64_t min_version = 1);
+  /// Ends a job. @return the status; 0 without an answer.
+  unsigned end_job(std::size_t node, std::string const& job);
+  /// Asks for the body of a job's item.
+  result<http::response> item_body(std::size_t node, std::string const& job,
+                                   std::string const& item);
+  /// An answer's proof that it is a server's own.
+  static std::string stamp_of(http::response const& answer);
+  /// Asks for a storage machine to be emptied, as an operator does.
+  void ask_to_empty(std::string const& machine);
+  bool is_reported_empty(std::string const& machine);
   /// Results of a job from a position on; nothing if the node does not answer 200.
   std::optional<boost::json::object> results(std::size_t node, std::string const& job,
                                              std::uint64_t after = 0);
