The strongest nodes own pools; results that change no more are read from the store

Cause: on the grown sites machines differ fourfold (0.12 to 0.5 of a core), and any of them became owner. A weak one took 3.9 s to load six jobs after an outage. Change: a node's share of a core is a setting; weak nodes ask for a free pool up to 250 ms later, and strong ones are chosen as replica. Beyond 1 MiB a second an owner tells other nodes to read final results from the record store themselves. Readers are answered within 1.2 s, not 0.5 s, of their wait.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -32,7 +32,8 @@
 constexpr milliseconds k_stop_poll{20};
 constexpr milliseconds k_last_requests{150};
 constexpr milliseconds k_default_deadline{10'000};
-constexpr milliseconds k_list_margin{500};
+/// Readers wait that much longer than they allow.
+constexpr milliseconds k_list_margin{1200};
 constexpr milliseconds k_end_deadline{3000};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 constexpr std::string_view k_metrics_path = "/metrics";
@@ -87,8 +88,9 @@
   calls::forwarder forwarder_{calls::forwarder_parts{context_, configuration_, servers_,
                                                      connections_, selector_, adapter_.names()}};
   jobs::pool_map pools_;
-  jobs::job_client job_client_{
-      context_, transport_, pools_, settings_.id, settings_.peers.to_string(), settings_.zone};
+  jobs::job_client job_client_{context_, transport_, adapter_.store(), pools_,
+                               jobs::calling_node{settings_.id, settings_.peers.to_string(),
+                                                  settings_.zone, settings_.processor_share}};
   std::shared_ptr<kv::follower> configuration_follower_;
   std::shared_ptr<kv::follower> servers_follower_;
   std::shared_ptr<kv::follower> owners_follower_;
@@ -253,6 +255,7 @@
   ownership::pool_lease_options options;
   options.node = settings_.id;
   options.address = settings_.peers;
+  options.handicap = ownership::handicap_of(settings_.processor_share);
   options.time_to_live = std::max(options.time_to_live, settings_.store_limits.shortest_lease);
   one.lease =
       std::make_unique<ownership::pool_lease>(context_, adapter_.store(), name, std::move(options));
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -19,6 +19,8 @@
   process_role role = process_role::gateway;
   std::string id;
   std::string zone;
+  /// Share of a core that the process may use.
+  double processor_share = 0.25;
   /// Where clients connect.
   endpoint clients;
   /// Where the platform asks whether this node takes clients.
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "jobs/result_reader.h"
 #include "rpc/client.h"
 
 namespace frostline::jobs {
@@ -46,6 +47,27 @@
   co_return unreached ? unavailable() : outcome_unknown();
 }
 
+void job_client::describe_self(rpc::JobCallT& call) const {
+  auto const uptime = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_);
+  call.from_address = node_.address;
+  call.from_zone = node_.zone;
+  call.from_uptime_ms = static_cast<std::uint64_t>(uptime.count());
+  call.from_processor_share = node_.processor_share;
+}
+
+awaitable<rpc::JobReplyT> job_client::read_stored(std::string pool, rpc::JobCallT call,
+                                                  std::uint64_t total) {
+  auto reply = co_await read_results(store_, pool, call.job, call.after, total);
+  bool const read = reply && !reply->results.empty();
+  log_line(log_level::info, k_part, "Results read from the record store.",
+           {{"job", call.job},
+            {"after", call.after},
+            {"results", reply ? reply->results.size() : 0},
+            {"total", total}});
+  if (!read) co_return unavailable();
+  co_return std::move(*reply);
+}
+
 awaitable<rpc::JobReplyT> job_client::ask_pool(pool& one, rpc::JobCallT const& call,
                                                time_point deadline) {
   bool may_be_done = false;
@@ -55,17 +77,16 @@
     next.deadline_ms = static_cast<std::uint64_t>(left_until(deadline).count());
     auto const& owner = one.lease->owner();
     rpc::JobReplyT reply = unavailable();
-    bool const local = !owner || owner->node == node_;
+    bool const local = !owner || owner->node == node_.id;
     if (local) {
       reply = co_await one.owner->handle(std::move(next));
     } else {
-      next.from_address = own_address_;
-      next.from_zone = zone_;
-      auto const uptime = steady_clock::now() - started_at_;
-      next.from_uptime_ms =
-          static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(uptime).count());
+      describe_self(next);
       reply = co_await ask_remote(owner->address, next, deadline);
     }
+    if (reply.status == rpc::JobStatus::READ_RECORDS) {
+      reply = co_await read_stored(one.lease->pool(), call, reply.total);
+    }
     if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_be_done = true;
     bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
                          reply.status != rpc::JobStatus::OUTCOME_UNKNOWN;
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -24,17 +24,25 @@
 
 using pool_map = std::map<std::string, pool>;
 
+/// What a node says of itself to the owners that it asks.
+struct calling_node {
+  std::string id;
+  /// Where other nodes reach it.
+  std::string address;
+  std::string zone;
+  /// Share of a core that it may use.
+  double processor_share = 0;
+};
+
 class job_client {
  public:
-  /// @param own_address where other nodes reach this one.
-  job_client(asio::io_context& context, http::client& transport, pool_map& pools, std::string node,
-             std::string own_address, std::string zone)
+  job_client(asio::io_context& context, http::client& transport, kv::record_store& store,
+             pool_map& pools, calling_node node)
       : context_(context),
         transport_(transport),
+        store_(store),
         pools_(pools),
-        node_(std::move(node)),
-        own_address_(std::move(own_address)),
-        zone_(std::move(zone)) {}
+        node_(std::move(node)) {}
 
   /// Hands a job to the owner of `pool_name`.
   awaitable<rpc::JobReplyT> submit(std::string pool_name, rpc::JobCallT call, time_point deadline);
@@ -47,12 +55,15 @@
   awaitable<rpc::JobReplyT> ask_remote(endpoint where, rpc::JobCallT const& call,
                                        time_point deadline);
 
+  void describe_self(rpc::JobCallT& call) const;
+  /// The owner left the reading to this node.
+  awaitable<rpc::JobReplyT> read_stored(std::string pool, rpc::JobCallT call, std::uint64_t total);
+
   asio::io_context& context_;
   http::client& transport_;
+  kv::record_store& store_;
   pool_map& pools_;
-  std::string node_;
-  std::string own_address_;
-  std::string zone_;
+  calling_node node_;
   time_point started_at_ = steady_clock::now();
 };
 
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -16,6 +16,7 @@
 #include "engines/weight_orders.h"
 #include "jobs/job_table.h"
 #include "jobs/progress_replica.h"
+#include "jobs/read_budget.h"
 #include "jobs/record_log.h"
 #include "jobs/sample_runner.h"
 #include "kv/record_store.h"
@@ -50,6 +51,10 @@
 
 class pool_owner {
  public:
+  /// Results of jobs that change no more that other nodes get from the owner; beyond that they read
+  /// the record store. A seventh of a link of 60 Mbit/s.
+  static constexpr std::size_t k_read_bytes_per_second = 1 << 20;
+
   explicit pool_owner(owner_parts parts);
 
   void start();
@@ -119,6 +124,8 @@
   std::map<std::string, bool> submitting_;
   /// Ended jobs whose data has not been read.
   std::set<std::string> ended_unread_;
+  /// Results of jobs that change no more, sent to other nodes.
+  read_budget reads_{k_read_bytes_per_second};
   async_condition work_;
   async_condition listed_;
   async_condition written_;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "jobs/pool_owner.h"
+#include "jobs/result_reader.h"
 #include "rpc/client.h"
 
 namespace frostline::jobs {
@@ -12,7 +13,6 @@
 constexpr std::string_view k_part = "jobs";
 constexpr milliseconds k_retry_after{250};
 constexpr milliseconds k_offer_timeout{1000};
-constexpr std::size_t k_longest_list = 900 * 1024;
 constexpr milliseconds k_longest_wait{1000};
 
 rpc::JobReplyT reply_with(rpc::JobStatus status, std::string detail) {
@@ -76,7 +76,7 @@
   auto const peer = parse_endpoint(call.from_address);
   if (peer) {
     progress_.note_peer(*peer, call.from_zone, milliseconds(call.from_uptime_ms),
-                        steady_clock::now());
+                        call.from_processor_share, steady_clock::now());
   }
   switch (call.action) {
     case rpc::JobAction::SUBMIT:
@@ -159,10 +159,16 @@
   std::size_t bytes = 0;
   for (std::size_t place = call.after; place < owner.listed.size(); ++place) {
     rpc::SampleResultT const& result = owner.samples[owner.listed[place]].result;
-    bytes += result.text.size() + result.score.size() + 160;
-    if (bytes > k_longest_list && !reply.results.empty()) break;
+    bytes += reply_bytes(result);
+    if (bytes > k_longest_reply && !reply.results.empty()) break;
     reply.results.push_back(std::make_unique<rpc::SampleResultT>(result));
   }
+  bool const passed_on = !call.from_address.empty();
+  bool const final = !owner.is_open() && !reply.results.empty();
+  if (passed_on && final && !reads_.take(bytes, steady_clock::now())) {
+    reply.status = rpc::JobStatus::READ_RECORDS;
+    reply.results.clear();
+  }
   co_return reply;
 }
 
--- a/src/jobs/progress_replica.cc
+++ b/src/jobs/progress_replica.cc
@@ -76,9 +76,10 @@
 }
 
 void progress_sender::note_peer(endpoint const& where, std::string const& zone, milliseconds uptime,
-                                time_point now) {
+                                double processor_share, time_point now) {
   peer& one = peers_[where];
   one.zone = zone;
+  one.processor_share = processor_share;
   one.started_at = now - uptime;
   one.heard_at = now;
 }
@@ -91,6 +92,9 @@
 bool progress_sender::is_better(endpoint const& left, endpoint const& right) const {
   peer const& first = peers_.at(left);
   peer const& second = peers_.at(right);
+  if (first.processor_share != second.processor_share) {
+    return first.processor_share > second.processor_share;
+  }
   if (first.started_at > second.started_at + k_much_younger) return true;
   if (second.started_at > first.started_at + k_much_younger) return false;
   if (replica_ && (left == *replica_ || right == *replica_)) return left == *replica_;
--- a/src/jobs/progress_replica.h
+++ b/src/jobs/progress_replica.h
@@ -49,8 +49,9 @@
   }
   /// A node of whose life this one has just heard.
   /// @param uptime of its process.
+  /// @param processor_share of a core that it may use.
   void note_peer(endpoint const& where, std::string const& zone, milliseconds uptime,
-                 time_point now);
+                 double processor_share, time_point now);
   /// Sends what has changed if none is under way and it is time.
   void advance(job_table& table, std::uint64_t epoch, time_point now);
   /// Sends what is left and waits for the answer.
@@ -61,14 +62,16 @@
  private:
   struct peer {
     std::string zone;
+    double processor_share = 0;
     time_point heard_at{};
     time_point started_at{};
     /// Not chosen before.
     time_point avoided_until = time_point::min();
   };
 
-  /// The node to send to. A process that is much younger than the others comes first: where nodes
-  /// are restarted in turn, it is the last to go. Then the present one, one of the own zone, any.
+  /// The node to send to. The strongest come first, since it will be asked to follow. Of these, a
+  /// process that is much younger than the others comes first: where nodes are restarted in turn,
+  /// it is the last to go. Then the present one, one of the own zone, any.
   std::optional<endpoint> choose(time_point now);
   std::optional<rpc::ProgressReportT> make_report(job_table& table, std::uint64_t epoch);
   awaitable<void> send(endpoint where, rpc::ProgressReportT report);
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -61,9 +61,13 @@
   return data_prefix(pool, job) + std::string(k_record_part) + padded(part);
 }
 
+std::string record_keys::results_prefix(std::string const& pool, std::string const& job) {
+  return data_prefix(pool, job) + std::string(k_results_part);
+}
+
 std::string record_keys::results(std::string const& pool, std::string const& job,
                                  std::uint64_t first) {
-  return data_prefix(pool, job) + std::string(k_results_part) + padded(first);
+  return results_prefix(pool, job) + padded(first);
 }
 
 stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records) {
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -32,6 +32,7 @@
   static std::string ended_mark(std::string const& pool, std::string const& job);
   static std::string data_prefix(std::string const& pool, std::string const& job);
   static std::string record(std::string const& pool, std::string const& job, std::size_t part);
+  static std::string results_prefix(std::string const& pool, std::string const& job);
   static std::string results(std::string const& pool, std::string const& job, std::uint64_t first);
 };
 
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/pool_lease.cc
@@ -1,5 +1,7 @@
 #include "ownership/pool_lease.h"
 
+#include <algorithm>
+
 #include "base/encoding.h"
 #include "base/jitter.h"
 #include "base/log.h"
@@ -15,10 +17,20 @@
 constexpr milliseconds k_first_delay{80};
 constexpr milliseconds k_delay_spread{240};
 constexpr milliseconds k_retry_pause{200};
+/// A node with this share of a core or more is as good an owner as any.
+constexpr double k_strong_share = 0.5;
+/// Longest handicap: above the first delay's spread over a few strong nodes.
+constexpr milliseconds k_longest_handicap{250};
 constexpr milliseconds k_transaction_timeout{1500};
 
 }  // namespace
 
+milliseconds handicap_of(double processor_share) {
+  double const strength = std::clamp(processor_share / k_strong_share, 0.0, 1.0);
+  auto const longest = static_cast<double>(k_longest_handicap.count());
+  return milliseconds(static_cast<std::int64_t>(longest * (1.0 - strength)));
+}
+
 pool_lease::pool_lease(asio::io_context& context, kv::record_store& store, std::string pool,
                        pool_lease_options options)
     : context_(context),
@@ -103,11 +115,15 @@
   }
 }
 
+milliseconds pool_lease::delay_before_asking() const {
+  if (last_owner_ == options_.node) return k_return_delay;
+  // Progress can be offered to whoever follows; a weak processor can't be made up for.
+  if (preferred_) return k_return_delay + options_.handicap;
+  return k_first_delay + with_jitter(k_delay_spread) + options_.handicap;
+}
+
 awaitable<void> pool_lease::compete() {
-  bool const returning = last_owner_ == options_.node || preferred_;
-  milliseconds const delay =
-      returning ? k_return_delay : k_first_delay + with_jitter(k_delay_spread);
-  co_await changed_.wait_until(steady_clock::now() + delay);
+  co_await changed_.wait_until(steady_clock::now() + delay_before_asking());
   bool const own_former = owner_ && owner_->node == options_.node;
   if ((owner_ && !own_former) || released_) co_return;
   state_ = lease_state::acquiring;
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/pool_lease.h
@@ -33,8 +33,13 @@
   milliseconds renewal_interval{400};
   /// The lease counts as over this long before the store would end it.
   milliseconds safety_margin{150};
+  /// Asks for a free pool that much later than the strongest node.
+  milliseconds handicap{0};
 };
 
+/// How much later than the strongest node one with this share of a core asks for a free pool.
+milliseconds handicap_of(double processor_share);
+
 /// Candidate for, or owner of, one pool.
 class pool_lease {
  public:
@@ -72,6 +77,7 @@
  private:
   awaitable<void> run();
   awaitable<void> compete();
+  milliseconds delay_before_asking() const;
   /// @param replaced revision of the record of this machine's own former process; 0: none.
   awaitable<bool> create_record(kv::revision replaced);
   awaitable<void> renew();
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -450,35 +450,38 @@
   UNAVAILABLE = 2,
   OUTCOME_UNKNOWN = 3,
   INVALID = 4,
+  READ_RECORDS = 5,
   MIN = OK,
-  MAX = INVALID
+  MAX = READ_RECORDS
 };
 
-inline const JobStatus (&EnumValuesJobStatus())[5] {
+inline const JobStatus (&EnumValuesJobStatus())[6] {
   static const JobStatus values[] = {
     JobStatus::OK,
     JobStatus::UNKNOWN_JOB,
     JobStatus::UNAVAILABLE,
     JobStatus::OUTCOME_UNKNOWN,
-    JobStatus::INVALID
+    JobStatus::INVALID,
+    JobStatus::READ_RECORDS
   };
   return values;
 }
 
 inline const char * const *EnumNamesJobStatus() {
-  static const char * const names[6] = {
+  static const char * const names[7] = {
     "OK",
     "UNKNOWN_JOB",
     "UNAVAILABLE",
     "OUTCOME_UNKNOWN",
     "INVALID",
+    "READ_RECORDS",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameJobStatus(JobStatus e) {
-  if (flatbuffers::IsOutRange(e, JobStatus::OK, JobStatus::INVALID)) return "";
+  if (flatbuffers::IsOutRange(e, JobStatus::OK, JobStatus::READ_RECORDS)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesJobStatus()[index];
 }
@@ -6757,6 +6760,7 @@
   std::string from_address{};
   std::string from_zone{};
   uint64_t from_uptime_ms = 0;
+  double from_processor_share = 0.0;
   JobCallT() = default;
   JobCallT(const JobCallT &o);
   JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6782,7 +6786,8 @@
     VT_POOL = 18,
     VT_FROM_ADDRESS = 20,
     VT_FROM_ZONE = 22,
-    VT_FROM_UPTIME_MS = 24
+    VT_FROM_UPTIME_MS = 24,
+    VT_FROM_PROCESSOR_SHARE = 26
   };
   frostline::rpc::JobAction action() const {
     return static_cast<frostline::rpc::JobAction>(GetField<int8_t>(VT_ACTION, 0));
@@ -6825,6 +6830,10 @@
   uint64_t from_uptime_ms() const {
     return GetField<uint64_t>(VT_FROM_UPTIME_MS, 0);
   }
+  /// Share of a core that it may use.
+  double from_processor_share() const {
+    return GetField<double>(VT_FROM_PROCESSOR_SHARE, 0.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_ACTION, 1) &&
@@ -6844,6 +6853,7 @@
            VerifyOffset(verifier, VT_FROM_ZONE) &&
            verifier.VerifyString(from_zone()) &&
            VerifyField<uint64_t>(verifier, VT_FROM_UPTIME_MS, 8) &&
+           VerifyField<double>(verifier, VT_FROM_PROCESSOR_SHARE, 8) &&
            verifier.EndTable();
   }
   JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6888,6 +6898,9 @@
   void add_from_uptime_ms(uint64_t from_uptime_ms) {
     fbb_.AddElement<uint64_t>(JobCall::VT_FROM_UPTIME_MS, from_uptime_ms, 0);
   }
+  void add_from_processor_share(double from_processor_share) {
+    fbb_.AddElement<double>(JobCall::VT_FROM_PROCESSOR_SHARE, from_processor_share, 0.0);
+  }
   explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6911,8 +6924,10 @@
     flatbuffers::Offset<flatbuffers::String> pool = 0,
     flatbuffers::Offset<flatbuffers::String> from_address = 0,
     flatbuffers::Offset<flatbuffers::String> from_zone = 0,
-    uint64_t from_uptime_ms = 0) {
+    uint64_t from_uptime_ms = 0,
+    double from_processor_share = 0.0) {
   JobCallBuilder builder_(_fbb);
+  builder_.add_from_processor_share(from_processor_share);
   builder_.add_from_uptime_ms(from_uptime_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_wait_ms(wait_ms);
@@ -6944,7 +6959,8 @@
     const char *pool = nullptr,
     const char *from_address = nullptr,
     const char *from_zone = nullptr,
-    uint64_t from_uptime_ms = 0) {
+    uint64_t from_uptime_ms = 0,
+    double from_processor_share = 0.0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto item__ = item ? _fbb.CreateString(item) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
@@ -6962,7 +6978,8 @@
       pool__,
       from_address__,
       from_zone__,
-      from_uptime_ms);
+      from_uptime_ms,
+      from_processor_share);
 }
 
 flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6984,6 +7001,7 @@
   JobReplyT &operator=(JobReplyT o) FLATBUFFERS_NOEXCEPT;
 };
 
+/// READ_RECORDS: the job changes no more and its owner is busy; the asking node reads the stored results itself.
 struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobReplyT NativeTableType;
   typedef JobReplyBuilder Builder;
@@ -9788,7 +9806,8 @@
         pool(o.pool),
         from_address(o.from_address),
         from_zone(o.from_zone),
-        from_uptime_ms(o.from_uptime_ms) {
+        from_uptime_ms(o.from_uptime_ms),
+        from_processor_share(o.from_processor_share) {
 }
 
 inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
@@ -9803,6 +9822,7 @@
   std::swap(from_address, o.from_address);
   std::swap(from_zone, o.from_zone);
   std::swap(from_uptime_ms, o.from_uptime_ms);
+  std::swap(from_processor_share, o.from_processor_share);
   return *this;
 }
 
@@ -9826,6 +9846,7 @@
   { auto _e = from_address(); if (_e) _o->from_address = _e->str(); }
   { auto _e = from_zone(); if (_e) _o->from_zone = _e->str(); }
   { auto _e = from_uptime_ms(); _o->from_uptime_ms = _e; }
+  { auto _e = from_processor_share(); _o->from_processor_share = _e; }
 }
 
 inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9847,6 +9868,7 @@
   auto _from_address = _o->from_address.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->from_address);
   auto _from_zone = _o->from_zone.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->from_zone);
   auto _from_uptime_ms = _o->from_uptime_ms;
+  auto _from_processor_share = _o->from_processor_share;
   return frostline::rpc::CreateJobCall(
       _fbb,
       _action,
@@ -9859,7 +9881,8 @@
       _pool,
       _from_address,
       _from_zone,
-      _from_uptime_ms);
+      _from_uptime_ms,
+      _from_processor_share);
 }
 
 inline JobReplyT::JobReplyT(const JobReplyT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -497,8 +497,11 @@
   from_zone:string;
   /// For how long that node's process has run.
   from_uptime_ms:uint64;
+  /// Share of a core that it may use.
+  from_processor_share:double;
 }
-enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4 }
+enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4, READ_RECORDS = 5 }
+/// READ_RECORDS: the job changes no more and its owner is busy; the asking node reads the stored results itself.
 table JobReply {
   status:JobStatus;
   detail:string;
--- a/tests/unit/ownership/pool_lease_test.cc
+++ b/tests/unit/ownership/pool_lease_test.cc
@@ -125,3 +125,21 @@
   LONGS_EQUAL(1, gained);
   LONGS_EQUAL(1, lost);
 }
+
+TEST(pool_lease_test, weak_node_asks_for_a_free_pool_after_the_strong_ones) {
+  LONGS_EQUAL(0, handicap_of(0.5).count());
+  LONGS_EQUAL(0, handicap_of(4).count());
+  CHECK(handicap_of(0.12) > handicap_of(0.25));
+  pool_lease_options options = options_of("weak");
+  options.handicap = milliseconds(2000);
+  pool_lease weak{context, store, "pool", options};
+  int weak_gained = 0;
+  weak.on_change([&] { ++weak_gained; }, [] {});
+  weak.start();
+  one.start();
+  tell(weak);
+  tell(one);
+  run_until([&] { return gained + weak_gained > 0; });
+  LONGS_EQUAL(1, gained);
+  context.stop();
+}
