A fifth of a large pool loads at once, and its owner sees loads as they end

Cause: two engines at a time loaded, whatever the pool's size, and the owner learned of the end up to 1.4 s late, since it read changes of servers as rarely as all nodes: 1.4 loads a second for four trainers and 35 engines, so steps waited for engines. Change: a fifth of the engines may load at once, two at least; an owner reads changes of servers each 60 ms. Unit test of the planner at 35 and 8 engines.

--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -114,6 +114,13 @@
   return best;
 }
 
+/// Engines of this board that may load at once.
+std::size_t most_loading(engine_board const& board, planner_options const& options) {
+  double const part =
+      std::ceil(static_cast<double>(board.engines().size()) * options.parallel_part);
+  return std::max<std::size_t>(options.parallel_loads, static_cast<std::size_t>(part));
+}
+
 }  // namespace
 
 std::vector<planned_order> plan_orders(engine_board const& board, model_needs const& needs,
@@ -128,9 +135,10 @@
   for (auto const& [id, one] : board.engines()) {
     if (one.load == load_state::ordered) ++loading;
   }
+  std::size_t const limit = most_loading(board, options);
   std::vector<planned_order> orders;
   std::set<std::string> taken;
-  while (loading + orders.size() < options.parallel_loads) {
+  while (loading + orders.size() < limit) {
     model_plan* const plan = most_pressing(plans);
     if (plan == nullptr) break;
     candidate const next = plan->others.back();
--- a/src/engines/version_planner.h
+++ b/src/engines/version_planner.h
@@ -15,8 +15,10 @@
 namespace frostline::engines {
 
 struct planner_options {
-  /// Engines that may load at once without slowing each other.
+  /// Engines that may always load at once.
   std::uint32_t parallel_loads = 2;
+  /// Part of a pool's engines that may load at once without slowing each other.
+  double parallel_part = 0.2;
   /// An order that shows no effect for that long is looked into.
   milliseconds order_patience{2500};
 };
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -19,6 +19,8 @@
 /// Changes of servers are read together; far below the time in which a leaving server must get
 /// nothing more.
 constexpr milliseconds k_servers_pause{1400};
+/// An owner waits for engines that have loaded.
+constexpr milliseconds k_owners_servers_pause{60};
 constexpr milliseconds k_configuration_pause{100};
 constexpr milliseconds k_versions_pause{20};
 constexpr milliseconds k_probe_interval{2000};
@@ -301,6 +303,7 @@
   bool const owner = std::any_of(pools_.begin(), pools_.end(), [](auto const& entry) {
     return entry.second.lease->state() == ownership::lease_state::owner;
   });
+  servers_follower_->set_pause(owner ? k_owners_servers_pause : k_servers_pause);
   if (!owner) {
     if (operators_follower_) operators_follower_->stop();
     operators_follower_.reset();
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -34,6 +34,8 @@
   void stop() { ++round_; }
   /// Gives the current watch up and lists anew: after silence of the store or of this process.
   void resynchronize();
+  /// Time between an answer and the next watch, from the next answer on.
+  void set_pause(milliseconds pause) { options_.pause = pause; }
   /// Whether a snapshot has ever arrived.
   bool is_loaded() const { return loaded_; }
   /// Store revision up to which the view is complete.
--- a/tests/unit/engines/version_planner_test.cc
+++ b/tests/unit/engines/version_planner_test.cc
@@ -185,3 +185,11 @@
   board.note_failure("e0", now);
   POINTERS_EQUAL(nullptr, board.choose(need_of(1), now + milliseconds(350)));
 }
+
+TEST(version_planner_test, a_fifth_of_a_large_pool_loads_at_once) {
+  set_engines(35, {{"m", 1}});
+  needs["m"].newest = 2;
+  LONGS_EQUAL(7, plan_orders(board, needs, options).size());
+  set_engines(8, {{"m", 1}});
+  LONGS_EQUAL(2, plan_orders(board, needs, options).size());
+}
