Results whose commit was under way at a job's end stay in its list

Cause: ending a job dropped results that were being stored. The owner of the same job after a lapse could show fewer, too, since it kept its own list of ended jobs. Change: what a commit under way holds is listed when it is stored; an owner that loads reads ended jobs from the store when they are asked for. Conclusion: job_table_test.results_whose_commit_was_under_way_at_the_end_are_listed fails without the change and passes with it.

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -101,7 +101,8 @@
     ++one.attempt;
     if (one.state != sample_state::listed) one.text.clear();
   }
-  owner->unlisted.clear();
+  // What a commit under way holds may be stored and shown already.
+  owner->unlisted.resize(std::min(owner->committing, owner->unlisted.size()));
   return true;
 }
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -116,7 +116,9 @@
   if (!answer || term != term_) co_return false;
   stored_marks const marks = read_marks(pool, answer.value().entries);
   for (std::string const& id : marks.ended) {
-    if (!table_.end(id)) ended_unread_.insert(id);
+    // What is stored counts: another owner, or a write without an answer, may have listed more.
+    table_.forget(id);
+    ended_unread_.insert(id);
   }
   for (auto const& [id, held] : table_.jobs()) held->committing = 0;
   for (std::string const& id : marks.open) {
--- a/tests/unit/jobs/job_table_test.cc
+++ b/tests/unit/jobs/job_table_test.cc
@@ -219,3 +219,15 @@
   auto const batch = table.next_batch(owner, now, k_limit);
   STRCMP_EQUAL("proof", batch->results[0]->score.c_str());
 }
+
+TEST(job_table_test, results_whose_commit_was_under_way_at_the_end_are_listed) {
+  job& owner = add("job", 3, 1);
+  complete(owner, 0);
+  complete(owner, 1);
+  CHECK(table.next_batch(owner, time_point::max(), k_limit).has_value());
+  complete(owner, 2);
+  table.end("job");
+  table.confirm(owner);
+  LONGS_EQUAL(2, owner.listed.size());
+  LONGS_EQUAL(0, owner.unlisted.size());
+}
