Changes of servers reach the nodes through the pool's owner

Change: the owner keeps the newest changes it has seen and other nodes ask it (700 ms at the longest), by the store's own revisions; a relay that has no word of the store for 0.8 s, lacks the history or does not answer in 0.95 s is passed over for 1.5 s and the store itself is watched. A new owner watches the store at once. A change takes at most 0.4 + 0.95 s and one call where drain_ms is 2 s (by reading).

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -10,15 +10,17 @@
 #include "http/server.h"
 #include "jobs/job_client.h"
 #include "kv/follower.h"
+#include "relay/relayed_store.h"
+#include "relay/watch_relay.h"
 #include "rpc/dispatcher.h"
 
 namespace frostline::gateway {
 namespace {
 
 constexpr std::string_view k_part = "gateway";
-/// Changes of servers are read together; far below the time in which a leaving server must get
-/// nothing more.
-constexpr milliseconds k_servers_pause{1400};
+/// Changes of servers are read together; with the time in which a lost relay is noticed, far below
+/// that in which a leaving server must get nothing more.
+constexpr milliseconds k_servers_pause{400};
 /// An owner waits for engines that have loaded.
 constexpr milliseconds k_owners_servers_pause{60};
 constexpr milliseconds k_configuration_pause{100};
@@ -53,11 +55,16 @@
   asio::io_context& context() { return context_; }
 
  private:
+  void add_relay_method();
   std::string listen();
   void start_followers();
   void take_configuration(std::string_view value);
   void take_server(kv::watch_event const& event);
   void take_servers(kv::range_answer const& all);
+  /// The node that watches servers for the others: the owner of a pool, unless it is this one.
+  std::optional<endpoint> find_relay() const;
+  /// When the store last answered this node as an owner.
+  time_point confirmed_as_owner() const;
   void take_owner(std::string const& key, kv::key_value const* record);
   void take_owners(kv::range_answer const& all);
   void take_request(kv::key_value const& record);
@@ -93,6 +100,10 @@
   jobs::job_client job_client_{context_, transport_, adapter_.store(), pools_,
                                jobs::calling_node{settings_.id, settings_.peers.to_string(),
                                                   settings_.zone, settings_.processor_share}};
+  relay::watch_relay relay_{context_, [this] { return confirmed_as_owner(); }};
+  relay::relayed_store relayed_store_{adapter_.store(), transport_,
+                                      [this] { return find_relay(); }};
+  bool owns_any_ = false;
   std::shared_ptr<kv::follower> configuration_follower_;
   std::shared_ptr<kv::follower> servers_follower_;
   std::shared_ptr<kv::follower> owners_follower_;
@@ -139,6 +150,16 @@
         if (found != pools_.end()) reply = found->second.owner->replicate(std::move(report));
         co_return reply;
       });
+  add_relay_method();
+}
+
+void application::parts::add_relay_method() {
+  peer_methods_.add<rpc::WatchCallT, rpc::WatchReplyT>(
+      "RelayService", "Watch",
+      [this](rpc::WatchCallT call) -> awaitable<rpc::reply<rpc::WatchReplyT>> {
+        relay_.history().advance(servers_follower_->at());
+        co_return co_await relay_.watch(std::move(call));
+      });
 }
 
 std::string application::parts::listen() {
@@ -196,7 +217,7 @@
   on_servers.snapshot = [this](kv::range_answer const& all) { take_servers(all); };
   on_servers.event = [this](kv::watch_event const& event) { take_server(event); };
   servers_follower_ =
-      std::make_shared<kv::follower>(context_, store, adapter_.keys().servers_prefix,
+      std::make_shared<kv::follower>(context_, relayed_store_, adapter_.keys().servers_prefix,
                                      std::move(on_servers), kv::follower_options{k_servers_pause});
   kv::follower_callbacks on_owners;
   on_owners.snapshot = [this](kv::range_answer const& all) { take_owners(all); };
@@ -240,9 +261,13 @@
     if (parsed) servers.push_back(std::move(*parsed));
   }
   servers_.replace_all(std::move(servers));
+  relay_.history().reset(all.store_revision);
+  relay_.notify();
 }
 
 void application::parts::take_server(kv::watch_event const& event) {
+  relay_.history().add(event);
+  relay_.notify();
   if (!event.deleted) {
     auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
     if (parsed) servers_.put(std::move(*parsed));
@@ -251,6 +276,22 @@
   servers_.remove(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
 }
 
+std::optional<endpoint> application::parts::find_relay() const {
+  for (auto const& [name, one] : pools_) {
+    auto const& owner = one.lease->owner();
+    if (owner && owner->node != settings_.id) return owner->address;
+  }
+  return std::nullopt;
+}
+
+time_point application::parts::confirmed_as_owner() const {
+  time_point newest = time_point::min();
+  for (auto const& [name, one] : pools_) {
+    if (one.lease->holds(steady_clock::now())) newest = std::max(newest, one.lease->confirmed_at());
+  }
+  return newest;
+}
+
 jobs::pool& application::parts::make_pool(std::string const& name) {
   jobs::pool& one = pools_[name];
   if (one.lease) return one;
@@ -304,6 +345,9 @@
     return entry.second.lease->state() == ownership::lease_state::owner;
   });
   servers_follower_->set_pause(owner ? k_owners_servers_pause : k_servers_pause);
+  // Whoever passes changes on must not wait for the node that did so before.
+  if (owner && !owns_any_) servers_follower_->watch_again();
+  owns_any_ = owner;
   if (!owner) {
     if (operators_follower_) operators_follower_->stop();
     operators_follower_.reset();
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/pool_lease.cc
@@ -155,6 +155,7 @@
   auto outcome = co_await store_.apply(std::move(change), k_transaction_timeout);
   if (state_ == lease_state::owner) co_return true;  // the follower was faster
   if (outcome && outcome.value().succeeded) {
+    confirmed_at_ = asked;
     become_owner(outcome.value().store_revision);
     co_return true;
   }
@@ -176,6 +177,7 @@
   if (state_ != lease_state::owner) co_return;
   if (renewed) {
     valid_until_ = asked + renewed.value() - options_.safety_margin;
+    confirmed_at_ = asked;
     co_return;
   }
   if (renewed.error() == kv::errc::lease_expired) {
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/pool_lease.h
@@ -58,6 +58,8 @@
 
   /// Whether this node may act as the owner now: its lease can't have ended.
   bool holds(time_point now) const;
+  /// When the store last answered this node about its lease: what was asked then.
+  time_point confirmed_at() const { return confirmed_at_; }
   lease_state state() const { return state_; }
   std::uint64_t epoch() const { return epoch_; }
   /// Earliest time for the first order: none of a former owner on another machine can follow.
@@ -93,6 +95,7 @@
   std::string token_;
   std::uint64_t epoch_ = 0;
   time_point valid_until_ = time_point::min();
+  time_point confirmed_at_ = time_point::min();
   time_point orders_from_ = time_point::max();
   milliseconds order_gap_{3000};
   std::optional<known_owner> owner_;
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -240,6 +240,18 @@
 struct ProgressReplyBuilder;
 struct ProgressReplyT;
 
+struct RecordChange;
+struct RecordChangeBuilder;
+struct RecordChangeT;
+
+struct WatchCall;
+struct WatchCallBuilder;
+struct WatchCallT;
+
+struct WatchReply;
+struct WatchReplyBuilder;
+struct WatchReplyT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -7542,6 +7554,318 @@
 
 flatbuffers::Offset<ProgressReply> CreateProgressReply(flatbuffers::FlatBufferBuilder &_fbb, const ProgressReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RecordChangeT : public flatbuffers::NativeTable {
+  typedef RecordChange TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.RecordChangeT";
+  }
+  std::string key{};
+  std::vector<uint8_t> value{};
+  uint64_t revision = 0;
+  uint64_t created = 0;
+  bool deleted = false;
+};
+
+/// One change of a record, as a node that watches the record store saw it.
+struct RecordChange FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RecordChangeT NativeTableType;
+  typedef RecordChangeBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.RecordChange";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_VALUE = 6,
+    VT_REVISION = 8,
+    VT_CREATED = 10,
+    VT_DELETED = 12
+  };
+  const flatbuffers::String *key() const {
+    return GetPointer<const flatbuffers::String *>(VT_KEY);
+  }
+  const flatbuffers::Vector<uint8_t> *value() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t created() const {
+    return GetField<uint64_t>(VT_CREATED, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEY) &&
+           verifier.VerifyString(key()) &&
+           VerifyOffset(verifier, VT_VALUE) &&
+           verifier.VerifyVector(value()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_CREATED, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           verifier.EndTable();
+  }
+  RecordChangeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RecordChangeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RecordChange> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RecordChangeBuilder {
+  typedef RecordChange Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(flatbuffers::Offset<flatbuffers::String> key) {
+    fbb_.AddOffset(RecordChange::VT_KEY, key);
+  }
+  void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
+    fbb_.AddOffset(RecordChange::VT_VALUE, value);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(RecordChange::VT_REVISION, revision, 0);
+  }
+  void add_created(uint64_t created) {
+    fbb_.AddElement<uint64_t>(RecordChange::VT_CREATED, created, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(RecordChange::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  explicit RecordChangeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RecordChange> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RecordChange>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RecordChange> CreateRecordChange(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    uint64_t revision = 0,
+    uint64_t created = 0,
+    bool deleted = false) {
+  RecordChangeBuilder builder_(_fbb);
+  builder_.add_created(created);
+  builder_.add_revision(revision);
+  builder_.add_value(value);
+  builder_.add_key(key);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+struct RecordChange::Traits {
+  using type = RecordChange;
+  static auto constexpr Create = CreateRecordChange;
+};
+
+inline flatbuffers::Offset<RecordChange> CreateRecordChangeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *key = nullptr,
+    const std::vector<uint8_t> *value = nullptr,
+    uint64_t revision = 0,
+    uint64_t created = 0,
+    bool deleted = false) {
+  auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
+  return frostline::rpc::CreateRecordChange(
+      _fbb,
+      key__,
+      value__,
+      revision,
+      created,
+      deleted);
+}
+
+flatbuffers::Offset<RecordChange> CreateRecordChange(flatbuffers::FlatBufferBuilder &_fbb, const RecordChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WatchCallT : public flatbuffers::NativeTable {
+  typedef WatchCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.WatchCallT";
+  }
+  uint64_t after = 0;
+  uint64_t wait_ms = 0;
+};
+
+/// Asks a node for the changes of the servers' records that it has seen.
+struct WatchCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WatchCallT NativeTableType;
+  typedef WatchCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.WatchCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AFTER = 4,
+    VT_WAIT_MS = 6
+  };
+  /// Store revision up to which the asking node knows all changes.
+  uint64_t after() const {
+    return GetField<uint64_t>(VT_AFTER, 0);
+  }
+  uint64_t wait_ms() const {
+    return GetField<uint64_t>(VT_WAIT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WAIT_MS, 8) &&
+           verifier.EndTable();
+  }
+  WatchCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WatchCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WatchCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WatchCallBuilder {
+  typedef WatchCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_after(uint64_t after) {
+    fbb_.AddElement<uint64_t>(WatchCall::VT_AFTER, after, 0);
+  }
+  void add_wait_ms(uint64_t wait_ms) {
+    fbb_.AddElement<uint64_t>(WatchCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  explicit WatchCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WatchCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WatchCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WatchCall> CreateWatchCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t after = 0,
+    uint64_t wait_ms = 0) {
+  WatchCallBuilder builder_(_fbb);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_after(after);
+  return builder_.Finish();
+}
+
+struct WatchCall::Traits {
+  using type = WatchCall;
+  static auto constexpr Create = CreateWatchCall;
+};
+
+flatbuffers::Offset<WatchCall> CreateWatchCall(flatbuffers::FlatBufferBuilder &_fbb, const WatchCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct WatchReplyT : public flatbuffers::NativeTable {
+  typedef WatchReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.WatchReplyT";
+  }
+  bool sure = false;
+  uint64_t store_revision = 0;
+  std::vector<std::unique_ptr<frostline::rpc::RecordChangeT>> changes{};
+  WatchReplyT() = default;
+  WatchReplyT(const WatchReplyT &o);
+  WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
+  WatchReplyT &operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct WatchReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WatchReplyT NativeTableType;
+  typedef WatchReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.WatchReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SURE = 4,
+    VT_STORE_REVISION = 6,
+    VT_CHANGES = 8
+  };
+  /// False: the relay may miss changes; the store itself must be asked.
+  bool sure() const {
+    return GetField<uint8_t>(VT_SURE, 0) != 0;
+  }
+  uint64_t store_revision() const {
+    return GetField<uint64_t>(VT_STORE_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *changes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *>(VT_CHANGES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_SURE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_REVISION, 8) &&
+           VerifyOffset(verifier, VT_CHANGES) &&
+           verifier.VerifyVector(changes()) &&
+           verifier.VerifyVectorOfTables(changes()) &&
+           verifier.EndTable();
+  }
+  WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(WatchReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<WatchReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct WatchReplyBuilder {
+  typedef WatchReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sure(bool sure) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_SURE, static_cast<uint8_t>(sure), 0);
+  }
+  void add_store_revision(uint64_t store_revision) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_STORE_REVISION, store_revision, 0);
+  }
+  void add_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>>> changes) {
+    fbb_.AddOffset(WatchReply::VT_CHANGES, changes);
+  }
+  explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WatchReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WatchReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WatchReply> CreateWatchReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool sure = false,
+    uint64_t store_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>>> changes = 0) {
+  WatchReplyBuilder builder_(_fbb);
+  builder_.add_store_revision(store_revision);
+  builder_.add_changes(changes);
+  builder_.add_sure(sure);
+  return builder_.Finish();
+}
+
+struct WatchReply::Traits {
+  using type = WatchReply;
+  static auto constexpr Create = CreateWatchReply;
+};
+
+inline flatbuffers::Offset<WatchReply> CreateWatchReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool sure = false,
+    uint64_t store_revision = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *changes = nullptr) {
+  auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RecordChange>>(*changes) : 0;
+  return frostline::rpc::CreateWatchReply(
+      _fbb,
+      sure,
+      store_revision,
+      changes__);
+}
+
+flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TaskRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -10106,6 +10430,119 @@
       _known_epoch);
 }
 
+inline RecordChangeT *RecordChange::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RecordChangeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RecordChange::UnPackTo(RecordChangeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = revision(); _o->revision = _e; }
+  { auto _e = created(); _o->created = _e; }
+  { auto _e = deleted(); _o->deleted = _e; }
+}
+
+inline flatbuffers::Offset<RecordChange> RecordChange::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RecordChangeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRecordChange(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RecordChange> CreateRecordChange(flatbuffers::FlatBufferBuilder &_fbb, const RecordChangeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RecordChangeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->key);
+  auto _value = _fbb.CreateVector(_o->value);
+  auto _revision = _o->revision;
+  auto _created = _o->created;
+  auto _deleted = _o->deleted;
+  return frostline::rpc::CreateRecordChange(
+      _fbb,
+      _key,
+      _value,
+      _revision,
+      _created,
+      _deleted);
+}
+
+inline WatchCallT *WatchCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WatchCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WatchCall::UnPackTo(WatchCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = after(); _o->after = _e; }
+  { auto _e = wait_ms(); _o->wait_ms = _e; }
+}
+
+inline flatbuffers::Offset<WatchCall> WatchCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWatchCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WatchCall> CreateWatchCall(flatbuffers::FlatBufferBuilder &_fbb, const WatchCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WatchCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _after = _o->after;
+  auto _wait_ms = _o->wait_ms;
+  return frostline::rpc::CreateWatchCall(
+      _fbb,
+      _after,
+      _wait_ms);
+}
+
+inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
+      : sure(o.sure),
+        store_revision(o.store_revision) {
+  changes.reserve(o.changes.size());
+  for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new frostline::rpc::RecordChangeT(*changes_) : nullptr); }
+}
+
+inline WatchReplyT &WatchReplyT::operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(sure, o.sure);
+  std::swap(store_revision, o.store_revision);
+  std::swap(changes, o.changes);
+  return *this;
+}
+
+inline WatchReplyT *WatchReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<WatchReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void WatchReply::UnPackTo(WatchReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sure(); _o->sure = _e; }
+  { auto _e = store_revision(); _o->store_revision = _e; }
+  { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<frostline::rpc::RecordChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateWatchReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WatchReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sure = _o->sure;
+  auto _store_revision = _o->store_revision;
+  auto _changes = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RecordChange>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordChange(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateWatchReply(
+      _fbb,
+      _sure,
+      _store_revision,
+      _changes);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -547,5 +547,29 @@
   Call(JobCall):JobReply;
   Replicate(ProgressReport):ProgressReply;
 }
+
+/// One change of a record, as a node that watches the record store saw it.
+table RecordChange {
+  key:string;
+  value:[ubyte];
+  revision:uint64;
+  created:uint64;
+  deleted:bool;
+}
+/// Asks a node for the changes of the servers' records that it has seen.
+table WatchCall {
+  /// Store revision up to which the asking node knows all changes.
+  after:uint64;
+  wait_ms:uint64;
+}
+table WatchReply {
+  /// False: the relay may miss changes; the store itself must be asked.
+  sure:bool;
+  store_revision:uint64;
+  changes:[RecordChange];
+}
+rpc_service RelayService {
+  Watch(WatchCall):WatchReply;
+}
 )schema";
 }  // namespace frostline::schema
--- a/tests/platform_standin/store_standin.cc
+++ b/tests/platform_standin/store_standin.cc
@@ -188,6 +188,7 @@
     if (!events.empty() || steady_clock::now() >= deadline) break;
     co_await changed_.wait_until(deadline);
   }
+  if (!events.empty()) ++answered_watches_[prefix];
   json::object body;
   body["events"] = std::move(events);
   body["at"] = revision_;
--- a/tests/platform_standin/store_standin.h
+++ b/tests/platform_standin/store_standin.h
@@ -52,6 +52,8 @@
   store_faults& faults() { return faults_; }
   std::uint64_t transactions() const { return transactions_; }
   std::uint64_t revision() const { return revision_; }
+  /// Watches of a prefix that were answered with changes.
+  std::uint64_t answered_watches(std::string const& prefix) { return answered_watches_[prefix]; }
 
  private:
   struct change {
@@ -89,6 +91,7 @@
   std::uint64_t next_lease_ = 1;
   std::uint64_t cuts_ = 0;
   std::uint64_t transactions_ = 0;
+  std::map<std::string, std::uint64_t> answered_watches_;
   store_faults faults_;
 };
 
