Scorers' calls are bounded by their servers' slots, not by 12

Cause: at most 12 scorers' calls were under way at once. On Sen Vang grown samples finished at up to 240 a second and were scored at 145 (12 calls of 83 ms), while 54 slots stood open; groups became whole late. Change: two thirds of the ready servers' slots, counted each 250 ms; the scoring is a module of its own.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -458,8 +458,8 @@
   for (auto& [name, one] : pools_) {
     now.pools.push_back({name, one.lease->state() == ownership::lease_state::owner,
                          one.owner->jobs(), one.owner->runner().running(),
-                         one.owner->runner().figures(), one.owner->orders().sent(),
-                         one.owner->log().transactions()});
+                         one.owner->runner().figures(), one.owner->runner().scoring(),
+                         one.owner->orders().sent(), one.owner->log().transactions()});
   }
   return http::make_response(http::status::ok, metrics_.write(now), k_plain_text);
 }
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -37,8 +37,8 @@
   set("runs_completed_total", "runs whose text is whole", static_cast<double>(pool.runs.completed));
   set("runs_broken_total", "runs that broke off", static_cast<double>(pool.runs.broken));
   set("runs_moved_total", "runs moved off slow engines", static_cast<double>(pool.runs.moved));
-  set("scored_total", "samples scored", static_cast<double>(pool.runs.scored));
-  set("dead_total", "samples given up", static_cast<double>(pool.runs.dead));
+  set("scored_total", "samples scored", static_cast<double>(pool.scoring.scored));
+  set("dead_total", "samples given up", static_cast<double>(pool.runs.dead + pool.scoring.dead));
   set("orders_total", "orders sent to engines", static_cast<double>(pool.orders));
   set("writes_total", "transactions sent for jobs", static_cast<double>(pool.transactions));
 }
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -21,6 +21,7 @@
   std::size_t jobs = 0;
   std::size_t running = 0;
   jobs::runner_figures runs;
+  jobs::scorer_figures scoring;
   std::uint64_t orders = 0;
   std::uint64_t transactions = 0;
 };
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <charconv>
 
-#include "base/jitter.h"
 #include "base/log.h"
 
 namespace frostline::jobs {
@@ -21,9 +20,6 @@
 constexpr milliseconds k_refused_pause{80};
 constexpr milliseconds k_broken_pause{10};
 constexpr milliseconds k_failed_pause{100};
-constexpr milliseconds k_scoring_pause{100};
-constexpr milliseconds k_scoring_deadline{2000};
-constexpr std::size_t k_most_scoring = 12;
 /// Runs started in one turn of the loop: other work, such as the lease, must not wait for all.
 constexpr std::size_t k_most_starts = 24;
 /// Longest time that an engine may spend on a run, where its job sets none.
@@ -276,7 +272,7 @@
   switch (end) {
     case run_end::completed:
       ++figures_.completed;
-      if (parts_.table.complete_text(*owner, key.index, now)) start_scoring(key.job, key.index);
+      if (parts_.table.complete_text(*owner, key.index, now)) scorer_.start(key.job, key.index);
       break;
     case run_end::refused:
       parts_.board.block(engine, now + k_refused_pause);
@@ -319,77 +315,4 @@
   }
 }
 
-void sample_runner::start_scoring(std::string const& job, std::uint32_t index) {
-  scoring_queue_.emplace_back(job, index);
-  pump_scoring();
-}
-
-void sample_runner::pump_scoring() {
-  while (scoring_ < k_most_scoring && !scoring_queue_.empty()) {
-    std::string const job = scoring_queue_.front().first;
-    std::uint32_t const index = scoring_queue_.front().second;
-    scoring_queue_.erase(scoring_queue_.begin());
-    ++scoring_;
-    spawn(parts_.context, score(job, index));
-  }
-}
-
-sample* sample_runner::scoring_sample(std::string const& job, std::uint32_t index) {
-  auto* const owner = parts_.table.find(job);
-  if (owner == nullptr || owner->ended) return nullptr;
-  sample& one = owner->samples[index];
-  return one.state == sample_state::scoring ? &one : nullptr;
-}
-
-awaitable<void> sample_runner::score(std::string job, std::uint32_t index) {
-  bool over = co_await score_once(job, index);
-  while (!over) {
-    co_await wait_for(with_jitter(k_scoring_pause));
-    over = co_await score_once(job, index);
-  }
-  --scoring_;
-  pump_scoring();
-  parts_.notify();
-}
-
-awaitable<bool> sample_runner::score_once(std::string job, std::uint32_t index) {
-  sample const* one = scoring_sample(job, index);
-  if (one == nullptr) co_return true;
-  rpc::ScorerCallT const& call = *one->spec->scorer;
-  auto const table = parts_.configuration.table();
-  calls::route const* by = table ? table->match(call.host, call.path) : nullptr;
-  if (by == nullptr) co_return false;
-  http::request message(http::verb::post, call.path, 11);
-  message.set(http::field::host, call.host);
-  message.set(parts_.names.request_id, call.id);
-  message.body().assign(call.body.begin(), call.body.end());
-  std::uint32_t const most_failures = by->max_attempts;
-  time_point const deadline = steady_clock::now() + k_scoring_deadline;
-  auto const outcome =
-      co_await parts_.forwarder.call(table, *by, std::move(message), deadline, nullptr);
-  sample* const now = scoring_sample(job, index);
-  if (now == nullptr) co_return true;
-  auto* const owner = parts_.table.find(job);
-  bool const answered = outcome.reason == calls::give_up_reason::none;
-  std::string const proof(http::header(outcome.answer, parts_.names.stamp));
-  bool const good = answered && outcome.answer.result_int() / 100 == 2 && !proof.empty();
-  log_line(log_level::info, k_part, good ? "Scored." : "Scoring failed.",
-           {{"request", now->spec->id},
-            {"job", job},
-            {"scorer", call.id},
-            {"server", outcome.server},
-            {"reason", calls::to_string(outcome.reason)},
-            {"status", answered ? outcome.answer.result_int() : 0}});
-  if (good) {
-    ++figures_.scored;
-    parts_.table.score(*owner, index, proof, steady_clock::now());
-    co_return true;
-  }
-  now->scoring_failures += outcome.failed_answers;
-  if (now->scoring_failures < most_failures) co_return false;
-  ++figures_.dead;
-  parts_.table.give_up(*owner, index, steady_clock::now());
-  co_return true;
-}
-
 }  // namespace frostline::jobs
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -1,4 +1,4 @@
-/// @file Runs the samples of a pool's jobs on its engines and has them scored.
+/// @file Runs the samples of a pool's jobs on its engines.
 #pragma once
 
 #include <functional>
@@ -12,6 +12,7 @@
 #include "directory/server_directory.h"
 #include "engines/engine_board.h"
 #include "jobs/job_table.h"
+#include "jobs/sample_scorer.h"
 
 namespace frostline::jobs {
 
@@ -34,7 +35,7 @@
   std::uint64_t completed = 0;
   std::uint64_t broken = 0;
   std::uint64_t moved = 0;
-  std::uint64_t scored = 0;
+  /// Given up by the engine's own answers.
   std::uint64_t dead = 0;
 };
 
@@ -52,6 +53,7 @@
   /// Whether a run of this engine must not mix versions.
   bool has_single_version_run(std::string const& engine) const;
   runner_figures const& figures() const { return figures_; }
+  scorer_figures const& scoring() const { return scorer_.figures(); }
 
  private:
   /// How a run ended.
@@ -96,20 +98,14 @@
   http::request make_request(job const& owner, sample const& one) const;
   void conclude(run_key const& key, std::string const& engine, run_end end);
   void conclude_failure(job& owner, run_key const& key, sample& one);
-  void start_scoring(std::string const& job, std::uint32_t index);
-  void pump_scoring();
-  awaitable<void> score(std::string job, std::uint32_t index);
-  /// @return whether the sample's scoring is over.
-  awaitable<bool> score_once(std::string job, std::uint32_t index);
-  sample* scoring_sample(std::string const& job, std::uint32_t index);
   std::string_view name_of(run_end end) const;
 
   runner_parts parts_;
   std::map<run_id, open_run> runs_;
   std::map<run_id, run_key> keys_;
   run_id next_run_ = 1;
-  std::vector<std::pair<std::string, std::uint32_t>> scoring_queue_;
-  std::size_t scoring_ = 0;
+  sample_scorer scorer_{scorer_parts{parts_.context, parts_.configuration, parts_.servers,
+                                     parts_.forwarder, parts_.names, parts_.table, parts_.notify}};
   calls::share_picker shares_;
   runner_figures figures_;
 };
--- /dev/null
+++ b/src/jobs/sample_scorer.h
@@ -0,0 +1,70 @@
+/// @file Has finished samples scored by the scorer's servers, as many at once as leaves room there
+/// for ordinary calls.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+
+#include "base/asio.h"
+#include "calls/forwarder.h"
+#include "calls/route_table.h"
+#include "directory/server_directory.h"
+#include "jobs/job_table.h"
+
+namespace frostline::jobs {
+
+/// References outlive the scorer.
+struct scorer_parts {
+  asio::io_context& context;
+  calls::active_configuration const& configuration;
+  directory::server_directory const& servers;
+  calls::forwarder& forwarder;
+  calls::header_names const& names;
+  job_table& table;
+  /// Something changed that the owner may act on.
+  std::function<void()> notify;
+};
+
+struct scorer_figures {
+  std::uint64_t scored = 0;
+  /// Samples given up because their scorer failed too often.
+  std::uint64_t dead = 0;
+};
+
+/// Calls that may be under way at once at servers with so many slots in all: two thirds of them.
+std::size_t calls_at_once(std::size_t slots);
+
+class sample_scorer {
+ public:
+  explicit sample_scorer(scorer_parts parts) : parts_(std::move(parts)) {}
+
+  /// Asks the scorer of a sample whose text is whole, as soon as there is room.
+  void start(std::string const& job, std::uint32_t index);
+  scorer_figures const& figures() const { return figures_; }
+
+ private:
+  struct waiting {
+    std::string job;
+    std::uint32_t index = 0;
+  };
+
+  void pump();
+  /// Calls that may be under way now. The queue is not empty.
+  std::size_t limit();
+  awaitable<void> score(std::string job, std::uint32_t index);
+  /// @return whether the sample's scoring is over.
+  awaitable<bool> score_once(std::string job, std::uint32_t index);
+  /// The sample, if it still waits for its score.
+  sample* waiting_sample(std::string const& job, std::uint32_t index);
+
+  scorer_parts parts_;
+  std::deque<waiting> queue_;
+  std::size_t under_way_ = 0;
+  std::size_t limit_ = 0;
+  time_point limit_until_ = time_point::min();
+  scorer_figures figures_;
+};
+
+}  // namespace frostline::jobs
