--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -7,24 +7,19 @@
 #include "calls/forwarder.h"
 #include "calls/ingress.h"
 #include "gateway/metrics.h"
+#include "gateway/operator_requests.h"
+#include "gateway/pools.h"
+#include "gateway/server_watch.h"
 #include "http/server.h"
 #include "jobs/job_client.h"
 #include "kv/follower.h"
-#include "relay/relayed_store.h"
-#include "relay/watch_relay.h"
 #include "rpc/dispatcher.h"
 
 namespace frostline::gateway {
 namespace {
 
 constexpr std::string_view k_part = "gateway";
-/// Changes of servers are read together; with the time in which a lost relay is noticed, far below
-/// that in which a leaving server must get nothing more.
-constexpr milliseconds k_servers_pause{400};
-/// An owner waits for engines that have loaded.
-constexpr milliseconds k_owners_servers_pause{60};
 constexpr milliseconds k_configuration_pause{100};
-constexpr milliseconds k_versions_pause{20};
 constexpr milliseconds k_probe_interval{2000};
 constexpr milliseconds k_probe_timeout{700};
 /// A loop that did not turn for that long stood still: what it believes may be old.
@@ -55,28 +50,15 @@
   asio::io_context& context() { return context_; }
 
  private:
-  void add_relay_method();
   std::string listen();
   void start_followers();
   void take_configuration(std::string_view value);
-  void take_server(kv::watch_event const& event);
-  void take_servers(kv::range_answer const& all);
-  /// The node that watches servers for the others: the owner of a pool, unless it is this one.
-  std::optional<endpoint> find_relay() const;
-  /// When the store last answered this node as an owner.
-  time_point confirmed_as_owner() const;
-  void take_owner(std::string const& key, kv::key_value const* record);
-  void take_owners(kv::range_answer const& all);
-  void take_request(kv::key_value const& record);
-  void ensure_pools();
-  jobs::pool& make_pool(std::string const& name);
-  void follow_operators_if_owner();
+  /// Takes up, or lays down, what only owners of a pool do.
+  void note_ownership();
   void note_progress();
-  awaitable<void> report_empty(std::string machine);
   awaitable<void> probe_loop();
   awaitable<void> housekeeping_loop();
   void resynchronize(std::string_view cause);
-  void notify_owners();
   awaitable<void> handle(http::request message, calls::caller& from);
   awaitable<void> handle_job(job_request request, calls::caller& from);
   awaitable<void> handle_submission(http::request message, calls::route const& by,
@@ -96,19 +78,16 @@
   calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id)};
   calls::forwarder forwarder_{calls::forwarder_parts{context_, configuration_, servers_,
                                                      connections_, selector_, adapter_.names()}};
-  jobs::pool_map pools_;
-  jobs::job_client job_client_{context_, transport_, adapter_.store(), pools_,
+  pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
+                           connections_, forwarder_}};
+  server_watch server_watch_{context_, adapter_, transport_, pools_, servers_};
+  operator_requests operator_requests_{
+      context_, adapter_, pools_, [this](std::string_view value) { take_configuration(value); }};
+  jobs::job_client job_client_{context_, transport_, adapter_.store(), pools_.all(),
                                jobs::calling_node{settings_.id, settings_.peers.to_string(),
                                                   settings_.zone, settings_.processor_share}};
-  relay::watch_relay relay_{context_, [this] { return confirmed_as_owner(); }};
-  relay::relayed_store relayed_store_{adapter_.store(), transport_,
-                                      [this] { return find_relay(); }};
-  bool owns_any_ = false;
   std::shared_ptr<kv::follower> configuration_follower_;
-  std::shared_ptr<kv::follower> servers_follower_;
   std::shared_ptr<kv::follower> owners_follower_;
-  std::shared_ptr<kv::follower> operators_follower_;
-  std::map<std::string, bool> emptied_;
   rpc::dispatcher peer_methods_;
   metrics metrics_;
   std::unique_ptr<http::server> peers_;
@@ -134,32 +113,8 @@
 
 application::parts::parts(asio::io_context& context, settings all, platform_adapter& adapter)
     : context_(context), settings_(std::move(all)), adapter_(adapter) {
-  peer_methods_.add<rpc::JobCallT, rpc::JobReplyT>(
-      "JobService", "Call", [this](rpc::JobCallT call) -> awaitable<rpc::reply<rpc::JobReplyT>> {
-        auto const found = pools_.find(call.pool);
-        rpc::JobReplyT reply;
-        reply.status = rpc::JobStatus::UNAVAILABLE;
-        if (found != pools_.end()) reply = co_await found->second.owner->handle(std::move(call));
-        co_return std::move(reply);
-      });
-  peer_methods_.add<rpc::ProgressReportT, rpc::ProgressReplyT>(
-      "JobService", "Replicate",
-      [this](rpc::ProgressReportT report) -> awaitable<rpc::reply<rpc::ProgressReplyT>> {
-        auto const found = pools_.find(report.pool);
-        rpc::ProgressReplyT reply;
-        if (found != pools_.end()) reply = found->second.owner->replicate(std::move(report));
-        co_return reply;
-      });
-  add_relay_method();
-}
-
-void application::parts::add_relay_method() {
-  peer_methods_.add<rpc::WatchCallT, rpc::WatchReplyT>(
-      "RelayService", "Watch",
-      [this](rpc::WatchCallT call) -> awaitable<rpc::reply<rpc::WatchReplyT>> {
-        relay_.history().advance(servers_follower_->at());
-        co_return co_await relay_.watch(std::move(call));
-      });
+  pools_.add_methods(peer_methods_);
+  server_watch_.add_methods(peer_methods_);
 }
 
 std::string application::parts::listen() {
@@ -187,7 +142,7 @@
   if (!failure.empty()) return failure;
   servers_.on_change([this] {
     note_progress();
-    for (auto& [name, one] : pools_) one.owner->note_servers();
+    pools_.note_servers();
   });
   start_followers();
   spawn(context_, probe_loop());
@@ -213,22 +168,20 @@
   configuration_follower_ = std::make_shared<kv::follower>(
       context_, store, adapter_.keys().configuration, std::move(on_configuration),
       kv::follower_options{k_configuration_pause});
-  kv::follower_callbacks on_servers;
-  on_servers.snapshot = [this](kv::range_answer const& all) { take_servers(all); };
-  on_servers.event = [this](kv::watch_event const& event) { take_server(event); };
-  servers_follower_ =
-      std::make_shared<kv::follower>(context_, relayed_store_, adapter_.keys().servers_prefix,
-                                     std::move(on_servers), kv::follower_options{k_servers_pause});
   kv::follower_callbacks on_owners;
-  on_owners.snapshot = [this](kv::range_answer const& all) { take_owners(all); };
+  on_owners.snapshot = [this](kv::range_answer const& all) {
+    pools_.take_owners(all);
+    note_ownership();
+  };
   on_owners.event = [this](kv::watch_event const& event) {
-    take_owner(event.entry.key, event.deleted ? nullptr : &event.entry);
+    pools_.take_owner(event.entry.key, event.deleted ? nullptr : &event.entry);
+    note_ownership();
   };
   owners_follower_ =
       std::make_shared<kv::follower>(context_, store, ownership::pool_lease::owners_prefix(),
                                      std::move(on_owners), kv::follower_options());
   configuration_follower_->start();
-  servers_follower_->start();
+  server_watch_.start();
   owners_follower_->start();
 }
 
@@ -239,7 +192,13 @@
              {{"config", configuration_.table()->all().version},
               {"servers", servers_.servers().size()}});
   }
-  notify_owners();
+  pools_.notify();
+}
+
+void application::parts::note_ownership() {
+  bool const owner = pools_.owns_any();
+  server_watch_.set_owner(owner);
+  operator_requests_.set_owner(owner);
 }
 
 void application::parts::take_configuration(std::string_view value) {
@@ -250,165 +209,16 @@
   }
   if (!configuration_.offer(std::move(*parsed))) return;
   ingress_->set_limits(configuration_.table()->all().limits);
-  ensure_pools();
+  pools_.ensure(configuration_.table()->all());
   note_progress();
 }
 
-void application::parts::take_servers(kv::range_answer const& all) {
-  std::vector<directory::server> servers;
-  for (kv::key_value const& one : all.entries) {
-    auto parsed = adapter_.parse_server(one.key, one.value);
-    if (parsed) servers.push_back(std::move(*parsed));
-  }
-  servers_.replace_all(std::move(servers));
-  relay_.history().reset(all.store_revision);
-  relay_.notify();
-}
-
-void application::parts::take_server(kv::watch_event const& event) {
-  relay_.history().add(event);
-  relay_.notify();
-  if (!event.deleted) {
-    auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
-    if (parsed) servers_.put(std::move(*parsed));
-    return;
-  }
-  servers_.remove(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
-}
-
-std::optional<endpoint> application::parts::find_relay() const {
-  for (auto const& [name, one] : pools_) {
-    auto const& owner = one.lease->owner();
-    if (owner && owner->node != settings_.id) return owner->address;
-  }
-  return std::nullopt;
-}
-
-time_point application::parts::confirmed_as_owner() const {
-  time_point newest = time_point::min();
-  for (auto const& [name, one] : pools_) {
-    if (one.lease->holds(steady_clock::now())) newest = std::max(newest, one.lease->confirmed_at());
-  }
-  return newest;
-}
-
-jobs::pool& application::parts::make_pool(std::string const& name) {
-  jobs::pool& one = pools_[name];
-  if (one.lease) return one;
-  ownership::pool_lease_options options;
-  options.node = settings_.id;
-  options.address = settings_.peers;
-  options.handicap = ownership::handicap_of(settings_.processor_share);
-  options.time_to_live = std::max(options.time_to_live, settings_.store_limits.shortest_lease);
-  one.lease =
-      std::make_unique<ownership::pool_lease>(context_, adapter_.store(), name, std::move(options));
-  one.lease->set_order_gap(settings_.order_gap);
-  one.owner = std::make_unique<jobs::pool_owner>(
-      jobs::owner_parts{context_, adapter_.store(), settings_.store_limits, configuration_,
-                        servers_, connections_, forwarder_, adapter_.names(), adapter_.engines(),
-                        *one.lease, transport_, settings_.id, settings_.zone, settings_.retention});
-  one.owner->start();
-  return one;
-}
-
-void application::parts::ensure_pools() {
-  for (auto const& [name, service] : configuration_.table()->all().services) {
-    if (!service.engines || pools_.contains(name)) continue;
-    jobs::pool& one = make_pool(name);
-    if (owners_follower_->is_loaded() && !one.lease->owner()) one.lease->note_record(nullptr);
-    one.lease->start();
-  }
-}
-
-void application::parts::take_owner(std::string const& key, kv::key_value const* record) {
-  std::string const name = key.substr(ownership::pool_lease::owners_prefix().size());
-  bool const fresh = !pools_.contains(name);
-  // A pool may be older than the configuration that this node knows.
-  jobs::pool& one = make_pool(name);
-  one.lease->note_record(record);
-  if (fresh) one.lease->start();
-  follow_operators_if_owner();
-}
-
-void application::parts::take_owners(kv::range_answer const& all) {
-  for (kv::key_value const& one : all.entries) take_owner(one.key, &one);
-  for (auto& [name, one] : pools_) {
-    std::string const key = ownership::pool_lease::key_of(name);
-    bool const listed = std::any_of(all.entries.begin(), all.entries.end(),
-                                    [&](kv::key_value const& entry) { return entry.key == key; });
-    if (!listed) one.lease->note_record(nullptr);
-  }
-}
-
-void application::parts::follow_operators_if_owner() {
-  bool const owner = std::any_of(pools_.begin(), pools_.end(), [](auto const& entry) {
-    return entry.second.lease->state() == ownership::lease_state::owner;
-  });
-  servers_follower_->set_pause(owner ? k_owners_servers_pause : k_servers_pause);
-  // Whoever passes changes on must not wait for the node that did so before.
-  if (owner && !owns_any_) servers_follower_->watch_again();
-  owns_any_ = owner;
-  if (!owner) {
-    if (operators_follower_) operators_follower_->stop();
-    operators_follower_.reset();
-    return;
-  }
-  if (operators_follower_) return;
-  kv::follower_callbacks on_request;
-  on_request.snapshot = [this](kv::range_answer const& all) {
-    for (kv::key_value const& one : all.entries) take_request(one);
-  };
-  on_request.event = [this](kv::watch_event const& event) {
-    if (!event.deleted) take_request(event.entry);
-  };
-  operators_follower_ =
-      std::make_shared<kv::follower>(context_, adapter_.store(), adapter_.keys().operators_prefix,
-                                     std::move(on_request), kv::follower_options{k_versions_pause});
-  operators_follower_->start();
-}
-
-void application::parts::take_request(kv::key_value const& record) {
-  if (record.key == adapter_.keys().configuration) {
-    take_configuration(record.value);
-    return;
-  }
-  auto const request = adapter_.parse_request(record.key, record.value);
-  if (!request) return;
-  if (request->kind == operator_request::request_kind::name_version) {
-    for (auto& [name, one] : pools_) {
-      one.owner->orders().name_version(request->model, request->version);
-    }
-    notify_owners();
-    return;
-  }
-  bool const first =
-      emptied_.emplace(record.key + std::to_string(record.mod_revision), true).second;
-  if (first) spawn(context_, report_empty(request->machine));
-}
-
-awaitable<void> application::parts::report_empty(std::string machine) {
-  // Nothing that must last lies on a machine: it is empty as soon as that is asked for.
-  while (state_ != application_state::stopped) {
-    kv::transaction change;
-    change.on_success.push_back(adapter_.report_empty(machine));
-    auto outcome = co_await adapter_.store().apply(std::move(change), milliseconds(1500));
-    log_line(log_level::info, k_part, "Machine reported as empty.",
-             {{"machine", machine}, {"stored", outcome ? "yes" : outcome.error().message()}});
-    if (outcome) co_return;
-    co_await wait_for(milliseconds(200));
-  }
-}
-
-void application::parts::notify_owners() {
-  for (auto& [name, one] : pools_) one.owner->notify();
-}
-
 void application::parts::resynchronize(std::string_view cause) {
   log_line(log_level::warning, k_part, "Reading all records again.", {{"cause", cause}});
   configuration_follower_->resynchronize();
-  servers_follower_->resynchronize();
+  server_watch_.resynchronize();
   owners_follower_->resynchronize();
-  if (operators_follower_) operators_follower_->resynchronize();
+  operator_requests_.resynchronize();
 }
 
 awaitable<void> application::parts::probe_loop() {
@@ -437,7 +247,7 @@
     if (pause > k_standstill) resynchronize("this process stood still");
     connections_.clean(servers_);
     selector_.clean(servers_);
-    follow_operators_if_owner();
+    note_ownership();
     flush_logs();
   }
 }
@@ -455,7 +265,7 @@
   now.calls = forwarder_.figures();
   now.connections_opened = connections_.opened();
   now.logs_dropped = dropped_log_lines();
-  for (auto& [name, one] : pools_) {
+  for (auto const& [name, one] : pools_.all()) {
     now.pools.push_back({name, one.lease->state() == ownership::lease_state::owner,
                          one.owner->jobs(), one.owner->runner().running(),
                          one.owner->runner().figures(), one.owner->runner().scoring(),
@@ -547,7 +357,7 @@
   settings_.order_gap = all.order_gap;
   settings_.retention = all.retention;
   settings_.stop_time = all.stop_time;
-  for (auto& [name, one] : pools_) one.lease->set_order_gap(all.order_gap);
+  pools_.set_order_gap(all.order_gap);
   start_logging(all.id, all.log_level);
   log_line(log_level::info, k_part, "Settings reloaded.", {{"id", all.id}});
 }
@@ -559,10 +369,7 @@
   time_point const begin = steady_clock::now();
   time_point const deadline = begin + settings_.stop_time - k_stop_margin;
   ingress_->drain();
-  for (auto& [name, one] : pools_) {
-    co_await one.owner->flush(begin + k_leave_notice / 2);
-    co_await one.lease->release();
-  }
+  co_await pools_.release(begin + k_leave_notice / 2);
   while (steady_clock::now() < begin + k_leave_notice ||
          (ingress_->in_flight() > 0 && steady_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll);
@@ -576,6 +383,7 @@
   }
   log_line(log_level::info, k_part, "Planned stop ends.", {{"cut", ingress_->in_flight()}});
   state_ = application_state::stopped;
+  operator_requests_.stop();
   flush_logs();
   on_stopped();
 }
--- /dev/null
+++ b/src/gateway/operator_requests.cc
@@ -0,0 +1,68 @@
+#include "gateway/operator_requests.h"
+
+#include "base/log.h"
+
+namespace frostline::gateway {
+namespace {
+
+constexpr std::string_view k_part = "gateway";
+constexpr milliseconds k_pause{20};
+constexpr milliseconds k_report_timeout{1500};
+constexpr milliseconds k_report_pause{200};
+
+}  // namespace
+
+void operator_requests::set_owner(bool owner) {
+  if (owner && !follower_) start();
+  if (owner || !follower_) return;
+  follower_->stop();
+  follower_.reset();
+}
+
+void operator_requests::start() {
+  kv::follower_callbacks callbacks;
+  callbacks.snapshot = [this](kv::range_answer const& all) {
+    for (kv::key_value const& one : all.entries) take(one);
+  };
+  callbacks.event = [this](kv::watch_event const& event) {
+    if (!event.deleted) take(event.entry);
+  };
+  follower_ =
+      std::make_shared<kv::follower>(context_, adapter_.store(), adapter_.keys().operators_prefix,
+                                     std::move(callbacks), kv::follower_options{k_pause});
+  follower_->start();
+}
+
+void operator_requests::resynchronize() {
+  if (follower_) follower_->resynchronize();
+}
+
+void operator_requests::take(kv::key_value const& record) {
+  if (record.key == adapter_.keys().configuration) {
+    take_configuration_(record.value);
+    return;
+  }
+  auto const request = adapter_.parse_request(record.key, record.value);
+  if (!request) return;
+  if (request->kind == operator_request::request_kind::name_version) {
+    pools_.name_version(request->model, request->version);
+    return;
+  }
+  bool const first = emptied_.insert(record.key + std::to_string(record.mod_revision)).second;
+  if (first) spawn(context_, report_empty(request->machine));
+}
+
+awaitable<void> operator_requests::report_empty(std::string machine) {
+  // Nothing that must last lies on a machine: it is empty as soon as that is asked for.
+  while (!stopped_) {
+    kv::transaction change;
+    change.on_success.push_back(adapter_.report_empty(machine));
+    auto outcome = co_await adapter_.store().apply(std::move(change), k_report_timeout);
+    log_line(log_level::info, k_part, "Machine reported as empty.",
+             {{"machine", machine}, {"stored", outcome ? "yes" : outcome.error().message()}});
+    if (outcome) co_return;
+    co_await wait_for(k_report_pause);
+  }
+}
+
+}  // namespace frostline::gateway
--- /dev/null
+++ b/src/gateway/pools.cc
@@ -0,0 +1,121 @@
+#include "gateway/pools.h"
+
+#include <algorithm>
+
+namespace frostline::gateway {
+
+jobs::pool& pools::make(std::string const& name) {
+  jobs::pool& one = all_[name];
+  if (one.lease) return one;
+  settings const& own = parts_.all_settings;
+  ownership::pool_lease_options options;
+  options.node = own.id;
+  options.address = own.peers;
+  options.handicap = ownership::handicap_of(own.processor_share);
+  options.time_to_live = std::max(options.time_to_live, own.store_limits.shortest_lease);
+  one.lease = std::make_unique<ownership::pool_lease>(parts_.context, parts_.adapter.store(), name,
+                                                      std::move(options));
+  one.lease->set_order_gap(own.order_gap);
+  one.owner = std::make_unique<jobs::pool_owner>(jobs::owner_parts{
+      parts_.context, parts_.adapter.store(), own.store_limits, parts_.configuration,
+      parts_.servers, parts_.connections, parts_.forwarder, parts_.adapter.names(),
+      parts_.adapter.engines(), *one.lease, parts_.transport, own.id, own.zone, own.retention});
+  one.owner->start();
+  return one;
+}
+
+void pools::ensure(calls::configuration const& wanted) {
+  for (auto const& [name, service] : wanted.services) {
+    if (!service.engines || all_.contains(name)) continue;
+    jobs::pool& one = make(name);
+    if (owners_known_ && !one.lease->owner()) one.lease->note_record(nullptr);
+    one.lease->start();
+  }
+}
+
+void pools::take_owner(std::string const& key, kv::key_value const* record) {
+  std::string const name = key.substr(ownership::pool_lease::owners_prefix().size());
+  bool const fresh = !all_.contains(name);
+  // A pool may be older than the configuration that this node knows.
+  jobs::pool& one = make(name);
+  one.lease->note_record(record);
+  if (fresh) one.lease->start();
+}
+
+void pools::take_owners(kv::range_answer const& records) {
+  owners_known_ = true;
+  for (kv::key_value const& one : records.entries) take_owner(one.key, &one);
+  for (auto& [name, one] : all_) {
+    std::string const key = ownership::pool_lease::key_of(name);
+    bool const listed = std::any_of(records.entries.begin(), records.entries.end(),
+                                    [&](kv::key_value const& entry) { return entry.key == key; });
+    if (!listed) one.lease->note_record(nullptr);
+  }
+}
+
+bool pools::owns_any() const {
+  return std::any_of(all_.begin(), all_.end(), [](auto const& entry) {
+    return entry.second.lease->state() == ownership::lease_state::owner;
+  });
+}
+
+std::optional<endpoint> pools::other_owner() const {
+  for (auto const& [name, one] : all_) {
+    auto const& owner = one.lease->owner();
+    if (owner && owner->node != parts_.all_settings.id) return owner->address;
+  }
+  return std::nullopt;
+}
+
+time_point pools::confirmed_as_owner() const {
+  time_point newest = time_point::min();
+  for (auto const& [name, one] : all_) {
+    if (one.lease->holds(steady_clock::now())) newest = std::max(newest, one.lease->confirmed_at());
+  }
+  return newest;
+}
+
+void pools::notify() {
+  for (auto& [name, one] : all_) one.owner->notify();
+}
+
+void pools::note_servers() {
+  for (auto& [name, one] : all_) one.owner->note_servers();
+}
+
+void pools::set_order_gap(milliseconds gap) {
+  for (auto& [name, one] : all_) one.lease->set_order_gap(gap);
+}
+
+void pools::name_version(std::string const& model, std::uint64_t version) {
+  for (auto& [name, one] : all_) one.owner->orders().name_version(model, version);
+  notify();
+}
+
+awaitable<void> pools::release(time_point deadline) {
+  for (auto& [name, one] : all_) {
+    co_await one.owner->flush(deadline);
+    co_await one.lease->release();
+  }
+}
+
+void pools::add_methods(rpc::dispatcher& methods) {
+  methods.add<rpc::JobCallT, rpc::JobReplyT>(
+      "JobService", "Call", [this](rpc::JobCallT call) -> awaitable<rpc::reply<rpc::JobReplyT>> {
+        auto const found = all_.find(call.pool);
+        rpc::JobReplyT reply;
+        reply.status = rpc::JobStatus::UNAVAILABLE;
+        if (found != all_.end()) reply = co_await found->second.owner->handle(std::move(call));
+        co_return std::move(reply);
+      });
+  methods.add<rpc::ProgressReportT, rpc::ProgressReplyT>(
+      "JobService", "Replicate",
+      [this](rpc::ProgressReportT report) -> awaitable<rpc::reply<rpc::ProgressReplyT>> {
+        auto const found = all_.find(report.pool);
+        rpc::ProgressReplyT reply;
+        if (found != all_.end()) reply = found->second.owner->replicate(std::move(report));
+        co_return reply;
+      });
+}
+
+}  // namespace frostline::gateway
--- /dev/null
+++ b/src/gateway/pools.h
@@ -0,0 +1,66 @@
+/// @file The pools of engines as one node sees them: a candidate for each one's lease, and its
+/// owner's services if the node holds it.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "base/asio.h"
+#include "gateway/adapter.h"
+#include "gateway/settings.h"
+#include "http/client.h"
+#include "jobs/job_client.h"
+#include "rpc/dispatcher.h"
+
+namespace frostline::gateway {
+
+/// References outlive the pools.
+struct pools_parts {
+  asio::io_context& context;
+  settings const& all_settings;
+  platform_adapter& adapter;
+  http::client& transport;
+  calls::active_configuration const& configuration;
+  directory::server_directory const& servers;
+  calls::connection_pool& connections;
+  calls::forwarder& forwarder;
+};
+
+class pools {
+ public:
+  explicit pools(pools_parts parts) : parts_(parts) {}
+
+  jobs::pool_map& all() { return all_; }
+  jobs::pool_map const& all() const { return all_; }
+
+  /// Takes part in each pool that the configuration names.
+  void ensure(calls::configuration const& wanted);
+  /// The owners' records, whole. Pools without one are free.
+  void take_owners(kv::range_answer const& records);
+  /// @param record null: the owner's record is gone.
+  void take_owner(std::string const& key, kv::key_value const* record);
+
+  bool owns_any() const;
+  /// Where another node that owns a pool can be reached.
+  std::optional<endpoint> other_owner() const;
+  /// When the store last answered this node as an owner; time_point::min(): it owns none.
+  time_point confirmed_as_owner() const;
+
+  void notify();
+  void note_servers();
+  void set_order_gap(milliseconds gap);
+  void name_version(std::string const& model, std::uint64_t version);
+  /// Stores what is finished by `deadline` and hands all pools on.
+  awaitable<void> release(time_point deadline);
+  /// Registers what other nodes call.
+  void add_methods(rpc::dispatcher& methods);
+
+ private:
+  jobs::pool& make(std::string const& name);
+
+  pools_parts parts_;
+  jobs::pool_map all_;
+  bool owners_known_ = false;
+};
+
+}  // namespace frostline::gateway
