A new owner reads its jobs all at once, and calls wait for it there

Cause: after an outage of the store an owner took 1.3 s to read six jobs, one after the other, while every waiting call was sent to it again each 60 ms, submissions of 130 KB among them; jobs were accepted 1.9 s after the store was back. Change: jobs are read at once and taken in the order of their acceptance; a call to an owner that reads its records, or whose lease has lapsed, waits there for up to 400 ms.

--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -15,6 +15,9 @@
 /// An owner whose lease has lapsed begins runs for that long, unless it hears of another owner.
 constexpr milliseconds k_lapsed_work{8000};
 constexpr milliseconds k_load_pause{100};
+/// Calls wait that long for an owner that is about to be ready, so that they are not sent again and
+/// again.
+constexpr milliseconds k_longest_hold{400};
 
 engines::order_authority make_authority(owner_parts const& parts, sample_runner const& runner) {
   engines::order_authority authority;
@@ -42,6 +45,7 @@
                            parts_.forwarder, parts_.names, board_, table_, [this] { notify(); }}),
       progress_(parts_.context, parts_.transport, parts_.lease.pool(), parts_.zone),
       work_(parts_.context),
+      loaded_(parts_.context),
       listed_(parts_.context),
       written_(parts_.context) {}
 
@@ -121,21 +125,62 @@
     ended_unread_.insert(id);
   }
   for (auto const& [id, held] : table_.jobs()) held->committing = 0;
-  for (std::string const& id : marks.open) {
-    bool const loaded = co_await load_job(id);
-    if (!loaded || term != term_) co_return false;
+  co_return co_await load_all(marks.open, term);
+}
+
+awaitable<bool> pool_owner::load_all(std::vector<std::string> ids, std::uint64_t term) {
+  auto const progress = std::make_shared<load_progress>();
+  progress->left = ids.size();
+  progress->jobs.resize(ids.size());
+  for (std::size_t place = 0; place < ids.size(); ++place) {
+    spawn(parts_.context, read_into(ids[place], progress, place));
+  }
+  while (progress->left > 0 && term == term_) {
+    co_await loaded_.wait_until(steady_clock::now() + k_tick);
+  }
+  if (progress->left > 0 || progress->failed || term != term_) co_return false;
+  // Taken in the order of their acceptance, which is that of their age.
+  for (std::size_t place = 0; place < ids.size(); ++place) {
+    take_stored(ids[place], std::move(progress->jobs[place]));
   }
   co_return true;
 }
 
-awaitable<bool> pool_owner::load_job(std::string id) {
+awaitable<void> pool_owner::read_into(std::string id, std::shared_ptr<load_progress> progress,
+                                      std::size_t place) {
+  auto stored = co_await read_stored(std::move(id));
+  if (stored) {
+    progress->jobs[place] = std::move(*stored);
+  } else {
+    progress->failed = true;
+  }
+  --progress->left;
+  loaded_.notify_all();
+}
+
+awaitable<void> pool_owner::wait_until_ready(rpc::JobCallT const& call) {
+  bool const changes = call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
+  auto const patience = changes ? milliseconds(call.deadline_ms) : k_longest_hold;
+  time_point const limit = steady_clock::now() + std::min(patience, k_longest_hold);
+  while (steady_clock::now() < limit) {
+    bool const coming = state_ == owner_state::loading || state_ == owner_state::suspended;
+    bool const ready = changes ? state_ == owner_state::active : can_read();
+    if (ready || !coming) co_return;
+    co_await listed_.wait_until(limit);
+  }
+}
+
+awaitable<std::optional<stored_job>> pool_owner::read_stored(std::string id) {
   std::string const pool = parts_.lease.pool();
   auto answer = co_await parts_.store.list(record_keys::data_prefix(pool, id));
-  if (!answer) co_return false;
-  stored_job stored = read_job(pool, id, answer.value().entries);
+  if (!answer) co_return std::nullopt;
+  co_return read_job(pool, id, answer.value().entries);
+}
+
+void pool_owner::take_stored(std::string const& id, stored_job stored) {
   if (!stored.record) {
     log_line(log_level::error, k_part, "A job's record can't be read.", {{"job", id}});
-    co_return true;
+    return;
   }
   orders_.note_job(stored.record->model, stored.record->min_version, tokens_of(*stored.record));
   time_point const now = steady_clock::now();
@@ -145,18 +190,18 @@
   for (rpc::SampleProgressT const& progress : replica_.of_job(id)) {
     if (table_.adopt(progress, now)) ++adopted;
   }
-  if (adopted > 0) {
-    log_line(log_level::info, k_part, "Progress of the former owner taken over.",
-             {{"job", id}, {"samples", adopted}});
-  }
-  co_return true;
+  if (adopted == 0) return;
+  log_line(log_level::info, k_part, "Progress of the former owner taken over.",
+           {{"job", id}, {"samples", adopted}});
 }
 
 awaitable<void> pool_owner::ensure_loaded(std::string id) {
   if (!ended_unread_.contains(id)) co_return;
   std::uint64_t const term = term_;
-  bool const loaded = co_await load_job(id);
-  if (!loaded || term != term_) co_return;
+  auto stored = co_await read_stored(id);
+  // Another call may have been faster.
+  if (!stored || term != term_ || !ended_unread_.contains(id)) co_return;
+  take_stored(id, std::move(*stored));
   table_.end(id);
   ended_unread_.erase(id);
 }
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -81,8 +81,21 @@
   void drop_everything();
   awaitable<void> load(std::uint64_t term);
   awaitable<bool> load_marks(std::uint64_t term);
-  /// Reads a job's data. @return false if the store did not answer.
-  awaitable<bool> load_job(std::string id);
+  /// Jobs that are being read, all at once.
+  struct load_progress {
+    std::vector<stored_job> jobs;
+    std::size_t left = 0;
+    bool failed = false;
+  };
+  /// @return false if the store did not answer for one, or the term is over.
+  awaitable<bool> load_all(std::vector<std::string> ids, std::uint64_t term);
+  awaitable<void> read_into(std::string id, std::shared_ptr<load_progress> progress,
+                            std::size_t place);
+  /// Waits a while for an owner that reads its records, or whose lease has lapsed, to be ready.
+  awaitable<void> wait_until_ready(rpc::JobCallT const& call);
+  /// A job's data; nothing if the store did not answer.
+  awaitable<std::optional<stored_job>> read_stored(std::string id);
+  void take_stored(std::string const& id, stored_job stored);
   /// Loads an ended job that somebody asks for.
   awaitable<void> ensure_loaded(std::string id);
   awaitable<void> advance_loop();
@@ -127,6 +140,7 @@
   /// Results of jobs that change no more, sent to other nodes.
   read_budget reads_{k_read_bytes_per_second};
   async_condition work_;
+  async_condition loaded_;
   async_condition listed_;
   async_condition written_;
   bool work_pending_ = false;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -78,6 +78,7 @@
     progress_.note_peer(*peer, call.from_zone, milliseconds(call.from_uptime_ms),
                         call.from_processor_share, steady_clock::now());
   }
+  co_await wait_until_ready(call);
   switch (call.action) {
     case rpc::JobAction::SUBMIT:
       co_return co_await submit(std::move(call));
