Soak: answers that break off, owners that hand over with orders under way

Cause: of three deliberate breaks the soak had caught one; it lacked faults that provoke a second run of an unsafe request and orders of two owners close together. Change: two faults: application servers run a request and break its answer off; the owner is stopped in the middle of naming two versions.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -31,6 +31,8 @@
 constexpr milliseconds k_order_gap{300};
 constexpr milliseconds k_fault_time{1500};
 constexpr milliseconds k_quiet_time{700};
+/// Time in which an owner that has heard of a version gives orders.
+constexpr milliseconds k_order_time{60};
 constexpr milliseconds k_frozen_time{2200};
 constexpr milliseconds k_recovery_limit{12'000};
 
@@ -136,6 +138,19 @@
     add("freeze_node", [this](bool on, std::size_t target) {
       system_.node(target % k_nodes).send_signal(on ? SIGSTOP : SIGCONT);
     });
+    add("hand_over", [this](bool on, std::size_t target) {
+      if (!on) {
+        system_.node(handed_over_).wait(15);
+        restart(handed_over_);
+        return;
+      }
+      handed_over_ = find_owner().value_or(target % k_nodes);
+      // The owner has orders under way when it goes, and its follower has some to give.
+      name_next();
+      std::this_thread::sleep_for(k_order_time);
+      name_next();
+      system_.node(handed_over_).send_signal(SIGTERM);
+    });
     add("kill_all", [this](bool on, std::size_t) {
       for (std::size_t node = 0; node < k_nodes; ++node) {
         if (on) {
@@ -231,6 +246,9 @@
     add("app_fails", [this](bool on, std::size_t target) {
       on_app(target, [on](server_faults& faults) { faults.failures = on ? 3 : 0; });
     });
+    add("app_cuts_answers", [this](bool on, std::size_t target) {
+      on_app(target, [on](server_faults& faults) { faults.cuts = on ? 12 : 0; });
+    });
     add("app_withdrawn", [this](bool on, std::size_t target) {
       system_.on_platform([&] {
         server_standin& app = system_.app(target % k_apps);
@@ -295,9 +313,24 @@
     }
   }
 
+  /// The node that owns the pool by the store's record, if there is one.
+  std::optional<std::size_t> find_owner() { return system_.find_owner(); }
+
+  /// Names the next version. @return its number.
+  std::uint64_t name_next() {
+    return system_.on_platform([this] {
+      system_.name_version(++version_);
+      return version_;
+    });
+  }
+
+  std::uint64_t newest_version() {
+    return system_.on_platform([this] { return version_; });
+  }
+
   void train_loop() {
-    std::uint64_t version = 1;
     while (working_) {
+      std::uint64_t const version = newest_version();
       job_record job;
       job.job = next_id("job");
       job.min_version = version > 1 ? version - 1 : 1;
@@ -315,13 +348,9 @@
       }
       if (job.accepted && pick(3) == 0) end(job);
       seen_.jobs.push_back(std::move(job));
-      ++version;
-      system_.on_platform([&] {
-        system_.name_version(version);
-        return 0;
-      });
+      name_next();
     }
-    seen_.newest_version = version;
+    seen_.newest_version = newest_version();
   }
 
   /// @return results listed.
@@ -386,6 +415,9 @@
   std::vector<soak_fault> faults_;
   std::atomic<bool> working_ = true;
   std::atomic<std::uint64_t> next_id_ = 0;
+  /// The newest that was named; used on the stand-ins' thread.
+  std::uint64_t version_ = 1;
+  std::size_t handed_over_ = 0;
   std::size_t caused_ = 0;
   soak_records seen_;
 };
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -170,19 +170,24 @@
   return text.str();
 }
 
+std::optional<std::size_t> platform_cluster::find_owner() {
+  std::string const value = on_platform([&] {
+    auto const record = store_->items().find("frostline/owners/engines");
+    return record == store_->items().end() ? std::string() : record->second.value;
+  });
+  for (std::size_t index = 0; index < addresses_.size(); ++index) {
+    if (value.find("node-" + std::to_string(index)) != std::string::npos) return index;
+  }
+  return std::nullopt;
+}
+
 std::size_t platform_cluster::owner() {
-  std::size_t found = addresses_.size();
+  std::optional<std::size_t> found;
   wait_until("a node owns the pool", [&] {
-    std::string const value = on_platform([&] {
-      auto const record = store_->items().find("frostline/owners/engines");
-      return record == store_->items().end() ? std::string() : record->second.value;
-    });
-    for (std::size_t index = 0; index < addresses_.size(); ++index) {
-      if (value.find("node-" + std::to_string(index)) != std::string::npos) found = index;
-    }
-    return found < addresses_.size();
+    found = find_owner();
+    return found.has_value();
   });
-  return found;
+  return *found;
 }
 
 result<http::response> platform_cluster::call(std::size_t node, http::verb method,
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -7,6 +7,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -73,8 +74,9 @@
   /// What the node's present process has written.
   std::string log(std::size_t index) const;
   std::string const& folder() const { return folder_; }
-  /// Index of the node that owns the pool, by the store's record.
+  /// Index of the node that owns the pool, by the store's record; waits until one does.
   std::size_t owner();
+  std::optional<std::size_t> find_owner();
   /// One call to a node's client address. @param headers beyond Host and the request's identifier.
   result<http::response> call(std::size_t node, http::verb method, std::string const& path,
                               std::string const& request_id, std::string const& body = "",
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -164,8 +164,26 @@
   co_return answer;
 }
 
+awaitable<void> server_standin::cut_answer(http::request const& message,
+                                           http::stream_writer& writer) {
+  --faults_.cuts;
+  arrival one = note(message);
+  one.ran = true;
+  arrivals_.push_back(one);
+  http::response head = http::make_response(http::status::ok, "", "text/plain");
+  set(head, k_id, one.request);
+  set(head, k_stamp, "stamp-" + one.request);
+  if (co_await writer.begin(std::move(head))) co_await writer.write("answer to ");
+}
+
 awaitable<bool> server_standin::stream(http::request const& message, http::stream_writer& writer) {
   std::string const target(message.target());
+  bool const cuts =
+      faults_.cuts > 0 && !faults_.silent && !target.starts_with("/api/") && !refuses(message);
+  if (cuts) {
+    co_await cut_answer(message, writer);
+    co_return true;
+  }
   bool const plain = options_.model.empty() || target.starts_with("/api/") || refuses(message) ||
                      faults_.failures > 0 || faults_.silent;
   if (plain) co_return false;
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -48,6 +48,8 @@
   std::uint32_t breaks = 0;
   /// So many orders get no answer; they are carried out.
   std::uint32_t lost_orders = 0;
+  /// So many requests are run and their answers broken off.
+  std::uint32_t cuts = 0;
   /// So many answers are followed by another one.
   std::uint32_t surplus = 0;
 };
@@ -88,6 +90,8 @@
 
  private:
   awaitable<http::response> handle(http::request message);
+  /// Runs a request and breaks its answer off.
+  awaitable<void> cut_answer(http::request const& message, http::stream_writer& writer);
   awaitable<bool> stream(http::request const& message, http::stream_writer& writer);
   awaitable<bool> write_events(http::stream_writer& writer, std::string request,
                                std::uint64_t from);
