--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -170,6 +170,8 @@
   arrival one = note(message);
   one.ran = true;
   arrivals_.push_back(one);
+  // By turns nothing at all is answered, or some of it.
+  if (faults_.cuts % 2 == 0) co_return;
   http::response head = http::make_response(http::status::ok, "", "text/plain");
   set(head, k_id, one.request);
   set(head, k_stamp, "stamp-" + one.request);
