--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -37,7 +37,7 @@
       "RelayService", "Watch",
       [this](rpc::WatchCallT call) -> awaitable<rpc::reply<rpc::WatchReplyT>> {
         relay_.history().advance(follower_->at());
-        co_return co_await relay_.watch(std::move(call));
+        co_return co_await relay_.watch(call);
       });
 }
 
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -150,7 +150,7 @@
   open.single_version = owner != nullptr && owner->terms.single_version;
   runs_[id] = open;
   keys_[id] = key;
-  run_end end = co_await drive(key, with, id);
+  run_end end = co_await drive(key, with);
   if (end == run_end::broken && runs_[id].moving) end = run_end::moved;
   if (end == run_end::completed) with.finish();
   runs_.erase(id);
@@ -160,8 +160,7 @@
   parts_.notify();
 }
 
-awaitable<sample_runner::run_end> sample_runner::drive(run_key const& key, calls::exchange& with,
-                                                       run_id id) {
+awaitable<sample_runner::run_end> sample_runner::drive(run_key const& key, calls::exchange& with) {
   sample const* one = parts_.table.running(key);
   if (one == nullptr) co_return run_end::unwanted;
   http::request const message = make_request(*parts_.table.find(key.job), *one);
@@ -178,7 +177,7 @@
   if (failure != calls::exchange_failure::none) co_return run_end::broken;
   run_end const head = take_head(with);
   if (head != run_end::completed) co_return head;
-  co_return co_await read_events(key, with, id);
+  co_return co_await read_events(key, with);
 }
 
 sample_runner::run_end sample_runner::take_head(calls::exchange const& with) const {
@@ -192,7 +191,7 @@
 }
 
 awaitable<sample_runner::run_end> sample_runner::read_events(run_key const& key,
-                                                             calls::exchange& with, run_id id) {
+                                                             calls::exchange& with) {
   calls::event_splitter splitter(parts_.names.versions);
   std::string version_field = parts_.names.versions;
   std::uint64_t version = parse_whole(http::header(with.head(), version_field));
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -90,8 +90,8 @@
   void move_slow_runs(time_point now);
   awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
                       std::string group);
-  awaitable<run_end> drive(run_key const& key, calls::exchange& with, run_id id);
-  awaitable<run_end> read_events(run_key const& key, calls::exchange& with, run_id id);
+  awaitable<run_end> drive(run_key const& key, calls::exchange& with);
+  awaitable<run_end> read_events(run_key const& key, calls::exchange& with);
   run_end take_head(calls::exchange const& with) const;
   run_end take_events(run_key const& key, std::vector<calls::stream_event> const& events,
                       std::uint64_t& version);
