--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -14,6 +14,13 @@
 
 }  // namespace
 
+bool serve_alike(server const& left, server const& right) {
+  server same = left;
+  same.models = right.models;
+  same.sequence = right.sequence;
+  return same == right && left.models.empty() == right.models.empty();
+}
+
 void server_directory::replace_all(std::vector<server> servers) {
   std::map<std::string, server> fresh;
   for (server& one : servers) fresh[one.id] = std::move(one);
--- a/src/directory/server_directory.h
+++ b/src/directory/server_directory.h
@@ -32,6 +32,10 @@
   bool operator==(server const&) const = default;
 };
 
+/// Whether callers can treat both alike: versions of weights and counts of orders, which matter to
+/// the owner of a pool alone, are left out.
+bool serve_alike(server const& left, server const& right);
+
 class server_directory {
  public:
   void replace_all(std::vector<server> servers);
--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -1,5 +1,7 @@
 #include "gateway/server_watch.h"
 
+#include <set>
+
 namespace frostline::gateway {
 namespace {
 
@@ -28,8 +30,9 @@
   if (owner == owner_) return;
   owner_ = owner;
   follower_->set_pause(owner ? k_owners_pause : k_pause);
-  // Whoever passes changes on must not wait for the node that did so before.
-  if (owner) follower_->watch_again();
+  // Whoever passes changes on must not wait for the node that did so before, and an owner needs the
+  // versions of weights, which are not passed on.
+  if (owner) follower_->resynchronize();
 }
 
 void server_watch::add_methods(rpc::dispatcher& methods) {
@@ -47,20 +50,58 @@
     auto parsed = adapter_.parse_server(one.key, one.value);
     if (parsed) servers.push_back(std::move(*parsed));
   }
+  relay_snapshot(all, servers);
   servers_.replace_all(std::move(servers));
-  relay_.history().reset(all.store_revision);
+}
+
+void server_watch::relay_snapshot(kv::range_answer const& all,
+                                  std::vector<directory::server> const& fresh) {
+  relay::change_history& history = relay_.history();
+  if (history.at() == 0) {
+    history.reset(all.store_revision);
+    return;
+  }
+  std::string const& prefix = adapter_.keys().servers_prefix;
+  std::set<std::string> listed;
+  for (directory::server const& one : fresh) listed.insert(prefix + one.id);
+  for (kv::key_value const& entry : all.entries) {
+    auto const parsed = adapter_.parse_server(entry.key, entry.value);
+    if (parsed) relay_change({false, entry}, &*parsed);
+  }
+  for (auto const& [id, known] : servers_.servers()) {
+    if (listed.contains(prefix + id)) continue;
+    kv::watch_event gone;
+    gone.deleted = true;
+    gone.entry.key = prefix + id;
+    gone.entry.mod_revision = all.store_revision;
+    history.add(gone);
+  }
+  history.advance(all.store_revision);
   relay_.notify();
 }
 
-void server_watch::take_one(kv::watch_event const& event) {
-  relay_.history().add(event);
+void server_watch::relay_change(kv::watch_event const& event, directory::server const* fresh) {
+  relay::change_history& history = relay_.history();
+  directory::server const* known = fresh == nullptr ? nullptr : servers_.find(fresh->id);
+  bool const alike = known != nullptr && directory::serve_alike(*known, *fresh);
+  if (alike) {
+    history.advance(event.entry.mod_revision);
+    return;
+  }
+  history.add(event);
   relay_.notify();
+}
+
+void server_watch::take_one(kv::watch_event const& event) {
   if (event.deleted) {
+    relay_change(event, nullptr);
     servers_.remove(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
     return;
   }
   auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
-  if (parsed) servers_.put(std::move(*parsed));
+  if (!parsed) return;
+  relay_change(event, &*parsed);
+  servers_.put(std::move(*parsed));
 }
 
 }  // namespace frostline::gateway
--- a/src/gateway/server_watch.h
+++ b/src/gateway/server_watch.h
@@ -32,6 +32,10 @@
  private:
   void take_all(kv::range_answer const& all);
   void take_one(kv::watch_event const& event);
+  /// Passes a change on if callers can tell it from what was known.
+  void relay_change(kv::watch_event const& event, directory::server const* fresh);
+  /// Passes on what a snapshot changes, so that no node has to read it, too.
+  void relay_snapshot(kv::range_answer const& all, std::vector<directory::server> const& fresh);
 
   platform_adapter& adapter_;
   directory::server_directory& servers_;
--- a/src/kv/follower.cc
+++ b/src/kv/follower.cc
@@ -19,16 +19,12 @@
       callbacks_(std::move(callbacks)),
       options_(options) {}
 
-void follower::start() { spawn(context_, follow_loop(shared_from_this(), ++round_, false)); }
-
-void follower::watch_again() {
-  spawn(context_, follow_loop(shared_from_this(), ++round_, loaded_));
-}
+void follower::start() { spawn(context_, follow_loop(shared_from_this(), ++round_)); }
 
 void follower::resynchronize() { start(); }
 
-awaitable<void> follower::follow_loop(std::shared_ptr<follower> self, std::uint64_t round,
-                                      bool listed) {
+awaitable<void> follower::follow_loop(std::shared_ptr<follower> self, std::uint64_t round) {
+  bool listed = false;
   while (round == round_) {
     bool const done = listed ? co_await watch_once(round) : co_await list_once(round);
     if (round != round_) co_return;
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -36,16 +36,13 @@
   void resynchronize();
   /// Time between an answer and the next watch, from the next answer on.
   void set_pause(milliseconds pause) { options_.pause = pause; }
-  /// Gives the current watch up and begins another one where it stood: what it waited on has
-  /// changed.
-  void watch_again();
   /// Whether a snapshot has ever arrived.
   bool is_loaded() const { return loaded_; }
   /// Store revision up to which the view is complete.
   revision at() const { return at_; }
 
  private:
-  awaitable<void> follow_loop(std::shared_ptr<follower> self, std::uint64_t round, bool listed);
+  awaitable<void> follow_loop(std::shared_ptr<follower> self, std::uint64_t round);
   awaitable<bool> list_once(std::uint64_t round);
   awaitable<bool> watch_once(std::uint64_t round);
 
