A report of progress never joins two texts

Cause: what was already replicated of a sample's text was kept as a length only. Change: each text of a sample has a generation; dropping or replacing a text begins another one, from which nothing is replicated, and the replica goes on only from a text of the same owner's epoch and generation. Ruled out: a mend at the two places that reset the counts alone; a late report would still have been joined to another run's text.

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -25,11 +25,11 @@
 
 rpc::SampleProgressT report_progress(std::string const& job, std::uint32_t index, sample& one) {
   std::string const& text = text_of(one);
-  bool const anew = one.events < one.replicated_events || one.replicated_bytes > text.size();
   rpc::SampleProgressT report;
   report.job = job;
   report.index = index;
-  report.from_bytes = anew ? 0 : one.replicated_bytes;
+  report.generation = one.generation;
+  report.from_bytes = one.replicated_bytes;
   report.text = text.substr(report.from_bytes);
   report.events = one.events;
   report.has_last_event = one.last_event.has_value();
@@ -47,6 +47,13 @@
 
 }  // namespace
 
+void sample::begin_generation() {
+  ++generation;
+  replicated_bytes = 0;
+  replicated_events = 0;
+  replicated_result = false;
+}
+
 std::uint64_t tokens_of(rpc::JobRecordT const& record) {
   std::uint64_t tokens = 0;
   for (auto const& item : record.items) tokens += item->tokens;
@@ -210,6 +217,7 @@
 
 void job_table::restart(sample& one, time_point not_before) {
   requeue(one, not_before);
+  one.begin_generation();
   one.text.clear();
   one.events = 0;
   one.last_event.reset();
@@ -274,6 +282,7 @@
   bool const open = one.state == sample_state::waiting || one.state == sample_state::running;
   if (!open || (progress.events <= one.events && !progress.result)) return false;
   if (one.state == sample_state::running) requeue(one, now);
+  one.begin_generation();
   one.events = progress.events;
   one.last_event.reset();
   if (progress.has_last_event) one.last_event = progress.last_event;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -48,10 +48,15 @@
   time_point not_before = time_point::min();
   time_point finished_at{};
   rpc::SampleResultT result;
-  /// What the replica has been sent of it.
+  /// Counts the texts that were dropped or replaced: a report never joins two of them.
+  std::uint64_t generation = 0;
+  /// What the replica has been sent of this generation.
   std::size_t replicated_bytes = 0;
   std::uint64_t replicated_events = 0;
   bool replicated_result = false;
+
+  /// Another text begins: what was sent of the former one counts no more.
+  void begin_generation();
 };
 
 struct job {
--- a/src/jobs/progress_replica.cc
+++ b/src/jobs/progress_replica.cc
@@ -30,18 +30,29 @@
   std::set<std::string> const open(report.jobs.begin(), report.jobs.end());
   std::erase_if(jobs_, [&](auto const& entry) { return !open.contains(entry.first); });
   for (auto& entry : report.entries) {
+    auto text = text_before(*entry, report.epoch);
+    if (!text) return false;
+    entry->text = std::move(*text) + entry->text;
+    std::uint32_t const index = entry->index;
     auto& held = jobs_[entry->job];
-    auto const found = held.find(entry->index);
-    std::size_t const known = found == held.end() ? 0 : found->second.text.size();
-    if (entry->from_bytes > known) return false;
-    std::string text = found == held.end() ? "" : found->second.text.substr(0, entry->from_bytes);
-    text += entry->text;
-    entry->text = std::move(text);
-    held[entry->index] = std::move(*entry);
+    held[index] = {report.epoch, std::move(*entry)};
   }
   return true;
 }
 
+std::optional<std::string> progress_replica::text_before(rpc::SampleProgressT const& entry,
+                                                         std::uint64_t epoch) const {
+  if (entry.from_bytes == 0) return std::string();
+  auto const job = jobs_.find(entry.job);
+  if (job == jobs_.end()) return std::nullopt;
+  auto const found = job->second.find(entry.index);
+  if (found == job->second.end()) return std::nullopt;
+  held_progress const& held = found->second;
+  bool const same = held.epoch == epoch && held.progress.generation == entry.generation;
+  if (!same || entry.from_bytes > held.progress.text.size()) return std::nullopt;
+  return held.progress.text.substr(0, entry.from_bytes);
+}
+
 bool progress_replica::is_fresh(time_point now) const {
   return epoch_ != 0 && now - heard_at_ < k_fresh_time;
 }
@@ -50,7 +61,7 @@
   std::vector<rpc::SampleProgressT> all;
   auto const found = jobs_.find(job);
   if (found == jobs_.end()) return all;
-  for (auto const& [index, progress] : found->second) all.push_back(progress);
+  for (auto const& [index, held] : found->second) all.push_back(held.progress);
   return all;
 }
 
@@ -61,8 +72,8 @@
   report.whole = true;
   for (auto const& [job, samples] : jobs_) {
     report.jobs.push_back(job);
-    for (auto const& [index, progress] : samples) {
-      auto entry = std::make_unique<rpc::SampleProgressT>(progress);
+    for (auto const& [index, held] : samples) {
+      auto entry = std::make_unique<rpc::SampleProgressT>(held.progress);
       entry->from_bytes = 0;
       report.entries.push_back(std::move(entry));
     }
--- a/src/jobs/progress_replica.h
+++ b/src/jobs/progress_replica.h
@@ -31,7 +31,17 @@
   void clear();
 
  private:
-  std::map<std::string, std::map<std::uint32_t, rpc::SampleProgressT>> jobs_;
+  struct held_progress {
+    /// Of the owner that reported it.
+    std::uint64_t epoch = 0;
+    rpc::SampleProgressT progress;
+  };
+  /// The text that `entry` goes on from; nothing if it is not held. Only a report of the same owner
+  /// and the same generation goes on from a text.
+  std::optional<std::string> text_before(rpc::SampleProgressT const& entry,
+                                         std::uint64_t epoch) const;
+
+  std::map<std::string, std::map<std::uint32_t, held_progress>> jobs_;
   std::uint64_t epoch_ = 0;
   time_point heard_at_{};
 };
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -7162,6 +7162,7 @@
   uint64_t last_event = 0;
   std::vector<uint64_t> versions{};
   std::unique_ptr<frostline::rpc::SampleResultT> result{};
+  uint64_t generation = 0;
   SampleProgressT() = default;
   SampleProgressT(const SampleProgressT &o);
   SampleProgressT(SampleProgressT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -7185,7 +7186,8 @@
     VT_HAS_LAST_EVENT = 14,
     VT_LAST_EVENT = 16,
     VT_VERSIONS = 18,
-    VT_RESULT = 20
+    VT_RESULT = 20,
+    VT_GENERATION = 22
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -7216,6 +7218,10 @@
   const frostline::rpc::SampleResult *result() const {
     return GetPointer<const frostline::rpc::SampleResult *>(VT_RESULT);
   }
+  /// Which of the owner's texts of this sample it is: counts those that were dropped or replaced.
+  uint64_t generation() const {
+    return GetField<uint64_t>(VT_GENERATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -7231,6 +7237,7 @@
            verifier.VerifyVector(versions()) &&
            VerifyOffset(verifier, VT_RESULT) &&
            verifier.VerifyTable(result()) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATION, 8) &&
            verifier.EndTable();
   }
   SampleProgressT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -7269,6 +7276,9 @@
   void add_result(flatbuffers::Offset<frostline::rpc::SampleResult> result) {
     fbb_.AddOffset(SampleProgress::VT_RESULT, result);
   }
+  void add_generation(uint64_t generation) {
+    fbb_.AddElement<uint64_t>(SampleProgress::VT_GENERATION, generation, 0);
+  }
   explicit SampleProgressBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -7290,8 +7300,10 @@
     bool has_last_event = false,
     uint64_t last_event = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> versions = 0,
-    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0) {
+    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0,
+    uint64_t generation = 0) {
   SampleProgressBuilder builder_(_fbb);
+  builder_.add_generation(generation);
   builder_.add_last_event(last_event);
   builder_.add_events(events);
   builder_.add_from_bytes(from_bytes);
@@ -7319,7 +7331,8 @@
     bool has_last_event = false,
     uint64_t last_event = 0,
     const std::vector<uint64_t> *versions = nullptr,
-    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0) {
+    flatbuffers::Offset<frostline::rpc::SampleResult> result = 0,
+    uint64_t generation = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto text__ = text ? _fbb.CreateString(text) : 0;
   auto versions__ = versions ? _fbb.CreateVector<uint64_t>(*versions) : 0;
@@ -7333,7 +7346,8 @@
       has_last_event,
       last_event,
       versions__,
-      result);
+      result,
+      generation);
 }
 
 flatbuffers::Offset<SampleProgress> CreateSampleProgress(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10279,7 +10293,8 @@
         has_last_event(o.has_last_event),
         last_event(o.last_event),
         versions(o.versions),
-        result((o.result) ? new frostline::rpc::SampleResultT(*o.result) : nullptr) {
+        result((o.result) ? new frostline::rpc::SampleResultT(*o.result) : nullptr),
+        generation(o.generation) {
 }
 
 inline SampleProgressT &SampleProgressT::operator=(SampleProgressT o) FLATBUFFERS_NOEXCEPT {
@@ -10292,6 +10307,7 @@
   std::swap(last_event, o.last_event);
   std::swap(versions, o.versions);
   std::swap(result, o.result);
+  std::swap(generation, o.generation);
   return *this;
 }
 
@@ -10313,6 +10329,7 @@
   { auto _e = last_event(); _o->last_event = _e; }
   { auto _e = versions(); if (_e) { _o->versions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->versions[_i] = _e->Get(_i); } } }
   { auto _e = result(); if (_e) _o->result = std::unique_ptr<frostline::rpc::SampleResultT>(_e->UnPack(_resolver)); }
+  { auto _e = generation(); _o->generation = _e; }
 }
 
 inline flatbuffers::Offset<SampleProgress> SampleProgress::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SampleProgressT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10332,6 +10349,7 @@
   auto _last_event = _o->last_event;
   auto _versions = _fbb.CreateVector(_o->versions);
   auto _result = _o->result ? CreateSampleResult(_fbb, _o->result.get(), _rehasher) : 0;
+  auto _generation = _o->generation;
   return frostline::rpc::CreateSampleProgress(
       _fbb,
       _job,
@@ -10342,7 +10360,8 @@
       _has_last_event,
       _last_event,
       _versions,
-      _result);
+      _result,
+      _generation);
 }
 
 inline ProgressReportT::ProgressReportT(const ProgressReportT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -526,6 +526,8 @@
   versions:[uint64];
   /// Present once the sample is finished.
   result:SampleResult;
+  /// Which of the owner's texts of this sample it is: counts those that were dropped or replaced.
+  generation:uint64;
 }
 /// What has changed at a pool's owner and is not stored yet, for the node that may follow it.
 table ProgressReport {
--- a/tests/unit/jobs/progress_replica_test.cc
+++ b/tests/unit/jobs/progress_replica_test.cc
@@ -20,10 +20,10 @@
   return record;
 }
 
-calls::stream_event event_of(std::uint64_t id) {
+calls::stream_event event_of(std::uint64_t id, std::string const& run = "d") {
   calls::stream_event event;
   event.id = id;
-  event.data = "d" + std::to_string(id);
+  event.data = run + std::to_string(id);
   return event;
 }
 
@@ -50,11 +50,13 @@
     return all;
   }
 
-  void run_events(std::uint64_t first, std::uint64_t last) {
+  void run_events(std::uint64_t first, std::uint64_t last, std::string const& run = "d") {
     job& held = *owner.find("job");
     sample& one = held.samples[0];
     if (one.state == sample_state::waiting) owner.start(held, 0, "engine");
-    for (std::uint64_t id = first; id <= last; ++id) owner.take_event(held, one, event_of(id), 1);
+    for (std::uint64_t id = first; id <= last; ++id) {
+      owner.take_event(held, one, event_of(id, run), 1);
+    }
   }
 
   sample const& follow() {
@@ -95,6 +97,61 @@
   STRCMP_EQUAL("d0", follow().text.c_str());
 }
 
+TEST(progress_replica_test, run_that_began_anew_and_came_further_is_reported_whole) {
+  run_events(0, 1);
+  CHECK(replica.take(report(), now));
+  owner.restart(owner.find("job")->samples[0], now);
+  run_events(0, 3, "e");
+  CHECK(replica.take(report(), now));
+  STRCMP_EQUAL("e0\ne1\ne2\ne3", follow().text.c_str());
+}
+
+TEST(progress_replica_test, run_that_began_anew_and_came_as_far_is_reported) {
+  run_events(0, 1);
+  CHECK(replica.take(report(), now));
+  owner.restart(owner.find("job")->samples[0], now);
+  run_events(0, 1, "e");
+  CHECK(replica.take(report(), now));
+  STRCMP_EQUAL("e0\ne1", follow().text.c_str());
+}
+
+// An owner that was killed is the owner again, begins runs anew and reports them; then the former
+// replica's offer comes, whose runs came further. The next owner must not get a text of both.
+TEST(progress_replica_test, text_taken_over_after_reports_of_another_run_is_reported_whole) {
+  run_events(0, 3, "former");
+  progress_replica of_former;
+  CHECK(of_former.take(report(1), now));
+  job_table again;
+  again.add(make_record(), now);
+  std::swap(owner, again);
+  run_events(0, 1, "own");
+  CHECK(replica.take(report(2), now));
+  for (auto const& progress : of_former.of_job("job")) owner.adopt(progress, now);
+  run_events(4, 4, "next");
+  CHECK(replica.take(report(2), now));
+  STRCMP_EQUAL("former0\nformer1\nformer2\nformer3\nnext4", follow().text.c_str());
+}
+
+TEST(progress_replica_test, late_report_of_a_dropped_run_is_not_joined_to_the_next) {
+  run_events(0, 1);
+  CHECK(replica.take(report(), now));
+  run_events(2, 2);
+  rpc::ProgressReportT late = report();
+  owner.restart(owner.find("job")->samples[0], now);
+  run_events(0, 1, "e");
+  CHECK(replica.take(report(), now));
+  CHECK_FALSE(replica.take(std::move(late), now));
+  STRCMP_EQUAL("e0\ne1", follow().text.c_str());
+}
+
+TEST(progress_replica_test, report_of_a_new_owner_is_not_joined_to_its_forerunners_text) {
+  run_events(0, 1);
+  CHECK(replica.take(report(1), now));
+  run_events(2, 2);
+  CHECK_FALSE(replica.take(report(2), now));
+  STRCMP_EQUAL("d0\nd1", follow().text.c_str());
+}
+
 TEST(progress_replica_test, report_with_a_gap_is_refused_and_the_whole_is_taken) {
   run_events(0, 1);
   report();  // lost on its way
