--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -8,6 +8,8 @@
 
 /// Results that complete nothing are committed together, at most that late.
 constexpr milliseconds k_commit_interval{900};
+/// Guesses of a run's length are right in the median; its mean is higher.
+constexpr std::uint64_t k_hint_margin = 2;
 
 rpc::SampleResultT copy_result(rpc::SampleResultT const& from) { return from; }
 
@@ -17,41 +19,75 @@
   return moved ? one.result.text : one.text;
 }
 
-bool has_news(sample const& one) {
+bool has_news(sample const& one, sent_progress const& sent) {
   if (one.state == sample_state::listed) return false;
-  if (one.state == sample_state::finished && !one.replicated_result) return true;
-  return one.events != one.replicated_events;
+  if (one.state == sample_state::finished && !sent.result) return true;
+  return one.events != sent.events;
 }
 
-rpc::SampleProgressT report_progress(std::string const& job, std::uint32_t index, sample& one) {
+rpc::SampleProgressT report_progress(std::string const& job, std::uint32_t index, sample const& one,
+                                     sent_progress& sent) {
   std::string const& text = text_of(one);
   rpc::SampleProgressT report;
   report.job = job;
   report.index = index;
   report.generation = one.generation;
-  report.from_bytes = one.replicated_bytes;
+  report.from_bytes = sent.bytes;
   report.text = text.substr(report.from_bytes);
   report.events = one.events;
   report.has_last_event = one.last_event.has_value();
   report.last_event = one.last_event.value_or(0);
   report.versions = one.versions;
-  one.replicated_bytes = text.size();
-  one.replicated_events = one.events;
+  sent.bytes = text.size();
+  sent.events = one.events;
   if (one.state != sample_state::finished) return report;
   // The text has been sent; the result needs the rest only.
   report.result = std::make_unique<rpc::SampleResultT>(one.result);
   report.result->text.clear();
-  one.replicated_result = true;
+  sent.result = true;
   return report;
 }
 
+/// Whether a restart would cost this sample much.
+bool is_worth_a_checkpoint(sample const& one, time_point now, milliseconds age) {
+  bool const open = one.state == sample_state::waiting || one.state == sample_state::running ||
+                    one.state == sample_state::scoring;
+  return open && one.events > 0 && now - one.begun_at >= age;
+}
+
 }  // namespace
 
-void sample::begin_generation() {
+std::optional<sample_times> times_of_last_sample(job const& owner) {
+  std::optional<std::uint32_t> last;
+  for (std::uint32_t index : owner.listed) {
+    sample const& one = owner.samples[index];
+    if (!one.started_at || one.text_at < *one.started_at) continue;
+    if (!last || one.finished_at > owner.samples[*last].finished_at) last = index;
+  }
+  if (!last) return std::nullopt;
+  sample const& one = owner.samples[*last];
+  auto const between = [](time_point from, time_point to) {
+    return std::chrono::duration_cast<milliseconds>(to - from);
+  };
+  sample_times times;
+  times.index = *last;
+  times.waited = between(owner.accepted_at, *one.started_at);
+  times.ran = between(*one.started_at, one.text_at);
+  times.scored = between(one.text_at, one.finished_at);
+  return times;
+}
+
+std::uint64_t expected_tokens(rpc::JobItemT const& item) {
+  if (item.length_hint == 0 || item.generated_limit == 0) return item.tokens;
+  std::uint64_t const limit = std::min(item.generated_limit, item.tokens);
+  return item.tokens - limit + std::min(limit, item.length_hint * k_hint_margin);
+}
+
+void sample::drop_text() {
+  text.clear();
   ++generation;
-  replicated_bytes = 0;
-  replicated_events = 0;
-  replicated_result = false;
+  replicated = {};
+  stored = {};
 }
 
 std::uint64_t tokens_of(rpc::JobRecordT const& record) {
@@ -69,11 +105,18 @@
   held->sequence = next_sequence_++;
   held->samples.resize(held->record.items.size());
   for (std::size_t index = 0; index < held->samples.size(); ++index) {
-    held->samples[index].spec = held->record.items[index].get();
+    sample& one = held->samples[index];
+    one.spec = held->record.items[index].get();
+    one.comes_again = left_over_.erase(one.spec->id) > 0;
   }
   return true;
 }
 
+void job_table::forget(std::string const& id) {
+  std::erase_if(left_over_, [&](auto const& entry) { return entry.second == id; });
+  jobs_.erase(id);
+}
+
 job* job_table::find(std::string const& id) {
   auto const found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
@@ -106,7 +149,9 @@
   owner->ended = true;
   for (sample& one : owner->samples) {
     ++one.attempt;
-    if (one.state != sample_state::listed) one.text.clear();
+    if (one.state == sample_state::listed) continue;
+    one.text.clear();
+    left_over_[one.spec->id] = id;
   }
   // What a commit under way holds may be stored and shown already.
   owner->unlisted.resize(std::min(owner->committing, owner->unlisted.size()));
@@ -125,9 +170,11 @@
   }
   auto const rank = [](run_candidate const& one) {
     sample const& which = one.owner->samples[one.index];
-    // What has begun is nearest to its end and is waited for already.
+    // What has begun is nearest to its end and is waited for already; what comes again is long and
+    // can't be done without.
     bool const fresh = which.events == 0;
-    return std::tuple(one.owner->terms.priority, one.owner->sequence, fresh,
+    bool const needless = fresh && !which.comes_again;
+    return std::tuple(one.owner->terms.priority, needless, one.owner->sequence, fresh,
                       -static_cast<std::int64_t>(which.spec->length_hint), one.index);
   };
   std::sort(all.begin(), all.end(), [&](run_candidate const& left, run_candidate const& right) {
@@ -136,8 +183,10 @@
   return all;
 }
 
-run_key job_table::start(job& owner, std::uint32_t index, std::string engine) {
+run_key job_table::start(job& owner, std::uint32_t index, std::string engine, time_point now) {
   sample& one = owner.samples[index];
+  if (!one.started_at) one.started_at = now;
+  ++one.runs;
   one.state = sample_state::running;
   one.engine = std::move(engine);
   return {owner.record.id, index, ++one.attempt};
@@ -152,7 +201,7 @@
 }
 
 event_result job_table::take_event(job const& owner, sample& one, calls::stream_event const& event,
-                                   std::uint64_t version) {
+                                   std::uint64_t version, time_point now) {
   if (event.id && one.last_event) {
     if (*event.id <= *one.last_event) return event_result::repeated;
     if (*event.id != *one.last_event + 1) return event_result::out_of_order;
@@ -164,6 +213,7 @@
     return event_result::mixed_versions;
   }
   if (!known_version) one.versions.push_back(version);
+  if (one.events == 0) one.begun_at = now;
   if (one.events > 0) one.text += '\n';
   one.text += event.data;
   ++one.events;
@@ -182,6 +232,7 @@
 
 bool job_table::complete_text(job& owner, std::uint32_t index, time_point now) {
   sample& one = owner.samples[index];
+  one.text_at = now;
   one.result.outcome = rpc::SampleOutcome::COMPLETED;
   one.result.text = std::move(one.text);
   one.result.versions = one.versions;
@@ -204,7 +255,7 @@
   sample& one = owner.samples[index];
   one.result = rpc::SampleResultT();
   one.result.outcome = rpc::SampleOutcome::DEAD;
-  one.text.clear();
+  one.drop_text();
   finish(owner, index, now);
 }
 
@@ -217,8 +268,7 @@
 
 void job_table::restart(sample& one, time_point not_before) {
   requeue(one, not_before);
-  one.begin_generation();
-  one.text.clear();
+  one.drop_text();
   one.events = 0;
   one.last_event.reset();
   one.versions.clear();
@@ -256,9 +306,9 @@
     if (!owner->is_open()) continue;
     for (std::uint32_t index = 0; index < owner->samples.size(); ++index) {
       sample& one = owner->samples[index];
-      if (!has_news(one)) continue;
+      if (!has_news(one, one.replicated)) continue;
       if (bytes > limit) return reports;
-      reports.push_back(report_progress(id, index, one));
+      reports.push_back(report_progress(id, index, one, one.replicated));
       bytes += reports.back().text.size();
     }
   }
@@ -267,11 +317,33 @@
 
 void job_table::forget_replicated() {
   for (auto const& [id, owner] : jobs_) {
-    for (sample& one : owner->samples) {
-      one.replicated_bytes = 0;
-      one.replicated_events = 0;
-      one.replicated_result = false;
+    for (sample& one : owner->samples) one.replicated = {};
+  }
+}
+
+std::vector<rpc::ProgressReportT> job_table::take_checkpoint(time_point now, milliseconds age,
+                                                             std::size_t limit) {
+  std::vector<rpc::ProgressReportT> reports;
+  std::size_t bytes = 0;
+  for (auto const& [id, owner] : jobs_) {
+    if (!owner->is_open()) continue;
+    rpc::ProgressReportT report;
+    report.jobs.push_back(id);
+    for (std::uint32_t index = 0; index < owner->samples.size() && bytes <= limit; ++index) {
+      sample& one = owner->samples[index];
+      if (!is_worth_a_checkpoint(one, now, age) || !has_news(one, one.stored)) continue;
+      auto entry = report_progress(id, index, one, one.stored);
+      bytes += entry.text.size();
+      report.entries.push_back(std::make_unique<rpc::SampleProgressT>(std::move(entry)));
     }
+    if (!report.entries.empty()) reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+void job_table::forget_checkpoints() {
+  for (auto const& [id, owner] : jobs_) {
+    for (sample& one : owner->samples) one.stored = {};
   }
 }
 
@@ -282,7 +354,7 @@
   bool const open = one.state == sample_state::waiting || one.state == sample_state::running;
   if (!open || (progress.events <= one.events && !progress.result)) return false;
   if (one.state == sample_state::running) requeue(one, now);
-  one.begin_generation();
+  one.drop_text();
   one.events = progress.events;
   one.last_event.reset();
   if (progress.has_last_event) one.last_event = progress.last_event;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -30,6 +30,13 @@
   bool single_version = false;
 };
 
+/// What of a sample's present text was sent somewhere.
+struct sent_progress {
+  std::size_t bytes = 0;
+  std::uint64_t events = 0;
+  bool result = false;
+};
+
 struct sample {
   rpc::JobItemT const* spec = nullptr;
   sample_state state = sample_state::waiting;
@@ -41,22 +48,30 @@
   /// Service whose engines run it, chosen once by the route's shares.
   std::string service;
   std::string engine;
-  /// Counts runs; an event of an older run is ignored.
+  /// Changes with each run and each end of one; an event of an older run is ignored.
   std::uint64_t attempt = 0;
+  /// Runs begun by this owner.
+  std::uint32_t runs = 0;
+  /// An earlier job ended without it: its job waits for it, whatever else is whole.
+  bool comes_again = false;
   std::uint32_t failures = 0;
   std::uint32_t scoring_failures = 0;
   time_point not_before = time_point::min();
+  /// First run of it by this owner; its whole text; the end of its scoring.
+  std::optional<time_point> started_at;
+  time_point text_at{};
   time_point finished_at{};
   rpc::SampleResultT result;
   /// Counts the texts that were dropped or replaced: a report never joins two of them.
   std::uint64_t generation = 0;
-  /// What the replica has been sent of this generation.
-  std::size_t replicated_bytes = 0;
-  std::uint64_t replicated_events = 0;
-  bool replicated_result = false;
-
-  /// Another text begins: what was sent of the former one counts no more.
-  void begin_generation();
+  /// What the replica, and the record store, have been sent of this generation.
+  sent_progress replicated;
+  sent_progress stored;
+  /// When the first event of the text came.
+  time_point begun_at{};
+
+  /// The text is to be another one: what was sent of the present one counts no more.
+  void drop_text();
 };
 
 struct job {
@@ -77,9 +92,28 @@
   bool is_open() const { return !ended && listed.size() < samples.size(); }
 };
 
+/// Where the time of a sample went, at this owner.
+struct sample_times {
+  std::uint32_t index = 0;
+  /// From the job's acceptance, or its loading by this owner, to the first run.
+  milliseconds waited{0};
+  /// From the first run to the whole text, breaks and moves included.
+  milliseconds ran{0};
+  milliseconds scored{0};
+};
+
+/// The listed sample that was finished last: the one that its job waited for. Nothing if this owner
+/// ran none of them.
+std::optional<sample_times> times_of_last_sample(job const& owner);
+
 /// Tokens of all items, as their submitter bounds them.
 std::uint64_t tokens_of(rpc::JobRecordT const& record);
 
+/// Memory that a run of this item is expected to take, in tokens: its prompt and some times the
+/// submitter's guess, at most what the submitter allows. Where several runs share an engine, the
+/// sum matters, and few of them are much longer than guessed.
+std::uint64_t expected_tokens(rpc::JobItemT const& item);
+
 /// Names one run of one sample.
 struct run_key {
   std::string job;
@@ -103,21 +137,21 @@
   void restore(rpc::ResultBatchT batch);
   /// The submitter wants no more. @return false if there is no such job.
   bool end(std::string const& id);
-  void forget(std::string const& id) { jobs_.erase(id); }
+  void forget(std::string const& id);
 
   job* find(std::string const& id);
   std::map<std::string, std::unique_ptr<job>>& jobs() { return jobs_; }
 
-  /// Samples that may be started, the most urgent first: by the route's priority, then the job's
-  /// age, then the longest expected run.
+  /// Samples that may be started, the most urgent first: by the route's priority, then what has
+  /// begun or comes again, then the job's age, then the longest expected run.
   std::vector<run_candidate> runnable(time_point now);
-  run_key start(job& owner, std::uint32_t index, std::string engine);
+  run_key start(job& owner, std::uint32_t index, std::string engine, time_point now);
   /// The sample of this run; null if the run is not wanted any more.
   sample* running(run_key const& key);
 
   /// Takes an event of a run in, made under `version`.
   event_result take_event(job const& owner, sample& one, calls::stream_event const& event,
-                          std::uint64_t version);
+                          std::uint64_t version, time_point now);
   /// All events have come. @return whether a scorer must be asked.
   bool complete_text(job& owner, std::uint32_t index, time_point now);
   void score(job& owner, std::uint32_t index, std::string score, time_point now);
@@ -134,6 +168,13 @@
   std::vector<rpc::SampleProgressT> take_progress(std::size_t limit);
   /// The replica has nothing: the next report is whole.
   void forget_replicated();
+  /// What has changed in the texts of runs that began `age` ago or earlier, a report for each open
+  /// job that has any, up to `limit` bytes of text. Finished samples are left out: their results
+  /// are to be committed.
+  std::vector<rpc::ProgressReportT> take_checkpoint(time_point now, milliseconds age,
+                                                    std::size_t limit);
+  /// The next checkpoint is whole.
+  void forget_checkpoints();
   /// Takes over what a former owner reported of a sample, if it came further there than here. A run
   /// of it here is not wanted any more. @return whether it was taken.
   bool adopt(rpc::SampleProgressT const& progress, time_point now);
@@ -151,6 +192,8 @@
   void finish(job& owner, std::uint32_t index, time_point now);
 
   std::map<std::string, std::unique_ptr<job>> jobs_;
+  /// Items that ended jobs lack, and of which job.
+  std::map<std::string, std::string> left_over_;
   std::uint64_t next_sequence_ = 1;
 };
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -15,6 +15,11 @@
 /// An owner whose lease has lapsed begins runs for that long, unless it hears of another owner.
 constexpr milliseconds k_lapsed_work{8000};
 constexpr milliseconds k_load_pause{100};
+/// Checkpoints are this far apart and hold runs of at least this age: most runs are shorter.
+constexpr milliseconds k_checkpoint_interval{1000};
+constexpr milliseconds k_checkpoint_age{1500};
+/// A checkpoint's texts; a record has room for one text more.
+constexpr std::size_t k_checkpoint_bytes = 256 * 1024;
 /// Calls wait that long for an owner that is about to be ready, so that they are not sent again and
 /// again.
 constexpr milliseconds k_longest_hold{400};
@@ -100,6 +105,7 @@
   if (term != term_) co_return;
   replica_.clear();
   progress_.begin_term();
+  table_.forget_checkpoints();
   log_.open(ownership::pool_lease::key_of(parts_.lease.pool()), parts_.lease.epoch());
   orders_.begin_term();
   state_ = owner_state::active;
@@ -186,9 +192,13 @@
   time_point const now = steady_clock::now();
   table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
+  progress_replica from_store;
+  for (rpc::ProgressReportT& report : stored.checkpoints) from_store.take(std::move(report), now);
   std::size_t adopted = 0;
-  for (rpc::SampleProgressT const& progress : replica_.of_job(id)) {
-    if (table_.adopt(progress, now)) ++adopted;
+  for (progress_replica const* held : {&from_store, &replica_}) {
+    for (rpc::SampleProgressT const& progress : held->of_job(id)) {
+      if (table_.adopt(progress, now)) ++adopted;
+    }
   }
   if (adopted == 0) return;
   log_line(log_level::info, k_part, "Progress of the former owner taken over.",
@@ -238,9 +248,21 @@
     orders_.advance(now);
   }
   commit_results(false);
+  write_checkpoint(now);
   forget_old(now);
 }
 
+void pool_owner::write_checkpoint(time_point now) {
+  if (now - checkpoint_at_ < k_checkpoint_interval || !log_.is_idle()) return;
+  checkpoint_at_ = now;
+  for (rpc::ProgressReportT& report :
+       table_.take_checkpoint(now, k_checkpoint_age, k_checkpoint_bytes)) {
+    report.pool = parts_.lease.pool();
+    report.epoch = parts_.lease.epoch();
+    log_.write_checkpoint(report);
+  }
+}
+
 void pool_owner::refresh_board() {
   if (!servers_changed_) return;
   servers_changed_ = false;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -103,6 +103,9 @@
   void refresh_terms();
   void refresh_board();
   void commit_results(bool all);
+  /// Stores the progress of long runs now and then, for the case that this node and its replica are
+  /// lost together.
+  void write_checkpoint(time_point now);
   void forget_old(time_point now);
   awaitable<void> erase(std::string id);
   awaitable<rpc::JobReplyT> submit(rpc::JobCallT call);
@@ -110,6 +113,8 @@
   awaitable<rpc::JobReplyT> list(rpc::JobCallT call);
   rpc::JobReplyT body(rpc::JobCallT const& call);
   awaitable<rpc::JobReplyT> end(rpc::JobCallT call);
+  /// Tells what an ended job had waited for.
+  void log_last_sample(job const& owner) const;
   /// Gives what this node holds of a former owner to another node that follows it.
   void offer_replica();
   awaitable<void> send_offer(endpoint where, rpc::ProgressReportT report);
@@ -146,6 +151,7 @@
   bool work_pending_ = false;
   bool servers_changed_ = true;
   time_point orders_planned_at_{};
+  time_point checkpoint_at_{};
   /// When this node last held the lease.
   time_point held_at_{};
   /// Newest epoch of another owner that a replica told of.
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -189,6 +189,25 @@
   return reply_with(rpc::JobStatus::UNKNOWN_JOB, "no such item");
 }
 
+void pool_owner::log_last_sample(job const& owner) const {
+  auto const times = times_of_last_sample(owner);
+  if (!times) return;
+  sample const& one = owner.samples[times->index];
+  auto const since = std::chrono::duration_cast<milliseconds>(one.finished_at - owner.accepted_at);
+  log_line(log_level::info, k_part, "Job waited for this sample.",
+           {{"job", owner.record.id},
+            {"request", one.spec->id},
+            {"finished_after_ms", since.count()},
+            {"waited_ms", times->waited.count()},
+            {"ran_ms", times->ran.count()},
+            {"scored_ms", times->scored.count()},
+            {"events", one.events},
+            {"runs", one.runs},
+            {"comes_again", one.comes_again ? "yes" : "no"},
+            {"listed", owner.listed.size()},
+            {"items", owner.samples.size()}});
+}
+
 awaitable<rpc::JobReplyT> pool_owner::end(rpc::JobCallT call) {
   if (state_ != owner_state::active) {
     co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
@@ -203,6 +222,7 @@
   bool const lost = writing_.contains(call.job) && writing_[call.job] &&
                     *writing_[call.job] != write_outcome::stored;
   if (!owner->ended || lost) {
+    log_last_sample(*owner);
     table_.end(call.job);
     runner_.abort_runs(call.job);
     writing_[call.job] = nullptr;
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -18,6 +18,7 @@
 constexpr std::string_view k_data_part = "/data/";
 constexpr std::string_view k_record_part = "record/";
 constexpr std::string_view k_results_part = "results/";
+constexpr std::string_view k_progress_part = "progress/";
 constexpr std::string_view k_accepted = "/accepted";
 constexpr std::string_view k_ended = "/ended";
 constexpr char k_mark_value[] = "1";
@@ -70,6 +71,12 @@
   return results_prefix(pool, job) + padded(first);
 }
 
+std::string record_keys::progress(std::string const& pool, std::string const& job,
+                                  std::uint64_t epoch, std::uint64_t sequence) {
+  return data_prefix(pool, job) + std::string(k_progress_part) + padded(epoch) + "/" +
+         padded(sequence);
+}
+
 stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records) {
   std::size_t const prefix = record_keys::marks_prefix(pool).size();
   // Several jobs may be accepted in one transaction, and so at one revision.
@@ -100,6 +107,10 @@
   std::string record;
   for (auto const& [key, value] : sorted) {
     if (key.starts_with(k_record_part)) record += value;
+    if (key.starts_with(k_progress_part)) {
+      auto report = rpc::decode<rpc::ProgressReportT>(value);
+      if (report) found.checkpoints.push_back(std::move(*report));
+    }
     if (!key.starts_with(k_results_part)) continue;
     auto batch = rpc::decode<rpc::ResultBatchT>(value);
     if (batch) found.batches.push_back(std::move(*batch));
@@ -177,6 +188,13 @@
   enqueue(std::move(one));
 }
 
+void record_log::write_checkpoint(rpc::ProgressReportT const& report) {
+  entry one;
+  std::string key = record_keys::progress(pool_, report.jobs.front(), epoch_, ++checkpoints_);
+  one.operations.push_back(put(std::move(key), rpc::encode(report)));
+  enqueue(std::move(one));
+}
+
 void record_log::remove(std::vector<std::string> keys) {
   entry one;
   for (std::string& key : keys) {
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -35,6 +35,9 @@
   static std::string record(std::string const& pool, std::string const& job, std::size_t part);
   static std::string results_prefix(std::string const& pool, std::string const& job);
   static std::string results(std::string const& pool, std::string const& job, std::uint64_t first);
+  /// @param sequence counts an owner's checkpoints.
+  static std::string progress(std::string const& pool, std::string const& job, std::uint64_t epoch,
+                              std::uint64_t sequence);
 };
 
 /// A pool's jobs by their marks, in the order in which they were accepted.
@@ -47,6 +50,8 @@
 struct stored_job {
   std::optional<rpc::JobRecordT> record;
   std::vector<rpc::ResultBatchT> batches;
+  /// Progress of its long runs, in the order in which it was written.
+  std::vector<rpc::ProgressReportT> checkpoints;
 };
 
 stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records);
@@ -69,6 +74,8 @@
   void write_record(rpc::JobRecordT const& record, done on_done);
   void write_results(rpc::ResultBatchT const& batch, done on_done);
   void write_end(std::string const& job, done on_done);
+  /// Progress of one job's samples. What is lost of it is begun anew: nobody waits for it.
+  void write_checkpoint(rpc::ProgressReportT const& report);
   /// Removes records that nobody may ask for any more.
   void remove(std::vector<std::string> keys);
 
@@ -109,6 +116,7 @@
   std::deque<entry> queue_;
   write_patience patience_;
   std::uint64_t transactions_ = 0;
+  std::uint64_t checkpoints_ = 0;
 };
 
 }  // namespace frostline::jobs
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -47,7 +47,7 @@
   need.min_version = owner.record.min_version;
   bool const bound = owner.terms.single_version && !one.versions.empty();
   if (bound) need.exact_version = one.versions.front();
-  need.tokens = one.spec->tokens;
+  need.tokens = expected_tokens(*one.spec);
   need.group = one.spec->group;
   return need;
 }
@@ -86,8 +86,9 @@
 
 void sample_runner::start(job& owner, std::uint32_t index, engines::board_engine const& engine) {
   sample& one = owner.samples[index];
-  run_key const key = parts_.table.start(owner, index, engine.server.id);
-  parts_.board.note_started(engine.server.id, one.spec->tokens, one.spec->group);
+  run_key const key = parts_.table.start(owner, index, engine.server.id, steady_clock::now());
+  std::uint64_t const tokens = expected_tokens(*one.spec);
+  parts_.board.note_started(engine.server.id, tokens, one.spec->group);
   ++figures_.runs;
   log_line(log_level::info, k_part, "Run started.",
            {{"request", one.spec->id},
@@ -96,22 +97,28 @@
             {"run", key.attempt},
             {"events", one.events},
             {"in_flight", engine.in_flight}});
-  spawn(parts_.context, run(key, engine.server, one.spec->tokens, one.spec->group));
+  spawn(parts_.context, run(key, engine.server, tokens, one.spec->group));
 }
 
 void sample_runner::move_slow_runs(time_point now) {
+  open_run* best = nullptr;
+  milliseconds best_gain{0};
   for (auto& [id, open] : runs_) {
     if (open.moving) continue;
     sample const* one = parts_.table.running(keys_[id]);
     engines::board_engine const* from = parts_.board.find(open.engine);
     if (one == nullptr || from == nullptr || one->events == 0) continue;
     job const* owner = parts_.table.find(keys_[id].job);
-    if (!parts_.board.should_move(*from, need_of(*owner, *one), now)) continue;
-    open.moving = true;
-    open.exchange->abort();
-    // One at a time, so that the next decision sees the engine that takes it.
-    return;
+    milliseconds const gain =
+        parts_.board.gain_of_move(*from, need_of(*owner, *one), one->events, now);
+    if (gain <= best_gain) continue;
+    best = &open;
+    best_gain = gain;
   }
+  if (best == nullptr) return;
+  // One at a time, so that the next decision sees the engine that takes it.
+  best->moving = true;
+  best->exchange->abort();
 }
 
 void sample_runner::abort_runs(std::string const& job) {
@@ -237,7 +244,7 @@
     sample* const one = parts_.table.running(key);
     job const* const owner = parts_.table.find(key.job);
     if (one == nullptr || owner == nullptr) return run_end::unwanted;
-    switch (parts_.table.take_event(*owner, *one, event, version)) {
+    switch (parts_.table.take_event(*owner, *one, event, version, steady_clock::now())) {
       case event_result::taken:
         break;
       case event_result::too_old:
--- a/src/kv/follower.cc
+++ b/src/kv/follower.cc
@@ -1,5 +1,7 @@
 #include "kv/follower.h"
 
+#include <algorithm>
+
 #include "base/jitter.h"
 #include "base/log.h"
 
@@ -7,7 +9,11 @@
 namespace {
 
 constexpr std::string_view k_part = "kv";
+/// Pauses after calls in vain: each is twice as long, since a store that turns this node away may
+/// do so for seconds and every call is priced. The longest is short of what changes may take to be
+/// in force.
 constexpr milliseconds k_retry_pause{150};
+constexpr std::uint32_t k_most_doublings = 2;
 
 }  // namespace
 
@@ -25,11 +31,16 @@
 
 awaitable<void> follower::follow_loop(std::shared_ptr<follower> self, std::uint64_t round) {
   bool listed = false;
+  std::uint32_t in_vain = 0;
   while (round == round_) {
     bool const done = listed ? co_await watch_once(round) : co_await list_once(round);
     if (round != round_) co_return;
+    // A watch that ended is answered by a range at once; only that one's failure is in vain.
+    in_vain = done || listed ? 0 : in_vain + 1;
     listed = done;
-    if (!done) co_await wait_for(with_jitter(k_retry_pause));
+    if (done) continue;
+    auto const doublings = std::min(in_vain, k_most_doublings);
+    co_await wait_for(with_jitter(k_retry_pause * (1 << doublings)));
   }
 }
 
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -6057,6 +6057,7 @@
   std::string group{};
   std::unique_ptr<frostline::rpc::ScorerCallT> scorer{};
   uint64_t length_hint = 0;
+  uint64_t generated_limit = 0;
   JobItemT() = default;
   JobItemT(const JobItemT &o);
   JobItemT(JobItemT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6079,7 +6080,8 @@
     VT_TOKENS = 12,
     VT_GROUP = 14,
     VT_SCORER = 16,
-    VT_LENGTH_HINT = 18
+    VT_LENGTH_HINT = 18,
+    VT_GENERATED_LIMIT = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -6107,6 +6109,10 @@
   uint64_t length_hint() const {
     return GetField<uint64_t>(VT_LENGTH_HINT, 0);
   }
+  /// The most tokens that may be generated, a part of `tokens`; 0 if it was not told.
+  uint64_t generated_limit() const {
+    return GetField<uint64_t>(VT_GENERATED_LIMIT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -6124,6 +6130,7 @@
            VerifyOffset(verifier, VT_SCORER) &&
            verifier.VerifyTable(scorer()) &&
            VerifyField<uint64_t>(verifier, VT_LENGTH_HINT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GENERATED_LIMIT, 8) &&
            verifier.EndTable();
   }
   JobItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6159,6 +6166,9 @@
   void add_length_hint(uint64_t length_hint) {
     fbb_.AddElement<uint64_t>(JobItem::VT_LENGTH_HINT, length_hint, 0);
   }
+  void add_generated_limit(uint64_t generated_limit) {
+    fbb_.AddElement<uint64_t>(JobItem::VT_GENERATED_LIMIT, generated_limit, 0);
+  }
   explicit JobItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6179,8 +6189,10 @@
     uint64_t tokens = 0,
     flatbuffers::Offset<flatbuffers::String> group = 0,
     flatbuffers::Offset<frostline::rpc::ScorerCall> scorer = 0,
-    uint64_t length_hint = 0) {
+    uint64_t length_hint = 0,
+    uint64_t generated_limit = 0) {
   JobItemBuilder builder_(_fbb);
+  builder_.add_generated_limit(generated_limit);
   builder_.add_length_hint(length_hint);
   builder_.add_tokens(tokens);
   builder_.add_scorer(scorer);
@@ -6206,7 +6218,8 @@
     uint64_t tokens = 0,
     const char *group = nullptr,
     flatbuffers::Offset<frostline::rpc::ScorerCall> scorer = 0,
-    uint64_t length_hint = 0) {
+    uint64_t length_hint = 0,
+    uint64_t generated_limit = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::HeaderField>>(*headers) : 0;
@@ -6221,7 +6234,8 @@
       tokens,
       group__,
       scorer,
-      length_hint);
+      length_hint,
+      generated_limit);
 }
 
 flatbuffers::Offset<JobItem> CreateJobItem(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9882,7 +9896,8 @@
         tokens(o.tokens),
         group(o.group),
         scorer((o.scorer) ? new frostline::rpc::ScorerCallT(*o.scorer) : nullptr),
-        length_hint(o.length_hint) {
+        length_hint(o.length_hint),
+        generated_limit(o.generated_limit) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new frostline::rpc::HeaderFieldT(*headers_) : nullptr); }
 }
@@ -9896,6 +9911,7 @@
   std::swap(group, o.group);
   std::swap(scorer, o.scorer);
   std::swap(length_hint, o.length_hint);
+  std::swap(generated_limit, o.generated_limit);
   return *this;
 }
 
@@ -9916,6 +9932,7 @@
   { auto _e = group(); if (_e) _o->group = _e->str(); }
   { auto _e = scorer(); if (_e) _o->scorer = std::unique_ptr<frostline::rpc::ScorerCallT>(_e->UnPack(_resolver)); }
   { auto _e = length_hint(); _o->length_hint = _e; }
+  { auto _e = generated_limit(); _o->generated_limit = _e; }
 }
 
 inline flatbuffers::Offset<JobItem> JobItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9934,6 +9951,7 @@
   auto _group = _o->group.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->group);
   auto _scorer = _o->scorer ? CreateScorerCall(_fbb, _o->scorer.get(), _rehasher) : 0;
   auto _length_hint = _o->length_hint;
+  auto _generated_limit = _o->generated_limit;
   return frostline::rpc::CreateJobItem(
       _fbb,
       _id,
@@ -9943,7 +9961,8 @@
       _tokens,
       _group,
       _scorer,
-      _length_hint);
+      _length_hint,
+      _generated_limit);
 }
 
 inline JobRecordT::JobRecordT(const JobRecordT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -436,6 +436,8 @@
   scorer:ScorerCall;
   /// Tokens that the submitter expects to be generated; 0 if it gave no guess.
   length_hint:uint64;
+  /// The most tokens that may be generated, a part of `tokens`; 0 if it was not told.
+  generated_limit:uint64;
 }
 /// A job as it was accepted. Stored in the record store.
 table JobRecord {
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -212,6 +212,27 @@
   check_whole(system.wait_for_results(1, "job", 8), 8);
 }
 
+TEST(jobs_test, long_runs_go_on_after_all_nodes_were_killed_at_once) {
+  platform_options options;
+  options.event_gap = milliseconds(600);
+  platform_cluster system{options};
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 4)));
+  platform_cluster::wait_until("a checkpoint is stored", [&] {
+    return system.on_platform([&] {
+      auto const& items = system.store().items();
+      return std::any_of(items.begin(), items.end(), [](auto const& item) {
+        return item.first.find("/job/progress/") != std::string::npos;
+      });
+    });
+  });
+  for (std::size_t index = 0; index < 3; ++index) system.node(index).kill();
+  for (std::size_t index = 0; index < 3; ++index) system.start_node(index);
+  check_whole(system.wait_for_results(1, "job", 4), 4);
+  auto const arrivals = engine_arrivals(system);
+  CHECK(std::any_of(arrivals.begin(), arrivals.end(),
+                    [](arrival const& one) { return !one.last_event.empty(); }));
+}
+
 TEST(jobs_test, results_finished_while_the_store_is_silent_are_listed_after_it) {
   platform_cluster system{platform_options()};
   LONGS_EQUAL(202, system.submit(0, "job", make_items("job", 8)));
--- a/tests/unit/engines/version_planner_test.cc
+++ b/tests/unit/engines/version_planner_test.cc
@@ -173,8 +173,38 @@
   set_engines(3, {{"m", 1}});
   for (char const* id : {"e0", "e1"}) board.note_event_gap(id, milliseconds(30), now);
   board.note_event_gap("e2", milliseconds(120), now);
-  CHECK(board.should_move(*board.find("e2"), need_of(1), now));
-  CHECK_FALSE(board.should_move(*board.find("e0"), need_of(1), now));
+  CHECK(board.gain_of_move(*board.find("e2"), need_of(1), 10, now) > milliseconds(0));
+  LONGS_EQUAL(0, board.gain_of_move(*board.find("e0"), need_of(1), 10, now).count());
+}
+
+TEST(version_planner_test, only_a_run_that_has_come_far_leaves_an_engine_that_is_a_little_slower) {
+  set_engines(3, {{"m", 1}});
+  for (char const* id : {"e0", "e1"}) board.note_event_gap(id, milliseconds(40), now);
+  board.note_event_gap("e2", milliseconds(52), now);
+  LONGS_EQUAL(0, board.gain_of_move(*board.find("e2"), need_of(1), 5, now).count());
+  LONGS_EQUAL(600, board.gain_of_move(*board.find("e2"), need_of(1), 50, now).count());
+}
+
+TEST(version_planner_test, no_run_moves_to_an_engine_whose_speed_is_not_known) {
+  set_engines(2, {{"m", 1}});
+  board.note_event_gap("e0", milliseconds(30), now - milliseconds(20'000));
+  board.note_event_gap("e1", milliseconds(120), now);
+  LONGS_EQUAL(0, board.gain_of_move(*board.find("e1"), need_of(1), 50, now).count());
+}
+
+TEST(version_planner_test, run_leaves_an_engine_that_begins_to_load_if_another_has_room) {
+  set_engines(2, {{"m", 1}});
+  for (char const* id : {"e0", "e1"}) board.note_event_gap(id, milliseconds(40), now);
+  board.note_load(milliseconds(900));
+  board_engine& loading = *board.find("e1");
+  loading.load = load_state::ordered;
+  loading.ordered_model = "m";
+  loading.ordered_at = now;
+  LONGS_EQUAL(900, board.gain_of_move(loading, need_of(1), 1, now).count());
+  LONGS_EQUAL(0, board.gain_of_move(loading, need_of(1), 1, now + milliseconds(800)).count());
+  board.note_started("e0", 10, "g");
+  board.note_started("e0", 10, "g");
+  LONGS_EQUAL(0, board.gain_of_move(loading, need_of(1), 1, now).count());
 }
 
 TEST(version_planner_test, failing_engine_is_left_alone_for_longer_each_time) {
--- a/tests/unit/jobs/job_table_test.cc
+++ b/tests/unit/jobs/job_table_test.cc
@@ -47,10 +47,10 @@
   }
 
   void complete(job & owner, std::uint32_t index) {
-    run_key const key = table.start(owner, index, "engine");
+    run_key const key = table.start(owner, index, "engine", now);
     sample* const one = table.running(key);
     CHECK(one != nullptr);
-    CHECK(table.take_event(owner, *one, event_of(0), 3) == event_result::taken);
+    CHECK(table.take_event(owner, *one, event_of(0), 3, now) == event_result::taken);
     table.complete_text(owner, index, now);
   }
 };
@@ -79,29 +79,29 @@
 
 TEST(job_table_test, events_join_by_their_identifiers) {
   job& owner = add("job", 1, 1);
-  run_key const key = table.start(owner, 0, "engine");
+  run_key const key = table.start(owner, 0, "engine", now);
   sample& one = *table.running(key);
-  CHECK(table.take_event(owner, one, event_of(0), 3) == event_result::taken);
-  CHECK(table.take_event(owner, one, event_of(0), 3) == event_result::repeated);
-  CHECK(table.take_event(owner, one, event_of(2), 3) == event_result::out_of_order);
-  CHECK(table.take_event(owner, one, event_of(1), 4) == event_result::taken);
+  CHECK(table.take_event(owner, one, event_of(0), 3, now) == event_result::taken);
+  CHECK(table.take_event(owner, one, event_of(0), 3, now) == event_result::repeated);
+  CHECK(table.take_event(owner, one, event_of(2), 3, now) == event_result::out_of_order);
+  CHECK(table.take_event(owner, one, event_of(1), 4, now) == event_result::taken);
   STRCMP_EQUAL("d0\nd1", one.text.c_str());
   LONGS_EQUAL(2, one.versions.size());
 }
 
 TEST(job_table_test, event_of_an_older_version_than_allowed_is_not_taken) {
   job& owner = add("job", 1, 1);
-  sample& one = *table.running(table.start(owner, 0, "engine"));
-  CHECK(table.take_event(owner, one, event_of(0), 2) == event_result::too_old);
+  sample& one = *table.running(table.start(owner, 0, "engine", now));
+  CHECK(table.take_event(owner, one, event_of(0), 2, now) == event_result::too_old);
   LONGS_EQUAL(0, one.events);
 }
 
 TEST(job_table_test, single_version_job_takes_events_of_one_version_only) {
   job& owner = add("job", 1, 1);
   owner.terms.single_version = true;
-  sample& one = *table.running(table.start(owner, 0, "engine"));
-  CHECK(table.take_event(owner, one, event_of(0), 3) == event_result::taken);
-  CHECK(table.take_event(owner, one, event_of(1), 4) == event_result::mixed_versions);
+  sample& one = *table.running(table.start(owner, 0, "engine", now));
+  CHECK(table.take_event(owner, one, event_of(0), 3, now) == event_result::taken);
+  CHECK(table.take_event(owner, one, event_of(1), 4, now) == event_result::mixed_versions);
   table.restart(one, now);
   LONGS_EQUAL(0, one.events);
   CHECK(one.versions.empty());
@@ -109,9 +109,9 @@
 
 TEST(job_table_test, requeued_run_goes_on_from_what_it_has_and_its_former_run_is_ignored) {
   job& owner = add("job", 1, 1);
-  run_key const former = table.start(owner, 0, "engine");
+  run_key const former = table.start(owner, 0, "engine", now);
   sample& one = *table.running(former);
-  table.take_event(owner, one, event_of(0), 3);
+  table.take_event(owner, one, event_of(0), 3, now);
   table.requeue(one, now);
   POINTERS_EQUAL(nullptr, table.running(former));
   LONGS_EQUAL(1, table.runnable(now).size());
@@ -162,7 +162,7 @@
 
 TEST(job_table_test, restored_results_keep_their_positions_and_end_their_runs) {
   job& owner = add("job", 3, 3);
-  run_key const running = table.start(owner, 2, "engine");
+  run_key const running = table.start(owner, 2, "engine", now);
   rpc::ResultBatchT batch;
   batch.job = "job";
   for (char const* id : {"job2", "job0"}) {
@@ -190,7 +190,7 @@
 
 TEST(job_table_test, ended_job_runs_and_commits_nothing) {
   job& owner = add("job", 2, 1);
-  run_key const running = table.start(owner, 0, "engine");
+  run_key const running = table.start(owner, 0, "engine", now);
   complete(owner, 1);
   CHECK(table.end("job"));
   POINTERS_EQUAL(nullptr, table.running(running));
@@ -211,8 +211,8 @@
 
 TEST(job_table_test, scored_sample_is_finished_only_with_its_score) {
   job& owner = add("job", 1, 1, true);
-  run_key const key = table.start(owner, 0, "engine");
-  table.take_event(owner, *table.running(key), event_of(0), 3);
+  run_key const key = table.start(owner, 0, "engine", now);
+  table.take_event(owner, *table.running(key), event_of(0), 3, now);
   CHECK(table.complete_text(owner, 0, now));
   CHECK_FALSE(table.next_batch(owner, now + seconds(5), k_limit).has_value());
   table.score(owner, 0, "proof", now);
@@ -231,3 +231,88 @@
   LONGS_EQUAL(2, owner.listed.size());
   LONGS_EQUAL(0, owner.unlisted.size());
 }
+
+TEST(job_table_test, items_that_an_ended_job_lacks_go_first_when_they_come_again) {
+  job& first = add("first", 2, 1);
+  complete(first, 0);
+  table.end("first");
+  rpc::JobRecordT record = make_record("second", 3, 1);
+  record.items[0]->id = "first1";
+  CHECK(table.add(std::move(record), now));
+  auto const next = table.runnable(now);
+  LONGS_EQUAL(3, next.size());
+  LONGS_EQUAL(0, next[0].index);
+  LONGS_EQUAL(2, next[1].index);
+}
+
+TEST(job_table_test, what_a_forgotten_job_lacks_is_forgotten) {
+  add("first", 1, 1);
+  table.end("first");
+  table.forget("first");
+  rpc::JobRecordT record = make_record("second", 2, 1);
+  record.items[0]->id = "first0";
+  CHECK(table.add(std::move(record), now));
+  LONGS_EQUAL(1, table.runnable(now)[0].index);
+}
+
+TEST(job_table_test, checkpoint_holds_what_is_new_of_long_runs) {
+  job& owner = add("job", 3, 1);
+  milliseconds const age{1000};
+  for (std::uint32_t index : {0U, 1U}) {
+    run_key const key = table.start(owner, index, "engine", now);
+    time_point const begun = index == 0 ? now : now + milliseconds(500);
+    table.take_event(owner, *table.running(key), event_of(0), 3, begun);
+  }
+  auto const reports = table.take_checkpoint(now + age, age, k_limit);
+  LONGS_EQUAL(1, reports.size());
+  LONGS_EQUAL(1, reports[0].entries.size());
+  STRCMP_EQUAL("d0", reports[0].entries[0]->text.c_str());
+  LONGS_EQUAL(0, table.take_checkpoint(now + age, age, k_limit).size());
+  table.take_event(owner, owner.samples[0], event_of(1), 3, now + age);
+  auto const next = table.take_checkpoint(now + age, age, k_limit);
+  LONGS_EQUAL(2, next[0].entries[0]->from_bytes);
+  STRCMP_EQUAL("\nd1", next[0].entries[0]->text.c_str());
+  table.forget_checkpoints();
+  auto const whole = table.take_checkpoint(now + age, age, k_limit);
+  STRCMP_EQUAL("d0\nd1", whole[0].entries[0]->text.c_str());
+}
+
+TEST(job_table_test, checkpoint_leaves_finished_samples_and_ended_jobs_out) {
+  job& owner = add("job", 2, 2);
+  complete(owner, 0);
+  run_key const key = table.start(owner, 1, "engine", now);
+  table.take_event(owner, *table.running(key), event_of(0), 3, now);
+  table.end("job");
+  LONGS_EQUAL(0, table.take_checkpoint(now, milliseconds(0), k_limit).size());
+}
+
+TEST(job_table_test, run_is_expected_to_take_some_times_its_guess_of_memory) {
+  rpc::JobItemT item;
+  item.tokens = 1000;
+  LONGS_EQUAL(1000, expected_tokens(item));
+  item.generated_limit = 900;
+  item.length_hint = 100;
+  LONGS_EQUAL(300, expected_tokens(item));
+  item.length_hint = 800;
+  LONGS_EQUAL(1000, expected_tokens(item));
+}
+
+TEST(job_table_test, time_of_the_sample_that_a_job_waited_for_is_told) {
+  job& owner = add("job", 2, 1, true);
+  CHECK_FALSE(times_of_last_sample(owner).has_value());
+  time_point const accepted = now;
+  for (std::uint32_t index : {0U, 1U}) {
+    now = accepted + milliseconds(100 * (index + 1));
+    run_key const key = table.start(owner, index, "engine", now);
+    table.take_event(owner, *table.running(key), event_of(0), 3, now);
+    table.complete_text(owner, index, now + milliseconds(30));
+    table.score(owner, index, "proof", now + milliseconds(50));
+  }
+  CHECK(table.next_batch(owner, now, k_limit).has_value());
+  table.confirm(owner);
+  auto const times = times_of_last_sample(owner);
+  LONGS_EQUAL(1, times->index);
+  LONGS_EQUAL(200, times->waited.count());
+  LONGS_EQUAL(30, times->ran.count());
+  LONGS_EQUAL(20, times->scored.count());
+}
--- a/tests/unit/jobs/progress_replica_test.cc
+++ b/tests/unit/jobs/progress_replica_test.cc
@@ -53,9 +53,9 @@
   void run_events(std::uint64_t first, std::uint64_t last, std::string const& run = "d") {
     job& held = *owner.find("job");
     sample& one = held.samples[0];
-    if (one.state == sample_state::waiting) owner.start(held, 0, "engine");
+    if (one.state == sample_state::waiting) owner.start(held, 0, "engine", now);
     for (std::uint64_t id = first; id <= last; ++id) {
-      owner.take_event(held, one, event_of(id, run), 1);
+      owner.take_event(held, one, event_of(id, run), 1, now);
     }
   }
 
@@ -132,6 +132,17 @@
   STRCMP_EQUAL("former0\nformer1\nformer2\nformer3\nnext4", follow().text.c_str());
 }
 
+TEST(progress_replica_test, sample_given_up_after_reports_of_its_text_is_dead_at_the_follower) {
+  run_events(0, 3);
+  CHECK(replica.take(report(), now));
+  owner.give_up(*owner.find("job"), 0, now);
+  CHECK(replica.take(report(), now));
+  sample const& one = follow();
+  CHECK(one.state == sample_state::finished);
+  CHECK(one.result.outcome == rpc::SampleOutcome::DEAD);
+  STRCMP_EQUAL("", one.result.text.c_str());
+}
+
 TEST(progress_replica_test, late_report_of_a_dropped_run_is_not_joined_to_the_next) {
   run_events(0, 1);
   CHECK(replica.take(report(), now));
@@ -179,8 +190,8 @@
   run_events(0, 3);
   CHECK(replica.take(report(), now));
   job& held = *follower.find("job");
-  run_key const key = follower.start(held, 0, "engine");
-  follower.take_event(held, *follower.running(key), event_of(0), 1);
+  run_key const key = follower.start(held, 0, "engine", now);
+  follower.take_event(held, *follower.running(key), event_of(0), 1, now);
   STRCMP_EQUAL("d0\nd1\nd2\nd3", follow().text.c_str());
   POINTERS_EQUAL(nullptr, follower.running(key));
   LONGS_EQUAL(2, follower.runnable(now).size());
@@ -190,9 +201,9 @@
   run_events(0, 1);
   CHECK(replica.take(report(), now));
   job& held = *follower.find("job");
-  run_key const key = follower.start(held, 0, "engine");
+  run_key const key = follower.start(held, 0, "engine", now);
   for (std::uint64_t id = 0; id < 4; ++id) {
-    follower.take_event(held, *follower.running(key), event_of(id), 1);
+    follower.take_event(held, *follower.running(key), event_of(id), 1, now);
   }
   follow();
   CHECK(follower.running(key) != nullptr);
--- a/tests/unit/jobs/record_log_test.cc
+++ b/tests/unit/jobs/record_log_test.cc
@@ -126,6 +126,27 @@
   LONGS_EQUAL(1, store.writes_of(record_keys::accepted_mark(k_pool, "job")));
 }
 
+TEST(record_log_test, checkpoints_are_read_back_in_the_order_in_which_they_were_written) {
+  log.write_record(job_of("job"), note());
+  for (std::uint64_t events = 1; events <= 12; ++events) {
+    rpc::ProgressReportT report;
+    report.jobs.push_back("job");
+    auto entry = std::make_unique<rpc::SampleProgressT>();
+    entry->events = events;
+    report.entries.push_back(std::move(entry));
+    log.write_checkpoint(report);
+  }
+  run_until_idle();
+  auto const records = store.list_now(record_keys::data_prefix(k_pool, "job"));
+  stored_job const read = read_job(k_pool, "job", records);
+  CHECK(read.record.has_value());
+  LONGS_EQUAL(0, read.batches.size());
+  LONGS_EQUAL(12, read.checkpoints.size());
+  for (std::uint64_t place = 0; place < 12; ++place) {
+    LONGS_EQUAL(place + 1, read.checkpoints[place].entries.front()->events);
+  }
+}
+
 TEST(record_log_test, former_owner_writes_nothing) {
   store.put_now(k_owner_key, "another");
   log.write_end("job", note());
