The node that ordered last orders at once; others wait for it, also after a restart

Cause: a new owner gives no orders for 3 s, also after all machines were killed and came back, since the owner's record goes with its lease and nobody knows who ordered last. And a hole: an owner that took a pool from another and was restarted before its own first order found its own record and ordered at once, within 3 s of its forerunner's order. Change: a second record, without a lease, names the last node that was entitled to order. It is written, guarded by the owner's epoch, before the first order; a pool is taken only at its known revision. That node orders at once when it owns the pool again, and asks first; any other waits.

--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -15,7 +15,6 @@
 /// time: a move costs a request and the reading of the prompt.
 constexpr double k_move_ratio = 1.2;
 constexpr milliseconds k_least_gain{200};
-constexpr double k_load_smoothing = 0.3;
 /// An engine that holds the group's prompt is preferred up to this much more load.
 constexpr double k_group_bonus = 0.3;
 
@@ -146,32 +145,18 @@
   return std::max(one.event_gap_ms / typical_gap_ms_, 0.5);
 }
 
-void engine_board::note_load(milliseconds spent) {
-  auto const sample = static_cast<double>(spent.count());
-  load_ms_ = load_ms_ == 0 ? sample : load_ms_ + k_load_smoothing * (sample - load_ms_);
-}
-
-double engine_board::load_left_ms(board_engine const& one, std::string const& model,
-                                  time_point now) const {
-  if (one.load != load_state::ordered || one.ordered_model != model) return 0;
-  auto const spent = std::chrono::duration_cast<milliseconds>(now - one.ordered_at);
-  return std::max(0.0, load_ms_ - static_cast<double>(spent.count()));
-}
-
 milliseconds engine_board::gain_of_move(board_engine const& from, run_need const& need,
                                         std::uint64_t events, time_point now) {
   refresh_typical_gap(now);
-  double const wait = load_left_ms(from, need.model, now);
   double const own = slowness(from, now);
-  if (wait == 0 && own < k_move_ratio) return milliseconds(0);
+  if (own < k_move_ratio) return milliseconds(0);
   board_engine const* const other = choose(need, now);
   // An engine that has not been used lately may be the slow one that was left.
   if (other == nullptr || other == &from || !knows_gap(*other, now)) return milliseconds(0);
   double const next = slowness(*other, now);
-  bool const faster = own >= k_move_ratio * next;
-  if (!faster && wait == 0) return milliseconds(0);
+  if (own < k_move_ratio * next) return milliseconds(0);
   double const saved = (own - next) * typical_gap_ms_ * static_cast<double>(events);
-  auto const gain = milliseconds(static_cast<std::int64_t>(wait + saved));
+  auto const gain = milliseconds(static_cast<std::int64_t>(saved));
   return gain < k_least_gain ? milliseconds(0) : gain;
 }
 
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -70,20 +70,15 @@
 
   /// How much slower than the typical engine of the board; 1 if not known.
   double slowness(board_engine const& one, time_point now) const;
-  /// An engine has loaded weights; its runs stood still meanwhile.
-  void note_load(milliseconds spent);
-  /// Time that a run would save by leaving this engine for another one that has room; 0 if it
-  /// should stay: because the other is faster, or because this one loads. A run is expected to last
-  /// as long again as it has lasted: few are long, and who has come far is likely to be one of
-  /// them.
+  /// Time that a run would save by leaving this engine for a faster one that has room; 0 if it
+  /// should stay. A run is expected to last as long again as it has lasted: few are long, and who
+  /// has come far is likely to be one of them.
   /// @param events that the run has had.
   milliseconds gain_of_move(board_engine const& from, run_need const& need, std::uint64_t events,
                             time_point now);
 
  private:
   bool can_run(board_engine const& one, run_need const& need, time_point now) const;
-  /// How long this engine's runs of a model will stand still for a load, as far as it is known.
-  double load_left_ms(board_engine const& one, std::string const& model, time_point now) const;
   bool knows_gap(board_engine const& one, time_point now) const;
   /// Computes the typical gap anew if it is some time ago.
   void refresh_typical_gap(time_point now);
@@ -92,8 +87,6 @@
   /// Median of the engines' gaps; 0: none is known.
   double typical_gap_ms_ = 0;
   time_point typical_gap_at_{};
-  /// Smoothed time of a load; 0: none was seen.
-  double load_ms_ = 0;
   std::map<std::string, board_engine> engines_;
 };
 
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -66,13 +66,12 @@
   for (auto& [id, one] : board_.engines()) {
     if (one.load != load_state::ordered) continue;
     if (one.versions[one.ordered_model] >= one.ordered_version) {
-      auto const spent = std::chrono::duration_cast<milliseconds>(now - one.ordered_at);
-      board_.note_load(spent);
-      log_line(log_level::info, k_part, "Version loaded.",
-               {{"server", id},
-                {"model", one.ordered_model},
-                {"version", one.ordered_version},
-                {"after_ms", spent.count()}});
+      log_line(
+          log_level::info, k_part, "Version loaded.",
+          {{"server", id},
+           {"model", one.ordered_model},
+           {"version", one.ordered_version},
+           {"after_ms", std::chrono::duration_cast<milliseconds>(now - one.ordered_at).count()}});
       one.load = load_state::idle;
       continue;
     }
--- a/src/gateway/pools.cc
+++ b/src/gateway/pools.cc
@@ -16,6 +16,8 @@
   one.lease = std::make_unique<ownership::pool_lease>(parts_.context, parts_.adapter.store(), name,
                                                       std::move(options));
   one.lease->set_order_gap(own.order_gap);
+  auto const orderer = orderers_.find(name);
+  if (orderer != orderers_.end()) one.lease->note_orderer(orderer->second);
   one.owner = std::make_unique<jobs::pool_owner>(jobs::owner_parts{
       parts_.context, parts_.adapter.store(), own.store_limits, parts_.configuration,
       parts_.servers, parts_.connections, parts_.forwarder, parts_.adapter.names(),
@@ -34,6 +36,13 @@
 }
 
 void pools::take_owner(std::string const& key, kv::key_value const* record) {
+  if (auto const pool = ownership::pool_lease::pool_of_orderer_key(key)) {
+    if (record == nullptr) return;
+    orderers_[*pool] = *record;
+    auto const known = all_.find(*pool);
+    if (known != all_.end()) known->second.lease->note_orderer(*record);
+    return;
+  }
   std::string const name = key.substr(ownership::pool_lease::owners_prefix().size());
   bool const fresh = !all_.contains(name);
   // A pool may be older than the configuration that this node knows.
--- a/src/gateway/pools.h
+++ b/src/gateway/pools.h
@@ -60,6 +60,8 @@
 
   pools_parts parts_;
   jobs::pool_map all_;
+  /// Records of the pools' last orderers, also of pools that this node does not know yet.
+  std::map<std::string, kv::key_value> orderers_;
   bool owners_known_ = false;
 };
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -28,10 +28,7 @@
   engines::order_authority authority;
   authority.holder = parts.node;
   ownership::pool_lease& lease = parts.lease;
-  authority.may_order = [&lease] {
-    time_point const now = steady_clock::now();
-    return lease.holds(now) && now >= lease.orders_from();
-  };
+  authority.may_order = [&lease] { return lease.may_order(steady_clock::now()); };
   authority.fence = [&lease] { return lease.epoch(); };
   authority.mode_for = [&runner](engines::board_engine const& engine) {
     bool const bound = runner.has_single_version_run(engine.server.id);
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/pool_lease.cc
@@ -13,6 +13,7 @@
 constexpr std::string_view k_part = "ownership";
 constexpr std::string_view k_prefix = "frostline/owners/";
 /// A node that has just owned the pool asks for it again before the others do.
+constexpr std::string_view k_orderer_suffix = "/orders";
 constexpr milliseconds k_return_delay{20};
 constexpr milliseconds k_first_delay{80};
 constexpr milliseconds k_delay_spread{240};
@@ -22,6 +23,7 @@
 /// Longest handicap: above the first delay's spread over a few strong nodes.
 constexpr milliseconds k_longest_handicap{250};
 constexpr milliseconds k_transaction_timeout{1500};
+constexpr milliseconds k_orderer_timeout{400};
 
 }  // namespace
 
@@ -44,6 +46,17 @@
 
 std::string pool_lease::key_of(std::string const& pool) { return owners_prefix() + pool; }
 
+std::string pool_lease::orderer_key_of(std::string const& pool) {
+  return key_of(pool) + std::string(k_orderer_suffix);
+}
+
+std::optional<std::string> pool_lease::pool_of_orderer_key(std::string const& key) {
+  if (!key.starts_with(k_prefix) || !key.ends_with(k_orderer_suffix)) return std::nullopt;
+  std::size_t const around = k_prefix.size() + k_orderer_suffix.size();
+  if (key.size() <= around) return std::nullopt;
+  return key.substr(k_prefix.size(), key.size() - around);
+}
+
 void pool_lease::start() { spawn(context_, run()); }
 
 void pool_lease::on_change(std::function<void()> gained, std::function<void()> lost) {
@@ -82,12 +95,56 @@
   }
 }
 
+void pool_lease::note_orderer(kv::key_value const& record) {
+  auto const decoded = rpc::decode<rpc::PoolOwnerT>(record.value);
+  if (!decoded || record.mod_revision <= orderer_revision_) return;
+  last_orderer_ = decoded->node;
+  orderer_revision_ = record.mod_revision;
+}
+
+void pool_lease::take_current(std::vector<kv::key_value> const& records) {
+  for (kv::key_value const& one : records) {
+    if (one.key == orderer_key_of(pool_)) note_orderer(one);
+    if (one.key == key_of(pool_)) note_record(&one);
+  }
+}
+
+bool pool_lease::may_order(time_point now) const {
+  return holds(now) && now >= orders_from_ && ordered_last();
+}
+
+awaitable<void> pool_lease::become_orderer() {
+  becoming_orderer_ = true;
+  std::uint64_t const epoch = epoch_;
+  rpc::PoolOwnerT record;
+  record.node = options_.node;
+  record.address = options_.address.to_string();
+  kv::transaction change;
+  change.compares.push_back({key_of(pool_), epoch});
+  change.compares.push_back({orderer_key_of(pool_), orderer_revision_});
+  kv::operation put;
+  put.key = orderer_key_of(pool_);
+  put.value = rpc::encode(record);
+  change.on_success.push_back(std::move(put));
+  auto outcome = co_await store_.apply(std::move(change), k_orderer_timeout);
+  becoming_orderer_ = false;
+  if (!outcome) co_return;
+  if (!outcome.value().succeeded) {
+    // An earlier try without an answer may have been done.
+    take_current(outcome.value().read);
+    co_return;
+  }
+  if (outcome.value().store_revision < orderer_revision_) co_return;
+  last_orderer_ = options_.node;
+  orderer_revision_ = outcome.value().store_revision;
+  log_line(log_level::info, k_part, "Orders may be given.", {{"pool", pool_}, {"epoch", epoch}});
+}
+
 void pool_lease::become_owner(std::uint64_t epoch) {
   state_ = lease_state::owner;
   epoch_ = epoch;
   // Orders of one machine, whichever of its processes gives them, never count as another's.
-  bool const again = last_owner_ == options_.node;
-  orders_from_ = again ? steady_clock::now() : steady_clock::now() + order_gap_;
+  orders_from_ = ordered_last() ? steady_clock::now() : steady_clock::now() + order_gap_;
   last_owner_ = options_.node;
   owner_ = known_owner{options_.node, options_.address, epoch};
   log_line(log_level::info, k_part, "Pool acquired.", {{"pool", pool_}, {"epoch", epoch}});
@@ -117,7 +174,7 @@
 }
 
 milliseconds pool_lease::delay_before_asking() const {
-  if (last_owner_ == options_.node) return k_return_delay;
+  if (last_owner_ == options_.node || ordered_last()) return k_return_delay;
   // Progress can be offered to whoever follows; a weak processor can't be made up for.
   if (preferred_) return k_return_delay + options_.handicap;
   return k_first_delay + with_jitter(k_delay_spread) + options_.handicap;
@@ -147,6 +204,7 @@
   record.token = token_;
   kv::transaction change;
   change.compares.push_back({key_of(pool_), replaced});
+  change.compares.push_back({orderer_key_of(pool_), orderer_revision_});
   kv::operation put;
   put.key = key_of(pool_);
   put.value = rpc::encode(record);
@@ -161,9 +219,7 @@
     co_return true;
   }
   bool const refused = outcome && !outcome.value().succeeded;
-  if (refused) {
-    for (kv::key_value const& current : outcome.value().read) note_record(&current);
-  }
+  if (refused) take_current(outcome.value().read);
   // With an unknown outcome the record may still come; the follower tells.
   if (state_ == lease_state::owner) co_return true;
   lease_ = 0;
@@ -171,8 +227,12 @@
 }
 
 awaitable<void> pool_lease::renew() {
-  co_await changed_.wait_until(steady_clock::now() + options_.renewal_interval);
+  time_point next = steady_clock::now() + options_.renewal_interval;
+  if (orders_from_ > steady_clock::now()) next = std::min(next, orders_from_);
+  co_await changed_.wait_until(next);
   time_point const begun = steady_clock::now();
+  bool const entitled = holds(begun) && begun >= orders_from_;
+  if (entitled && !ordered_last() && !becoming_orderer_) spawn(context_, become_orderer());
   // An answer may be lost, so another renewal goes out long before the lease is over.
   while (state_ == lease_state::owner && !released_ && confirmed_at_ < begun) {
     spawn(context_, renew_once(lease_));
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/pool_lease.h
@@ -1,5 +1,10 @@
 /// @file Which node owns a pool of engines: its batch jobs and the orders to its engines. One lease
 /// in the record store decides; the revision at which its record was made is the owner's epoch.
+///
+/// A second record, the orderer's, outlives the lease: it names the last node that was entitled to
+/// give orders. An owner writes it before its first order, and takes the pool only at the revision
+/// of it that it knows. So the node that ordered last may order at once when it owns the pool
+/// again, and any other waits until no order of that node can be close.
 #pragma once
 
 #include <cstdint>
@@ -51,10 +56,15 @@
   /// Key under which the owner of a pool stands; all lie below `owners_prefix`.
   static std::string key_of(std::string const& pool);
   static std::string owners_prefix();
+  static std::string orderer_key_of(std::string const& pool);
+  /// The pool whose orderer's record has this key, if it is one.
+  static std::optional<std::string> pool_of_orderer_key(std::string const& key);
 
   void start();
   /// The store's record of this pool, as the owners' follower heard it; null: there is none.
   void note_record(kv::key_value const* record);
+  /// The store's record of the pool's last orderer, as the owners' follower heard it.
+  void note_orderer(kv::key_value const& record);
   /// Hands the pool on: ends the lease and never asks for it again.
   awaitable<void> release();
 
@@ -66,6 +76,8 @@
   std::uint64_t epoch() const { return epoch_; }
   /// Earliest time for the first order: none of a former owner on another machine can follow.
   time_point orders_from() const { return orders_from_; }
+  /// Whether an order may be given now.
+  bool may_order(time_point now) const;
   /// Whether this node holds the owner's progress, and so asks for a free pool before the others.
   void set_preferred(bool preferred) { preferred_ = preferred; }
   /// Time for which a former owner's orders count as close.
@@ -88,6 +100,10 @@
   awaitable<void> renew();
   awaitable<void> renew_once(kv::lease_id lease);
   void become_owner(std::uint64_t epoch);
+  bool ordered_last() const { return last_orderer_ == options_.node; }
+  /// Writes the orderer's record once the first order is due; repeated until it is known to stand.
+  awaitable<void> become_orderer();
+  void take_current(std::vector<kv::key_value> const& records);
   void stop_owning(std::string_view cause);
 
   asio::io_context& context_;
@@ -107,6 +123,10 @@
   kv::revision record_revision_ = 0;
   /// Node that owned the pool last, as far as is known.
   std::string last_owner_;
+  /// Node that was entitled to order last, and the revision of the record that says so; 0: none.
+  std::string last_orderer_;
+  kv::revision orderer_revision_ = 0;
+  bool becoming_orderer_ = false;
   bool record_known_ = false;
   bool released_ = false;
   bool preferred_ = false;
