Claims wait out an outage, deletions of one revision are all taken, lapsed servers are waited for; kept connections first

Views compare an answer's changes with the revision before the answer; record_view_test, seen red. - A node whose seeds were all dead waited 2.5 s before it asked the store; now 0.8 s if none answers. - Servers' records hang on leases that may run out while the store is away and are written again about 2 s after its return. Until then no call and no run had a server. Test changed before its commit was final: relay_test killed processes without waiting for their end, so the address was still in use; it waits now.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -7,6 +7,9 @@
 namespace frostline::calls {
 namespace {
 
+/// A server that answers within this part of the route's objective is asked again before others;
+/// above it there would be no room for a second attempt.
+constexpr int k_swift_part = 2;
 constexpr std::string_view k_part = "calls";
 /// Time in which an answer must still reach the client before its deadline.
 constexpr milliseconds k_answer_margin{15};
@@ -149,6 +152,16 @@
             {"config", one.table->all().version}});
 }
 
+void forwarder::note_whole_answer(journey const& one, exchange const& with) {
+  time_point const now = steady_clock::now();
+  bool const in_time = now - one.attempt_begun <= one.by->target_latency / k_swift_part;
+  if (in_time && with.head().result_int() < 500) {
+    parts_.selector.note_swift_answer(with.server().id, now);
+  } else {
+    parts_.selector.note_answer(with.server().id);
+  }
+}
+
 bool forwarder::accepts(journey& one, exchange& with) {
   http::response const& head = with.head();
   bool const refused = !http::header(head, parts_.names.not_run).empty() ||
@@ -180,6 +193,7 @@
     one.server = chosen->id;
     if (++one.attempts > 1) ++figures_.retries;
     parts_.selector.note_sent(chosen->id);
+    one.attempt_begun = steady_clock::now();
     auto with = std::make_unique<exchange>(parts_.connections, parts_.names, *chosen);
     if (one.from != nullptr) one.from->on_gone([open = with.get()] { open->abort(); });
     exchange_failure const failure = co_await attempt(one, *with);
@@ -216,7 +230,7 @@
     into.body() += piece;
     if (into.body().size() > k_longest_answer) co_return false;
   }
-  parts_.selector.note_answer(with.server().id);
+  note_whole_answer(one, with);
   with.finish();
   co_return true;
 }
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -91,6 +91,7 @@
     std::string service;
     std::set<std::string> tried;
     std::uint32_t attempts = 0;
+    time_point attempt_begun{};
     std::uint32_t failed_answers = 0;
     bool may_have_run = false;
     bool was_refused = false;
@@ -106,6 +107,7 @@
   /// Whether the server's answer may be taken; else the next attempt follows.
   bool accepts(journey& one, exchange& with);
   void note_failure(journey& one, exchange const& with, exchange_failure failure);
+  void note_whole_answer(journey const& one, exchange const& with);
   void conclude_without_answer(journey& one);
   bool may_try_again(journey const& one) const;
   time_point attempt_deadline(journey const& one) const;
--- a/src/calls/server_selector.cc
+++ b/src/calls/server_selector.cc
@@ -9,6 +9,9 @@
 constexpr milliseconds k_first_avoidance{400};
 constexpr std::uint32_t k_most_doublings = 3;
 constexpr milliseconds k_full_avoidance{60};
+/// For that long a connection is taken to be open: as long as it is kept here when a server does
+/// not say for how long it keeps it.
+constexpr milliseconds k_connection_memory{20'000};
 
 }  // namespace
 
@@ -16,14 +19,18 @@
     std::vector<directory::server const*> const& candidates, std::set<std::string> const& tried,
     time_point now) {
   directory::server const* best = nullptr;
-  std::tuple<bool, double, bool, std::uint64_t> best_rank;
+  std::tuple<bool, double, bool, milliseconds, std::uint64_t> best_rank;
   for (directory::server const* one : candidates) {
     if (tried.contains(one->id)) continue;
     auto const known = states_.find(one->id);
     bool const avoided = known != states_.end() && known->second.avoided_until > now;
     std::uint32_t const outstanding = known == states_.end() ? 0 : known->second.outstanding;
     double const load = static_cast<double>(outstanding) / std::max(one->slots, 1U);
-    std::tuple const rank{avoided, load, one->zone != own_zone_, random_()};
+    milliseconds rested = k_connection_memory;
+    if (known != states_.end() && known->second.swift_at > now - k_connection_memory) {
+      rested = std::chrono::duration_cast<milliseconds>(now - known->second.swift_at);
+    }
+    std::tuple const rank{avoided, load, one->zone != own_zone_, rested, random_()};
     if (best != nullptr && rank >= best_rank) continue;
     best = one;
     best_rank = rank;
@@ -39,11 +46,18 @@
   server_state& state = states_[server];
   release(state);
   state.failures_in_row = 0;
+  state.swift_at = time_point::min();
+}
+
+void server_selector::note_swift_answer(std::string const& server, time_point now) {
+  note_answer(server);
+  states_[server].swift_at = now;
 }
 
 void server_selector::note_failure(std::string const& server, time_point now) {
   server_state& state = states_[server];
   release(state);
+  state.swift_at = time_point::min();
   auto const doublings = std::min(state.failures_in_row++, k_most_doublings);
   state.avoided_until = now + k_first_avoidance * (1 << doublings);
 }
--- a/src/calls/server_selector.h
+++ b/src/calls/server_selector.h
@@ -13,8 +13,9 @@
 
 namespace frostline::calls {
 
-/// Least outstanding requests for its slots; among equals one of the own zone, then a random one.
-/// A server that fails without an answer is left out for a while, unless there is no other.
+/// Least outstanding requests for its slots; among equals one of the own zone, then the one that
+/// last answered in good time, since its connection is open, then a random one. A server that fails
+/// without an answer is left out for a while, unless there is no other.
 class server_selector {
  public:
   server_selector(std::string own_zone, std::uint64_t seed)
@@ -27,6 +28,8 @@
 
   void note_sent(std::string const& server) { ++states_[server].outstanding; }
   void note_answer(std::string const& server);
+  /// An answer within its objective's time: the next request may go there again.
+  void note_swift_answer(std::string const& server, time_point now);
   /// No answer, or one that can't be used.
   void note_failure(std::string const& server, time_point now);
   /// The sender gave up; it says nothing about the server.
@@ -42,6 +45,8 @@
     std::uint32_t outstanding = 0;
     std::uint32_t failures_in_row = 0;
     time_point avoided_until = time_point::min();
+    /// time_point::min() if its last answer took longer than it should, or there was none.
+    time_point swift_at = time_point::min();
   };
 
   void release(server_state& state);
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -80,7 +80,8 @@
                                                      connections_, selector_, adapter_.names()}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
                            connections_, forwarder_}};
-  server_watch server_watch_{adapter_, servers_};
+  server_watch server_watch_{context_, adapter_, servers_, settings_.leave_time,
+                             [this] { return feed_.store_back_at(); }};
   relay::record_feed feed_{context_, adapter_.store(), transport_, make_feed_options(),
                            [this] { return pools_.other_owner(); }};
   operator_requests operator_requests_{
--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -1,11 +1,17 @@
 #include "gateway/server_watch.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 
 namespace frostline::gateway {
 namespace {
 
 constexpr std::string_view k_part = "gateway";
+/// Servers have written their lapsed records again by then; the platform promises about as much.
+constexpr milliseconds k_rewrite_time{2000};
+/// So long before the time at which a server must get nothing more it gets nothing more.
+constexpr milliseconds k_leave_margin{250};
 
 void log_malformed(kv::key_value const& record) {
   log_line(log_level::error, k_part, "Server's record is malformed; what was known of it stays.",
@@ -14,6 +20,12 @@
 
 }  // namespace
 
+time_point departure_time(time_point now, time_point store_back_at, milliseconds leave_time) {
+  if (store_back_at == time_point::min()) return now;
+  time_point const written_again = store_back_at + k_rewrite_time;
+  return std::clamp(written_again, now, std::max(now, now + leave_time - k_leave_margin));
+}
+
 kv::follower_callbacks server_watch::listener() {
   kv::follower_callbacks callbacks;
   callbacks.snapshot = [this](kv::range_answer const& all) { take_all(all); };
@@ -44,7 +56,7 @@
 
 void server_watch::take_one(kv::watch_event const& event) {
   if (event.deleted) {
-    servers_.remove(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
+    note_departure(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
     return;
   }
   auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
@@ -52,7 +64,33 @@
     log_malformed(event.entry);
     return;
   }
+  missing_.erase(parsed->id);
   servers_.put(std::move(*parsed));
 }
 
+void server_watch::note_departure(std::string const& id) {
+  time_point const now = steady_clock::now();
+  directory::server const* const known = servers_.find(id);
+  time_point const when = departure_time(now, store_back_at_(), leave_time_);
+  bool const lapsed = known != nullptr && known->state == directory::server_state::ready;
+  if (when <= now || !lapsed) {
+    missing_.erase(id);
+    servers_.remove(id);
+    return;
+  }
+  log_line(log_level::info, k_part, "Server's record went with the store; waiting for it.",
+           {{"server", id},
+            {"waiting_ms", std::chrono::duration_cast<milliseconds>(when - now).count()}});
+  missing_[id] = when;
+  spawn(context_, remove_at(id, when));
+}
+
+awaitable<void> server_watch::remove_at(std::string id, time_point when) {
+  co_await wait_for(std::chrono::ceil<milliseconds>(when - steady_clock::now()));
+  auto const found = missing_.find(id);
+  if (found == missing_.end() || found->second != when) co_return;
+  missing_.erase(found);
+  servers_.remove(id);
+}
+
 }  // namespace frostline::gateway
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -124,6 +124,11 @@
               [](settings& into, double value) {
                 into.order_gap = milliseconds(static_cast<std::int64_t>(value));
               })},
+      {{"servers.leave_ms", "2000", "a server that has left gets nothing more after this time"},
+       number(0, 600'000,
+              [](settings& into, double value) {
+                into.leave_time = milliseconds(static_cast<std::int64_t>(value));
+              })},
       {{"stop.seconds", "8", "longest time for a planned stop"},
        number(0.1, 3600,
               [](settings& into, double value) { into.stop_time = from_seconds(value); })},
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -33,6 +33,8 @@
   kv::store_limits store_limits;
   /// Orders of two owners never come closer than this.
   milliseconds order_gap{3000};
+  /// A server that has left gets nothing more after this time.
+  milliseconds leave_time{2000};
   /// Longest planned stop.
   milliseconds stop_time{8000};
   /// For how long ended jobs can be read.
--- a/src/relay/claim_timer.cc
+++ b/src/relay/claim_timer.cc
@@ -8,7 +8,7 @@
 }
 
 bool claim_timer::is_due(relay_health const& health, time_point now) {
-  if (health.serves) {
+  if (health.serves || !health.anybody_serves) {
     due_.reset();
     return false;
   }
--- a/src/relay/claim_timer.h
+++ b/src/relay/claim_timer.h
@@ -34,13 +34,17 @@
   bool serves = false;
   /// Whether another zone's relay serves this node.
   bool others_serve = false;
+  /// Whether anybody serves this node, the store itself among them. While nobody does, it is mostly
+  /// the store that is out, and no relay is to blame.
+  bool anybody_serves = false;
 };
 
 class claim_timer {
  public:
   claim_timer(claim_options options, std::uint64_t seed) : options_(options), random_(seed) {}
 
-  /// @return whether the zone's record should be claimed now, at the revision in `health`.
+  /// @return whether the zone's record should be claimed now, at the revision in `health`. The wait
+  /// begins anew when nobody serves: nodes must not claim all at once when the store is back.
   bool is_due(relay_health const& health, time_point now);
   /// A claim was tried in vain, or would have been.
   void postpone(time_point now);
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -36,6 +36,9 @@
 std::string take_reply(rpc::PollReplyT const& reply, time_point asked, milliseconds longest_wait,
                        topic_views& views) {
   milliseconds const waited = std::min(milliseconds(reply.waited_ms), longest_wait);
+  // Before the changes, since it says what a change means.
+  auto const back = std::min(milliseconds(reply.store_back_ms_ago), k_longest_age);
+  if (back < k_longest_age) views.note_store_back(asked + waited - back);
   std::string doubts;
   for (auto const& told : reply.topics) {
     if (index_of(told->topic) >= k_topics.size()) continue;
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -70,6 +70,7 @@
   while (steady_clock::now() < deadline && can_wait(call)) co_await changed_.wait_until(deadline);
   rpc::PollReplyT reply;
   reply.waited_ms = milliseconds_since(begin, steady_clock::now());
+  reply.store_back_ms_ago = milliseconds_since(views_.store_back_at(), steady_clock::now());
   for (auto const& position : call.positions) {
     reply.topics.push_back(std::make_unique<rpc::TopicChangesT>(write_changes(*position)));
   }
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -40,6 +40,8 @@
 constexpr milliseconds k_ask_back_pause{200};
 /// At its start a node gives the seeds that long to learn of relays.
 constexpr milliseconds k_start_patience{2500};
+/// That long if none of them answers: longer than machines that start together start apart.
+constexpr milliseconds k_silent_start_patience{800};
 /// An owner that failed is not asked for that long.
 constexpr milliseconds k_owner_avoid_time{1500};
 constexpr milliseconds k_owner_poll{100};
@@ -110,9 +112,11 @@
 source_callbacks record_feed::make_source_callbacks() {
   source_callbacks callbacks;
   callbacks.snapshot = [this](topic one, kv::range_answer const& all) {
+    note_store_answer();
     views_.take_snapshot(one, all);
   };
   callbacks.event = [this](topic one, kv::watch_event const& event) {
+    note_store_answer();
     views_.take_event(one, event);
   };
   callbacks.complete_to = [this](topic one, kv::revision at) { views_.advance(one, at); };
@@ -123,10 +127,18 @@
       }
     }
   };
-  callbacks.contact_changed = [this] { service_.notify(); };
+  callbacks.contact_changed = [this] {
+    if (!source_.is_silent()) views_.note_store_back(steady_clock::now());
+    service_.notify();
+  };
   return callbacks;
 }
 
+void record_feed::note_store_answer() {
+  // A record may be read before the next sign of life says that the store is back.
+  if (source_.is_silent()) views_.note_store_back(steady_clock::now());
+}
+
 void record_feed::listen(topic one, kv::follower_callbacks listener) {
   views_.listen(one, std::move(listener));
 }
@@ -267,6 +279,7 @@
 void record_feed::note_result(endpoint const& peer, poll_result const& result) {
   time_point const now = steady_clock::now();
   bool const is_relay = is_relay_address(peer);
+  answered_once_ = answered_once_ || result.outcome != poll_outcome::failed;
   if (result.outcome != poll_outcome::failed && is_relay) relay_answered_at_ = now;
   if (result.outcome == poll_outcome::sure) {
     picker_.note_success(peer);
@@ -338,7 +351,10 @@
 bool record_feed::must_follow_store(time_point now) const {
   if (role_ != feed_role::standby) return false;
   if (serving_peer_) return false;
-  if (relays_.all().empty()) return is_seed() || now >= started_at_ + k_start_patience;
+  if (relays_.all().empty()) {
+    milliseconds const patience = answered_once_ ? k_start_patience : k_silent_start_patience;
+    return is_seed() || now >= started_at_ + patience;
+  }
   return now >= std::max(relay_answered_at_, started_at_) + patience_;
 }
 
@@ -366,6 +382,9 @@
   health.serves = role_ == feed_role::relay ||
                   (own != nullptr && serving_peer_ && *serving_peer_ == own->address);
   health.others_serve = served && !health.serves;
+  bool const store_serves =
+      role_ == feed_role::direct && source_.is_current(topic::RELAYS, steady_clock::now());
+  health.anybody_serves = serving_peer_ || store_serves;
   return health;
 }
 
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -78,6 +78,8 @@
 
   /// Whether a source that was sure has told everything, or nobody else is likely to.
   bool is_trusted(time_point now) const;
+  /// When the store last answered again after a silence; time_point::min(): it was never silent.
+  time_point store_back_at() const { return views_.store_back_at(); }
   feed_role role() const { return role_; }
   feed_figures const& figures() const { return figures_; }
   std::uint64_t polls_answered() const { return service_.answered(); }
@@ -88,6 +90,7 @@
   bool is_sure(topic one, time_point now) const;
   source_callbacks make_source_callbacks();
   claim_options make_claim_options() const;
+  void note_store_answer();
   void note_relays();
   awaitable<void> peers_loop();
   awaitable<void> ask_next_peer();
@@ -139,6 +142,8 @@
   /// How long this node waits for a relay before it turns to the store; each node another time.
   milliseconds patience_{0};
   std::uint32_t fruitless_polls_ = 0;
+  /// Whether any node has ever answered.
+  bool answered_once_ = false;
   /// When a node was last sure towards this one.
   time_point served_at_ = time_point::min();
   /// While no node is: since when the store has answered each look, and when the next is due.
--- a/src/relay/record_view.cc
+++ b/src/relay/record_view.cc
@@ -36,9 +36,7 @@
 
 bool record_view::take_event(kv::watch_event const& event) {
   if (event.entry.mod_revision <= at_) return false;
-  bool const news = apply(event);
-  at_ = event.entry.mod_revision;
-  return news;
+  return apply(event);
 }
 
 void record_view::advance(kv::revision at) {
--- a/src/relay/record_view.h
+++ b/src/relay/record_view.h
@@ -36,7 +36,8 @@
 
   /// @return what it changes, in no order; nothing if more is known already.
   std::vector<kv::watch_event> take_snapshot(kv::range_answer const& all);
-  /// @return whether it was news.
+  /// To be followed by `advance` once all changes of an answer are taken: several may have the same
+  /// revision. @return whether it was news.
   bool take_event(kv::watch_event const& event);
   /// Nothing else has changed up to this revision.
   void advance(kv::revision at);
--- a/src/relay/store_source.cc
+++ b/src/relay/store_source.cc
@@ -94,8 +94,8 @@
   log_line(log_level::warning, k_part,
            silent_ ? "Record store does not answer." : "Record store answers again.");
   // A watch that began before the silence may be dead without showing it.
-  if (!silent_) resynchronize("the store was silent");
   callbacks_.contact_changed();
+  if (!silent_) resynchronize("the store was silent");
 }
 
 }  // namespace frostline::relay
--- a/src/relay/store_source.h
+++ b/src/relay/store_source.h
@@ -45,6 +45,8 @@
   bool is_current(topic one, time_point now) const;
   /// When the store last answered: what was asked then. time_point::min(): never.
   time_point confirmed_at() const { return confirmed_at_; }
+  /// Whether the store has not answered for k_longest_silence.
+  bool is_silent() const { return silent_; }
   /// Reads all followed topics anew: a watch may have died unseen.
   void resynchronize(std::string_view cause);
   void stop() { stopped_ = true; }
--- a/src/relay/topic_views.h
+++ b/src/relay/topic_views.h
@@ -1,6 +1,7 @@
 /// @file This node's views of all topics, with whom they tell their changes. Pure.
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -34,6 +35,9 @@
 
   record_view const& view(topic one) const { return views_[index_of(one)]; }
   time_point confirmed_at(topic one) const { return confirmed_at_[index_of(one)]; }
+  /// The store answered again at this time after a silence, to this node or another one.
+  void note_store_back(time_point when) { store_back_at_ = std::max(store_back_at_, when); }
+  time_point store_back_at() const { return store_back_at_; }
   bool all_loaded() const;
   /// Changes and first snapshots that were told, of all topics.
   std::uint64_t changes() const { return changes_; }
@@ -44,6 +48,7 @@
   std::array<record_view, k_topics.size()> views_;
   std::array<kv::follower_callbacks, k_topics.size()> listeners_;
   std::array<time_point, k_topics.size()> confirmed_at_;
+  time_point store_back_at_ = time_point::min();
   std::function<void()> changed_;
   std::uint64_t changes_ = 0;
 };
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -8223,6 +8223,7 @@
   }
   std::vector<std::unique_ptr<frostline::rpc::TopicChangesT>> topics{};
   uint64_t waited_ms = 0;
+  uint64_t store_back_ms_ago = 86400000ULL;
   PollReplyT() = default;
   PollReplyT(const PollReplyT &o);
   PollReplyT(PollReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8238,7 +8239,8 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPICS = 4,
-    VT_WAITED_MS = 6
+    VT_WAITED_MS = 6,
+    VT_STORE_BACK_MS_AGO = 8
   };
   const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *topics() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *>(VT_TOPICS);
@@ -8247,12 +8249,17 @@
   uint64_t waited_ms() const {
     return GetField<uint64_t>(VT_WAITED_MS, 0);
   }
+  /// How long ago the store answered again after a silence, as far as the answering node knows.
+  uint64_t store_back_ms_ago() const {
+    return GetField<uint64_t>(VT_STORE_BACK_MS_AGO, 86400000ULL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TOPICS) &&
            verifier.VerifyVector(topics()) &&
            verifier.VerifyVectorOfTables(topics()) &&
            VerifyField<uint64_t>(verifier, VT_WAITED_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_BACK_MS_AGO, 8) &&
            verifier.EndTable();
   }
   PollReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8270,6 +8277,9 @@
   void add_waited_ms(uint64_t waited_ms) {
     fbb_.AddElement<uint64_t>(PollReply::VT_WAITED_MS, waited_ms, 0);
   }
+  void add_store_back_ms_ago(uint64_t store_back_ms_ago) {
+    fbb_.AddElement<uint64_t>(PollReply::VT_STORE_BACK_MS_AGO, store_back_ms_ago, 86400000ULL);
+  }
   explicit PollReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8284,8 +8294,10 @@
 inline flatbuffers::Offset<PollReply> CreatePollReply(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>>> topics = 0,
-    uint64_t waited_ms = 0) {
+    uint64_t waited_ms = 0,
+    uint64_t store_back_ms_ago = 86400000ULL) {
   PollReplyBuilder builder_(_fbb);
+  builder_.add_store_back_ms_ago(store_back_ms_ago);
   builder_.add_waited_ms(waited_ms);
   builder_.add_topics(topics);
   return builder_.Finish();
@@ -8299,12 +8311,14 @@
 inline flatbuffers::Offset<PollReply> CreatePollReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *topics = nullptr,
-    uint64_t waited_ms = 0) {
+    uint64_t waited_ms = 0,
+    uint64_t store_back_ms_ago = 86400000ULL) {
   auto topics__ = topics ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicChanges>>(*topics) : 0;
   return frostline::rpc::CreatePollReply(
       _fbb,
       topics__,
-      waited_ms);
+      waited_ms,
+      store_back_ms_ago);
 }
 
 flatbuffers::Offset<PollReply> CreatePollReply(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -11095,7 +11109,8 @@
 }
 
 inline PollReplyT::PollReplyT(const PollReplyT &o)
-      : waited_ms(o.waited_ms) {
+      : waited_ms(o.waited_ms),
+        store_back_ms_ago(o.store_back_ms_ago) {
   topics.reserve(o.topics.size());
   for (const auto &topics_ : o.topics) { topics.emplace_back((topics_) ? new frostline::rpc::TopicChangesT(*topics_) : nullptr); }
 }
@@ -11103,6 +11118,7 @@
 inline PollReplyT &PollReplyT::operator=(PollReplyT o) FLATBUFFERS_NOEXCEPT {
   std::swap(topics, o.topics);
   std::swap(waited_ms, o.waited_ms);
+  std::swap(store_back_ms_ago, o.store_back_ms_ago);
   return *this;
 }
 
@@ -11117,6 +11133,7 @@
   (void)_resolver;
   { auto _e = topics(); if (_e) { _o->topics.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->topics[_i] = std::unique_ptr<frostline::rpc::TopicChangesT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waited_ms(); _o->waited_ms = _e; }
+  { auto _e = store_back_ms_ago(); _o->store_back_ms_ago = _e; }
 }
 
 inline flatbuffers::Offset<PollReply> PollReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11129,10 +11146,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PollReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _topics = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicChanges>> (_o->topics.size(), [](size_t i, _VectorArgs *__va) { return CreateTopicChanges(*__va->__fbb, __va->__o->topics[i].get(), __va->__rehasher); }, &_va );
   auto _waited_ms = _o->waited_ms;
+  auto _store_back_ms_ago = _o->store_back_ms_ago;
   return frostline::rpc::CreatePollReply(
       _fbb,
       _topics,
-      _waited_ms);
+      _waited_ms,
+      _store_back_ms_ago);
 }
 
 }  // namespace rpc
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -600,6 +600,8 @@
   topics:[TopicChanges];
   /// How long the call waited here.
   waited_ms:uint64;
+  /// How long ago the store answered again after a silence, as far as the answering node knows.
+  store_back_ms_ago:uint64 = 86400000;
 }
 rpc_service RelayService {
   Poll(PollCall):PollReply;
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -123,7 +123,7 @@
   settle();
   for (std::uint32_t zone = 0; zone < 2; ++zone) {
     std::size_t const relay = system.relay(zone);
-    system.node(relay).send_signal(SIGKILL);
+    system.node(relay).kill();
     system.start_node(relay);
   }
   put_config(3);
@@ -140,7 +140,7 @@
   });
   std::size_t node = 1;
   while (node == system.owner() || node == system.relay(0) || node == system.relay(1)) ++node;
-  system.node(node).send_signal(SIGKILL);
+  system.node(node).kill();
   system.start_node(node);
   platform_cluster::wait_until("it is ready", [&] { return system.is_ready(node); });
   CHECK(system.log(node).find(in_force(2)) != std::string::npos);
@@ -148,3 +148,40 @@
   CHECK(static_cast<bool>(answer));
   LONGS_EQUAL(200, answer.value().result_int());
 }
+
+TEST(relay_test, servers_whose_records_lapsed_in_an_outage_serve_on_if_they_come_back) {
+  settle();
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  std::size_t const relay = system.relay(0);
+  platform_cluster::wait_until("the outage is noticed", [&] {
+    return system.log(relay).find("Record store does not answer") != std::string::npos;
+  });
+  system.on_platform([&] {
+    system.withdraw(system.app(1));
+    for (std::size_t engine = 0; engine < system.engines(); ++engine) {
+      system.withdraw(system.engine(engine));
+    }
+    system.store().faults().silent = false;
+    return 0;
+  });
+  platform_cluster::wait_until("it is waited for", [&] {
+    return all_say("Server's record went with the store; waiting for it.");
+  });
+  // App 0 drains since settle, so this call has nowhere else to go.
+  auto const answer = system.call(2, http::verb::get, "/calls/one", "call-1");
+  CHECK(static_cast<bool>(answer));
+  LONGS_EQUAL(200, answer.value().result_int());
+  system.on_platform([&] {
+    system.announce(system.app(1), "ready");
+    return 0;
+  });
+  // The engines were not written again, so they are gone.
+  platform_cluster::wait_until("engines are gone", [&] { return all_say("Server gone"); });
+  std::string const app = "\"Server gone.\",\"server\":\"" + system.app(1).id();
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    CHECK(system.log(node).find(app) == std::string::npos);
+  }
+}
--- a/tests/unit/relay/claim_timer_test.cc
+++ b/tests/unit/relay/claim_timer_test.cc
@@ -12,7 +12,7 @@
   time_point const start = steady_clock::now();
 
   relay_health failing(kv::revision record, bool others_serve = true) {
-    return relay_health{record, false, others_serve};
+    return relay_health{record, false, others_serve, true};
   }
 
   /// How long after `start` a claim is due for a node that sees the same all the time.
@@ -26,7 +26,7 @@
 
 TEST(claim_timer_test, relay_that_serves_is_never_replaced) {
   claim_timer timer(options, 1);
-  relay_health const well{7, true, true};
+  relay_health const well{7, true, true, true};
   CHECK(due_after(timer, well) == milliseconds(20'000));
 }
 
@@ -40,7 +40,7 @@
 TEST(claim_timer_test, relay_that_is_back_in_time_keeps_its_place) {
   claim_timer timer(options, 1);
   CHECK_FALSE(timer.is_due(failing(7), start));
-  relay_health const well{7, true, true};
+  relay_health const well{7, true, true, true};
   time_point const back = start + options.patience / 2;
   CHECK_FALSE(timer.is_due(well, back));
   CHECK_FALSE(timer.is_due(failing(7), back));
@@ -66,6 +66,17 @@
   CHECK(timer.is_due(failing(7, true), late));
 }
 
+TEST(claim_timer_test, wait_begins_anew_after_a_time_in_which_nobody_served) {
+  claim_timer timer(options, 1);
+  relay_health const outage{7, false, false, false};
+  time_point const back = start + options.patience + options.isolation_patience + options.spread;
+  CHECK_FALSE(timer.is_due(failing(7), start));
+  CHECK_FALSE(timer.is_due(outage, start + milliseconds(10)));
+  CHECK_FALSE(timer.is_due(outage, back));
+  CHECK_FALSE(timer.is_due(failing(7), back));
+  CHECK_FALSE(timer.is_due(failing(7), back + options.patience - milliseconds(10)));
+}
+
 TEST(claim_timer_test, another_record_begins_the_wait_anew) {
   claim_timer timer(options, 1);
   CHECK_FALSE(timer.is_due(failing(7), start));
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -32,6 +32,7 @@
     event.entry.value = "value";
     event.entry.mod_revision = revision;
     views.take_event(topic::SERVERS, event);
+    views.advance(topic::SERVERS, revision);
   }
 
   rpc::PollCallT call_of(kv::revision after, std::uint64_t wait_ms) {
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -251,9 +251,13 @@
     LONGS_EQUAL(before[index], calls_of(*nodes[index]));
     LONGS_EQUAL(0, nodes[index]->feed->figures().turns_to_store);
   }
+  auto const relays = shared.list_now(zone_relays::records_prefix());
   shared.set_down(false);
   shared.put_now(k_configuration, "2");
   CHECK(all_have("2"));
+  for (kv::key_value const& one : relays)
+    LONGS_EQUAL(one.mod_revision, shared.revision_of(one.key));
+  for (auto const& node : nodes) CHECK(node->feed->figures().claims <= 1);
 }
 
 TEST(record_feed_test, node_that_starts_in_an_outage_hears_what_was_last_known) {
@@ -264,6 +268,18 @@
   CHECK(run_until([&] { return late.feed->is_trusted(steady_clock::now()); }));
 }
 
+TEST(record_feed_test, node_whose_seeds_are_dead_learns_of_relays_from_the_store) {
+  add("a");
+  add("a");
+  CHECK(run_until([&] { return relay_of("a") == nodes[0].get() && all_have("1"); }));
+  nodes[0]->fall_silent();
+  CHECK(run_until([&] { return relay_of("a") == nodes[1].get(); }));
+  test_node& late = add("a");
+  CHECK(run_until([&] { return late.configuration == "1"; }));
+  CHECK(run_until([&] { return late.feed->role() == feed_role::standby; }));
+  CHECK(late.feed->is_trusted(steady_clock::now()));
+}
+
 TEST(record_feed_test, node_that_no_relay_answers_follows_the_store_until_one_does) {
   start_two_zones();
   for (std::string const zone : {"a", "b"}) relay_of(zone)->fall_silent();
--- a/tests/unit/relay/record_view_test.cc
+++ b/tests/unit/relay/record_view_test.cc
@@ -33,7 +33,16 @@
 
 }  // namespace
 
-TEST_GROUP(record_view_test) { record_view view{nullptr, 3}; };
+TEST_GROUP(record_view_test) {
+  record_view view{nullptr, 3};
+
+  /// A change that came alone.
+  bool take(kv::watch_event const& event) {
+    bool const news = view.take_event(event);
+    view.advance(event.entry.mod_revision);
+    return news;
+  }
+};
 
 TEST(record_view_test, knows_nothing_before_the_first_snapshot) {
   CHECK_FALSE(view.is_loaded());
@@ -54,8 +63,8 @@
 
 TEST(record_view_test, tells_changes_after_a_revision_in_their_order) {
   view.take_snapshot(snapshot(10, {}));
-  CHECK(view.take_event(change("a", 12)));
-  CHECK(view.take_event(change("b", 15)));
+  CHECK(take(change("a", 12)));
+  CHECK(take(change("b", 15)));
   auto const delta = view.since(10);
   CHECK_FALSE(delta.whole);
   LONGS_EQUAL(2, delta.changes.size());
@@ -67,7 +76,7 @@
 TEST(record_view_test, tells_all_records_when_changes_are_forgotten) {
   view.take_snapshot(snapshot(10, {}));
   for (kv::revision revision = 11; revision <= 14; ++revision) {
-    view.take_event(change("key-" + std::to_string(revision), revision));
+    take(change("key-" + std::to_string(revision), revision));
   }
   CHECK(view.since(10).whole);
   LONGS_EQUAL(4, view.since(10).changes.size());
@@ -77,12 +86,22 @@
 
 TEST(record_view_test, event_that_another_source_told_is_no_news) {
   view.take_snapshot(snapshot(10, {change("a", 9, "new")}));
-  CHECK_FALSE(view.take_event(change("a", 8, "old")));
-  CHECK_FALSE(view.take_event(change("a", 9, "new")));
-  CHECK_FALSE(view.take_event(removal("a", 7)));
+  CHECK_FALSE(take(change("a", 8, "old")));
+  CHECK_FALSE(take(change("a", 9, "new")));
+  CHECK_FALSE(take(removal("a", 7)));
   STRCMP_EQUAL("new", view.records().at("a").value.c_str());
 }
 
+TEST(record_view_test, all_changes_of_one_revision_are_taken) {
+  // A transaction changes several records at one revision, and so does a snapshot.
+  view.take_snapshot(snapshot(10, {change("a", 9), change("b", 9)}));
+  CHECK(view.take_event(removal("a", 12)));
+  CHECK(view.take_event(removal("b", 12)));
+  view.advance(12);
+  LONGS_EQUAL(0, view.records().size());
+  LONGS_EQUAL(2, view.since(10).changes.size());
+}
+
 TEST(record_view_test, snapshot_from_before_what_is_known_changes_nothing) {
   view.take_snapshot(snapshot(20, {change("a", 15)}));
   LONGS_EQUAL(0, view.take_snapshot(snapshot(19, {})).size());
@@ -101,10 +120,10 @@
 TEST(record_view_test, record_newer_than_its_snapshot_is_not_taken_back) {
   // Pages are read one after the other, so a record may be newer than the first page's revision.
   view.take_snapshot(snapshot(10, {change("a", 13, "newer")}));
-  CHECK_FALSE(view.take_event(change("a", 12, "older")));
+  CHECK_FALSE(take(change("a", 12, "older")));
   STRCMP_EQUAL("newer", view.records().at("a").value.c_str());
-  CHECK_FALSE(view.take_event(change("a", 13, "newer")));
-  CHECK(view.take_event(change("a", 14, "newest")));
+  CHECK_FALSE(take(change("a", 13, "newer")));
+  CHECK(take(change("a", 14, "newest")));
 }
 
 TEST(record_view_test, change_that_others_can_treat_alike_is_taken_and_not_passed_on) {
@@ -113,9 +132,11 @@
   });
   servers.take_snapshot(snapshot(10, {change("a", 9, "ready 1")}));
   CHECK(servers.take_event(change("a", 11, "ready 2")));
+  servers.advance(11);
   CHECK_FALSE(servers.has_news(10));
   LONGS_EQUAL(11, servers.since(10).at);
   STRCMP_EQUAL("ready 2", servers.records().at("a").value.c_str());
   CHECK(servers.take_event(change("a", 12, "draining 2")));
+  servers.advance(12);
   CHECK(servers.has_news(11));
 }
