A job that comes while the store is slow or out runs while its record is written

Change: when a job's record is not stored after 100 ms its samples begin to run. Nothing of it is listed, shown, checkpointed or told to be missing until the record is stored; a submission that can't be settled is answered 504, never 503, since samples may have run. A lease that lapses meanwhile changes nothing: the submission is made again at the next owner, at the same one it goes on. Never stored: dropped 15 s after it came, when nobody submits it. Tests: three in jobs_test (runs in the outage and each sample once; 504; lease lost meanwhile).

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -112,6 +112,26 @@
   return true;
 }
 
+bool job_table::add_unrecorded(rpc::JobRecordT record, time_point now) {
+  std::string const id = record.id;
+  if (!add(std::move(record), now)) return false;
+  jobs_[id]->recorded = false;
+  return true;
+}
+
+void job_table::note_recorded(std::string const& id) {
+  job* const held = find(id);
+  if (held != nullptr) held->recorded = true;
+}
+
+std::vector<std::string> job_table::unrecorded(time_point before) const {
+  std::vector<std::string> ids;
+  for (auto const& [id, held] : jobs_) {
+    if (!held->recorded && held->accepted_at <= before) ids.push_back(id);
+  }
+  return ids;
+}
+
 void job_table::forget(std::string const& id) {
   std::erase_if(left_over_, [&](auto const& entry) { return entry.second == id; });
   jobs_.erase(id);
@@ -326,7 +346,7 @@
   std::vector<rpc::ProgressReportT> reports;
   std::size_t bytes = 0;
   for (auto const& [id, owner] : jobs_) {
-    if (!owner->is_open()) continue;
+    if (!owner->is_open() || !owner->recorded) continue;
     rpc::ProgressReportT report;
     report.jobs.push_back(id);
     for (std::uint32_t index = 0; index < owner->samples.size() && bytes <= limit; ++index) {
@@ -378,7 +398,7 @@
 
 std::optional<rpc::ResultBatchT> job_table::next_batch(job& owner, time_point now,
                                                        std::size_t limit) {
-  if (!is_commit_due(owner, now)) return std::nullopt;
+  if (!owner.recorded || !is_commit_due(owner, now)) return std::nullopt;
   rpc::ResultBatchT batch;
   batch.job = owner.record.id;
   batch.first = owner.listed.size();
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -81,6 +81,9 @@
   /// Place in the order of acceptance.
   std::uint64_t sequence = 0;
   bool ended = false;
+  /// Whether its record is known to be stored. Until then its samples may run, and nothing of it is
+  /// shown or stored.
+  bool recorded = true;
   std::vector<sample> samples;
   /// Samples in the order of their positions.
   std::vector<std::uint32_t> listed;
@@ -133,6 +136,12 @@
  public:
   /// @return false if the job is known; what is known of it stays.
   bool add(rpc::JobRecordT record, time_point now);
+  /// A job whose record is still being written: its samples may run. @return as `add`.
+  bool add_unrecorded(rpc::JobRecordT record, time_point now);
+  /// The job's record is stored.
+  void note_recorded(std::string const& id);
+  /// Jobs without a stored record that came at `before` or earlier.
+  std::vector<std::string> unrecorded(time_point before) const;
   /// Results as the record store holds them. Out-of-order batches are put in their place.
   void restore(rpc::ResultBatchT batch);
   /// The submitter wants no more. @return false if there is no such job.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -128,6 +128,8 @@
     ended_unread_.insert(id);
   }
   for (auto const& [id, held] : table_.jobs()) held->committing = 0;
+  // A write whose outcome was not known when the lease was lost may have been done.
+  for (std::string const& id : marks.open) table_.note_recorded(id);
   co_return co_await load_all(marks.open, term);
 }
 
@@ -236,6 +238,7 @@
   time_point const now = steady_clock::now();
   refresh_board();
   refresh_terms();
+  drop_unrecorded(now);
   table_.expire(now);
   if (may_start_runs(now)) runner_.advance(now);
   progress_.advance(table_, parts_.lease.epoch(), now);
@@ -316,7 +319,8 @@
 void pool_owner::forget_old(time_point now) {
   std::vector<std::string> old;
   for (auto const& [id, held] : table_.jobs()) {
-    if (!held->is_open() && now - held->accepted_at > parts_.retention) old.push_back(id);
+    if (held->recorded && !held->is_open() && now - held->accepted_at > parts_.retention)
+      old.push_back(id);
   }
   for (std::string const& id : old) {
     table_.forget(id);
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -109,7 +109,15 @@
   void forget_old(time_point now);
   awaitable<void> erase(std::string id);
   awaitable<rpc::JobReplyT> submit(rpc::JobCallT call);
-  void accept(rpc::JobRecordT record);
+  /// Writes a job's record; its samples begin to run when that takes long.
+  void begin_submission(rpc::JobRecordT record);
+  /// Lets the samples of a job run whose record is still being written.
+  awaitable<void> run_ahead(std::uint64_t term, std::shared_ptr<rpc::JobRecordT> record);
+  /// Drops jobs whose record was never stored and that nobody submits any more.
+  void drop_unrecorded(time_point now);
+  /// A job whose record is known to be stored.
+  job* find_recorded(std::string const& id);
+  void accept(std::shared_ptr<rpc::JobRecordT> const& record);
   awaitable<rpc::JobReplyT> list(rpc::JobCallT call);
   rpc::JobReplyT body(rpc::JobCallT const& call);
   awaitable<rpc::JobReplyT> end(rpc::JobCallT call);
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -14,6 +14,12 @@
 constexpr milliseconds k_retry_after{250};
 constexpr milliseconds k_offer_timeout{1000};
 constexpr milliseconds k_longest_wait{1000};
+/// A job whose record is not stored after that long begins to run: many times what the store takes
+/// when it is well (4 ms), so that it is slow or out.
+constexpr milliseconds k_run_ahead_after{100};
+/// A job that was never stored is dropped after that long unless somebody submits it: more than
+/// submitters wait (12 s on all deployments so far).
+constexpr milliseconds k_longest_ahead{15'000};
 
 rpc::JobReplyT reply_with(rpc::JobStatus status, std::string detail) {
   rpc::JobReplyT reply;
@@ -92,49 +98,90 @@
   co_return reply_with(rpc::JobStatus::INVALID, "unknown action");
 }
 
-void pool_owner::accept(rpc::JobRecordT record) {
-  std::string const id = record.id;
-  orders_.note_job(record.model, record.min_version, tokens_of(record));
+void pool_owner::accept(std::shared_ptr<rpc::JobRecordT> const& record) {
+  time_point const now = steady_clock::now();
+  std::string const id = record->id;
+  job const* const ahead = table_.find(id);
+  milliseconds const ran_ahead{
+      ahead == nullptr
+          ? 0
+          : std::chrono::duration_cast<milliseconds>(now - ahead->accepted_at).count()};
+  if (ahead == nullptr) orders_.note_job(record->model, record->min_version, tokens_of(*record));
   log_line(log_level::info, k_part, "Job accepted.",
            {{"job", id},
-            {"model", record.model},
-            {"step", record.step},
-            {"min_version", record.min_version},
-            {"newest_version", orders_.newest(record.model)},
-            {"items", record.items.size()},
-            {"desired", record.desired},
+            {"model", record->model},
+            {"step", record->step},
+            {"min_version", record->min_version},
+            {"newest_version", orders_.newest(record->model)},
+            {"items", record->items.size()},
+            {"desired", record->desired},
+            {"ran_ahead_ms", ran_ahead.count()},
             {"epoch", parts_.lease.epoch()}});
-  table_.add(std::move(record), steady_clock::now());
+  table_.add(std::move(*record), now);
+  table_.note_recorded(id);
   notify();
 }
 
+awaitable<void> pool_owner::run_ahead(std::uint64_t term, std::shared_ptr<rpc::JobRecordT> record) {
+  std::string const id = record->id;
+  co_await wait_for(k_run_ahead_after);
+  // A job that was run ahead in an earlier term is in the table already.
+  if (term != term_ || !submitting_.contains(id) || table_.find(id) != nullptr) co_return;
+  log_line(log_level::info, k_part, "Job runs while its record is written.",
+           {{"job", id}, {"items", record->items.size()}, {"epoch", parts_.lease.epoch()}});
+  orders_.note_job(record->model, record->min_version, tokens_of(*record));
+  table_.add_unrecorded(rpc::JobRecordT(*record), steady_clock::now());
+  notify();
+}
+
+void pool_owner::drop_unrecorded(time_point now) {
+  for (std::string const& id : table_.unrecorded(now - k_longest_ahead)) {
+    if (submitting_.contains(id)) continue;
+    log_line(log_level::warning, k_part, "Job was not accepted; its runs end.", {{"job", id}});
+    runner_.abort_runs(id);
+    table_.forget(id);
+  }
+}
+
+void pool_owner::begin_submission(rpc::JobRecordT job_record) {
+  auto const record = std::make_shared<rpc::JobRecordT>(std::move(job_record));
+  std::string const id = record->id;
+  std::uint64_t const term = term_;
+  submitting_[id] = true;
+  log_.write_record(*record, [this, term, id, record](write_outcome outcome) {
+    if (term == term_) {
+      submitting_.erase(id);
+      if (outcome == write_outcome::stored) accept(record);
+    }
+    written_.notify_all();
+  });
+  if (submitting_.contains(id)) spawn(parts_.context, run_ahead(term, record));
+}
+
+job* pool_owner::find_recorded(std::string const& id) {
+  job* const found = table_.find(id);
+  return found != nullptr && found->recorded ? found : nullptr;
+}
+
 awaitable<rpc::JobReplyT> pool_owner::submit(rpc::JobCallT call) {
   if (!call.record || call.record->items.empty()) {
     co_return reply_with(rpc::JobStatus::INVALID, "no items");
   }
   std::string const id = call.record->id;
-  bool const known = table_.find(id) != nullptr || ended_unread_.contains(id);
+  bool const known = find_recorded(id) != nullptr || ended_unread_.contains(id);
   if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
+  // A job that runs already must not be refused: a refusal says that none of it runs.
+  bool const runs = table_.find(id) != nullptr;
   if (state_ != owner_state::active) {
-    co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
-  }
-  if (!submitting_.contains(id)) {
-    submitting_[id] = true;
-    std::uint64_t const term = term_;
-    auto record = std::make_shared<rpc::JobRecordT>(std::move(*call.record));
-    log_.write_record(*record, [this, term, id, record](write_outcome outcome) {
-      if (term == term_) {
-        submitting_.erase(id);
-        if (outcome == write_outcome::stored) accept(std::move(*record));
-      }
-      written_.notify_all();
-    });
+    co_return reply_with(runs ? rpc::JobStatus::OUTCOME_UNKNOWN : rpc::JobStatus::UNAVAILABLE,
+                         "not the owner");
   }
+  if (!submitting_.contains(id)) begin_submission(std::move(*call.record));
   time_point const deadline = steady_clock::now() + milliseconds(call.deadline_ms);
   while (submitting_.contains(id) && steady_clock::now() < deadline) {
     co_await written_.wait_until(deadline);
   }
-  if (table_.find(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
+  if (find_recorded(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
   co_return reply_with(rpc::JobStatus::OUTCOME_UNKNOWN, "the record store has not answered");
 }
 
@@ -149,6 +196,7 @@
       bool const sure = is_certain() && !ended_unread_.contains(call.job);
       co_return reply_with(sure ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE, {});
     }
+    if (!owner->recorded) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
     bool const waiting =
         owner->listed.size() <= call.after && steady_clock::now() < deadline && owner->is_open();
     if (!waiting) break;
@@ -179,6 +227,9 @@
   if (owner == nullptr && !is_certain()) {
     return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
+  if (owner != nullptr && !owner->recorded) {
+    return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
+  }
   if (owner == nullptr || owner->ended) return reply_with(rpc::JobStatus::UNKNOWN_JOB, {});
   for (sample const& one : owner->samples) {
     if (one.spec->id != call.item) continue;
@@ -218,6 +269,7 @@
     auto const status = is_certain() ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE;
     co_return reply_with(status, {});
   }
+  if (!owner->recorded) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
   if (owner->ended && !writing_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
   bool const lost = writing_.contains(call.job) && writing_[call.job] &&
                     *writing_[call.job] != write_outcome::stored;
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -4,6 +4,7 @@
 #include <signal.h>
 
 #include <boost/json.hpp>
+#include <future>
 #include <map>
 #include <set>
 
@@ -257,6 +258,66 @@
   check_whole(system.wait_for_results(2, "job", 8), 8);
 }
 
+TEST(jobs_test, job_that_comes_while_the_store_is_silent_runs_and_is_accepted_after_it) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  LONGS_EQUAL(202, system.submit(0, "first", make_items("first", 4)));
+  system.wait_for_results(0, "first", 4);
+  std::size_t const before = engine_arrivals(system).size();
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  auto submission = std::async(std::launch::async,
+                               [&] { return system.submit(1, "late", make_items("late", 8)); });
+  platform_cluster::wait_until("its samples run",
+                               [&] { return engine_arrivals(system).size() >= before + 8; });
+  // Nothing is accepted yet, so nothing is shown; and nobody is told that it does not exist.
+  auto const early = system.call(2, http::verb::get, "/api/lots/late?after_rev=0", "");
+  CHECK(static_cast<bool>(early));
+  LONGS_EQUAL(503, early.value().result_int());
+  system.on_platform([&] {
+    system.store().faults().silent = false;
+    return 0;
+  });
+  LONGS_EQUAL(202, submission.get());
+  check_whole(system.wait_for_results(2, "late", 8), 8);
+  // Each ran once: what ran ahead counts.
+  LONGS_EQUAL(before + 8, engine_arrivals(system).size());
+}
+
+TEST(jobs_test, job_that_ran_ahead_and_could_not_be_accepted_is_not_refused_as_not_run) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  unsigned const status = system.submit(1, "job", make_items("job", 4));
+  CHECK(!engine_arrivals(system).empty());
+  LONGS_EQUAL(504, status);
+}
+
+TEST(jobs_test, job_that_ran_ahead_is_accepted_although_its_owner_lost_the_lease_meanwhile) {
+  platform_cluster system{platform_options()};
+  system.owner();
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  auto submission = std::async(std::launch::async,
+                               [&] { return system.submit(1, "late", make_items("late", 8)); });
+  platform_cluster::wait_until("its samples run",
+                               [&] { return engine_arrivals(system).size() >= 8; });
+  system.on_platform([&] {
+    system.store().faults().silent = false;
+    system.store().expire_leases();
+    return 0;
+  });
+  LONGS_EQUAL(202, submission.get());
+  check_whole(system.wait_for_results(2, "late", 8), 8);
+}
+
 TEST(jobs_test, accepted_once_when_the_stores_answer_is_lost_or_late) {
   platform_cluster system{platform_options()};
   system.owner();
