The owner reads what operators ask for again when the store is back

Cause: since the relays, a silence of the store began anew only the topics that relays follow; the owner's watch of named versions and retirements, begun before the silence, could be dead for half a minute. Change: the feed tells its node that the store is back; the owner then reads its requests again. Tests: record_feed_test, orders_test, both new.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -145,6 +145,7 @@
     pools_.note_servers();
   });
   listen_to_records();
+  feed_.on_store_back([this] { operator_requests_.resynchronize(); });
   feed_.start();
   spawn(context_, housekeeping_loop());
   log_line(log_level::info, k_part, "Started.",
--- a/src/gateway/operator_requests.cc
+++ b/src/gateway/operator_requests.cc
@@ -34,7 +34,9 @@
 }
 
 void operator_requests::resynchronize() {
-  if (follower_) follower_->resynchronize();
+  if (!follower_) return;
+  log_line(log_level::info, k_part, "Reading what operators ask for again.");
+  follower_->resynchronize();
 }
 
 void operator_requests::take(kv::key_value const& record) {
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -128,7 +128,10 @@
     }
   };
   callbacks.contact_changed = [this] {
-    if (!source_.is_silent()) views_.note_store_back(steady_clock::now());
+    if (!source_.is_silent()) {
+      views_.note_store_back(steady_clock::now());
+      if (store_back_) store_back_();
+    }
     service_.notify();
   };
   return callbacks;
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -66,6 +66,9 @@
 
   /// Who hears of a topic's changes; to be set before start.
   void listen(topic one, kv::follower_callbacks listener);
+  /// Runs when the store answers this node again after a silence: watches that others began before
+  /// may be dead without showing it. Only nodes that follow a topic at the store notice.
+  void on_store_back(std::function<void()> listener) { store_back_ = std::move(listener); }
   void start();
   /// Registers what other nodes call.
   void add_methods(rpc::dispatcher& methods) { service_.add_methods(methods); }
@@ -128,6 +131,7 @@
   peer_picker picker_;
   claim_timer claims_;
   async_condition role_changed_;
+  std::function<void()> store_back_;
   feed_role role_ = feed_role::standby;
   feed_figures figures_;
   bool owner_ = false;
--- a/tests/platform/orders_test.cc
+++ b/tests/platform/orders_test.cc
@@ -84,3 +84,23 @@
     CHECK(after.at - before.at >= milliseconds(300));
   }
 }
+
+TEST(orders_test, owner_reads_what_operators_ask_for_again_after_an_outage) {
+  platform_cluster system{platform_options()};
+  std::size_t const owner = system.owner();
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  platform_cluster::wait_until("the outage is noticed", [&] {
+    return system.log(owner).find("Record store does not answer") != std::string::npos;
+  });
+  system.on_platform([&] {
+    system.store().faults().silent = false;
+    return 0;
+  });
+  // A watch from before the outage may be dead without showing it.
+  platform_cluster::wait_until("requests are read again", [&] {
+    return system.log(owner).find("Reading what operators ask for again") != std::string::npos;
+  });
+}
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -260,6 +260,23 @@
   for (auto const& node : nodes) CHECK(node->feed->figures().claims <= 1);
 }
 
+TEST(record_feed_test, relay_tells_that_the_store_is_back) {
+  start_two_zones();
+  int told = 0;
+  relay_of("a")->feed->on_store_back([&told] { ++told; });
+  relay_of("a")->store.set_cut(true);
+  test_node& cut = *relay_of("a");
+  CHECK(run_until([&] { return relay_of("a") != &cut; }));
+  LONGS_EQUAL(0, told);
+  test_node& relay = *relay_of("a");
+  relay.feed->on_store_back([&told] { ++told; });
+  shared.set_down(true);
+  time_point const end = steady_clock::now() + store_source::k_longest_silence + seconds(1);
+  while (steady_clock::now() < end) context.run_for(milliseconds(10));
+  shared.set_down(false);
+  CHECK(run_until([&] { return told > 0; }));
+}
+
 TEST(record_feed_test, node_that_starts_in_an_outage_hears_what_was_last_known) {
   start_two_zones();
   shared.set_down(true);
