Callers are known by their tenant's key; servers see the tenant and no key

Change: calls/tenants (index of keys, faults of a list by their places) and calls/access (who may, what servers see) are pure; requests of routes that are not public need a key of the configuration in force, each request anew, so a key that is taken away ends with the next one on a kept connection; 401 with WWW-Authenticate, 503 while no configuration is known. A job is stored with its tenant; items carry it, only that tenant's keys see it, also after a change of owner; records of before name none and are read as ever. The tenant's priority goes before the route's. Refused keys are logged with the reason and never with the key. Ruled out: 404 for a job of another tenant is given by the owner, since only its record names the tenant. Not done: a node that meets an unknown key does not ask for something newer before the 401.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "calls/access.h"
 
 namespace frostline::calls {
 namespace {
@@ -263,17 +264,17 @@
   co_return co_await run_whole(one);
 }
 
-awaitable<void> forwarder::handle(http::request message, time_point deadline, caller& from) {
+awaitable<void> forwarder::handle(std::shared_ptr<route_table const> table, route const* by,
+                                  http::request message, std::string tenant, time_point deadline,
+                                  caller& from) {
   ++figures_.requests;
-  auto const table = parts_.configuration.table();
   if (!table || !parts_.servers.is_loaded()) {
     ++figures_.given_up;
     co_await from.answer(give_up_answer(give_up_reason::no_configuration));
     co_return;
   }
-  std::string const path(message.target());
-  route const* by = table->match(http::header(message, "Host"), path);
   if (by == nullptr) {
+    std::string const path(message.target());
     ++figures_.given_up;
     log_line(log_level::info, k_part, "No route.",
              {{"request", http::header(message, parts_.names.request_id)},
@@ -284,6 +285,8 @@
   }
   time_point const latest = std::min(deadline, steady_clock::now() + by->timeout);
   journey one = begin(table, *by, std::move(message), latest - k_answer_margin, &from);
+  set_tenant(one.message, parts_.names, table->tenants(), tenant);
+  one.tenant = std::move(tenant);
   if (by->kind == route_kind::streaming) {
     co_await run_stream(one);
     co_return;
@@ -382,6 +385,7 @@
   log_line(log_level::info, k_part, sentence,
            {{"request", http::header(one.message, parts_.names.request_id)},
             {"route", one.by->name},
+            {"tenant", one.tenant},
             {"status", status},
             {"reason", to_string(one.reason)},
             {"server", one.server},
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -59,7 +59,6 @@
 /// References outlive the forwarder.
 struct forwarder_parts {
   asio::io_context& context;
-  active_configuration const& configuration;
   directory::server_directory const& servers;
   connection_pool& connections;
   server_selector& selector;
@@ -70,9 +69,14 @@
  public:
   explicit forwarder(forwarder_parts parts) : parts_(parts) {}
 
-  /// Answers a client's request by the routes in force.
+  /// Answers a client's request whose access was granted.
+  /// @param table in force; null if there is none yet.
+  /// @param by the request's route; null if there is none.
+  /// @param tenant whose caller it is; may be empty.
   /// @param deadline of the client; the route may shorten it.
-  awaitable<void> handle(http::request message, time_point deadline, caller& from);
+  awaitable<void> handle(std::shared_ptr<route_table const> table, route const* by,
+                         http::request message, std::string tenant, time_point deadline,
+                         caller& from);
 
   /// Sends a request of this system itself by a route; the answer is read whole.
   awaitable<call_outcome> call(std::shared_ptr<route_table const> table, route const& by,
@@ -96,6 +100,8 @@
     bool may_have_run = false;
     bool was_refused = false;
     std::string server;
+    /// Empty: no tenant's request.
+    std::string tenant;
     give_up_reason reason = give_up_reason::none;
   };
 
--- a/src/calls/header_names.h
+++ b/src/calls/header_names.h
@@ -20,6 +20,8 @@
   /// On an engine's answer, and in lower case on an event: version of the weights.
   std::string versions = "Weight-Versions";
   std::string last_event_id = "Last-Event-Id";
+  /// Names to the server the tenant that a request is made for. Only this system sets it.
+  std::string tenant = "Tenant";
 };
 
 }  // namespace frostline::calls
--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -11,7 +11,7 @@
 
 }  // namespace
 
-route_table::route_table(configuration all) : all_(std::move(all)) {
+route_table::route_table(configuration all) : all_(std::move(all)), tenants_(all_.tenants) {
   for (route const& one : all_.routes) by_host_[one.host].push_back(&one);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](route const* left, route const* right) {
@@ -29,6 +29,14 @@
   return nullptr;
 }
 
+bool route_table::has_public_job_route(std::string_view host) const {
+  auto const found = by_host_.find(host.substr(0, host.find(':')));
+  if (found == by_host_.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(), [](route const* one) {
+    return one->kind == route_kind::job && one->is_public;
+  });
+}
+
 service const* route_table::find_service(std::string const& name) const {
   auto const found = all_.services.find(name);
   return found == all_.services.end() ? nullptr : &found->second;
@@ -56,7 +64,8 @@
   log_line(log_level::info, k_part, "Configuration in force.",
            {{"version", table_->all().version},
             {"before", before},
-            {"routes", table_->all().routes.size()}});
+            {"routes", table_->all().routes.size()},
+            {"tenants", table_->all().tenants.size()}});
   return true;
 }
 
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "calls/tenants.h"
 
 namespace frostline::calls {
 
@@ -48,6 +49,8 @@
   milliseconds max_queue{0};
   /// Jobs: all tokens of a sample come from one version.
   bool single_version = false;
+  /// Callers need no key, also where there are tenants.
+  bool is_public = false;
 
   /// Whether a request may be sent again after it may have run.
   bool is_repeatable() const {
@@ -83,6 +86,8 @@
   std::vector<route> routes;
   std::map<std::string, service> services;
   client_limits limits;
+  /// None: callers need no keys. Without fault, see find_fault.
+  std::vector<tenant> tenants;
 };
 
 /// Immutable; requests hold on to the table that they began with.
@@ -94,11 +99,15 @@
   route const* match(std::string_view host, std::string_view path) const;
   configuration const& all() const { return all_; }
   service const* find_service(std::string const& name) const;
+  tenant_index const& tenants() const { return tenants_; }
+  /// Whether jobs can be handed in at this host without a key.
+  bool has_public_job_route(std::string_view host) const;
 
  private:
   configuration all_;
   /// By host, longest prefix first.
   std::map<std::string, std::vector<route const*>, std::less<>> by_host_;
+  tenant_index tenants_;
 };
 
 /// Spreads the requests of a route over its services so that each part gets its share at any
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -54,7 +54,9 @@
   virtual calls::header_names const& names() const = 0;
   virtual platform_keys const& keys() const = 0;
 
-  virtual std::optional<calls::configuration> parse_configuration(std::string_view value) = 0;
+  /// @param fault set to what is wrong, without any key of a tenant, if nothing is returned.
+  virtual std::optional<calls::configuration> parse_configuration(std::string_view value,
+                                                                  std::string& fault) = 0;
   virtual std::optional<directory::server> parse_server(std::string_view key,
                                                         std::string_view value) = 0;
   virtual std::optional<operator_request> parse_request(std::string_view key,
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -4,6 +4,7 @@
 
 #include "base/encoding.h"
 #include "base/log.h"
+#include "calls/access.h"
 #include "calls/forwarder.h"
 #include "calls/ingress.h"
 #include "gateway/metrics.h"
@@ -34,6 +35,9 @@
 /// Readers wait that much longer than they allow.
 constexpr milliseconds k_list_margin{1200};
 constexpr milliseconds k_end_deadline{3000};
+/// When to come back to a node that knows no configuration yet: it hears one from others in a few
+/// times this.
+constexpr milliseconds k_unconfigured_retry{300};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 constexpr std::string_view k_metrics_path = "/metrics";
 constexpr std::string_view k_plain_text = "text/plain; version=0.0.4";
@@ -62,7 +66,12 @@
   awaitable<void> handle(http::request message, calls::caller& from);
   awaitable<void> handle_job(job_request request, calls::caller& from);
   awaitable<void> handle_submission(http::request message, calls::route const& by,
-                                    calls::caller& from);
+                                    std::string const& tenant, calls::caller& from);
+  /// Names the caller's tenant in a call about a job. @return false if it was refused and answered.
+  awaitable<bool> admit_job_call(calls::route_table const* table, http::request const& message,
+                                 job_request& request, calls::caller& from);
+  awaitable<void> refuse_access(calls::credentials verdict, calls::route_table const& table,
+                                std::string_view request, calls::caller& from);
   http::response readiness() const;
   http::response metrics_page();
   awaitable<http::response> handle_peer(http::request message);
@@ -76,8 +85,8 @@
   directory::server_directory servers_;
   calls::connection_pool connections_{context_};
   calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id)};
-  calls::forwarder forwarder_{calls::forwarder_parts{context_, configuration_, servers_,
-                                                     connections_, selector_, adapter_.names()}};
+  calls::forwarder forwarder_{
+      calls::forwarder_parts{context_, servers_, connections_, selector_, adapter_.names()}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
                            connections_, forwarder_}};
   server_watch server_watch_{context_, adapter_, servers_, settings_.leave_time,
@@ -214,9 +223,11 @@
 }
 
 void application::parts::take_configuration(std::string_view value) {
-  auto parsed = adapter_.parse_configuration(value);
+  std::string fault;
+  auto parsed = adapter_.parse_configuration(value, fault);
   if (!parsed) {
-    log_line(log_level::error, k_part, "Configuration is malformed; the one before stays.");
+    log_line(log_level::error, k_part, "Configuration is malformed; the one before stays.",
+             {{"fault", fault}});
     return;
   }
   if (!configuration_.offer(std::move(*parsed))) return;
@@ -284,27 +295,69 @@
 
 awaitable<void> application::parts::handle(http::request message, calls::caller& from) {
   time_point const begin = steady_clock::now();
+  calls::header_names const& names = adapter_.names();
   auto about_job = adapter_.parse_job_request(message);
+  auto const table = configuration_.table();
   if (about_job) {
-    co_await handle_job(std::move(*about_job), from);
+    if (co_await admit_job_call(table.get(), message, *about_job, from)) {
+      co_await handle_job(std::move(*about_job), from);
+    }
     co_return;
   }
-  auto const table = configuration_.table();
   calls::route const* by =
       table ? table->match(http::header(message, "Host"), http::as_view(message.target()))
             : nullptr;
+  calls::access access;
+  if (by != nullptr) access = calls::check_access(*table, message, by->is_public);
+  if (!access.is_granted) {
+    co_await refuse_access(access.verdict, *table, http::header(message, names.request_id), from);
+    co_return;
+  }
+  std::string const tenant = access.who == nullptr ? std::string() : access.who->name;
   if (by != nullptr && by->kind == calls::route_kind::job) {
-    co_await handle_submission(std::move(message), *by, from);
+    co_await handle_submission(std::move(message), *by, tenant, from);
     co_return;
   }
   time_point deadline = begin + k_default_deadline;
-  std::string const told(http::header(message, adapter_.names().deadline));
+  std::string const told(http::header(message, names.deadline));
   if (!told.empty()) deadline = begin + milliseconds(std::strtoll(told.c_str(), nullptr, 10));
-  co_await forwarder_.handle(std::move(message), deadline, from);
+  co_await forwarder_.handle(table, by, std::move(message), tenant, deadline, from);
   auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
   metrics_.note_call(spent);
 }
 
+awaitable<bool> application::parts::admit_job_call(calls::route_table const* table,
+                                                   http::request const& message,
+                                                   job_request& request, calls::caller& from) {
+  if (table == nullptr) {
+    // Whether the caller's key is good can't be told yet.
+    rpc::JobReplyT reply;
+    reply.status = rpc::JobStatus::UNAVAILABLE;
+    reply.retry_after_ms = static_cast<std::uint64_t>(k_unconfigured_retry.count());
+    co_await from.answer(adapter_.write_job_reply(request.call, reply));
+    co_return false;
+  }
+  bool const is_public = table->has_public_job_route(http::header(message, "Host"));
+  calls::access const access = calls::check_access(*table, message, is_public);
+  if (access.who != nullptr) request.call.tenant = access.who->name;
+  if (access.is_granted) co_return true;
+  co_await refuse_access(access.verdict, *table, request.call.job, from);
+  co_return false;
+}
+
+awaitable<void> application::parts::refuse_access(calls::credentials verdict,
+                                                  calls::route_table const& table,
+                                                  std::string_view request, calls::caller& from) {
+  metrics_.note_access_refused();
+  log_line(log_level::info, k_part, "Access refused.",
+           {{"request", request},
+            {"tenant", "unknown"},
+            {"reason", calls::to_string(verdict)},
+            {"config", table.all().version},
+            {"records_age_ms", feed_.age(steady_clock::now()).count()}});
+  co_await from.answer(calls::access_denied_answer(verdict));
+}
+
 awaitable<void> application::parts::handle_job(job_request request, calls::caller& from) {
   bool const ends = request.call.action == rpc::JobAction::END;
   auto const patience = ends ? k_end_deadline : milliseconds(request.call.wait_ms) + k_list_margin;
@@ -322,6 +375,7 @@
 }
 
 awaitable<void> application::parts::handle_submission(http::request message, calls::route const& by,
+                                                      std::string const& tenant,
                                                       calls::caller& from) {
   time_point const begin = steady_clock::now();
   std::string const pool = by.shares.front().service;
@@ -334,6 +388,8 @@
     co_await from.answer(adapter_.write_job_reply(rpc::JobCallT(), reply));
     co_return;
   }
+  request->call.tenant = tenant;
+  request->call.record->tenant = tenant;
   // A submission is taken by its body alone; its copies need not stay in memory.
   message = http::request();
   rpc::JobCallT asked;
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -47,6 +47,8 @@
 
   void note_call(milliseconds duration);
   void note_submission(milliseconds duration);
+  /// A request was refused for its key, or for the lack of one.
+  void note_access_refused() { ++access_refused_; }
   std::string write(node_readings const& now);
 
  private:
@@ -54,6 +56,7 @@
   prometheus::Family<prometheus::Histogram>& durations_;
   prometheus::Histogram& calls_;
   prometheus::Histogram& submissions_;
+  std::uint64_t access_refused_ = 0;
 };
 
 }  // namespace frostline::gateway
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -194,7 +194,8 @@
     // can't be done without.
     bool const fresh = which.events == 0;
     bool const needless = fresh && !which.comes_again;
-    return std::tuple(one.owner->terms.priority, needless, one.owner->sequence, fresh,
+    job_terms const& terms = one.owner->terms;
+    return std::tuple(terms.tenant_priority, terms.priority, needless, one.owner->sequence, fresh,
                       -static_cast<std::int64_t>(which.spec->length_hint), one.index);
   };
   std::sort(all.begin(), all.end(), [&](run_candidate const& left, run_candidate const& right) {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -23,6 +23,8 @@
 /// What the route in force says of a job.
 struct job_terms {
   std::uint32_t max_attempts = 1;
+  /// Of the tenant that handed it in; goes before the route's.
+  std::uint32_t tenant_priority = 0;
   std::uint32_t priority = 0;
   milliseconds due{0};
   /// 0: items are never given up for their age.
@@ -151,8 +153,8 @@
   job* find(std::string const& id);
   std::map<std::string, std::unique_ptr<job>>& jobs() { return jobs_; }
 
-  /// Samples that may be started, the most urgent first: by the route's priority, then what has
-  /// begun or comes again, then the job's age, then the longest expected run.
+  /// Samples that may be started, the most urgent first: by the tenant's and the route's priority,
+  /// then what has begun or comes again, then the job's age, then the longest expected run.
   std::vector<run_candidate> runnable(time_point now);
   run_key start(job& owner, std::uint32_t index, std::string engine, time_point now);
   /// The sample of this run; null if the run is not wanted any more.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -285,6 +285,8 @@
     if (route == nullptr) continue;
     held->terms.max_attempts = route->max_attempts;
     held->terms.priority = route->priority;
+    calls::tenant const* const who = table->tenants().find_by_name(held->record.tenant);
+    held->terms.tenant_priority = who == nullptr ? 0 : who->priority;
     held->terms.due = route->due;
     held->terms.max_queue = route->max_queue;
     held->terms.single_version = route->single_version;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -31,6 +31,11 @@
   return reply;
 }
 
+/// Whether the caller may know of this job. Records of before there were tenants name none.
+bool may_see(rpc::JobCallT const& call, job const& owner) {
+  return owner.record.tenant.empty() || owner.record.tenant == call.tenant;
+}
+
 }  // namespace
 
 rpc::ProgressReplyT pool_owner::replicate(rpc::ProgressReportT report) {
@@ -168,6 +173,10 @@
     co_return reply_with(rpc::JobStatus::INVALID, "no items");
   }
   std::string const id = call.record->id;
+  job const* const earlier = table_.find(id);
+  if (earlier != nullptr && !may_see(call, *earlier)) {
+    co_return reply_with(rpc::JobStatus::INVALID, "the identifier is in use");
+  }
   bool const known = find_recorded(id) != nullptr || ended_unread_.contains(id);
   if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
   // A job that runs already must not be refused: a refusal says that none of it runs.
@@ -196,6 +205,7 @@
       bool const sure = is_certain() && !ended_unread_.contains(call.job);
       co_return reply_with(sure ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE, {});
     }
+    if (!may_see(call, *owner)) co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, "not its tenant");
     if (!owner->recorded) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
     bool const waiting =
         owner->listed.size() <= call.after && steady_clock::now() < deadline && owner->is_open();
@@ -227,6 +237,9 @@
   if (owner == nullptr && !is_certain()) {
     return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
+  if (owner != nullptr && !may_see(call, *owner)) {
+    return reply_with(rpc::JobStatus::UNKNOWN_JOB, "not its tenant");
+  }
   if (owner != nullptr && !owner->recorded) {
     return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
   }
@@ -263,8 +276,16 @@
   if (state_ != owner_state::active) {
     co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
-  if (ended_unread_.contains(call.job)) co_return reply_with(rpc::JobStatus::OK, {});
+  // An ended job's mark does not name its tenant, its record does.
+  if (!call.tenant.empty()) co_await ensure_loaded(call.job);
+  if (ended_unread_.contains(call.job)) {
+    bool const any_tenant = call.tenant.empty();
+    co_return reply_with(any_tenant ? rpc::JobStatus::OK : rpc::JobStatus::UNAVAILABLE, {});
+  }
   job* const owner = table_.find(call.job);
+  if (owner != nullptr && !may_see(call, *owner)) {
+    co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, "not its tenant");
+  }
   if (owner == nullptr) {
     auto const status = is_certain() ? rpc::JobStatus::UNKNOWN_JOB : rpc::JobStatus::UNAVAILABLE;
     co_return reply_with(status, {});
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -137,6 +137,12 @@
   http::request message(http::verb::post, one.spec->path, 11);
   message.set(http::field::host, owner.record.host);
   for (auto const& header : one.spec->headers) message.set(header->name, header->value);
+  // What an item says of its tenant or key proves nothing.
+  message.erase(parts_.names.tenant);
+  if (!owner.record.tenant.empty()) {
+    message.erase(http::field::authorization);
+    message.set(parts_.names.tenant, owner.record.tenant);
+  }
   message.set(parts_.names.request_id, one.spec->id);
   message.set(parts_.names.deadline, std::to_string(k_longest_run.count()));
   message.set(parts_.names.expected_instance, one.engine);
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -6302,6 +6302,7 @@
   uint64_t min_version = 0;
   uint64_t desired = 0;
   std::vector<std::unique_ptr<frostline::rpc::JobItemT>> items{};
+  std::string tenant{};
   JobRecordT() = default;
   JobRecordT(const JobRecordT &o);
   JobRecordT(JobRecordT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6324,7 +6325,8 @@
     VT_STEP = 12,
     VT_MIN_VERSION = 14,
     VT_DESIRED = 16,
-    VT_ITEMS = 18
+    VT_ITEMS = 18,
+    VT_TENANT = 20
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -6353,6 +6355,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>> *>(VT_ITEMS);
   }
+  /// Tenant that handed it in; absent in records of before there were tenants, and where there are none.
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -6369,6 +6375,8 @@
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6404,6 +6412,9 @@
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>>> items) {
     fbb_.AddOffset(JobRecord::VT_ITEMS, items);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(JobRecord::VT_TENANT, tenant);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6424,11 +6435,13 @@
     uint64_t step = 0,
     uint64_t min_version = 0,
     uint64_t desired = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>>> items = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::JobItem>>> items = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_desired(desired);
   builder_.add_min_version(min_version);
   builder_.add_step(step);
+  builder_.add_tenant(tenant);
   builder_.add_items(items);
   builder_.add_model(model);
   builder_.add_path(path);
@@ -6451,12 +6464,14 @@
     uint64_t step = 0,
     uint64_t min_version = 0,
     uint64_t desired = 0,
-    const std::vector<flatbuffers::Offset<frostline::rpc::JobItem>> *items = nullptr) {
+    const std::vector<flatbuffers::Offset<frostline::rpc::JobItem>> *items = nullptr,
+    const char *tenant = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto path__ = path ? _fbb.CreateString(path) : 0;
   auto model__ = model ? _fbb.CreateString(model) : 0;
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::JobItem>>(*items) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return frostline::rpc::CreateJobRecord(
       _fbb,
       id__,
@@ -6466,7 +6481,8 @@
       step,
       min_version,
       desired,
-      items__);
+      items__,
+      tenant__);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6836,6 +6852,7 @@
   std::string from_zone{};
   uint64_t from_uptime_ms = 0;
   double from_processor_share = 0.0;
+  std::string tenant{};
   JobCallT() = default;
   JobCallT(const JobCallT &o);
   JobCallT(JobCallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -6862,7 +6879,8 @@
     VT_FROM_ADDRESS = 20,
     VT_FROM_ZONE = 22,
     VT_FROM_UPTIME_MS = 24,
-    VT_FROM_PROCESSOR_SHARE = 26
+    VT_FROM_PROCESSOR_SHARE = 26,
+    VT_TENANT = 28
   };
   frostline::rpc::JobAction action() const {
     return static_cast<frostline::rpc::JobAction>(GetField<int8_t>(VT_ACTION, 0));
@@ -6909,6 +6927,10 @@
   double from_processor_share() const {
     return GetField<double>(VT_FROM_PROCESSOR_SHARE, 0.0);
   }
+  /// Tenant that the caller's key proves; absent if it needed none.
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_ACTION, 1) &&
@@ -6929,6 +6951,8 @@
            verifier.VerifyString(from_zone()) &&
            VerifyField<uint64_t>(verifier, VT_FROM_UPTIME_MS, 8) &&
            VerifyField<double>(verifier, VT_FROM_PROCESSOR_SHARE, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
            verifier.EndTable();
   }
   JobCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6976,6 +7000,9 @@
   void add_from_processor_share(double from_processor_share) {
     fbb_.AddElement<double>(JobCall::VT_FROM_PROCESSOR_SHARE, from_processor_share, 0.0);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(JobCall::VT_TENANT, tenant);
+  }
   explicit JobCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -7000,13 +7027,15 @@
     flatbuffers::Offset<flatbuffers::String> from_address = 0,
     flatbuffers::Offset<flatbuffers::String> from_zone = 0,
     uint64_t from_uptime_ms = 0,
-    double from_processor_share = 0.0) {
+    double from_processor_share = 0.0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0) {
   JobCallBuilder builder_(_fbb);
   builder_.add_from_processor_share(from_processor_share);
   builder_.add_from_uptime_ms(from_uptime_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_wait_ms(wait_ms);
   builder_.add_after(after);
+  builder_.add_tenant(tenant);
   builder_.add_from_zone(from_zone);
   builder_.add_from_address(from_address);
   builder_.add_pool(pool);
@@ -7035,12 +7064,14 @@
     const char *from_address = nullptr,
     const char *from_zone = nullptr,
     uint64_t from_uptime_ms = 0,
-    double from_processor_share = 0.0) {
+    double from_processor_share = 0.0,
+    const char *tenant = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto item__ = item ? _fbb.CreateString(item) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto from_address__ = from_address ? _fbb.CreateString(from_address) : 0;
   auto from_zone__ = from_zone ? _fbb.CreateString(from_zone) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   return frostline::rpc::CreateJobCall(
       _fbb,
       action,
@@ -7054,7 +7085,8 @@
       from_address__,
       from_zone__,
       from_uptime_ms,
-      from_processor_share);
+      from_processor_share,
+      tenant__);
 }
 
 flatbuffers::Offset<JobCall> CreateJobCall(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10401,7 +10433,8 @@
         model(o.model),
         step(o.step),
         min_version(o.min_version),
-        desired(o.desired) {
+        desired(o.desired),
+        tenant(o.tenant) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new frostline::rpc::JobItemT(*items_) : nullptr); }
 }
@@ -10415,6 +10448,7 @@
   std::swap(min_version, o.min_version);
   std::swap(desired, o.desired);
   std::swap(items, o.items);
+  std::swap(tenant, o.tenant);
   return *this;
 }
 
@@ -10435,6 +10469,7 @@
   { auto _e = min_version(); _o->min_version = _e; }
   { auto _e = desired(); _o->desired = _e; }
   { auto _e = items(); if (_e) { _o->items.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->items[_i] = std::unique_ptr<frostline::rpc::JobItemT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10453,6 +10488,7 @@
   auto _min_version = _o->min_version;
   auto _desired = _o->desired;
   auto _items = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::JobItem>> (_o->items.size(), [](size_t i, _VectorArgs *__va) { return CreateJobItem(*__va->__fbb, __va->__o->items[i].get(), __va->__rehasher); }, &_va );
+  auto _tenant = _o->tenant.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->tenant);
   return frostline::rpc::CreateJobRecord(
       _fbb,
       _id,
@@ -10462,7 +10498,8 @@
       _step,
       _min_version,
       _desired,
-      _items);
+      _items,
+      _tenant);
 }
 
 inline SampleResultT *SampleResult::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -10593,7 +10630,8 @@
         from_address(o.from_address),
         from_zone(o.from_zone),
         from_uptime_ms(o.from_uptime_ms),
-        from_processor_share(o.from_processor_share) {
+        from_processor_share(o.from_processor_share),
+        tenant(o.tenant) {
 }
 
 inline JobCallT &JobCallT::operator=(JobCallT o) FLATBUFFERS_NOEXCEPT {
@@ -10609,6 +10647,7 @@
   std::swap(from_zone, o.from_zone);
   std::swap(from_uptime_ms, o.from_uptime_ms);
   std::swap(from_processor_share, o.from_processor_share);
+  std::swap(tenant, o.tenant);
   return *this;
 }
 
@@ -10633,6 +10672,7 @@
   { auto _e = from_zone(); if (_e) _o->from_zone = _e->str(); }
   { auto _e = from_uptime_ms(); _o->from_uptime_ms = _e; }
   { auto _e = from_processor_share(); _o->from_processor_share = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobCall> JobCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10655,6 +10695,7 @@
   auto _from_zone = _o->from_zone.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->from_zone);
   auto _from_uptime_ms = _o->from_uptime_ms;
   auto _from_processor_share = _o->from_processor_share;
+  auto _tenant = _o->tenant.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->tenant);
   return frostline::rpc::CreateJobCall(
       _fbb,
       _action,
@@ -10668,7 +10709,8 @@
       _from_address,
       _from_zone,
       _from_uptime_ms,
-      _from_processor_share);
+      _from_processor_share,
+      _tenant);
 }
 
 inline JobReplyT::JobReplyT(const JobReplyT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -452,6 +452,8 @@
   /// Whole groups that the trainer waits for.
   desired:uint64;
   items:[JobItem];
+  /// Tenant that handed it in; absent in records of before there were tenants, and where there are none.
+  tenant:string;
 }
 enum SampleOutcome : byte { COMPLETED = 0, DEAD = 1 }
 /// A listed sample. Its position in the job's list never changes.
@@ -501,6 +503,8 @@
   from_uptime_ms:uint64;
   /// Share of a core that it may use.
   from_processor_share:double;
+  /// Tenant that the caller's key proves; absent if it needed none.
+  tenant:string;
 }
 enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4, READ_RECORDS = 5 }
 /// READ_RECORDS: the job changes no more and its owner is busy; the asking node reads the stored results itself.
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -17,7 +17,8 @@
 constexpr char k_engine_service[] = "engines";
 constexpr char k_app_service[] = "apps";
 
-std::string config_text(std::uint64_t version, std::string const& extra_routes) {
+std::string config_text(std::uint64_t version, std::string const& extra_routes,
+                        std::string const& tenants) {
   std::ostringstream text;
   text << R"({"version":)" << version << R"(,"routes":[)"
        << R"({"name":"calls","host":"test.example","path_prefix":"/calls/","kind":"safe",)"
@@ -31,12 +32,17 @@
        << R"("max_attempts":3,"resumable":true},)"
        << R"({"name":"jobs","host":"test.example","path_prefix":"/jobs/","kind":"rollout",)"
        << R"("timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"engines",)"
-       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40})" << extra_routes
+       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40},)"
+       << R"({"name":"open","host":"test.example","path_prefix":"/open/","kind":"safe",)"
+       << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
+       << R"("max_attempts":3,"public":true})" << extra_routes
        << R"(],"services":[{"name":"engines","health_path":"/health","max_conns":150,)"
        << R"("engine":{"slots":8,"kv_capacity":100000,"models":[{"name":"model"}]}},)"
        << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
        << R"("limits":{"max_header_bytes":16384,"max_body_bytes":33554432,)"
-       << R"("header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+       << R"("header_timeout_ms":3000,"idle_timeout_ms":15000})";
+  if (!tenants.empty()) text << R"(,"tenants":)" << tenants;
+  text << "}";
   return text.str();
 }
 
@@ -54,7 +60,7 @@
   json::object scorer;
   scorer["id"] = "score-" + one.id;
   scorer["host"] = platform_cluster::k_host;
-  scorer["path"] = "/calls/score";
+  scorer["path"] = one.scorer_path;
   scorer["body"] = base64_encode("score " + one.id);
   item["scorer"] = std::move(scorer);
   return item;
@@ -117,7 +123,7 @@
 }
 
 void platform_cluster::put_config(std::uint64_t version, std::string const& extra_routes) {
-  store_->put("op/config", config_text(version, extra_routes));
+  store_->put("op/config", config_text(version, extra_routes, options_.tenants));
 }
 
 void platform_cluster::name_version(std::uint64_t version) {
@@ -221,6 +227,8 @@
   message.set(http::field::host, k_host);
   if (!request_id.empty()) message.set("X-Frostline-Request-Id", request_id);
   message.set("X-Frostline-Deadline-Ms", std::to_string(timeout.count()));
+  if (!api_key_.empty()) message.set(http::field::authorization, "Bearer " + api_key_);
+  if (!header_name_.empty()) message.insert(header_name_, header_value_);
   message.body() = body;
   message.prepare_payload();
   endpoint const where = addresses_.at(node).clients;
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -30,6 +30,8 @@
   bool proxied_store = false;
   /// Nodes stand in that many zones, in turn.
   std::uint32_t zones = 1;
+  /// "tenants" of the first configuration, as JSON; empty: there are none.
+  std::string tenants;
 };
 
 /// One item of a job, in the words of the test.
@@ -37,6 +39,7 @@
   std::string id;
   std::string group;
   bool scored = true;
+  std::string scorer_path = "/calls/score";
 };
 
 class platform_cluster {
@@ -66,6 +69,15 @@
   void announce(server_standin const& server, std::string const& state);
   void withdraw(server_standin const& server);
   void put_config(std::uint64_t version, std::string const& extra_routes = "");
+  /// Takes effect with the next put_config. @param tenants as JSON.
+  void set_tenants(std::string const& tenants) { options_.tenants = tenants; }
+  /// From now on calls carry this key; empty: none.
+  void use_key(std::string const& key) { api_key_ = key; }
+  /// From now on calls carry this header, too; with an empty name none.
+  void use_header(std::string const& name, std::string const& value) {
+    header_name_ = name;
+    header_value_ = value;
+  }
   void name_version(std::uint64_t version);
 
   void start_node(std::size_t index);
@@ -132,6 +144,9 @@
   std::vector<std::unique_ptr<fault_proxy>> store_proxies_;
   std::vector<std::unique_ptr<child_process>> nodes_;
   rpc::blocking_client client_;
+  std::string api_key_;
+  std::string header_name_;
+  std::string header_value_;
 };
 
 }  // namespace frostline::testing
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -64,6 +64,12 @@
   one.expected_instance = std::string(http::header(message, "X-Frostline-Expect-Instance"));
   one.last_event = std::string(http::header(message, "Last-Event-Id"));
   one.deadline = std::string(http::header(message, "X-Frostline-Deadline-Ms"));
+  auto const [first, last] = message.equal_range("X-Frostline-Tenant");
+  for (auto field = first; field != last; ++field) {
+    if (!one.tenant.empty()) one.tenant += ',';
+    one.tenant += std::string(field->value());
+  }
+  one.authorization = std::string(http::header(message, "Authorization"));
   return one;
 }
 
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -22,6 +22,9 @@
   std::string expected_instance;
   std::string last_event;
   std::string deadline;
+  /// All values of the header, joined by commas.
+  std::string tenant;
+  std::string authorization;
   time_point at{};
   /// It was run, not refused.
   bool ran = false;
--- /dev/null
+++ b/tests/unit/calls/tenants_test.cc
@@ -0,0 +1,125 @@
+/// @file Keys, tenants, and what of them servers see.
+
+#include "calls/tenants.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <random>
+
+#include "calls/access.h"
+
+using namespace frostline;
+using namespace frostline::calls;
+
+namespace {
+
+constexpr unsigned k_seed = 7;
+constexpr int k_random_values = 20'000;
+
+std::vector<tenant> two_tenants() {
+  return {{"first", 1, {"key-a", "key-b"}}, {"second", 2, {"key-c"}}};
+}
+
+std::shared_ptr<route_table const> table_of(std::vector<tenant> tenants) {
+  configuration all;
+  all.version = 1;
+  all.tenants = std::move(tenants);
+  return std::make_shared<route_table const>(std::move(all));
+}
+
+http::request request_with(std::string const& authorization) {
+  http::request message(http::verb::get, "/a/", 11);
+  if (!authorization.empty()) message.set(http::field::authorization, authorization);
+  return message;
+}
+
+}  // namespace
+
+TEST_GROUP(tenants_test){};
+
+TEST(tenants_test, each_key_of_a_tenant_names_it) {
+  auto const tenants = two_tenants();
+  tenant_index const index(tenants);
+  STRCMP_EQUAL("first", index.find_by_key("key-a")->name.c_str());
+  STRCMP_EQUAL("first", index.find_by_key("key-b")->name.c_str());
+  STRCMP_EQUAL("second", index.find_by_key("key-c")->name.c_str());
+  POINTERS_EQUAL(nullptr, index.find_by_key("key-"));
+  POINTERS_EQUAL(nullptr, index.find_by_key(""));
+}
+
+TEST(tenants_test, only_the_bearer_scheme_is_read) {
+  STRCMP_EQUAL("k", std::string(bearer_key("Bearer k")).c_str());
+  STRCMP_EQUAL("k", std::string(bearer_key("bEARER   k \t")).c_str());
+  for (char const* other : {"", "k", "Bearer", "Bearer ", "Basic k", "Bearerk", " Bearer k"}) {
+    CHECK(bearer_key(other).empty());
+  }
+}
+
+TEST(tenants_test, key_is_needed_where_there_are_tenants_and_the_route_is_not_public) {
+  auto const none = table_of({});
+  CHECK(check_access(*none, request_with(""), false).is_granted);
+  auto const some = table_of(two_tenants());
+  CHECK_FALSE(check_access(*some, request_with(""), false).is_granted);
+  CHECK_FALSE(check_access(*some, request_with("Bearer key-x"), false).is_granted);
+  calls::access const known = check_access(*some, request_with("Bearer key-c"), false);
+  CHECK(known.is_granted);
+  STRCMP_EQUAL("second", known.who->name.c_str());
+  calls::access const open = check_access(*some, request_with("Bearer key-x"), true);
+  CHECK(open.is_granted);
+  POINTERS_EQUAL(nullptr, open.who);
+}
+
+TEST(tenants_test, two_keys_at_once_prove_nothing) {
+  auto const some = table_of(two_tenants());
+  http::request message = request_with("Bearer key-a");
+  message.insert(http::field::authorization, "Bearer key-c");
+  CHECK_FALSE(check_access(*some, message, false).is_granted);
+  POINTERS_EQUAL(nullptr, check_access(*some, message, true).who);
+}
+
+TEST(tenants_test, servers_see_the_proven_tenant_and_no_key) {
+  auto const some = table_of(two_tenants());
+  header_names names;
+  names.tenant = "X-Tenant";
+  http::request message = request_with("Bearer key-a");
+  message.insert("x-tenant", "forged");
+  message.insert("X-TENANT", "forged again");
+  set_tenant(message, names, some->tenants(), "first");
+  LONGS_EQUAL(1, message.count("X-Tenant"));
+  STRCMP_EQUAL("first", std::string(http::header(message, "X-Tenant")).c_str());
+  LONGS_EQUAL(0, message.count(http::field::authorization));
+  message.insert("x-tenant", "forged");
+  set_tenant(message, names, some->tenants(), "");
+  LONGS_EQUAL(0, message.count("X-Tenant"));
+}
+
+TEST(tenants_test, credentials_pass_where_keys_mean_nothing_here) {
+  http::request message = request_with("Bearer anything");
+  set_tenant(message, header_names(), table_of({})->tenants(), "");
+  LONGS_EQUAL(1, message.count(http::field::authorization));
+}
+
+TEST(tenants_test, faults_name_places_and_never_keys) {
+  CHECK(find_fault(two_tenants()).empty());
+  std::vector<tenant> twice = two_tenants();
+  twice[1].api_keys.push_back("key-a");
+  std::string const fault = find_fault(twice);
+  STRCMP_EQUAL("tenants[1].api_keys[1] is also a key of tenants[0]", fault.c_str());
+  std::vector<tenant> within = {{"first", 1, {"key-a", "key-a"}}};
+  CHECK_FALSE(find_fault(within).empty());
+}
+
+TEST(tenants_test, no_random_header_proves_a_tenant) {
+  auto const tenants = two_tenants();
+  tenant_index const index(tenants);
+  std::mt19937 random(k_seed);
+  std::string const letters("Bearer keyabc-\t\0\xff ", 19);
+  for (int number = 0; number < k_random_values; ++number) {
+    std::string value;
+    for (auto left = random() % 24; left > 0; --left) value += letters[random() % letters.size()];
+    tenant const* who = nullptr;
+    bool const valid = index.check(value, who) == credentials::valid;
+    CHECK_EQUAL(valid, who != nullptr);
+    if (valid) CHECK(index.find_by_key(bearer_key(value)) == who);
+  }
+}
