--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -43,7 +43,7 @@
   return std::max<std::int64_t>(left.count(), 1);
 }
 
-bool is_event_stream(http::response const& head) {
+bool has_events(http::response const& head) {
   return http::header(head, "Content-Type").starts_with(k_event_stream);
 }
 
@@ -163,11 +163,23 @@
   }
 }
 
+bool forwarder::is_refusal(http::response const& head) const {
+  return !http::header(head, parts_.names.not_run).empty() ||
+         head.result() == http::status::misdirected_request;
+}
+
+void forwarder::count_run(journey& one, usage::run_counter::attempt_id attempt, bool may_have_begun,
+                          bool is_event_stream) {
+  bool const counts = may_have_begun && !one.counted;
+  one.counted = one.counted || may_have_begun;
+  // A request for events begins to run with the first of them, any other when it arrives.
+  time_point const begun = is_event_stream ? steady_clock::now() : one.attempt_begun;
+  parts_.runs.end_attempt(attempt, one.tenant, counts, begun);
+}
+
 bool forwarder::accepts(journey& one, exchange& with) {
   http::response const& head = with.head();
-  bool const refused = !http::header(head, parts_.names.not_run).empty() ||
-                       head.result() == http::status::misdirected_request;
-  if (refused) {
+  if (is_refusal(head)) {
     one.was_refused = true;
     parts_.selector.note_full(with.server().id, steady_clock::now());
     return false;
@@ -197,8 +209,14 @@
     one.attempt_begun = steady_clock::now();
     auto with = std::make_unique<exchange>(parts_.connections, parts_.names, *chosen);
     if (one.from != nullptr) one.from->on_gone([open = with.get()] { open->abort(); });
+    auto const counting = parts_.runs.begin_attempt(one.attempt_begun);
     exchange_failure const failure = co_await attempt(one, *with);
-    if (failure == exchange_failure::none && accepts(one, *with)) co_return with;
+    bool const answered = failure == exchange_failure::none;
+    bool const taken = answered && accepts(one, *with);
+    bool const refused = answered && !taken && is_refusal(with->head());
+    bool const unsent = failure == exchange_failure::not_connected;
+    count_run(one, counting, !refused && !unsent, answered && has_events(with->head()));
+    if (taken) co_return with;
     if (one.from != nullptr) one.from->on_gone(nullptr);
     if (failure != exchange_failure::none) note_failure(one, *with, failure);
   }
@@ -316,7 +334,7 @@
   event_splitter splitter(parts_.names.versions);
   bool begun = false;
   while (auto with = co_await next_exchange(one)) {
-    if (!begun && !is_event_stream(with->head())) {
+    if (!begun && !has_events(with->head())) {
       http::response whole;
       if (!co_await read_whole(one, *with, whole)) break;
       one.from->on_gone(nullptr);
@@ -325,7 +343,7 @@
       co_await one.from->answer(std::move(whole));
       co_return;
     }
-    if (begun && !is_event_stream(with->head())) {
+    if (begun && !has_events(with->head())) {
       parts_.selector.note_answer(with->server().id);
       break;
     }
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -12,6 +12,7 @@
 #include "calls/route_table.h"
 #include "calls/server_selector.h"
 #include "directory/server_directory.h"
+#include "usage/run_counter.h"
 
 namespace frostline::calls {
 
@@ -63,6 +64,8 @@
   connection_pool& connections;
   server_selector& selector;
   header_names const& names;
+  /// Counts the requests of tenants.
+  usage::run_counter& runs;
 };
 
 class forwarder {
@@ -102,6 +105,8 @@
     std::string server;
     /// Empty: no tenant's request.
     std::string tenant;
+    /// A server has begun to run it, as far as is known; it is counted once.
+    bool counted = false;
     give_up_reason reason = give_up_reason::none;
   };
 
@@ -110,9 +115,14 @@
   /// Makes attempts until a server's answer has begun. @return null if the request is given up.
   awaitable<std::unique_ptr<exchange>> next_exchange(journey& one);
   awaitable<exchange_failure> attempt(journey& one, exchange& with);
+  /// Whether a server says that it has not run the request.
+  bool is_refusal(http::response const& head) const;
   /// Whether the server's answer may be taken; else the next attempt follows.
   bool accepts(journey& one, exchange& with);
   void note_failure(journey& one, exchange const& with, exchange_failure failure);
+  /// What the tenant's usage owes to an attempt.
+  void count_run(journey& one, usage::run_counter::attempt_id attempt, bool may_have_begun,
+                 bool is_event_stream);
   void note_whole_answer(journey const& one, exchange const& with);
   void conclude_without_answer(journey& one);
   bool may_try_again(journey const& one) const;
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -16,6 +16,7 @@
 #include "http/message.h"
 #include "kv/record_store.h"
 #include "schema/frostline_generated.h"
+#include "usage/duty_service.h"
 
 namespace frostline::gateway {
 
@@ -51,6 +52,8 @@
 
   virtual kv::record_store& store() = 0;
   virtual engines::engine_control& engines() = 0;
+  /// Null if the platform has none for this system.
+  virtual usage::duty_service* duty_service() = 0;
   virtual calls::header_names const& names() const = 0;
   virtual platform_keys const& keys() const = 0;
 
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -7,6 +7,7 @@
 #include "calls/access.h"
 #include "calls/forwarder.h"
 #include "calls/ingress.h"
+#include "gateway/duties.h"
 #include "gateway/metrics.h"
 #include "gateway/operator_requests.h"
 #include "gateway/pools.h"
@@ -85,10 +86,13 @@
   directory::server_directory servers_;
   calls::connection_pool connections_{context_};
   calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id)};
+  usage::run_counter runs_;
   calls::forwarder forwarder_{
-      calls::forwarder_parts{context_, servers_, connections_, selector_, adapter_.names()}};
+      calls::forwarder_parts{context_, servers_, connections_, selector_, adapter_.names(), runs_}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
                            connections_, forwarder_}};
+  /// None if the platform takes no calls of one node at a time.
+  std::optional<duties> duties_;
   server_watch server_watch_{context_, adapter_, servers_, settings_.leave_time,
                              [this] { return feed_.store_back_at(); }};
   relay::record_feed feed_{context_, adapter_.store(), transport_, make_feed_options(),
@@ -122,6 +126,12 @@
 
 application::parts::parts(asio::io_context& context, settings all, platform_adapter& adapter)
     : context_(context), settings_(std::move(all)), adapter_(adapter) {
+  usage::duty_service* const service = adapter_.duty_service();
+  if (service != nullptr && settings_.usage_window > milliseconds(0)) {
+    duties_.emplace(
+        duties_parts{context_, settings_, adapter_.store(), transport_, *service, runs_});
+    duties_->add_methods(peer_methods_);
+  }
   pools_.add_methods(peer_methods_);
   feed_.add_methods(peer_methods_);
 }
@@ -156,6 +166,7 @@
   listen_to_records();
   feed_.on_store_back([this] { operator_requests_.resynchronize(); });
   feed_.start();
+  if (duties_) duties_->start();
   spawn(context_, housekeeping_loop());
   log_line(log_level::info, k_part, "Started.",
            {{"id", settings_.id},
@@ -173,7 +184,7 @@
   options.self = settings_.peers;
   options.seeds = settings_.seeds;
   options.prefixes[relay::index_of(relay::topic::CONFIGURATION)] = adapter_.keys().configuration;
-  options.prefixes[relay::index_of(relay::topic::OWNERS)] = ownership::pool_lease::owners_prefix();
+  options.prefixes[relay::index_of(relay::topic::OWNERS)] = ownership::owner_lease::owners_prefix();
   options.prefixes[relay::index_of(relay::topic::RELAYS)] = relay::zone_relays::records_prefix();
   options.prefixes[relay::index_of(relay::topic::SERVERS)] = adapter_.keys().servers_prefix;
   options.servers_alike = server_watch_.alike();
@@ -193,10 +204,13 @@
   kv::follower_callbacks on_owners;
   on_owners.snapshot = [this](kv::range_answer const& all) {
     pools_.take_owners(all);
+    if (duties_) duties_->take_owners(all);
     note_ownership();
   };
   on_owners.event = [this](kv::watch_event const& event) {
-    pools_.take_owner(event.entry.key, event.deleted ? nullptr : &event.entry);
+    kv::key_value const* const record = event.deleted ? nullptr : &event.entry;
+    pools_.take_owner(event.entry.key, record);
+    if (duties_) duties_->take_owner(event.entry.key, record);
     note_ownership();
   };
   feed_.listen(relay::topic::CONFIGURATION, std::move(on_configuration));
@@ -271,6 +285,11 @@
   now.calls = forwarder_.figures();
   now.connections_opened = connections_.opened();
   now.logs_dropped = dropped_log_lines();
+  now.tenants_requests = runs_.total();
+  if (duties_) {
+    now.usage = usage_readings{duties_->is_holder(), duties_->reporter().figures(),
+                               duties_->reporter().late()};
+  }
   now.role = feed_.role();
   now.records = feed_.figures();
   now.polls_answered = feed_.polls_answered();
@@ -413,6 +432,7 @@
   settings_.retention = all.retention;
   settings_.stop_time = all.stop_time;
   pools_.set_order_gap(all.order_gap);
+  if (duties_) duties_->set_order_gap(all.order_gap);
   start_logging(all.id, all.log_level);
   log_line(log_level::info, k_part, "Settings reloaded.", {{"id", all.id}});
 }
@@ -426,6 +446,7 @@
   ingress_->drain();
   spawn(context_, feed_.leave());
   co_await pools_.release(begin + k_leave_notice / 2);
+  if (duties_) co_await duties_->release(begin + k_leave_notice);
   while (steady_clock::now() < begin + k_leave_notice ||
          (ingress_->in_flight() > 0 && steady_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll);
--- /dev/null
+++ b/src/gateway/duties.cc
@@ -0,0 +1,79 @@
+#include "gateway/duties.h"
+
+#include <algorithm>
+
+namespace frostline::gateway {
+namespace {
+
+/// The duties' resource; one lease for all of them.
+constexpr std::string_view k_resource_name = "platform";
+/// Time that is left for a window's report to be stored, and sent some times, once it is closed.
+constexpr milliseconds k_report_margin{3000};
+
+std::string resource() {
+  return std::string(ownership::k_duties_prefix) + std::string(k_resource_name);
+}
+
+ownership::owner_lease_options lease_options(settings const& own) {
+  ownership::owner_lease_options options;
+  options.node = own.id;
+  options.address = own.peers;
+  options.handicap = ownership::handicap_of(own.processor_share);
+  options.time_to_live = std::max(options.time_to_live, own.store_limits.shortest_lease);
+  return options;
+}
+
+usage::ledger_options ledger_options(settings const& own) {
+  usage::ledger_options options;
+  options.window = own.usage_window;
+  // A deadline that leaves no margin gets half of it.
+  options.longest_wait =
+      own.usage_late > 2 * k_report_margin ? own.usage_late - k_report_margin : own.usage_late / 2;
+  return options;
+}
+
+}  // namespace
+
+duties::duties(duties_parts parts)
+    : lease_(parts.context, parts.store, resource(), lease_options(parts.all_settings)),
+      reporter_(usage::reporter_parts{parts.context, parts.store, parts.transport, lease_,
+                                      parts.service, parts.counter, parts.all_settings.id,
+                                      ledger_options(parts.all_settings)}) {
+  lease_.set_order_gap(parts.all_settings.order_gap);
+}
+
+void duties::start() {
+  lease_.start();
+  reporter_.start();
+}
+
+void duties::take_owner(std::string const& key, kv::key_value const* record) {
+  if (key == ownership::owner_lease::orderer_key_of(resource())) {
+    if (record != nullptr) lease_.note_orderer(*record);
+  } else if (key == ownership::owner_lease::key_of(resource())) {
+    lease_.note_record(record);
+  }
+}
+
+void duties::take_owners(kv::range_answer const& records) {
+  for (kv::key_value const& one : records.entries) take_owner(one.key, &one);
+  std::string const key = ownership::owner_lease::key_of(resource());
+  bool const listed = std::any_of(records.entries.begin(), records.entries.end(),
+                                  [&](kv::key_value const& one) { return one.key == key; });
+  if (!listed) lease_.note_record(nullptr);
+}
+
+void duties::add_methods(rpc::dispatcher& methods) {
+  methods.add<rpc::UsageCallT, rpc::UsageReplyT>(
+      "UsageService", "Count",
+      [this](rpc::UsageCallT call) -> awaitable<rpc::reply<rpc::UsageReplyT>> {
+        co_return reporter_.count(std::move(call));
+      });
+}
+
+awaitable<void> duties::release(time_point deadline) {
+  co_await reporter_.finish(deadline);
+  co_await lease_.release();
+}
+
+}  // namespace frostline::gateway
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -62,6 +62,19 @@
   set("turns_to_store_total", "times that no relay answered", now.records.turns_to_store);
 }
 
+void write_usage(snapshot& page, usage_readings const& usage) {
+  auto const set = [&](std::string const& name, std::string const& help, std::uint64_t value) {
+    page.set("frostline_usage_" + name, help, static_cast<double>(value));
+  };
+  set("holder", "1 while this node reports usage", usage.is_holder ? 1 : 0);
+  set("windows_closed_total", "windows whose counts were fixed", usage.figures.windows_closed);
+  set("windows_reported_total", "windows whose report was taken", usage.figures.windows_reported);
+  set("reports_failed_total", "reports that were not taken", usage.figures.reports_failed);
+  set("windows_given_up_total", "windows that were never taken", usage.figures.windows_given_up);
+  set("tells_failed_total", "counts that did not reach the holder", usage.figures.calls_failed);
+  set("late_requests_total", "requests told after their window was closed", usage.late);
+}
+
 }  // namespace
 
 metrics::metrics()
@@ -98,6 +111,11 @@
            static_cast<double>(now.connections_opened));
   page.set("frostline_log_lines_dropped_total", "log lines dropped",
            static_cast<double>(now.logs_dropped));
+  page.set("frostline_access_refused_total", "requests refused for their key",
+           static_cast<double>(access_refused_));
+  page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
+           static_cast<double>(now.tenants_requests));
+  if (now.usage) write_usage(page, *now.usage);
   write_records(page, now);
   for (pool_readings const& pool : now.pools) write_pool(page, pool);
   return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include "calls/forwarder.h"
 #include "jobs/sample_runner.h"
 #include "relay/record_feed.h"
+#include "usage/usage_reporter.h"
 
 namespace frostline::gateway {
 
@@ -27,6 +29,14 @@
   std::uint64_t transactions = 0;
 };
 
+struct usage_readings {
+  /// Whether this node makes the calls of one node at a time.
+  bool is_holder = false;
+  usage::reporter_figures figures;
+  /// Requests that were counted too late for their window.
+  std::uint64_t late = 0;
+};
+
 /// What the parts count themselves, at one moment.
 struct node_readings {
   std::uint64_t config_version = 0;
@@ -39,6 +49,9 @@
   std::uint64_t polls_answered = 0;
   milliseconds records_age{0};
   std::vector<pool_readings> pools;
+  /// Requests of tenants that servers began to run.
+  std::uint64_t tenants_requests = 0;
+  std::optional<usage_readings> usage;
 };
 
 class metrics {
--- a/src/gateway/pools.cc
+++ b/src/gateway/pools.cc
@@ -8,13 +8,13 @@
   jobs::pool& one = all_[name];
   if (one.lease) return one;
   settings const& own = parts_.all_settings;
-  ownership::pool_lease_options options;
+  ownership::owner_lease_options options;
   options.node = own.id;
   options.address = own.peers;
   options.handicap = ownership::handicap_of(own.processor_share);
   options.time_to_live = std::max(options.time_to_live, own.store_limits.shortest_lease);
-  one.lease = std::make_unique<ownership::pool_lease>(parts_.context, parts_.adapter.store(), name,
-                                                      std::move(options));
+  one.lease = std::make_unique<ownership::owner_lease>(parts_.context, parts_.adapter.store(), name,
+                                                       std::move(options));
   one.lease->set_order_gap(own.order_gap);
   auto const orderer = orderers_.find(name);
   if (orderer != orderers_.end()) one.lease->note_orderer(orderer->second);
@@ -36,14 +36,15 @@
 }
 
 void pools::take_owner(std::string const& key, kv::key_value const* record) {
-  if (auto const pool = ownership::pool_lease::pool_of_orderer_key(key)) {
+  std::string const name = key.substr(ownership::owner_lease::owners_prefix().size());
+  if (name.starts_with(ownership::k_duties_prefix)) return;
+  if (auto const pool = ownership::owner_lease::resource_of_orderer_key(key)) {
     if (record == nullptr) return;
     orderers_[*pool] = *record;
     auto const known = all_.find(*pool);
     if (known != all_.end()) known->second.lease->note_orderer(*record);
     return;
   }
-  std::string const name = key.substr(ownership::pool_lease::owners_prefix().size());
   bool const fresh = !all_.contains(name);
   // A pool may be older than the configuration that this node knows.
   jobs::pool& one = make(name);
@@ -55,7 +56,7 @@
   owners_known_ = true;
   for (kv::key_value const& one : records.entries) take_owner(one.key, &one);
   for (auto& [name, one] : all_) {
-    std::string const key = ownership::pool_lease::key_of(name);
+    std::string const key = ownership::owner_lease::key_of(name);
     bool const listed = std::any_of(records.entries.begin(), records.entries.end(),
                                     [&](kv::key_value const& entry) { return entry.key == key; });
     if (!listed) one.lease->note_record(nullptr);
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -135,6 +135,22 @@
       {{"jobs.retention_seconds", "120", "time for which an ended job can be read"},
        number(1, 1'000'000,
               [](settings& into, double value) { into.retention = from_seconds(value); })},
+      {{"duties.address", "",
+        "IP:port of the platform's service for calls of one node at a time; without it none are "
+        "made"},
+       [](toml::node const& value, settings& into) -> std::string {
+         auto const parsed = parse_endpoint(value.value_or<std::string>(""));
+         if (!parsed) return "must be \"IP:port\" with a numeric IPv4 address";
+         into.duty_service = *parsed;
+         return {};
+       }},
+      {{"usage.window_seconds", "0",
+        "length of a window for which usage is reported; 0: none is reported"},
+       number(0, 86'400,
+              [](settings& into, double value) { into.usage_window = from_seconds(value); })},
+      {{"usage.late_seconds", "10", "a window's usage is due that long after its end"},
+       number(0.1, 86'400,
+              [](settings& into, double value) { into.usage_late = from_seconds(value); })},
       {{"limits.connections", "2000", "client connections at once"},
        number(1, 1'000'000,
               [](settings& into, double value) {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -2,6 +2,7 @@
 /// a platform may add to the file.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +40,12 @@
   milliseconds stop_time{8000};
   /// For how long ended jobs can be read.
   milliseconds retention{120'000};
+  /// Where the platform takes what one node at a time tells it; none: there are no duties.
+  std::optional<endpoint> duty_service;
+  /// Usage is reported for windows of this length; 0: it is not reported.
+  milliseconds usage_window{0};
+  /// A window's usage is due that long after its end.
+  milliseconds usage_late{10'000};
   std::size_t connections = 2000;
   std::string log_level = "info";
 };
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -73,7 +73,7 @@
   bool may_be_done = false;
   while (true) {
     rpc::JobCallT next = call;
-    next.pool = one.lease->pool();
+    next.pool = one.lease->resource();
     next.deadline_ms = static_cast<std::uint64_t>(left_until(deadline).count());
     auto const& owner = one.lease->owner();
     rpc::JobReplyT reply = unavailable();
@@ -85,7 +85,7 @@
       reply = co_await ask_remote(owner->address, next, deadline);
     }
     if (reply.status == rpc::JobStatus::READ_RECORDS) {
-      reply = co_await read_stored(one.lease->pool(), call, reply.total);
+      reply = co_await read_stored(one.lease->resource(), call, reply.total);
     }
     if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_be_done = true;
     bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -11,14 +11,14 @@
 #include "base/asio.h"
 #include "http/client.h"
 #include "jobs/pool_owner.h"
-#include "ownership/pool_lease.h"
+#include "ownership/owner_lease.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
 
 /// What a node runs for one pool.
 struct pool {
-  std::unique_ptr<ownership::pool_lease> lease;
+  std::unique_ptr<ownership::owner_lease> lease;
   std::unique_ptr<pool_owner> owner;
 };
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -27,7 +27,7 @@
 engines::order_authority make_authority(owner_parts const& parts, sample_runner const& runner) {
   engines::order_authority authority;
   authority.holder = parts.node;
-  ownership::pool_lease& lease = parts.lease;
+  ownership::owner_lease& lease = parts.lease;
   authority.may_order = [&lease] { return lease.may_order(steady_clock::now()); };
   authority.fence = [&lease] { return lease.epoch(); };
   authority.mode_for = [&runner](engines::board_engine const& engine) {
@@ -42,10 +42,10 @@
 pool_owner::pool_owner(owner_parts parts)
     : parts_(std::move(parts)),
       orders_(parts_.context, board_, parts_.control, make_authority(parts_, runner_)),
-      log_(parts_.context, parts_.store, parts_.limits, parts_.lease.pool()),
+      log_(parts_.context, parts_.store, parts_.limits, parts_.lease.resource()),
       runner_(runner_parts{parts_.context, parts_.configuration, parts_.servers, parts_.connections,
                            parts_.forwarder, parts_.names, board_, table_, [this] { notify(); }}),
-      progress_(parts_.context, parts_.transport, parts_.lease.pool(), parts_.zone),
+      progress_(parts_.context, parts_.transport, parts_.lease.resource(), parts_.zone),
       work_(parts_.context),
       loaded_(parts_.context),
       listed_(parts_.context),
@@ -103,12 +103,12 @@
   replica_.clear();
   progress_.begin_term();
   table_.forget_checkpoints();
-  log_.open(ownership::pool_lease::key_of(parts_.lease.pool()), parts_.lease.epoch());
+  log_.open(ownership::owner_lease::key_of(parts_.lease.resource()), parts_.lease.epoch());
   orders_.begin_term();
   state_ = owner_state::active;
   auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
   log_line(log_level::info, k_part, "Jobs loaded.",
-           {{"pool", parts_.lease.pool()},
+           {{"pool", parts_.lease.resource()},
             {"epoch", parts_.lease.epoch()},
             {"jobs", table_.jobs().size()},
             {"ended", ended_unread_.size()},
@@ -118,7 +118,7 @@
 }
 
 awaitable<bool> pool_owner::load_marks(std::uint64_t term) {
-  std::string const pool = parts_.lease.pool();
+  std::string const pool = parts_.lease.resource();
   auto answer = co_await parts_.store.list(record_keys::marks_prefix(pool));
   if (!answer || term != term_) co_return false;
   stored_marks const marks = read_marks(pool, answer.value().entries);
@@ -176,7 +176,7 @@
 }
 
 awaitable<std::optional<stored_job>> pool_owner::read_stored(std::string id) {
-  std::string const pool = parts_.lease.pool();
+  std::string const pool = parts_.lease.resource();
   auto answer = co_await parts_.store.list(record_keys::data_prefix(pool, id));
   if (!answer) co_return std::nullopt;
   co_return read_job(pool, id, answer.value().entries);
@@ -257,7 +257,7 @@
   checkpoint_at_ = now;
   for (rpc::ProgressReportT& report :
        table_.take_checkpoint(now, k_checkpoint_age, k_checkpoint_bytes)) {
-    report.pool = parts_.lease.pool();
+    report.pool = parts_.lease.resource();
     report.epoch = parts_.lease.epoch();
     log_.write_checkpoint(report);
   }
@@ -272,7 +272,7 @@
   }
   board_.update(engines);
   auto const table = parts_.configuration.table();
-  auto const* pool = table ? table->find_service(parts_.lease.pool()) : nullptr;
+  auto const* pool = table ? table->find_service(parts_.lease.resource()) : nullptr;
   if (pool != nullptr && pool->engines) board_.set_cache_tokens(pool->engines->cache_tokens);
 }
 
@@ -331,7 +331,7 @@
 }
 
 awaitable<void> pool_owner::erase(std::string id) {
-  std::string const pool = parts_.lease.pool();
+  std::string const pool = parts_.lease.resource();
   auto answer = co_await parts_.store.list(record_keys::data_prefix(pool, id));
   // What is not erased now is erased by a later owner.
   if (!answer || state_ != owner_state::active) co_return;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -20,7 +20,7 @@
 #include "jobs/record_log.h"
 #include "jobs/sample_runner.h"
 #include "kv/record_store.h"
-#include "ownership/pool_lease.h"
+#include "ownership/owner_lease.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
@@ -36,7 +36,7 @@
   calls::forwarder& forwarder;
   calls::header_names const& names;
   engines::engine_control& control;
-  ownership::pool_lease& lease;
+  ownership::owner_lease& lease;
   http::client& transport;
   std::string node;
   std::string zone;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -68,7 +68,7 @@
   bool const followed = owner && owner->node != parts_.node && owner->epoch > replica_.epoch();
   if (state_ != owner_state::standby || !followed) return;
   if (replica_.is_fresh(steady_clock::now())) {
-    spawn(parts_.context, send_offer(owner->address, replica_.whole(parts_.lease.pool())));
+    spawn(parts_.context, send_offer(owner->address, replica_.whole(parts_.lease.resource())));
   }
   replica_.clear();
 }
--- a/src/ownership/pool_lease.cc
+++ b/src/ownership/owner_lease.cc
@@ -1,4 +1,4 @@
-#include "ownership/pool_lease.h"
+#include "ownership/owner_lease.h"
 
 #include <algorithm>
 
@@ -12,7 +12,7 @@
 
 constexpr std::string_view k_part = "ownership";
 constexpr std::string_view k_prefix = "frostline/owners/";
-/// A node that has just owned the pool asks for it again before the others do.
+/// A node that has just owned the resource asks for it again before the others do.
 constexpr std::string_view k_orderer_suffix = "/orders";
 constexpr milliseconds k_return_delay{20};
 constexpr milliseconds k_first_delay{80};
@@ -33,42 +33,42 @@
   return milliseconds(static_cast<std::int64_t>(longest * (1.0 - strength)));
 }
 
-pool_lease::pool_lease(asio::io_context& context, kv::record_store& store, std::string pool,
-                       pool_lease_options options)
+owner_lease::owner_lease(asio::io_context& context, kv::record_store& store, std::string resource,
+                         owner_lease_options options)
     : context_(context),
       store_(store),
-      pool_(std::move(pool)),
+      resource_(std::move(resource)),
       options_(std::move(options)),
       changed_(context),
       renewed_(context) {}
 
-std::string pool_lease::owners_prefix() { return std::string(k_prefix); }
+std::string owner_lease::owners_prefix() { return std::string(k_prefix); }
 
-std::string pool_lease::key_of(std::string const& pool) { return owners_prefix() + pool; }
+std::string owner_lease::key_of(std::string const& resource) { return owners_prefix() + resource; }
 
-std::string pool_lease::orderer_key_of(std::string const& pool) {
-  return key_of(pool) + std::string(k_orderer_suffix);
+std::string owner_lease::orderer_key_of(std::string const& resource) {
+  return key_of(resource) + std::string(k_orderer_suffix);
 }
 
-std::optional<std::string> pool_lease::pool_of_orderer_key(std::string const& key) {
+std::optional<std::string> owner_lease::resource_of_orderer_key(std::string const& key) {
   if (!key.starts_with(k_prefix) || !key.ends_with(k_orderer_suffix)) return std::nullopt;
   std::size_t const around = k_prefix.size() + k_orderer_suffix.size();
   if (key.size() <= around) return std::nullopt;
   return key.substr(k_prefix.size(), key.size() - around);
 }
 
-void pool_lease::start() { spawn(context_, run()); }
+void owner_lease::start() { spawn(context_, run()); }
 
-void pool_lease::on_change(std::function<void()> gained, std::function<void()> lost) {
+void owner_lease::on_change(std::function<void()> gained, std::function<void()> lost) {
   on_gained_ = std::move(gained);
   on_lost_ = std::move(lost);
 }
 
-bool pool_lease::holds(time_point now) const {
+bool owner_lease::holds(time_point now) const {
   return state_ == lease_state::owner && now < valid_until_;
 }
 
-void pool_lease::note_record(kv::key_value const* record) {
+void owner_lease::note_record(kv::key_value const* record) {
   record_known_ = true;
   if (record == nullptr) {
     owner_.reset();
@@ -90,40 +90,40 @@
   if (!own && overtaken) stop_owning("another owner");
   if (news) {
     log_line(log_level::info, k_part, "Owner known.",
-             {{"pool", pool_}, {"owner", decoded->node}, {"epoch", record->mod_revision}});
+             {{"resource", resource_}, {"owner", decoded->node}, {"epoch", record->mod_revision}});
     changed_.notify_all();
   }
 }
 
-void pool_lease::note_orderer(kv::key_value const& record) {
+void owner_lease::note_orderer(kv::key_value const& record) {
   auto const decoded = rpc::decode<rpc::PoolOwnerT>(record.value);
   if (!decoded || record.mod_revision <= orderer_revision_) return;
   last_orderer_ = decoded->node;
   orderer_revision_ = record.mod_revision;
 }
 
-void pool_lease::take_current(std::vector<kv::key_value> const& records) {
+void owner_lease::take_current(std::vector<kv::key_value> const& records) {
   for (kv::key_value const& one : records) {
-    if (one.key == orderer_key_of(pool_)) note_orderer(one);
-    if (one.key == key_of(pool_)) note_record(&one);
+    if (one.key == orderer_key_of(resource_)) note_orderer(one);
+    if (one.key == key_of(resource_)) note_record(&one);
   }
 }
 
-bool pool_lease::may_order(time_point now) const {
+bool owner_lease::may_order(time_point now) const {
   return holds(now) && now >= orders_from_ && ordered_last();
 }
 
-awaitable<void> pool_lease::become_orderer() {
+awaitable<void> owner_lease::become_orderer() {
   becoming_orderer_ = true;
   std::uint64_t const epoch = epoch_;
   rpc::PoolOwnerT record;
   record.node = options_.node;
   record.address = options_.address.to_string();
   kv::transaction change;
-  change.compares.push_back({key_of(pool_), epoch});
-  change.compares.push_back({orderer_key_of(pool_), orderer_revision_});
+  change.compares.push_back({key_of(resource_), epoch});
+  change.compares.push_back({orderer_key_of(resource_), orderer_revision_});
   kv::operation put;
-  put.key = orderer_key_of(pool_);
+  put.key = orderer_key_of(resource_);
   put.value = rpc::encode(record);
   change.on_success.push_back(std::move(put));
   auto outcome = co_await store_.apply(std::move(change), k_orderer_timeout);
@@ -137,31 +137,33 @@
   if (outcome.value().store_revision < orderer_revision_) co_return;
   last_orderer_ = options_.node;
   orderer_revision_ = outcome.value().store_revision;
-  log_line(log_level::info, k_part, "Orders may be given.", {{"pool", pool_}, {"epoch", epoch}});
+  log_line(log_level::info, k_part, "Orders may be given.",
+           {{"resource", resource_}, {"epoch", epoch}});
 }
 
-void pool_lease::become_owner(std::uint64_t epoch) {
+void owner_lease::become_owner(std::uint64_t epoch) {
   state_ = lease_state::owner;
   epoch_ = epoch;
   // Orders of one machine, whichever of its processes gives them, never count as another's.
   orders_from_ = ordered_last() ? steady_clock::now() : steady_clock::now() + order_gap_;
   last_owner_ = options_.node;
   owner_ = known_owner{options_.node, options_.address, epoch};
-  log_line(log_level::info, k_part, "Pool acquired.", {{"pool", pool_}, {"epoch", epoch}});
+  log_line(log_level::info, k_part, "Ownership acquired.",
+           {{"resource", resource_}, {"epoch", epoch}});
   if (on_gained_) on_gained_();
   changed_.notify_all();
 }
 
-void pool_lease::stop_owning(std::string_view cause) {
+void owner_lease::stop_owning(std::string_view cause) {
   state_ = lease_state::lapsed;
   lease_ = 0;
-  log_line(log_level::warning, k_part, "Pool lost.",
-           {{"pool", pool_}, {"epoch", epoch_}, {"cause", cause}});
+  log_line(log_level::warning, k_part, "Ownership lost.",
+           {{"resource", resource_}, {"epoch", epoch_}, {"cause", cause}});
   if (on_lost_) on_lost_();
   changed_.notify_all();
 }
 
-awaitable<void> pool_lease::run() {
+awaitable<void> owner_lease::run() {
   while (!released_) {
     if (state_ == lease_state::owner) {
       co_await renew();
@@ -173,14 +175,14 @@
   }
 }
 
-milliseconds pool_lease::delay_before_asking() const {
+milliseconds owner_lease::delay_before_asking() const {
   if (last_owner_ == options_.node || ordered_last()) return k_return_delay;
   // Progress can be offered to whoever follows; a weak processor can't be made up for.
   if (preferred_) return k_return_delay + options_.handicap;
   return k_first_delay + with_jitter(k_delay_spread) + options_.handicap;
 }
 
-awaitable<void> pool_lease::compete() {
+awaitable<void> owner_lease::compete() {
   co_await changed_.wait_until(steady_clock::now() + delay_before_asking());
   bool const own_former = owner_ && owner_->node == options_.node;
   if ((owner_ && !own_former) || released_) co_return;
@@ -191,7 +193,7 @@
   if (!done) co_await changed_.wait_until(steady_clock::now() + with_jitter(k_retry_pause));
 }
 
-awaitable<bool> pool_lease::create_record(kv::revision replaced) {
+awaitable<bool> owner_lease::create_record(kv::revision replaced) {
   time_point const asked = steady_clock::now();
   auto lease = co_await store_.grant_lease(options_.time_to_live);
   bool const overtaken = owner_ && (replaced == 0 || record_revision_ != replaced);
@@ -203,10 +205,10 @@
   record.address = options_.address.to_string();
   record.token = token_;
   kv::transaction change;
-  change.compares.push_back({key_of(pool_), replaced});
-  change.compares.push_back({orderer_key_of(pool_), orderer_revision_});
+  change.compares.push_back({key_of(resource_), replaced});
+  change.compares.push_back({orderer_key_of(resource_), orderer_revision_});
   kv::operation put;
-  put.key = key_of(pool_);
+  put.key = key_of(resource_);
   put.value = rpc::encode(record);
   put.lease = lease_;
   change.on_success.push_back(std::move(put));
@@ -226,7 +228,7 @@
   co_return false;
 }
 
-awaitable<void> pool_lease::renew() {
+awaitable<void> owner_lease::renew() {
   time_point next = steady_clock::now() + options_.renewal_interval;
   if (orders_from_ > steady_clock::now()) next = std::min(next, orders_from_);
   co_await changed_.wait_until(next);
@@ -240,7 +242,7 @@
   }
 }
 
-awaitable<void> pool_lease::renew_once(kv::lease_id lease) {
+awaitable<void> owner_lease::renew_once(kv::lease_id lease) {
   time_point const asked = steady_clock::now();
   auto renewed = co_await store_.renew_lease(lease);
   if (state_ != lease_state::owner || lease != lease_) co_return;
@@ -257,7 +259,7 @@
   }
 }
 
-awaitable<void> pool_lease::release() {
+awaitable<void> owner_lease::release() {
   released_ = true;
   changed_.notify_all();
   if (state_ != lease_state::owner) co_return;
--- a/src/ownership/pool_lease.h
+++ b/src/ownership/owner_lease.h
@@ -1,10 +1,11 @@
-/// @file Which node owns a pool of engines: its batch jobs and the orders to its engines. One lease
+/// @file Which node owns a resource that one node at a time may act for: a pool of engines (its
+/// batch jobs, the orders to its engines), or the system's calls to its platform. One lease
 /// in the record store decides; the revision at which its record was made is the owner's epoch.
 ///
 /// A second record, the orderer's, outlives the lease: it names the last node that was entitled to
-/// give orders. An owner writes it before its first order, and takes the pool only at the revision
-/// of it that it knows. So the node that ordered last may order at once when it owns the pool
-/// again, and any other waits until no order of that node can be close.
+/// give orders. An owner writes it before its first order, and takes the resource only at the
+/// revision of it that it knows. So the node that ordered last may order at once when it owns the
+/// resource again, and any other waits until no order of that node can be close.
 #pragma once
 
 #include <cstdint>
@@ -13,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/asio.h"
 #include "base/endpoint.h"
@@ -31,7 +33,7 @@
   std::uint64_t epoch = 0;
 };
 
-struct pool_lease_options {
+struct owner_lease_options {
   std::string node;
   endpoint address;
   milliseconds time_to_live{1500};
@@ -40,32 +42,37 @@
   milliseconds renewal_patience{150};
   /// The lease counts as over this long before the store would end it.
   milliseconds safety_margin{150};
-  /// Asks for a free pool that much later than the strongest node.
+  /// Asks for a free resource that much later than the strongest node.
   milliseconds handicap{0};
 };
 
-/// How much later than the strongest node one with this share of a core asks for a free pool.
+/// Resources whose names begin so are the system's duties towards its platform; all others are
+/// pools.
+inline constexpr std::string_view k_duties_prefix = "duties/";
+
+/// How much later than the strongest node one with this share of a core asks for a free resource.
 milliseconds handicap_of(double processor_share);
 
-/// Candidate for, or owner of, one pool.
-class pool_lease {
+/// Candidate for, or owner of, one resource. Orders stand for whatever only one node at a time may
+/// send to others.
+class owner_lease {
  public:
-  pool_lease(asio::io_context& context, kv::record_store& store, std::string pool,
-             pool_lease_options options);
+  owner_lease(asio::io_context& context, kv::record_store& store, std::string resource,
+              owner_lease_options options);
 
-  /// Key under which the owner of a pool stands; all lie below `owners_prefix`.
-  static std::string key_of(std::string const& pool);
+  /// Key under which the owner of a resource stands; all lie below `owners_prefix`.
+  static std::string key_of(std::string const& resource);
   static std::string owners_prefix();
-  static std::string orderer_key_of(std::string const& pool);
-  /// The pool whose orderer's record has this key, if it is one.
-  static std::optional<std::string> pool_of_orderer_key(std::string const& key);
+  static std::string orderer_key_of(std::string const& resource);
+  /// The resource whose orderer's record has this key, if it is one.
+  static std::optional<std::string> resource_of_orderer_key(std::string const& key);
 
   void start();
-  /// The store's record of this pool, as the owners' follower heard it; null: there is none.
+  /// The store's record of this resource, as the owners' follower heard it; null: there is none.
   void note_record(kv::key_value const* record);
-  /// The store's record of the pool's last orderer, as the owners' follower heard it.
+  /// The store's record of the resource's last orderer, as the owners' follower heard it.
   void note_orderer(kv::key_value const& record);
-  /// Hands the pool on: ends the lease and never asks for it again.
+  /// Hands the resource on: ends the lease and never asks for it again.
   awaitable<void> release();
 
   /// Whether this node may act as the owner now: its lease can't have ended.
@@ -78,12 +85,13 @@
   time_point orders_from() const { return orders_from_; }
   /// Whether an order may be given now.
   bool may_order(time_point now) const;
-  /// Whether this node holds the owner's progress, and so asks for a free pool before the others.
+  /// Whether this node holds the owner's progress, and so asks for a free resource before the
+  /// others.
   void set_preferred(bool preferred) { preferred_ = preferred; }
   /// Time for which a former owner's orders count as close.
   void set_order_gap(milliseconds gap) { order_gap_ = gap; }
   std::optional<known_owner> const& owner() const { return owner_; }
-  std::string const& pool() const { return pool_; }
+  std::string const& resource() const { return resource_; }
 
   /// `gained` runs when this node becomes owner, `lost` when it is not any more.
   void on_change(std::function<void()> gained, std::function<void()> lost);
@@ -108,8 +116,8 @@
 
   asio::io_context& context_;
   kv::record_store& store_;
-  std::string pool_;
-  pool_lease_options options_;
+  std::string resource_;
+  owner_lease_options options_;
   lease_state state_ = lease_state::standby;
   kv::lease_id lease_ = 0;
   std::string token_;
@@ -121,7 +129,7 @@
   std::optional<known_owner> owner_;
   /// Revision of the owner's record.
   kv::revision record_revision_ = 0;
-  /// Node that owned the pool last, as far as is known.
+  /// Node that owned the resource last, as far as is known.
   std::string last_owner_;
   /// Node that was entitled to order last, and the revision of the record that says so; 0: none.
   std::string last_orderer_;
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -264,6 +264,34 @@
 struct PollReplyBuilder;
 struct PollReplyT;
 
+struct RunCount;
+struct RunCountBuilder;
+struct RunCountT;
+
+struct UsageCall;
+struct UsageCallBuilder;
+struct UsageCallT;
+
+struct UsageReply;
+struct UsageReplyBuilder;
+struct UsageReplyT;
+
+struct TenantCount;
+struct TenantCountBuilder;
+struct TenantCountT;
+
+struct UsageWindow;
+struct UsageWindowBuilder;
+struct UsageWindowT;
+
+struct CountedProcess;
+struct CountedProcessBuilder;
+struct CountedProcessT;
+
+struct UsageState;
+struct UsageStateBuilder;
+struct UsageStateT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -8355,157 +8383,928 @@
 
 flatbuffers::Offset<PollReply> CreatePollReply(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<TaskRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct RunCountT : public flatbuffers::NativeTable {
+  typedef RunCount TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.RunCountT";
+  }
+  uint64_t sequence = 0;
+  std::string tenant{};
+  uint64_t requests = 0;
+  uint64_t ago_ms = 0;
+};
 
-inline void TaskRecord::UnPackTo(TaskRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = model(); if (_e) _o->model = _e->str(); }
-  { auto _e = priority(); _o->priority = _e; }
-  { auto _e = freshness_bound(); _o->freshness_bound = _e; }
-  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = scorer(); if (_e) _o->scorer = _e->str(); }
-  { auto _e = batch_size(); _o->batch_size = _e; }
-  { auto _e = shards(); _o->shards = _e; }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
-}
+/// Requests of one tenant that began to run at servers at about the same time.
+struct RunCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RunCountT NativeTableType;
+  typedef RunCountBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.RunCount";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SEQUENCE = 4,
+    VT_TENANT = 6,
+    VT_REQUESTS = 8,
+    VT_AGO_MS = 10
+  };
+  /// Rises with each entry of one process.
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  /// How long before this call they began.
+  uint64_t ago_ms() const {
+    return GetField<uint64_t>(VT_AGO_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGO_MS, 8) &&
+           verifier.EndTable();
+  }
+  RunCountT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RunCountT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RunCount> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunCountT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateTaskRecord(_fbb, _o, _rehasher);
-}
+struct RunCountBuilder {
+  typedef RunCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RunCount::VT_SEQUENCE, sequence, 0);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(RunCount::VT_TENANT, tenant);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(RunCount::VT_REQUESTS, requests, 0);
+  }
+  void add_ago_ms(uint64_t ago_ms) {
+    fbb_.AddElement<uint64_t>(RunCount::VT_AGO_MS, ago_ms, 0);
+  }
+  explicit RunCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RunCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RunCount>(end);
+    return o;
+  }
+};
 
-inline flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
-  auto _model = _o->model.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->model);
-  auto _priority = _o->priority;
-  auto _freshness_bound = _o->freshness_bound;
-  auto _engines = _fbb.CreateVectorOfStrings(_o->engines);
-  auto _scorer = _o->scorer.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->scorer);
-  auto _batch_size = _o->batch_size;
-  auto _shards = _o->shards;
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateTaskRecord(
-      _fbb,
-      _name,
-      _model,
-      _priority,
-      _freshness_bound,
-      _engines,
-      _scorer,
-      _batch_size,
-      _shards,
-      _change_token);
+inline flatbuffers::Offset<RunCount> CreateRunCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint64_t requests = 0,
+    uint64_t ago_ms = 0) {
+  RunCountBuilder builder_(_fbb);
+  builder_.add_ago_ms(ago_ms);
+  builder_.add_requests(requests);
+  builder_.add_sequence(sequence);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
 }
 
-inline VersionRecordT *VersionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<VersionRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct RunCount::Traits {
+  using type = RunCount;
+  static auto constexpr Create = CreateRunCount;
+};
 
-inline void VersionRecord::UnPackTo(VersionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = task(); if (_e) _o->task = _e->str(); }
-  { auto _e = version(); _o->version = _e; }
-  { auto _e = weights(); if (_e) _o->weights = _e->str(); }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+inline flatbuffers::Offset<RunCount> CreateRunCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t sequence = 0,
+    const char *tenant = nullptr,
+    uint64_t requests = 0,
+    uint64_t ago_ms = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return frostline::rpc::CreateRunCount(
+      _fbb,
+      sequence,
+      tenant__,
+      requests,
+      ago_ms);
 }
 
-inline flatbuffers::Offset<VersionRecord> VersionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateVersionRecord(_fbb, _o, _rehasher);
-}
+flatbuffers::Offset<RunCount> CreateRunCount(flatbuffers::FlatBufferBuilder &_fbb, const RunCountT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline flatbuffers::Offset<VersionRecord> CreateVersionRecord(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VersionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _task = _o->task.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->task);
-  auto _version = _o->version;
-  auto _weights = _o->weights.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->weights);
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateVersionRecord(
-      _fbb,
-      _task,
-      _version,
-      _weights,
-      _change_token);
-}
+struct UsageCallT : public flatbuffers::NativeTable {
+  typedef UsageCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageCallT";
+  }
+  std::string node{};
+  std::string incarnation{};
+  std::vector<std::unique_ptr<frostline::rpc::RunCountT>> entries{};
+  uint64_t complete_ms_ago = 0;
+  uint64_t wall_clock_ms = 0;
+  bool leaving = false;
+  UsageCallT() = default;
+  UsageCallT(const UsageCallT &o);
+  UsageCallT(UsageCallT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageCallT &operator=(UsageCallT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node has counted, for the node that reports usage. Entries that were taken may come again.
+struct UsageCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageCallT NativeTableType;
+  typedef UsageCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_INCARNATION = 6,
+    VT_ENTRIES = 8,
+    VT_COMPLETE_MS_AGO = 10,
+    VT_WALL_CLOCK_MS = 12,
+    VT_LEAVING = 14
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  /// Unique for each process.
+  const flatbuffers::String *incarnation() const {
+    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RunCount>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RunCount>> *>(VT_ENTRIES);
+  }
+  /// All that began longer ago than this is among the entries that were sent.
+  uint64_t complete_ms_ago() const {
+    return GetField<uint64_t>(VT_COMPLETE_MS_AGO, 0);
+  }
+  /// The node's time of day, in milliseconds since 1970.
+  uint64_t wall_clock_ms() const {
+    return GetField<uint64_t>(VT_WALL_CLOCK_MS, 0);
+  }
+  /// The node stops: nothing comes from this process any more.
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_INCARNATION) &&
+           verifier.VerifyString(incarnation()) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint64_t>(verifier, VT_COMPLETE_MS_AGO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_WALL_CLOCK_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+  UsageCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
 
-inline RouteRecordT *RouteRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RouteRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+struct UsageCallBuilder {
+  typedef UsageCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(UsageCall::VT_NODE, node);
+  }
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(UsageCall::VT_INCARNATION, incarnation);
+  }
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RunCount>>> entries) {
+    fbb_.AddOffset(UsageCall::VT_ENTRIES, entries);
+  }
+  void add_complete_ms_ago(uint64_t complete_ms_ago) {
+    fbb_.AddElement<uint64_t>(UsageCall::VT_COMPLETE_MS_AGO, complete_ms_ago, 0);
+  }
+  void add_wall_clock_ms(uint64_t wall_clock_ms) {
+    fbb_.AddElement<uint64_t>(UsageCall::VT_WALL_CLOCK_MS, wall_clock_ms, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(UsageCall::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit UsageCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageCall>(end);
+    return o;
+  }
+};
 
-inline void RouteRecord::UnPackTo(RouteRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = name(); if (_e) _o->name = _e->str(); }
-  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
-  { auto _e = backends(); if (_e) { _o->backends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backends[_i] = _e->Get(_i)->str(); } } }
-  { auto _e = repeatable(); _o->repeatable = _e; }
-  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
-  { auto _e = max_concurrent(); _o->max_concurrent = _e; }
-  { auto _e = max_queued(); _o->max_queued = _e; }
-  { auto _e = retry_budget_percent(); _o->retry_budget_percent = _e; }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+inline flatbuffers::Offset<UsageCall> CreateUsageCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RunCount>>> entries = 0,
+    uint64_t complete_ms_ago = 0,
+    uint64_t wall_clock_ms = 0,
+    bool leaving = false) {
+  UsageCallBuilder builder_(_fbb);
+  builder_.add_wall_clock_ms(wall_clock_ms);
+  builder_.add_complete_ms_ago(complete_ms_ago);
+  builder_.add_entries(entries);
+  builder_.add_incarnation(incarnation);
+  builder_.add_node(node);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
 }
 
-inline flatbuffers::Offset<RouteRecord> RouteRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRouteRecord(_fbb, _o, _rehasher);
-}
+struct UsageCall::Traits {
+  using type = UsageCall;
+  static auto constexpr Create = CreateUsageCall;
+};
 
-inline flatbuffers::Offset<RouteRecord> CreateRouteRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
-  auto _path_prefix = _o->path_prefix.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path_prefix);
-  auto _backends = _fbb.CreateVectorOfStrings(_o->backends);
-  auto _repeatable = _o->repeatable;
-  auto _deadline_ms = _o->deadline_ms;
-  auto _max_concurrent = _o->max_concurrent;
-  auto _max_queued = _o->max_queued;
-  auto _retry_budget_percent = _o->retry_budget_percent;
-  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
-  return frostline::rpc::CreateRouteRecord(
+inline flatbuffers::Offset<UsageCall> CreateUsageCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const char *incarnation = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::RunCount>> *entries = nullptr,
+    uint64_t complete_ms_ago = 0,
+    uint64_t wall_clock_ms = 0,
+    bool leaving = false) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RunCount>>(*entries) : 0;
+  return frostline::rpc::CreateUsageCall(
       _fbb,
-      _name,
-      _path_prefix,
-      _backends,
-      _repeatable,
-      _deadline_ms,
-      _max_concurrent,
-      _max_queued,
-      _retry_budget_percent,
-      _change_token);
+      node__,
+      incarnation__,
+      entries__,
+      complete_ms_ago,
+      wall_clock_ms,
+      leaving);
 }
 
-inline DrainRecordT *DrainRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<DrainRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
+flatbuffers::Offset<UsageCall> CreateUsageCall(flatbuffers::FlatBufferBuilder &_fbb, const UsageCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-inline void DrainRecord::UnPackTo(DrainRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = backend(); if (_e) _o->backend = _e->str(); }
-  { auto _e = incarnation(); _o->incarnation = _e; }
-  { auto _e = leaving(); _o->leaving = _e; }
-  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
-}
+struct UsageReplyT : public flatbuffers::NativeTable {
+  typedef UsageReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageReplyT";
+  }
+  bool taken = false;
+  uint64_t counted_to = 0;
+};
 
-inline flatbuffers::Offset<DrainRecord> DrainRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+struct UsageReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageReplyT NativeTableType;
+  typedef UsageReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TAKEN = 4,
+    VT_COUNTED_TO = 6
+  };
+  bool taken() const {
+    return GetField<uint8_t>(VT_TAKEN, 0) != 0;
+  }
+  /// Highest sequence of this process that is counted.
+  uint64_t counted_to() const {
+    return GetField<uint64_t>(VT_COUNTED_TO, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_TAKEN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTED_TO, 8) &&
+           verifier.EndTable();
+  }
+  UsageReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageReplyBuilder {
+  typedef UsageReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_taken(bool taken) {
+    fbb_.AddElement<uint8_t>(UsageReply::VT_TAKEN, static_cast<uint8_t>(taken), 0);
+  }
+  void add_counted_to(uint64_t counted_to) {
+    fbb_.AddElement<uint64_t>(UsageReply::VT_COUNTED_TO, counted_to, 0);
+  }
+  explicit UsageReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageReply> CreateUsageReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool taken = false,
+    uint64_t counted_to = 0) {
+  UsageReplyBuilder builder_(_fbb);
+  builder_.add_counted_to(counted_to);
+  builder_.add_taken(taken);
+  return builder_.Finish();
+}
+
+struct UsageReply::Traits {
+  using type = UsageReply;
+  static auto constexpr Create = CreateUsageReply;
+};
+
+flatbuffers::Offset<UsageReply> CreateUsageReply(flatbuffers::FlatBufferBuilder &_fbb, const UsageReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct TenantCountT : public flatbuffers::NativeTable {
+  typedef TenantCount TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.TenantCountT";
+  }
+  std::string tenant{};
+  uint64_t requests = 0;
+};
+
+struct TenantCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TenantCountT NativeTableType;
+  typedef TenantCountBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.TenantCount";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_REQUESTS = 6
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           verifier.EndTable();
+  }
+  TenantCountT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TenantCountT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TenantCount> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TenantCountT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TenantCountBuilder {
+  typedef TenantCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(TenantCount::VT_TENANT, tenant);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(TenantCount::VT_REQUESTS, requests, 0);
+  }
+  explicit TenantCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TenantCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TenantCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TenantCount> CreateTenantCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint64_t requests = 0) {
+  TenantCountBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+struct TenantCount::Traits {
+  using type = TenantCount;
+  static auto constexpr Create = CreateTenantCount;
+};
+
+inline flatbuffers::Offset<TenantCount> CreateTenantCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint64_t requests = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return frostline::rpc::CreateTenantCount(
+      _fbb,
+      tenant__,
+      requests);
+}
+
+flatbuffers::Offset<TenantCount> CreateTenantCount(flatbuffers::FlatBufferBuilder &_fbb, const TenantCountT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct UsageWindowT : public flatbuffers::NativeTable {
+  typedef UsageWindow TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageWindowT";
+  }
+  uint64_t window = 0;
+  std::vector<std::unique_ptr<frostline::rpc::TenantCountT>> counts{};
+  UsageWindowT() = default;
+  UsageWindowT(const UsageWindowT &o);
+  UsageWindowT(UsageWindowT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageWindowT &operator=(UsageWindowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Usage in one window of time; window k begins k times the window's length after the start of 1970.
+struct UsageWindow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageWindowT NativeTableType;
+  typedef UsageWindowBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageWindow";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WINDOW = 4,
+    VT_COUNTS = 6
+  };
+  uint64_t window() const {
+    return GetField<uint64_t>(VT_WINDOW, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TenantCount>> *counts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TenantCount>> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.VerifyVectorOfTables(counts()) &&
+           verifier.EndTable();
+  }
+  UsageWindowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageWindowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageWindow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageWindowBuilder {
+  typedef UsageWindow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_window(uint64_t window) {
+    fbb_.AddElement<uint64_t>(UsageWindow::VT_WINDOW, window, 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TenantCount>>> counts) {
+    fbb_.AddOffset(UsageWindow::VT_COUNTS, counts);
+  }
+  explicit UsageWindowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageWindow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageWindow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t window = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TenantCount>>> counts = 0) {
+  UsageWindowBuilder builder_(_fbb);
+  builder_.add_window(window);
+  builder_.add_counts(counts);
+  return builder_.Finish();
+}
+
+struct UsageWindow::Traits {
+  using type = UsageWindow;
+  static auto constexpr Create = CreateUsageWindow;
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t window = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::TenantCount>> *counts = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TenantCount>>(*counts) : 0;
+  return frostline::rpc::CreateUsageWindow(
+      _fbb,
+      window,
+      counts__);
+}
+
+flatbuffers::Offset<UsageWindow> CreateUsageWindow(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CountedProcessT : public flatbuffers::NativeTable {
+  typedef CountedProcess TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CountedProcessT";
+  }
+  std::string incarnation{};
+  std::string node{};
+  uint64_t counted_to = 0;
+};
+
+/// Up to which entry a process's counts are in the windows.
+struct CountedProcess FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CountedProcessT NativeTableType;
+  typedef CountedProcessBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CountedProcess";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4,
+    VT_NODE = 6,
+    VT_COUNTED_TO = 8
+  };
+  const flatbuffers::String *incarnation() const {
+    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  uint64_t counted_to() const {
+    return GetField<uint64_t>(VT_COUNTED_TO, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INCARNATION) &&
+           verifier.VerifyString(incarnation()) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTED_TO, 8) &&
+           verifier.EndTable();
+  }
+  CountedProcessT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CountedProcessT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CountedProcess> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CountedProcessT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CountedProcessBuilder {
+  typedef CountedProcess Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(CountedProcess::VT_INCARNATION, incarnation);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(CountedProcess::VT_NODE, node);
+  }
+  void add_counted_to(uint64_t counted_to) {
+    fbb_.AddElement<uint64_t>(CountedProcess::VT_COUNTED_TO, counted_to, 0);
+  }
+  explicit CountedProcessBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CountedProcess> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CountedProcess>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CountedProcess> CreateCountedProcess(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint64_t counted_to = 0) {
+  CountedProcessBuilder builder_(_fbb);
+  builder_.add_counted_to(counted_to);
+  builder_.add_node(node);
+  builder_.add_incarnation(incarnation);
+  return builder_.Finish();
+}
+
+struct CountedProcess::Traits {
+  using type = CountedProcess;
+  static auto constexpr Create = CreateCountedProcess;
+};
+
+inline flatbuffers::Offset<CountedProcess> CreateCountedProcessDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *incarnation = nullptr,
+    const char *node = nullptr,
+    uint64_t counted_to = 0) {
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  return frostline::rpc::CreateCountedProcess(
+      _fbb,
+      incarnation__,
+      node__,
+      counted_to);
+}
+
+flatbuffers::Offset<CountedProcess> CreateCountedProcess(flatbuffers::FlatBufferBuilder &_fbb, const CountedProcessT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct UsageStateT : public flatbuffers::NativeTable {
+  typedef UsageState TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageStateT";
+  }
+  uint64_t first_open = 0;
+  std::vector<std::unique_ptr<frostline::rpc::UsageWindowT>> open{};
+  std::vector<std::unique_ptr<frostline::rpc::UsageWindowT>> unreported{};
+  std::vector<std::unique_ptr<frostline::rpc::CountedProcessT>> processes{};
+  std::string token{};
+  UsageStateT() = default;
+  UsageStateT(const UsageStateT &o);
+  UsageStateT(UsageStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageStateT &operator=(UsageStateT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node that reports usage has gathered. Stored in the record store, so that a successor goes on from it.
+struct UsageState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageStateT NativeTableType;
+  typedef UsageStateBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.UsageState";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FIRST_OPEN = 4,
+    VT_OPEN = 6,
+    VT_UNREPORTED = 8,
+    VT_PROCESSES = 10,
+    VT_TOKEN = 12
+  };
+  /// Windows before this one are closed: their counts change no more.
+  uint64_t first_open() const {
+    return GetField<uint64_t>(VT_FIRST_OPEN, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *open() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *>(VT_OPEN);
+  }
+  /// Closed, and not known to be reported.
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *unreported() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *>(VT_UNREPORTED);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CountedProcess>> *processes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CountedProcess>> *>(VT_PROCESSES);
+  }
+  /// Unique for each write.
+  const flatbuffers::String *token() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOKEN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST_OPEN, 8) &&
+           VerifyOffset(verifier, VT_OPEN) &&
+           verifier.VerifyVector(open()) &&
+           verifier.VerifyVectorOfTables(open()) &&
+           VerifyOffset(verifier, VT_UNREPORTED) &&
+           verifier.VerifyVector(unreported()) &&
+           verifier.VerifyVectorOfTables(unreported()) &&
+           VerifyOffset(verifier, VT_PROCESSES) &&
+           verifier.VerifyVector(processes()) &&
+           verifier.VerifyVectorOfTables(processes()) &&
+           VerifyOffset(verifier, VT_TOKEN) &&
+           verifier.VerifyString(token()) &&
+           verifier.EndTable();
+  }
+  UsageStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageStateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageState> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageStateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageStateBuilder {
+  typedef UsageState Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_first_open(uint64_t first_open) {
+    fbb_.AddElement<uint64_t>(UsageState::VT_FIRST_OPEN, first_open, 0);
+  }
+  void add_open(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>>> open) {
+    fbb_.AddOffset(UsageState::VT_OPEN, open);
+  }
+  void add_unreported(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>>> unreported) {
+    fbb_.AddOffset(UsageState::VT_UNREPORTED, unreported);
+  }
+  void add_processes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CountedProcess>>> processes) {
+    fbb_.AddOffset(UsageState::VT_PROCESSES, processes);
+  }
+  void add_token(flatbuffers::Offset<flatbuffers::String> token) {
+    fbb_.AddOffset(UsageState::VT_TOKEN, token);
+  }
+  explicit UsageStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageState> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageState>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageState> CreateUsageState(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t first_open = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>>> open = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::UsageWindow>>> unreported = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CountedProcess>>> processes = 0,
+    flatbuffers::Offset<flatbuffers::String> token = 0) {
+  UsageStateBuilder builder_(_fbb);
+  builder_.add_first_open(first_open);
+  builder_.add_token(token);
+  builder_.add_processes(processes);
+  builder_.add_unreported(unreported);
+  builder_.add_open(open);
+  return builder_.Finish();
+}
+
+struct UsageState::Traits {
+  using type = UsageState;
+  static auto constexpr Create = CreateUsageState;
+};
+
+inline flatbuffers::Offset<UsageState> CreateUsageStateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t first_open = 0,
+    const std::vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *open = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::UsageWindow>> *unreported = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::CountedProcess>> *processes = nullptr,
+    const char *token = nullptr) {
+  auto open__ = open ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::UsageWindow>>(*open) : 0;
+  auto unreported__ = unreported ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::UsageWindow>>(*unreported) : 0;
+  auto processes__ = processes ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::CountedProcess>>(*processes) : 0;
+  auto token__ = token ? _fbb.CreateString(token) : 0;
+  return frostline::rpc::CreateUsageState(
+      _fbb,
+      first_open,
+      open__,
+      unreported__,
+      processes__,
+      token__);
+}
+
+flatbuffers::Offset<UsageState> CreateUsageState(flatbuffers::FlatBufferBuilder &_fbb, const UsageStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TaskRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TaskRecord::UnPackTo(TaskRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = model(); if (_e) _o->model = _e->str(); }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = freshness_bound(); _o->freshness_bound = _e; }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = scorer(); if (_e) _o->scorer = _e->str(); }
+  { auto _e = batch_size(); _o->batch_size = _e; }
+  { auto _e = shards(); _o->shards = _e; }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<TaskRecord> TaskRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTaskRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TaskRecord> CreateTaskRecord(flatbuffers::FlatBufferBuilder &_fbb, const TaskRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TaskRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
+  auto _model = _o->model.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->model);
+  auto _priority = _o->priority;
+  auto _freshness_bound = _o->freshness_bound;
+  auto _engines = _fbb.CreateVectorOfStrings(_o->engines);
+  auto _scorer = _o->scorer.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->scorer);
+  auto _batch_size = _o->batch_size;
+  auto _shards = _o->shards;
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateTaskRecord(
+      _fbb,
+      _name,
+      _model,
+      _priority,
+      _freshness_bound,
+      _engines,
+      _scorer,
+      _batch_size,
+      _shards,
+      _change_token);
+}
+
+inline VersionRecordT *VersionRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<VersionRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void VersionRecord::UnPackTo(VersionRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = task(); if (_e) _o->task = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = weights(); if (_e) _o->weights = _e->str(); }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<VersionRecord> VersionRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateVersionRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<VersionRecord> CreateVersionRecord(flatbuffers::FlatBufferBuilder &_fbb, const VersionRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const VersionRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _task = _o->task.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->task);
+  auto _version = _o->version;
+  auto _weights = _o->weights.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->weights);
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateVersionRecord(
+      _fbb,
+      _task,
+      _version,
+      _weights,
+      _change_token);
+}
+
+inline RouteRecordT *RouteRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RouteRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RouteRecord::UnPackTo(RouteRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = path_prefix(); if (_e) _o->path_prefix = _e->str(); }
+  { auto _e = backends(); if (_e) { _o->backends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->backends[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = repeatable(); _o->repeatable = _e; }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = max_concurrent(); _o->max_concurrent = _e; }
+  { auto _e = max_queued(); _o->max_queued = _e; }
+  { auto _e = retry_budget_percent(); _o->retry_budget_percent = _e; }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<RouteRecord> RouteRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRouteRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RouteRecord> CreateRouteRecord(flatbuffers::FlatBufferBuilder &_fbb, const RouteRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->name);
+  auto _path_prefix = _o->path_prefix.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->path_prefix);
+  auto _backends = _fbb.CreateVectorOfStrings(_o->backends);
+  auto _repeatable = _o->repeatable;
+  auto _deadline_ms = _o->deadline_ms;
+  auto _max_concurrent = _o->max_concurrent;
+  auto _max_queued = _o->max_queued;
+  auto _retry_budget_percent = _o->retry_budget_percent;
+  auto _change_token = _o->change_token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->change_token);
+  return frostline::rpc::CreateRouteRecord(
+      _fbb,
+      _name,
+      _path_prefix,
+      _backends,
+      _repeatable,
+      _deadline_ms,
+      _max_concurrent,
+      _max_queued,
+      _retry_budget_percent,
+      _change_token);
+}
+
+inline DrainRecordT *DrainRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DrainRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DrainRecord::UnPackTo(DrainRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = backend(); if (_e) _o->backend = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+  { auto _e = change_token(); if (_e) _o->change_token = _e->str(); }
+}
+
+inline flatbuffers::Offset<DrainRecord> DrainRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DrainRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
   return CreateDrainRecord(_fbb, _o, _rehasher);
 }
 
@@ -11196,6 +11995,291 @@
       _store_back_ms_ago);
 }
 
+inline RunCountT *RunCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RunCountT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RunCount::UnPackTo(RunCountT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = ago_ms(); _o->ago_ms = _e; }
+}
+
+inline flatbuffers::Offset<RunCount> RunCount::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RunCountT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRunCount(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RunCount> CreateRunCount(flatbuffers::FlatBufferBuilder &_fbb, const RunCountT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RunCountT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _sequence = _o->sequence;
+  auto _tenant = _o->tenant.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->tenant);
+  auto _requests = _o->requests;
+  auto _ago_ms = _o->ago_ms;
+  return frostline::rpc::CreateRunCount(
+      _fbb,
+      _sequence,
+      _tenant,
+      _requests,
+      _ago_ms);
+}
+
+inline UsageCallT::UsageCallT(const UsageCallT &o)
+      : node(o.node),
+        incarnation(o.incarnation),
+        complete_ms_ago(o.complete_ms_ago),
+        wall_clock_ms(o.wall_clock_ms),
+        leaving(o.leaving) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new frostline::rpc::RunCountT(*entries_) : nullptr); }
+}
+
+inline UsageCallT &UsageCallT::operator=(UsageCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(incarnation, o.incarnation);
+  std::swap(entries, o.entries);
+  std::swap(complete_ms_ago, o.complete_ms_ago);
+  std::swap(wall_clock_ms, o.wall_clock_ms);
+  std::swap(leaving, o.leaving);
+  return *this;
+}
+
+inline UsageCallT *UsageCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageCall::UnPackTo(UsageCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<frostline::rpc::RunCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = complete_ms_ago(); _o->complete_ms_ago = _e; }
+  { auto _e = wall_clock_ms(); _o->wall_clock_ms = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+}
+
+inline flatbuffers::Offset<UsageCall> UsageCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageCall> CreateUsageCall(flatbuffers::FlatBufferBuilder &_fbb, const UsageCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->node);
+  auto _incarnation = _o->incarnation.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->incarnation);
+  auto _entries = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RunCount>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateRunCount(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va );
+  auto _complete_ms_ago = _o->complete_ms_ago;
+  auto _wall_clock_ms = _o->wall_clock_ms;
+  auto _leaving = _o->leaving;
+  return frostline::rpc::CreateUsageCall(
+      _fbb,
+      _node,
+      _incarnation,
+      _entries,
+      _complete_ms_ago,
+      _wall_clock_ms,
+      _leaving);
+}
+
+inline UsageReplyT *UsageReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageReply::UnPackTo(UsageReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = taken(); _o->taken = _e; }
+  { auto _e = counted_to(); _o->counted_to = _e; }
+}
+
+inline flatbuffers::Offset<UsageReply> UsageReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageReply> CreateUsageReply(flatbuffers::FlatBufferBuilder &_fbb, const UsageReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _taken = _o->taken;
+  auto _counted_to = _o->counted_to;
+  return frostline::rpc::CreateUsageReply(
+      _fbb,
+      _taken,
+      _counted_to);
+}
+
+inline TenantCountT *TenantCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TenantCountT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TenantCount::UnPackTo(TenantCountT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+}
+
+inline flatbuffers::Offset<TenantCount> TenantCount::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TenantCountT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTenantCount(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TenantCount> CreateTenantCount(flatbuffers::FlatBufferBuilder &_fbb, const TenantCountT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TenantCountT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->tenant);
+  auto _requests = _o->requests;
+  return frostline::rpc::CreateTenantCount(
+      _fbb,
+      _tenant,
+      _requests);
+}
+
+inline UsageWindowT::UsageWindowT(const UsageWindowT &o)
+      : window(o.window) {
+  counts.reserve(o.counts.size());
+  for (const auto &counts_ : o.counts) { counts.emplace_back((counts_) ? new frostline::rpc::TenantCountT(*counts_) : nullptr); }
+}
+
+inline UsageWindowT &UsageWindowT::operator=(UsageWindowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(window, o.window);
+  std::swap(counts, o.counts);
+  return *this;
+}
+
+inline UsageWindowT *UsageWindow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageWindowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageWindow::UnPackTo(UsageWindowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = window(); _o->window = _e; }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = std::unique_ptr<frostline::rpc::TenantCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<UsageWindow> UsageWindow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageWindow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindow(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageWindowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _window = _o->window;
+  auto _counts = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TenantCount>> (_o->counts.size(), [](size_t i, _VectorArgs *__va) { return CreateTenantCount(*__va->__fbb, __va->__o->counts[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateUsageWindow(
+      _fbb,
+      _window,
+      _counts);
+}
+
+inline CountedProcessT *CountedProcess::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CountedProcessT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CountedProcess::UnPackTo(CountedProcessT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = counted_to(); _o->counted_to = _e; }
+}
+
+inline flatbuffers::Offset<CountedProcess> CountedProcess::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CountedProcessT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCountedProcess(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CountedProcess> CreateCountedProcess(flatbuffers::FlatBufferBuilder &_fbb, const CountedProcessT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CountedProcessT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->incarnation);
+  auto _node = _o->node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->node);
+  auto _counted_to = _o->counted_to;
+  return frostline::rpc::CreateCountedProcess(
+      _fbb,
+      _incarnation,
+      _node,
+      _counted_to);
+}
+
+inline UsageStateT::UsageStateT(const UsageStateT &o)
+      : first_open(o.first_open),
+        token(o.token) {
+  open.reserve(o.open.size());
+  for (const auto &open_ : o.open) { open.emplace_back((open_) ? new frostline::rpc::UsageWindowT(*open_) : nullptr); }
+  unreported.reserve(o.unreported.size());
+  for (const auto &unreported_ : o.unreported) { unreported.emplace_back((unreported_) ? new frostline::rpc::UsageWindowT(*unreported_) : nullptr); }
+  processes.reserve(o.processes.size());
+  for (const auto &processes_ : o.processes) { processes.emplace_back((processes_) ? new frostline::rpc::CountedProcessT(*processes_) : nullptr); }
+}
+
+inline UsageStateT &UsageStateT::operator=(UsageStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(first_open, o.first_open);
+  std::swap(open, o.open);
+  std::swap(unreported, o.unreported);
+  std::swap(processes, o.processes);
+  std::swap(token, o.token);
+  return *this;
+}
+
+inline UsageStateT *UsageState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageStateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageState::UnPackTo(UsageStateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = first_open(); _o->first_open = _e; }
+  { auto _e = open(); if (_e) { _o->open.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->open[_i] = std::unique_ptr<frostline::rpc::UsageWindowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = unreported(); if (_e) { _o->unreported.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->unreported[_i] = std::unique_ptr<frostline::rpc::UsageWindowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = processes(); if (_e) { _o->processes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->processes[_i] = std::unique_ptr<frostline::rpc::CountedProcessT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = token(); if (_e) _o->token = _e->str(); }
+}
+
+inline flatbuffers::Offset<UsageState> UsageState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageState(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageState> CreateUsageState(flatbuffers::FlatBufferBuilder &_fbb, const UsageStateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _first_open = _o->first_open;
+  auto _open = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::UsageWindow>> (_o->open.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageWindow(*__va->__fbb, __va->__o->open[i].get(), __va->__rehasher); }, &_va );
+  auto _unreported = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::UsageWindow>> (_o->unreported.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageWindow(*__va->__fbb, __va->__o->unreported[i].get(), __va->__rehasher); }, &_va );
+  auto _processes = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::CountedProcess>> (_o->processes.size(), [](size_t i, _VectorArgs *__va) { return CreateCountedProcess(*__va->__fbb, __va->__o->processes[i].get(), __va->__rehasher); }, &_va );
+  auto _token = _o->token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->token);
+  return frostline::rpc::CreateUsageState(
+      _fbb,
+      _first_open,
+      _open,
+      _unreported,
+      _processes,
+      _token);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -610,5 +610,62 @@
 rpc_service RelayService {
   Poll(PollCall):PollReply;
 }
+
+/// Requests of one tenant that began to run at servers at about the same time.
+table RunCount {
+  /// Rises with each entry of one process.
+  sequence:uint64;
+  tenant:string;
+  requests:uint64;
+  /// How long before this call they began.
+  ago_ms:uint64;
+}
+/// What a node has counted, for the node that reports usage. Entries that were taken may come again.
+table UsageCall {
+  node:string;
+  /// Unique for each process.
+  incarnation:string;
+  entries:[RunCount];
+  /// All that began longer ago than this is among the entries that were sent.
+  complete_ms_ago:uint64;
+  /// The node's time of day, in milliseconds since 1970.
+  wall_clock_ms:uint64;
+  /// The node stops: nothing comes from this process any more.
+  leaving:bool;
+}
+table UsageReply {
+  taken:bool;
+  /// Highest sequence of this process that is counted.
+  counted_to:uint64;
+}
+table TenantCount {
+  tenant:string;
+  requests:uint64;
+}
+/// Usage in one window of time; window k begins k times the window's length after the start of 1970.
+table UsageWindow {
+  window:uint64;
+  counts:[TenantCount];
+}
+/// Up to which entry a process's counts are in the windows.
+table CountedProcess {
+  incarnation:string;
+  node:string;
+  counted_to:uint64;
+}
+/// What a node that reports usage has gathered. Stored in the record store, so that a successor goes on from it.
+table UsageState {
+  /// Windows before this one are closed: their counts change no more.
+  first_open:uint64;
+  open:[UsageWindow];
+  /// Closed, and not known to be reported.
+  unreported:[UsageWindow];
+  processes:[CountedProcess];
+  /// Unique for each write.
+  token:string;
+}
+rpc_service UsageService {
+  Count(UsageCall):UsageReply;
+}
 )schema";
 }  // namespace frostline::schema
--- /dev/null
+++ b/src/usage/run_counter.h
@@ -0,0 +1,52 @@
+/// @file Counts, on one node, the requests of each tenant that servers began to run, and when.
+/// Pure.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::usage {
+
+class run_counter {
+ public:
+  using attempt_id = std::uint64_t;
+
+  /// A request is about to be sent to a server, which may begin to run it from now on.
+  attempt_id begin_attempt(time_point now);
+  /// The server has, or has not, begun to run it.
+  /// @param began_at when it began.
+  void end_attempt(attempt_id id, std::string const& tenant, bool began, time_point began_at);
+
+  /// Entries after `sequence`, and up to when all is told.
+  /// @param most entries at once; the rest follows with the next call.
+  rpc::UsageCallT entries_after(std::uint64_t sequence, time_point now, std::size_t most) const;
+  bool has_entries_after(std::uint64_t sequence) const {
+    return !entries_.empty() && entries_.back().sequence > sequence;
+  }
+  /// Drops entries of requests that began before this time: every window that they could be in is
+  /// over.
+  void forget_before(time_point when);
+  std::uint64_t total() const { return total_; }
+
+ private:
+  struct entry {
+    std::uint64_t sequence = 0;
+    std::string tenant;
+    std::uint64_t requests = 0;
+    time_point began_at{};
+  };
+
+  /// By the time of their sending, and so in the order of their identifiers.
+  std::map<attempt_id, time_point> open_;
+  std::deque<entry> entries_;
+  attempt_id next_attempt_ = 1;
+  std::uint64_t next_sequence_ = 1;
+  std::uint64_t total_ = 0;
+};
+
+}  // namespace frostline::usage
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -198,7 +198,7 @@
   platform_cluster::wait_until("it is ready", [&] { return system.is_ready(owner); });
   check_whole(system.wait_for_results(owner, "job", 4), 4);
   platform_cluster::wait_until("the log tells so", [&] {
-    return system.log(owner).find("Pool acquired") != std::string::npos;
+    return system.log(owner).find("Ownership acquired") != std::string::npos;
   });
   // The record of the former process was replaced; it had not gone with its lease.
   auto const record =
--- a/tests/platform/tenants_test.cc
+++ b/tests/platform/tenants_test.cc
@@ -53,14 +53,16 @@
 };
 
 TEST(tenants_test, requests_without_a_known_key_are_refused_and_reach_no_server) {
+  int number = 0;
   for (std::string const key : {"", "key-x", "key-"}) {
     system.use_key(key);
-    auto const answer = system.call(0, http::verb::post, "/calls/a", "refused-" + key, "body");
+    std::string const id = "refused-" + std::to_string(++number);
+    auto const answer = system.call(0, http::verb::post, "/calls/a", id, "body");
     LONGS_EQUAL(401, answer.value().result_int());
     STRCMP_EQUAL("Bearer", std::string(http::header(answer.value(), "WWW-Authenticate")).c_str());
     STRCMP_EQUAL("application/problem+json",
                  std::string(http::header(answer.value(), "Content-Type")).c_str());
-    LONGS_EQUAL(401, system.submit(1, "job" + key, {{"item"}}));
+    LONGS_EQUAL(401, system.submit(1, id, {{"item"}}));
     LONGS_EQUAL(401, system.end_job(2, "job"));
   }
   LONGS_EQUAL(0, arrivals_at(false).size());
--- a/tests/unit/ownership/pool_lease_test.cc
+++ b/tests/unit/ownership/owner_lease_test.cc
@@ -1,6 +1,6 @@
 /// @file One owner of a pool at a time, and orders of two owners that keep their distance.
 
-#include "ownership/pool_lease.h"
+#include "ownership/owner_lease.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -11,15 +11,15 @@
 using namespace frostline::ownership;
 using frostline::testing::memory_record_store;
 
-TEST_GROUP(pool_lease_test) {
+TEST_GROUP(owner_lease_test) {
   asio::io_context context{1};
   memory_record_store store{context};
-  pool_lease one{context, store, "pool", options_of("one")};
+  owner_lease one{context, store, "pool", options_of("one")};
   int gained = 0;
   int lost = 0;
 
-  static pool_lease_options options_of(std::string const& node) {
-    pool_lease_options options;
+  static owner_lease_options options_of(std::string const& node) {
+    owner_lease_options options;
     options.node = node;
     options.address = endpoint{"127.0.0.1", 1000};
     return options;
@@ -35,20 +35,20 @@
     record.node = node;
     record.address = "127.0.0.1:2000";
     record.token = token;
-    store.put_now(pool_lease::key_of("pool"), rpc::encode(record));
+    store.put_now(owner_lease::key_of("pool"), rpc::encode(record));
   }
 
   void put_orderer(std::string const& node) {
     rpc::PoolOwnerT record;
     record.node = node;
-    store.put_now(pool_lease::orderer_key_of("pool"), rpc::encode(record));
+    store.put_now(owner_lease::orderer_key_of("pool"), rpc::encode(record));
   }
 
   /// What the owners' follower would say.
-  void tell(pool_lease & which) {
+  void tell(owner_lease & which) {
     bool owned = false;
-    for (kv::key_value const& one : store.list_now(pool_lease::key_of("pool"))) {
-      if (pool_lease::pool_of_orderer_key(one.key)) {
+    for (kv::key_value const& one : store.list_now(owner_lease::key_of("pool"))) {
+      if (owner_lease::resource_of_orderer_key(one.key)) {
         which.note_orderer(one);
       } else {
         owned = true;
@@ -64,23 +64,23 @@
   }
 };
 
-TEST(pool_lease_test, free_pool_is_acquired_and_the_first_order_waits) {
+TEST(owner_lease_test, free_pool_is_acquired_and_the_first_order_waits) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
   CHECK(one.holds(steady_clock::now()));
-  LONGS_EQUAL(store.revision_of(pool_lease::key_of("pool")), one.epoch());
+  LONGS_EQUAL(store.revision_of(owner_lease::key_of("pool")), one.epoch());
   CHECK(one.orders_from() > steady_clock::now() + seconds(2));
 }
 
-TEST(pool_lease_test, lease_is_not_held_beyond_its_time) {
+TEST(owner_lease_test, lease_is_not_held_beyond_its_time) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
   CHECK_FALSE(one.holds(steady_clock::now() + milliseconds(1400)));
 }
 
-TEST(pool_lease_test, pool_of_another_node_is_left_alone) {
+TEST(owner_lease_test, pool_of_another_node_is_left_alone) {
   put_owner("other", "t");
   one.start();
   tell(one);
@@ -89,10 +89,10 @@
   STRCMP_EQUAL("other", one.owner()->node.c_str());
 }
 
-TEST(pool_lease_test, record_of_the_own_former_process_is_replaced_at_once_and_orders_go_on) {
+TEST(owner_lease_test, record_of_the_own_former_process_is_replaced_at_once_and_orders_go_on) {
   put_owner("one", "former");
   put_orderer("one");
-  auto const former = store.revision_of(pool_lease::key_of("pool"));
+  auto const former = store.revision_of(owner_lease::key_of("pool"));
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
@@ -100,7 +100,7 @@
   CHECK(one.orders_from() <= steady_clock::now());
 }
 
-TEST(pool_lease_test, another_owners_record_ends_the_own_ownership) {
+TEST(owner_lease_test, another_owners_record_ends_the_own_ownership) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
@@ -110,7 +110,7 @@
   CHECK_FALSE(one.holds(steady_clock::now()));
 }
 
-TEST(pool_lease_test, expired_lease_ends_the_ownership_and_it_is_asked_for_again) {
+TEST(owner_lease_test, expired_lease_ends_the_ownership_and_it_is_asked_for_again) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
@@ -121,12 +121,12 @@
   CHECK(one.orders_from() > steady_clock::now() + seconds(2));
 }
 
-TEST(pool_lease_test, node_that_ordered_last_orders_at_once_when_it_owns_the_pool_again) {
+TEST(owner_lease_test, node_that_ordered_last_orders_at_once_when_it_owns_the_pool_again) {
   one.set_order_gap(milliseconds(20));
   one.start();
   tell(one);
   run_until([&] { return one.may_order(steady_clock::now()); });
-  CHECK(store.revision_of(pool_lease::orderer_key_of("pool")) != 0);
+  CHECK(store.revision_of(owner_lease::orderer_key_of("pool")) != 0);
   one.set_order_gap(milliseconds(3000));
   store.expire_leases();
   run_until([&] { return lost == 1; });
@@ -134,17 +134,17 @@
   CHECK(one.may_order(steady_clock::now()));
 }
 
-TEST(pool_lease_test, nothing_may_be_ordered_before_the_store_knows_the_orderer) {
+TEST(owner_lease_test, nothing_may_be_ordered_before_the_store_knows_the_orderer) {
   one.set_order_gap(milliseconds(0));
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
   CHECK_FALSE(one.may_order(steady_clock::now()));
   run_until([&] { return one.may_order(steady_clock::now()); });
-  LONGS_EQUAL(1, store.writes_of(pool_lease::orderer_key_of("pool")));
+  LONGS_EQUAL(1, store.writes_of(owner_lease::orderer_key_of("pool")));
 }
 
-TEST(pool_lease_test, restarted_owner_that_had_not_ordered_waits_for_the_former_orderer) {
+TEST(owner_lease_test, restarted_owner_that_had_not_ordered_waits_for_the_former_orderer) {
   put_owner("one", "former");
   put_orderer("other");
   one.start();
@@ -153,7 +153,7 @@
   CHECK(one.orders_from() > steady_clock::now() + seconds(2));
 }
 
-TEST(pool_lease_test, pool_is_not_taken_on_stale_knowledge_of_the_orderer) {
+TEST(owner_lease_test, pool_is_not_taken_on_stale_knowledge_of_the_orderer) {
   put_orderer("one");
   one.start();
   tell(one);
@@ -162,52 +162,52 @@
   CHECK(one.orders_from() > steady_clock::now() + seconds(2));
 }
 
-TEST(pool_lease_test, orderers_record_whose_answer_is_lost_counts_once) {
+TEST(owner_lease_test, orderers_record_whose_answer_is_lost_counts_once) {
   one.set_order_gap(milliseconds(0));
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
   store.lose_answers(1);
   run_until([&] { return one.may_order(steady_clock::now()); });
-  LONGS_EQUAL(1, store.writes_of(pool_lease::orderer_key_of("pool")));
+  LONGS_EQUAL(1, store.writes_of(owner_lease::orderer_key_of("pool")));
 }
 
-TEST(pool_lease_test, orderers_key_names_its_pool) {
+TEST(owner_lease_test, orderers_key_names_its_pool) {
   STRCMP_EQUAL("pool",
-               pool_lease::pool_of_orderer_key(pool_lease::orderer_key_of("pool"))->c_str());
-  CHECK_FALSE(pool_lease::pool_of_orderer_key(pool_lease::key_of("pool")).has_value());
-  CHECK_FALSE(pool_lease::pool_of_orderer_key("frostline/owners//orders").has_value());
+               owner_lease::resource_of_orderer_key(owner_lease::orderer_key_of("pool"))->c_str());
+  CHECK_FALSE(owner_lease::resource_of_orderer_key(owner_lease::key_of("pool")).has_value());
+  CHECK_FALSE(owner_lease::resource_of_orderer_key("frostline/owners//orders").has_value());
 }
 
-TEST(pool_lease_test, acquisition_whose_answer_is_lost_counts_when_the_record_is_seen) {
+TEST(owner_lease_test, acquisition_whose_answer_is_lost_counts_when_the_record_is_seen) {
   store.lose_answers(1);
   one.start();
   tell(one);
-  run_until([&] { return store.revision_of(pool_lease::key_of("pool")) != 0; });
+  run_until([&] { return store.revision_of(owner_lease::key_of("pool")) != 0; });
   tell(one);
   run_until([&] { return gained == 1; });
   CHECK(one.holds(steady_clock::now()));
 }
 
-TEST(pool_lease_test, released_pool_is_free_and_not_asked_for_again) {
+TEST(owner_lease_test, released_pool_is_free_and_not_asked_for_again) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
   spawn(context, one.release());
-  run_until([&] { return store.revision_of(pool_lease::key_of("pool")) == 0; });
+  run_until([&] { return store.revision_of(owner_lease::key_of("pool")) == 0; });
   tell(one);
   context.run_for(std::chrono::milliseconds(400));
   LONGS_EQUAL(1, gained);
   LONGS_EQUAL(1, lost);
 }
 
-TEST(pool_lease_test, weak_node_asks_for_a_free_pool_after_the_strong_ones) {
+TEST(owner_lease_test, weak_node_asks_for_a_free_pool_after_the_strong_ones) {
   LONGS_EQUAL(0, handicap_of(0.5).count());
   LONGS_EQUAL(0, handicap_of(4).count());
   CHECK(handicap_of(0.12) > handicap_of(0.25));
-  pool_lease_options options = options_of("weak");
+  owner_lease_options options = options_of("weak");
   options.handicap = milliseconds(2000);
-  pool_lease weak{context, store, "pool", options};
+  owner_lease weak{context, store, "pool", options};
   int weak_gained = 0;
   weak.on_change([&] { ++weak_gained; }, [] {});
   weak.start();
@@ -219,7 +219,7 @@
   context.stop();
 }
 
-TEST(pool_lease_test, lost_answer_of_a_renewal_does_not_end_the_ownership) {
+TEST(owner_lease_test, lost_answer_of_a_renewal_does_not_end_the_ownership) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
