Usage: tests of counting, windows, holders that die, freeze and stop, and of the service's failures

Change: unit tests of run_counter and usage_ledger (clocks that step, nodes that are silent, successors), a stand-in of the duty service that notes what a real one would hold against callers, seven tests with processes.

--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -74,6 +74,8 @@
       address_(own_loopback_address()),
       store_address_(free_endpoint(address_)) {
   store_ = std::make_unique<store_standin>(context_, store_address_);
+  duties_address_ = free_endpoint(address_);
+  duties_ = std::make_unique<duty_standin>(context_, duties_address_);
   for (std::uint32_t index = 0; index < options_.engines + options_.apps; ++index) {
     bool const is_engine = index < options_.engines;
     server_options server;
@@ -145,6 +147,10 @@
        << "[relay]\nseeds = \"" << addresses_.front().peers.to_string() << "\"\n"
        << "[record_store]\naddress = \"" << store.to_string() << "\"\n"
        << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
+  if (options_.usage_window == milliseconds(0)) return;
+  file << "[duties]\naddress = \"" << duties_address_.to_string() << "\"\n[usage]\n"
+       << "window_seconds = " << static_cast<double>(options_.usage_window.count()) / 1000
+       << "\nlate_seconds = " << static_cast<double>(options_.usage_late.count()) / 1000 << "\n";
 }
 
 void platform_cluster::touch_settings(std::size_t index) {
@@ -182,6 +188,15 @@
   return find_named("frostline/owners/engines");
 }
 
+std::size_t platform_cluster::duty_holder() {
+  std::optional<std::size_t> found;
+  wait_until("a node holds the duties", [&] {
+    found = find_named("frostline/owners/duties/platform");
+    return found.has_value();
+  });
+  return *found;
+}
+
 std::optional<std::size_t> platform_cluster::find_relay(std::uint32_t zone) {
   return find_named("frostline/relays/zone-" + std::to_string(zone));
 }
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -12,6 +12,7 @@
 #include <thread>
 #include <vector>
 
+#include "duty_standin.h"
 #include "fault_proxy.h"
 #include "process.h"
 #include "rpc/blocking.h"
@@ -32,6 +33,10 @@
   std::uint32_t zones = 1;
   /// "tenants" of the first configuration, as JSON; empty: there are none.
   std::string tenants;
+  /// Nodes report usage for windows of this length to the stand-in of the duty service; 0: none.
+  milliseconds usage_window{0};
+  /// A window's usage is due that long after its end.
+  milliseconds usage_late{1500};
 };
 
 /// One item of a job, in the words of the test.
@@ -59,6 +64,7 @@
   }
 
   store_standin& store() { return *store_; }
+  duty_standin& duties() { return *duties_; }
   server_standin& engine(std::size_t index) { return *engines_.at(index); }
   server_standin& app(std::size_t index) { return *apps_.at(index); }
   std::size_t engines() const { return engines_.size(); }
@@ -94,6 +100,8 @@
   std::size_t relay(std::uint32_t zone = 0);
   std::optional<std::size_t> find_relay(std::uint32_t zone = 0);
   std::optional<std::size_t> find_owner();
+  /// Index of the node that holds the duties, by the store's record; waits until one does.
+  std::size_t duty_holder();
   /// One call to a node's client address. @param headers beyond Host and the request's identifier.
   result<http::response> call(std::size_t node, http::verb method, std::string const& path,
                               std::string const& request_id, std::string const& body = "",
@@ -130,6 +138,8 @@
   std::string address_;
   asio::io_context context_{1};
   std::unique_ptr<store_standin> store_;
+  endpoint duties_address_;
+  std::unique_ptr<duty_standin> duties_;
   std::vector<std::unique_ptr<server_standin>> engines_;
   std::vector<std::unique_ptr<server_standin>> apps_;
   std::thread thread_;
