A new owner answers for ended jobs by their marks and reads their data one after the other

Once it had loaded its open jobs (38.1) it stored nothing until 41.5: five tries of a write of 1.1 MB had no answer in 519 ms each. Clients that look at old jobs had each had it read the whole data of ended jobs, all at once and several times each; by arithmetic 21 jobs of up to 4 MB fill its link of 200 Mbit/s for as long, and the answers to its writes wait behind them. A node that reads the stored results of an ended job answers an empty list at its end, where it said 503. Ruled out: larger patience of writes alone, since the link would stay full.

--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -56,14 +56,15 @@
 }
 
 awaitable<rpc::JobReplyT> job_client::read_stored(std::string pool, rpc::JobCallT call,
-                                                  std::uint64_t total) {
-  auto reply = co_await read_results(store_, pool, call.job, call.after, total);
-  bool const read = reply && !reply->results.empty();
+                                                  rpc::JobReplyT told) {
+  auto reply = co_await read_results(store_, pool, call.job, call.after, told.total);
+  // Beyond what the owner knows to be listed there may be nothing.
+  bool const read = reply && (!reply->results.empty() || call.after >= told.listed);
   log_line(log_level::info, k_part, "Results read from the record store.",
            {{"job", call.job},
             {"after", call.after},
             {"results", reply ? reply->results.size() : 0},
-            {"total", total}});
+            {"total", told.total}});
   if (!read) co_return unavailable();
   co_return std::move(*reply);
 }
@@ -85,7 +86,8 @@
       reply = co_await ask_remote(owner->address, next, deadline);
     }
     if (reply.status == rpc::JobStatus::READ_RECORDS) {
-      reply = co_await read_stored(one.lease->resource(), call, reply.total);
+      rpc::JobReplyT told = std::move(reply);
+      reply = co_await read_stored(one.lease->resource(), call, std::move(told));
     }
     if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_be_done = true;
     bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -57,7 +57,8 @@
 
   void describe_self(rpc::JobCallT& call) const;
   /// The owner left the reading to this node.
-  awaitable<rpc::JobReplyT> read_stored(std::string pool, rpc::JobCallT call, std::uint64_t total);
+  /// @param told the owner's answer: how many items there are, and results at least.
+  awaitable<rpc::JobReplyT> read_stored(std::string pool, rpc::JobCallT call, rpc::JobReplyT told);
 
   asio::io_context& context_;
   http::client& transport_;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -89,6 +89,7 @@
   runner_.abort_runs({});
   table_.jobs().clear();
   ended_unread_.clear();
+  ended_wanted_.clear();
   listed_.notify_all();
 }
 
@@ -122,10 +123,10 @@
   auto answer = co_await parts_.store.list(record_keys::marks_prefix(pool));
   if (!answer || term != term_) co_return false;
   stored_marks const marks = read_marks(pool, answer.value().entries);
-  for (std::string const& id : marks.ended) {
+  for (auto const& [id, end] : marks.ended) {
     // What is stored counts: another owner, or a write without an answer, may have listed more.
     table_.forget(id);
-    ended_unread_.insert(id);
+    ended_unread_[id] = end;
   }
   for (auto const& [id, held] : table_.jobs()) held->committing = 0;
   // A write whose outcome was not known when the lease was lost may have been done.
@@ -204,17 +205,6 @@
            {{"job", id}, {"samples", adopted}});
 }
 
-awaitable<void> pool_owner::ensure_loaded(std::string id) {
-  if (!ended_unread_.contains(id)) co_return;
-  std::uint64_t const term = term_;
-  auto stored = co_await read_stored(id);
-  // Another call may have been faster.
-  if (!stored || term != term_ || !ended_unread_.contains(id)) co_return;
-  take_stored(id, std::move(*stored));
-  table_.end(id);
-  ended_unread_.erase(id);
-}
-
 awaitable<void> pool_owner::advance_loop() {
   while (true) {
     // Changes that come close together are acted on together.
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -96,8 +97,15 @@
   /// A job's data; nothing if the store did not answer.
   awaitable<std::optional<stored_job>> read_stored(std::string id);
   void take_stored(std::string const& id, stored_job stored);
-  /// Loads an ended job that somebody asks for.
+  /// Waits, for a bounded time, until the data of an ended job is read.
   awaitable<void> ensure_loaded(std::string id);
+  /// The answer to a call about an ended job whose data is not read; nothing if its data is needed.
+  std::optional<rpc::JobReplyT> answer_unread(rpc::JobCallT const& call);
+  /// Has the data of an ended job read: one after the other, since all at once would keep the
+  /// answers to this node's own writes waiting on its link.
+  void want_ended(std::string const& id);
+  awaitable<void> read_ended_loop(std::uint64_t term);
+  awaitable<void> read_ended(std::string id, std::uint64_t term);
   awaitable<void> advance_loop();
   void advance();
   void refresh_terms();
@@ -148,8 +156,11 @@
   /// Jobs whose record is being written.
   std::map<std::string, std::shared_ptr<write_outcome const>> writing_;
   std::map<std::string, bool> submitting_;
-  /// Ended jobs whose data has not been read.
-  std::set<std::string> ended_unread_;
+  /// Ended jobs whose data has not been read, with what their marks say.
+  std::map<std::string, std::optional<rpc::JobEndT>> ended_unread_;
+  /// Those of them whose data somebody has asked for, the first to be read first.
+  std::deque<std::string> ended_wanted_;
+  bool reading_ended_ = false;
   /// Results of jobs that change no more, sent to other nodes.
   read_budget reads_{k_read_bytes_per_second};
   async_condition work_;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -199,6 +199,7 @@
   time_point const deadline = steady_clock::now() + wait;
   while (true) {
     if (!can_read()) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
+    if (auto unread = answer_unread(call)) co_return std::move(*unread);
     co_await ensure_loaded(call.job);
     job* const owner = table_.find(call.job);
     if (owner == nullptr) {
@@ -226,6 +227,7 @@
   bool const final = !owner.is_open() && !reply.results.empty();
   if (passed_on && final && !reads_.take(bytes, steady_clock::now())) {
     reply.status = rpc::JobStatus::READ_RECORDS;
+    reply.listed = owner.listed.size();
     reply.results.clear();
   }
   co_return reply;
@@ -276,7 +278,8 @@
   if (state_ != owner_state::active) {
     co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
   }
-  // An ended job's mark does not name its tenant, its record does.
+  if (auto unread = answer_unread(call)) co_return std::move(*unread);
+  // The mark does not name its tenant, the record does.
   if (!call.tenant.empty()) co_await ensure_loaded(call.job);
   if (ended_unread_.contains(call.job)) {
     bool const any_tenant = call.tenant.empty();
@@ -299,7 +302,10 @@
     table_.end(call.job);
     runner_.abort_runs(call.job);
     writing_[call.job] = nullptr;
-    log_.write_end(call.job, [this, id = call.job](write_outcome outcome) {
+    rpc::JobEndT end;
+    end.tenant = owner->record.tenant;
+    end.total = owner->samples.size();
+    log_.write_end(call.job, end, [this, id = call.job](write_outcome outcome) {
       writing_[id] = std::make_shared<write_outcome const>(outcome);
       written_.notify_all();
     });
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -81,16 +81,21 @@
   std::size_t const prefix = record_keys::marks_prefix(pool).size();
   // Several jobs may be accepted in one transaction, and so at one revision.
   std::set<std::pair<kv::revision, std::string>> accepted;
-  std::set<std::string> ended;
+  std::map<std::string, std::optional<rpc::JobEndT>> ended;
   for (kv::key_value const& one : records) {
     std::string const rest = one.key.substr(std::min(prefix, one.key.size()));
     std::string const job = rest.substr(0, rest.find('/'));
     if (rest.ends_with(k_accepted)) accepted.emplace(one.create_revision, job);
-    if (rest.ends_with(k_ended)) ended.insert(job);
+    if (rest.ends_with(k_ended)) ended[job] = rpc::decode<rpc::JobEndT>(one.value);
   }
   stored_marks marks;
   for (auto const& [revision, job] : accepted) {
-    (ended.contains(job) ? marks.ended : marks.open).push_back(job);
+    auto const found = ended.find(job);
+    if (found == ended.end()) {
+      marks.open.push_back(job);
+    } else {
+      marks.ended.insert(*found);
+    }
   }
   return marks;
 }
@@ -181,10 +186,10 @@
   enqueue(std::move(one));
 }
 
-void record_log::write_end(std::string const& job, done on_done) {
+void record_log::write_end(std::string const& job, rpc::JobEndT const& end, done on_done) {
   entry one;
   one.on_done = std::move(on_done);
-  one.operations.push_back(put(record_keys::ended_mark(pool_, job), k_mark_value));
+  one.operations.push_back(put(record_keys::ended_mark(pool_, job), rpc::encode(end)));
   enqueue(std::move(one));
 }
 
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -43,7 +44,8 @@
 /// A pool's jobs by their marks, in the order in which they were accepted.
 struct stored_marks {
   std::vector<std::string> open;
-  std::vector<std::string> ended;
+  /// With what their marks say of them; marks of older versions say nothing.
+  std::map<std::string, std::optional<rpc::JobEndT>> ended;
 };
 
 /// The data of one job.
@@ -73,7 +75,7 @@
   using done = std::function<void(write_outcome)>;
   void write_record(rpc::JobRecordT const& record, done on_done);
   void write_results(rpc::ResultBatchT const& batch, done on_done);
-  void write_end(std::string const& job, done on_done);
+  void write_end(std::string const& job, rpc::JobEndT const& end, done on_done);
   /// Progress of one job's samples. What is lost of it is begun anew: nobody waits for it.
   void write_checkpoint(rpc::ProgressReportT const& report);
   /// Removes records that nobody may ask for any more.
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -228,6 +228,10 @@
 struct JobReplyBuilder;
 struct JobReplyT;
 
+struct JobEnd;
+struct JobEndBuilder;
+struct JobEndT;
+
 struct SampleProgress;
 struct SampleProgressBuilder;
 struct SampleProgressT;
@@ -7130,13 +7134,14 @@
   uint64_t total = 0;
   std::vector<std::unique_ptr<frostline::rpc::SampleResultT>> results{};
   std::vector<uint8_t> body{};
+  uint64_t listed = 0;
   JobReplyT() = default;
   JobReplyT(const JobReplyT &o);
   JobReplyT(JobReplyT&&) FLATBUFFERS_NOEXCEPT = default;
   JobReplyT &operator=(JobReplyT o) FLATBUFFERS_NOEXCEPT;
 };
 
-/// READ_RECORDS: the job changes no more and its owner is busy; the asking node reads the stored results itself.
+/// READ_RECORDS: the job changes no more and its owner is busy, or has not read its data; the asking node reads the stored results itself.
 struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobReplyT NativeTableType;
   typedef JobReplyBuilder Builder;
@@ -7150,7 +7155,8 @@
     VT_RETRY_AFTER_MS = 8,
     VT_TOTAL = 10,
     VT_RESULTS = 12,
-    VT_BODY = 14
+    VT_BODY = 14,
+    VT_LISTED = 16
   };
   frostline::rpc::JobStatus status() const {
     return static_cast<frostline::rpc::JobStatus>(GetField<int8_t>(VT_STATUS, 0));
@@ -7173,6 +7179,10 @@
   const flatbuffers::Vector<uint8_t> *body() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BODY);
   }
+  /// READ_RECORDS: as many results are known to be listed; more may be.
+  uint64_t listed() const {
+    return GetField<uint64_t>(VT_LISTED, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_STATUS, 1) &&
@@ -7185,6 +7195,7 @@
            verifier.VerifyVectorOfTables(results()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyVector(body()) &&
+           VerifyField<uint64_t>(verifier, VT_LISTED, 8) &&
            verifier.EndTable();
   }
   JobReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -7214,6 +7225,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body) {
     fbb_.AddOffset(JobReply::VT_BODY, body);
   }
+  void add_listed(uint64_t listed) {
+    fbb_.AddElement<uint64_t>(JobReply::VT_LISTED, listed, 0);
+  }
   explicit JobReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -7232,8 +7246,10 @@
     uint64_t retry_after_ms = 0,
     uint64_t total = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SampleResult>>> results = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
+    uint64_t listed = 0) {
   JobReplyBuilder builder_(_fbb);
+  builder_.add_listed(listed);
   builder_.add_total(total);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_body(body);
@@ -7255,7 +7271,8 @@
     uint64_t retry_after_ms = 0,
     uint64_t total = 0,
     const std::vector<flatbuffers::Offset<frostline::rpc::SampleResult>> *results = nullptr,
-    const std::vector<uint8_t> *body = nullptr) {
+    const std::vector<uint8_t> *body = nullptr,
+    uint64_t listed = 0) {
   auto detail__ = detail ? _fbb.CreateString(detail) : 0;
   auto results__ = results ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>>(*results) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -7266,11 +7283,101 @@
       retry_after_ms,
       total,
       results__,
-      body__);
+      body__,
+      listed);
 }
 
 flatbuffers::Offset<JobReply> CreateJobReply(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct JobEndT : public flatbuffers::NativeTable {
+  typedef JobEnd TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobEndT";
+  }
+  std::string tenant{};
+  uint64_t total = 0;
+};
+
+/// What the mark of an ended job says, so that its data need not be read to answer calls. Stored in the record store.
+struct JobEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobEndT NativeTableType;
+  typedef JobEndBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.JobEnd";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TENANT = 4,
+    VT_TOTAL = 6
+  };
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  /// Items of the job.
+  uint64_t total() const {
+    return GetField<uint64_t>(VT_TOTAL, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint64_t>(verifier, VT_TOTAL, 8) &&
+           verifier.EndTable();
+  }
+  JobEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(JobEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<JobEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct JobEndBuilder {
+  typedef JobEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(JobEnd::VT_TENANT, tenant);
+  }
+  void add_total(uint64_t total) {
+    fbb_.AddElement<uint64_t>(JobEnd::VT_TOTAL, total, 0);
+  }
+  explicit JobEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobEnd> CreateJobEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint64_t total = 0) {
+  JobEndBuilder builder_(_fbb);
+  builder_.add_total(total);
+  builder_.add_tenant(tenant);
+  return builder_.Finish();
+}
+
+struct JobEnd::Traits {
+  using type = JobEnd;
+  static auto constexpr Create = CreateJobEnd;
+};
+
+inline flatbuffers::Offset<JobEnd> CreateJobEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *tenant = nullptr,
+    uint64_t total = 0) {
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return frostline::rpc::CreateJobEnd(
+      _fbb,
+      tenant__,
+      total);
+}
+
+flatbuffers::Offset<JobEnd> CreateJobEnd(flatbuffers::FlatBufferBuilder &_fbb, const JobEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SampleProgressT : public flatbuffers::NativeTable {
   typedef SampleProgress TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -11517,7 +11624,8 @@
         detail(o.detail),
         retry_after_ms(o.retry_after_ms),
         total(o.total),
-        body(o.body) {
+        body(o.body),
+        listed(o.listed) {
   results.reserve(o.results.size());
   for (const auto &results_ : o.results) { results.emplace_back((results_) ? new frostline::rpc::SampleResultT(*results_) : nullptr); }
 }
@@ -11529,6 +11637,7 @@
   std::swap(total, o.total);
   std::swap(results, o.results);
   std::swap(body, o.body);
+  std::swap(listed, o.listed);
   return *this;
 }
 
@@ -11547,6 +11656,7 @@
   { auto _e = total(); _o->total = _e; }
   { auto _e = results(); if (_e) { _o->results.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->results[_i] = std::unique_ptr<frostline::rpc::SampleResultT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
+  { auto _e = listed(); _o->listed = _e; }
 }
 
 inline flatbuffers::Offset<JobReply> JobReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11563,6 +11673,7 @@
   auto _total = _o->total;
   auto _results = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SampleResult>> (_o->results.size(), [](size_t i, _VectorArgs *__va) { return CreateSampleResult(*__va->__fbb, __va->__o->results[i].get(), __va->__rehasher); }, &_va );
   auto _body = _fbb.CreateVector(_o->body);
+  auto _listed = _o->listed;
   return frostline::rpc::CreateJobReply(
       _fbb,
       _status,
@@ -11570,7 +11681,37 @@
       _retry_after_ms,
       _total,
       _results,
-      _body);
+      _body,
+      _listed);
+}
+
+inline JobEndT *JobEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<JobEndT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void JobEnd::UnPackTo(JobEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = total(); _o->total = _e; }
+}
+
+inline flatbuffers::Offset<JobEnd> JobEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateJobEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<JobEnd> CreateJobEnd(flatbuffers::FlatBufferBuilder &_fbb, const JobEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _tenant = _o->tenant.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->tenant);
+  auto _total = _o->total;
+  return frostline::rpc::CreateJobEnd(
+      _fbb,
+      _tenant,
+      _total);
 }
 
 inline SampleProgressT::SampleProgressT(const SampleProgressT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -507,7 +507,7 @@
   tenant:string;
 }
 enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4, READ_RECORDS = 5 }
-/// READ_RECORDS: the job changes no more and its owner is busy; the asking node reads the stored results itself.
+/// READ_RECORDS: the job changes no more and its owner is busy, or has not read its data; the asking node reads the stored results itself.
 table JobReply {
   status:JobStatus;
   detail:string;
@@ -518,6 +518,14 @@
   results:[SampleResult];
   /// BODY: the item's body.
   body:[ubyte];
+  /// READ_RECORDS: as many results are known to be listed; more may be.
+  listed:uint64;
+}
+/// What the mark of an ended job says, so that its data need not be read to answer calls. Stored in the record store.
+table JobEnd {
+  tenant:string;
+  /// Items of the job.
+  total:uint64;
 }
 /// How far one sample has come at its pool's owner.
 table SampleProgress {
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -364,3 +364,29 @@
   platform_cluster::wait_until("the report is there",
                                [&] { return system.is_reported_empty("storage-1"); });
 }
+
+TEST(jobs_test, ended_jobs_are_listed_after_a_change_of_owner_also_at_their_end) {
+  platform_cluster system{platform_options()};
+  std::vector<std::string> const jobs = {"ended-1", "ended-2", "ended-3"};
+  for (std::string const& job : jobs) {
+    LONGS_EQUAL(202, system.submit(0, job, {{job + "-a", "g"}, {job + "-b", "g"}}));
+    system.wait_for_results(0, job, 2);
+    LONGS_EQUAL(200, system.end_job(0, job));
+  }
+  std::size_t const former = system.owner();
+  system.node(former).kill();
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    if (node == former) continue;
+    for (std::string const& job : jobs) {
+      system.wait_for_results(node, job, 2);
+      // Twice: answered by its mark at first, and by its data once that is read.
+      for (int time = 0; time < 2; ++time) {
+        auto const end = system.results(node, job, 2);
+        CHECK(end.has_value());
+        LONGS_EQUAL(2, end->at("total").as_int64());
+        LONGS_EQUAL(0, end->at("results").as_array().size());
+        LONGS_EQUAL(200, system.end_job(node, job));
+      }
+    }
+  }
+}
--- a/tests/unit/jobs/record_log_test.cc
+++ b/tests/unit/jobs/record_log_test.cc
@@ -69,7 +69,7 @@
   LONGS_EQUAL(3, marks.open.size());
   STRCMP_EQUAL("earlier", marks.open.front().c_str());
   LONGS_EQUAL(1, marks.ended.size());
-  STRCMP_EQUAL("over", marks.ended.front().c_str());
+  STRCMP_EQUAL("over", marks.ended.begin()->first.c_str());
 }
 
 TEST(record_log_test, entries_that_wait_share_a_transaction) {
@@ -149,15 +149,15 @@
 
 TEST(record_log_test, former_owner_writes_nothing) {
   store.put_now(k_owner_key, "another");
-  log.write_end("job", note());
+  log.write_end("job", rpc::JobEndT(), note());
   run_until_idle();
   CHECK(outcomes.at(0) == write_outcome::ownership_lost);
   LONGS_EQUAL(0, store.writes_of(record_keys::ended_mark(k_pool, "job")));
 }
 
 TEST(record_log_test, closing_ends_what_is_queued) {
-  log.write_end("a", note());
-  log.write_end("b", note());
+  log.write_end("a", rpc::JobEndT(), note());
+  log.write_end("b", rpc::JobEndT(), note());
   log.close();
   context.run_for(std::chrono::seconds(1));
   LONGS_EQUAL(2, outcomes.size());
