A stopping relay names its successor instead of leaving its record free

Cause: in a roll of all nodes relays stop faster than they are replaced: a free record is claimed after up to 1.2 s and a weak node's handicap of up to 1 s, and the nodes of a zone turn to other relays, or to the store. Change: nodes tell a relay, when they ask it, their zone, share of a core and uptime; the relay that stops puts the strongest of them, and among equals the one that was started last, into the record by compare-and-swap.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -188,6 +188,7 @@
   options.prefixes[relay::index_of(relay::topic::RELAYS)] = relay::zone_relays::records_prefix();
   options.prefixes[relay::index_of(relay::topic::SERVERS)] = adapter_.keys().servers_prefix;
   options.servers_alike = server_watch_.alike();
+  options.processor_share = settings_.processor_share;
   options.claim_handicap =
       ownership::handicap_of(settings_.processor_share) * k_relay_handicap_factor;
   return options;
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -60,6 +60,10 @@
   rpc::PollCallT call;
   call.node = std::move(request.node);
   call.address = request.self.to_string();
+  call.zone = std::move(request.zone);
+  call.processor_share = request.processor_share;
+  call.uptime_ms = static_cast<std::uint64_t>(request.uptime.count());
+  call.leaving = request.leaving;
   call.wait_ms = static_cast<std::uint64_t>(request.wait.count());
   for (topic const one : request.topics) {
     auto position = std::make_unique<rpc::TopicPositionT>();
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -26,6 +26,12 @@
   std::string node;
   /// Where other nodes reach it.
   endpoint self;
+  std::string zone;
+  /// Share of a core that this node may use.
+  double processor_share = 0;
+  milliseconds uptime{0};
+  /// This node stops.
+  bool leaving = false;
   std::vector<topic> topics;
   /// How long the other node may wait for a change.
   milliseconds wait{0};
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -37,6 +37,19 @@
   });
 }
 
+void poll_service::note_asking(rpc::PollCallT const& call) {
+  auto const address = parse_endpoint(call.address);
+  if (!address) return;
+  asking_node one;
+  one.node = call.node;
+  one.zone = call.zone;
+  one.address = *address;
+  one.processor_share = call.processor_share;
+  one.uptime = milliseconds(call.uptime_ms);
+  one.leaving = call.leaving;
+  asking_.note(std::move(one), steady_clock::now());
+}
+
 void poll_service::note_newer(rpc::PollCallT const& call) const {
   auto const asking = parse_endpoint(call.address);
   if (!on_newer_ || !asking) return;
@@ -64,6 +77,7 @@
 
 awaitable<rpc::PollReplyT> poll_service::answer(rpc::PollCallT call) {
   std::erase_if(call.positions, is_unknown);
+  note_asking(call);
   note_newer(call);
   time_point const begin = steady_clock::now();
   time_point const deadline = begin + std::min(milliseconds(call.wait_ms), k_longest_wait);
--- a/src/relay/poll_service.h
+++ b/src/relay/poll_service.h
@@ -6,6 +6,7 @@
 
 #include "base/asio.h"
 #include "base/endpoint.h"
+#include "relay/asking_nodes.h"
 #include "relay/topic_views.h"
 #include "rpc/dispatcher.h"
 #include "schema/frostline_generated.h"
@@ -31,8 +32,10 @@
   void notify() { changed_.notify_all(); }
   void add_methods(rpc::dispatcher& methods);
   std::uint64_t answered() const { return answered_; }
+  asking_nodes const& asking() const { return asking_; }
 
  private:
+  void note_asking(rpc::PollCallT const& call);
   void note_newer(rpc::PollCallT const& call) const;
   bool can_wait(rpc::PollCallT const& call) const;
   rpc::TopicChangesT write_changes(rpc::TopicPositionT const& position) const;
@@ -42,6 +45,7 @@
   async_condition changed_;
   std::function<void(endpoint)> on_newer_;
   std::uint64_t answered_ = 0;
+  asking_nodes asking_;
 };
 
 }  // namespace frostline::relay
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -266,6 +266,10 @@
   poll_request request;
   request.node = options_.node;
   request.self = options_.self;
+  request.zone = options_.zone;
+  request.processor_share = options_.processor_share;
+  request.uptime = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_);
+  request.leaving = leaving_;
   request.topics.assign(k_topics.begin(), k_topics.end());
   return request;
 }
@@ -448,14 +452,25 @@
   kv::transaction change;
   std::string const key = zone_relays::key_of(options_.zone);
   change.compares.push_back({key, relays_.revision_of(options_.zone)});
-  kv::operation removal;
-  removal.kind = kv::operation_kind::remove;
-  removal.key = key;
-  change.on_success.push_back(std::move(removal));
+  auto const next = service_.asking().pick(options_.zone, steady_clock::now());
+  kv::key_value entry;
+  entry.key = key;
+  if (next) entry.value = zone_relays::encode({options_.zone, next->node, next->address, 0});
+  kv::operation last;
+  last.kind = next ? kv::operation_kind::put : kv::operation_kind::remove;
+  last.key = key;
+  last.value = entry.value;
+  change.on_success.push_back(std::move(last));
   auto const outcome = co_await store_.apply(std::move(change), k_claim_timeout);
-  bool const freed = outcome && outcome.value().succeeded;
-  log_line(log_level::info, k_part, "Zone's record handed back.",
-           {{"zone", options_.zone}, {"freed", freed}});
+  bool const done = outcome && outcome.value().succeeded;
+  log_line(log_level::info, k_part, "Zone's record handed on.",
+           {{"zone", options_.zone},
+            {"to", next ? next->node : std::string("nobody")},
+            {"done", done ? "yes" : "no"}});
+  if (!done || !next) co_return;
+  entry.mod_revision = outcome.value().store_revision;
+  relays_.take({false, entry});
+  note_relays();
 }
 
 }  // namespace frostline::relay
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -44,6 +44,8 @@
   topic_prefixes prefixes;
   /// Values of servers' records that other nodes can treat alike.
   record_view::comparison servers_alike;
+  /// Share of a core that this node may use.
+  double processor_share = 0;
   /// A weak node claims its zone's record that much later.
   milliseconds claim_handicap{0};
 };
@@ -76,8 +78,9 @@
   void set_owner(bool owner);
   /// This process stood still: what was going on may be dead.
   void resynchronize(std::string_view cause) { source_.resynchronize(cause); }
-  /// Answers as not sure from now on, and frees the zone's record if this node is its relay. The
-  /// node itself still hears of changes.
+  /// Answers as not sure from now on. If this node is its zone's relay, the record names the best
+  /// of the nodes that ask it from now on, or is freed if there is none. The node itself still
+  /// hears of changes.
   awaitable<void> leave();
 
   /// Whether a source that was sure has told everything, or nobody else is likely to.
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -8118,6 +8118,10 @@
   std::string address{};
   std::vector<std::unique_ptr<frostline::rpc::TopicPositionT>> positions{};
   uint64_t wait_ms = 0;
+  std::string zone{};
+  double processor_share = 0.0;
+  uint64_t uptime_ms = 0;
+  bool leaving = false;
   PollCallT() = default;
   PollCallT(const PollCallT &o);
   PollCallT(PollCallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8136,7 +8140,11 @@
     VT_NODE = 4,
     VT_ADDRESS = 6,
     VT_POSITIONS = 8,
-    VT_WAIT_MS = 10
+    VT_WAIT_MS = 10,
+    VT_ZONE = 12,
+    VT_PROCESSOR_SHARE = 14,
+    VT_UPTIME_MS = 16,
+    VT_LEAVING = 18
   };
   /// Identifier of the asking node.
   const flatbuffers::String *node() const {
@@ -8153,6 +8161,20 @@
   uint64_t wait_ms() const {
     return GetField<uint64_t>(VT_WAIT_MS, 0);
   }
+  /// What tells whether the asking node can relay in its zone.
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  double processor_share() const {
+    return GetField<double>(VT_PROCESSOR_SHARE, 0.0);
+  }
+  uint64_t uptime_ms() const {
+    return GetField<uint64_t>(VT_UPTIME_MS, 0);
+  }
+  /// The asking node stops.
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -8163,6 +8185,11 @@
            verifier.VerifyVector(positions()) &&
            verifier.VerifyVectorOfTables(positions()) &&
            VerifyField<uint64_t>(verifier, VT_WAIT_MS, 8) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<double>(verifier, VT_PROCESSOR_SHARE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UPTIME_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            verifier.EndTable();
   }
   PollCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8186,6 +8213,18 @@
   void add_wait_ms(uint64_t wait_ms) {
     fbb_.AddElement<uint64_t>(PollCall::VT_WAIT_MS, wait_ms, 0);
   }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PollCall::VT_ZONE, zone);
+  }
+  void add_processor_share(double processor_share) {
+    fbb_.AddElement<double>(PollCall::VT_PROCESSOR_SHARE, processor_share, 0.0);
+  }
+  void add_uptime_ms(uint64_t uptime_ms) {
+    fbb_.AddElement<uint64_t>(PollCall::VT_UPTIME_MS, uptime_ms, 0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(PollCall::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
   explicit PollCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8202,12 +8241,20 @@
     flatbuffers::Offset<flatbuffers::String> node = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicPosition>>> positions = 0,
-    uint64_t wait_ms = 0) {
+    uint64_t wait_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    double processor_share = 0.0,
+    uint64_t uptime_ms = 0,
+    bool leaving = false) {
   PollCallBuilder builder_(_fbb);
+  builder_.add_uptime_ms(uptime_ms);
+  builder_.add_processor_share(processor_share);
   builder_.add_wait_ms(wait_ms);
+  builder_.add_zone(zone);
   builder_.add_positions(positions);
   builder_.add_address(address);
   builder_.add_node(node);
+  builder_.add_leaving(leaving);
   return builder_.Finish();
 }
 
@@ -8221,16 +8268,25 @@
     const char *node = nullptr,
     const char *address = nullptr,
     const std::vector<flatbuffers::Offset<frostline::rpc::TopicPosition>> *positions = nullptr,
-    uint64_t wait_ms = 0) {
+    uint64_t wait_ms = 0,
+    const char *zone = nullptr,
+    double processor_share = 0.0,
+    uint64_t uptime_ms = 0,
+    bool leaving = false) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto positions__ = positions ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicPosition>>(*positions) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return frostline::rpc::CreatePollCall(
       _fbb,
       node__,
       address__,
       positions__,
-      wait_ms);
+      wait_ms,
+      zone__,
+      processor_share,
+      uptime_ms,
+      leaving);
 }
 
 flatbuffers::Offset<PollCall> CreatePollCall(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -11981,7 +12037,11 @@
 inline PollCallT::PollCallT(const PollCallT &o)
       : node(o.node),
         address(o.address),
-        wait_ms(o.wait_ms) {
+        wait_ms(o.wait_ms),
+        zone(o.zone),
+        processor_share(o.processor_share),
+        uptime_ms(o.uptime_ms),
+        leaving(o.leaving) {
   positions.reserve(o.positions.size());
   for (const auto &positions_ : o.positions) { positions.emplace_back((positions_) ? new frostline::rpc::TopicPositionT(*positions_) : nullptr); }
 }
@@ -11991,6 +12051,10 @@
   std::swap(address, o.address);
   std::swap(positions, o.positions);
   std::swap(wait_ms, o.wait_ms);
+  std::swap(zone, o.zone);
+  std::swap(processor_share, o.processor_share);
+  std::swap(uptime_ms, o.uptime_ms);
+  std::swap(leaving, o.leaving);
   return *this;
 }
 
@@ -12007,6 +12071,10 @@
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = positions(); if (_e) { _o->positions.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->positions[_i] = std::unique_ptr<frostline::rpc::TopicPositionT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = wait_ms(); _o->wait_ms = _e; }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = processor_share(); _o->processor_share = _e; }
+  { auto _e = uptime_ms(); _o->uptime_ms = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
 }
 
 inline flatbuffers::Offset<PollCall> PollCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12021,12 +12089,20 @@
   auto _address = _o->address.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->address);
   auto _positions = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicPosition>> (_o->positions.size(), [](size_t i, _VectorArgs *__va) { return CreateTopicPosition(*__va->__fbb, __va->__o->positions[i].get(), __va->__rehasher); }, &_va );
   auto _wait_ms = _o->wait_ms;
+  auto _zone = _o->zone.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->zone);
+  auto _processor_share = _o->processor_share;
+  auto _uptime_ms = _o->uptime_ms;
+  auto _leaving = _o->leaving;
   return frostline::rpc::CreatePollCall(
       _fbb,
       _node,
       _address,
       _positions,
-      _wait_ms);
+      _wait_ms,
+      _zone,
+      _processor_share,
+      _uptime_ms,
+      _leaving);
 }
 
 inline TopicChangesT::TopicChangesT(const TopicChangesT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -595,6 +595,12 @@
   positions:[TopicPosition];
   /// How long the call may wait for a change.
   wait_ms:uint64;
+  /// What tells whether the asking node can relay in its zone.
+  zone:string;
+  processor_share:double;
+  uptime_ms:uint64;
+  /// The asking node stops.
+  leaving:bool;
 }
 table TopicChanges {
   topic:RecordTopic;
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -237,6 +237,21 @@
   CHECK(all_have("2"));
 }
 
+TEST(record_feed_test, stopped_relay_names_who_follows_it_before_anybody_claims) {
+  start_two_zones();
+  std::uint64_t claims = 0;
+  for (auto const& node : nodes) claims += node->feed->figures().claims;
+  for (int stop = 0; stop < 2; ++stop) {
+    test_node& stopped = *relay_of("a");
+    spawn(context, stopped.feed->leave());
+    CHECK(run_until([&] { return relay_of("a") != nullptr && relay_of("a") != &stopped; }));
+    shared.put_now(k_configuration, std::to_string(2 + stop));
+    CHECK(all_have(std::to_string(2 + stop)));
+  }
+  for (auto const& node : nodes) claims -= node->feed->figures().claims;
+  LONGS_EQUAL(0, claims);
+}
+
 TEST(record_feed_test, outage_of_the_store_sends_no_node_but_the_relays_to_it) {
   start_two_zones();
   std::vector<std::uint64_t> before;
