Soak: keys, tenants, holders of the duties and their service; what it must see

Cause: the promises about keys, tenants and usage had tests of single faults and no random ones. Change: callers carry keys of two tenants and one that nobody holds; a key is taken away and given back, the holder of the duties is killed and frozen, its service is silent, busy, or loses answers; the checker judges each arrival's tenant and key, reports of one window that differ, fences, holders in turns, and usage beyond what was asked. Each new check has a test that sees it broken.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -29,6 +29,15 @@
 constexpr std::uint32_t k_events = 5;
 constexpr std::size_t k_items = 12;
 constexpr milliseconds k_order_gap{300};
+constexpr char k_first[] = "first";
+constexpr char k_second[] = "second";
+constexpr char k_first_key[] = "key-a";
+constexpr char k_second_key[] = "key-b";
+constexpr char k_nobodys_key[] = "key-x";
+constexpr char k_tenants[] =
+    R"([{"name":"first","api_keys":["key-a"]},{"name":"second","api_keys":["key-b"]}])";
+constexpr char k_without_second_key[] =
+    R"([{"name":"first","api_keys":["key-a"]},{"name":"second","api_keys":[]}])";
 constexpr milliseconds k_fault_time{1500};
 constexpr milliseconds k_quiet_time{700};
 /// Time in which an owner that has heard of a version gives orders.
@@ -50,6 +59,7 @@
   bool run(double minutes) {
     time_point const end =
         steady_clock::now() + milliseconds(static_cast<std::int64_t>(minutes * 60'000));
+    system_.use_key(k_first_key);
     std::thread caller([this] { call_loop(); });
     std::thread trainer([this] { train_loop(); });
     while (steady_clock::now() < end) cause_pair();
@@ -70,6 +80,8 @@
     all.events = k_events;
     all.event_gap = milliseconds(25);
     all.proxied_store = true;
+    all.tenants = k_tenants;
+    all.usage_window = milliseconds(500);
     return all;
   }
 
@@ -107,6 +119,7 @@
     add_process_faults();
     add_store_faults();
     add_server_faults();
+    add_duty_faults();
   }
 
   void add(std::string name, std::function<void(bool, std::size_t)> apply) {
@@ -262,6 +275,44 @@
     });
   }
 
+  void on_duties(std::function<void(duty_faults&)> change) {
+    system_.on_platform([&] {
+      change(system_.duties().faults());
+      return 0;
+    });
+  }
+
+  void add_duty_faults() {
+    add("key_taken_away", [this](bool on, std::size_t) {
+      system_.on_platform([&] {
+        system_.set_tenants(on ? k_without_second_key : k_tenants);
+        system_.put_config(++config_version_);
+        return 0;
+      });
+    });
+    add("duty_service_silent", [this](bool on, std::size_t) {
+      on_duties([on](duty_faults& faults) { faults.silent = on; });
+    });
+    add("duty_service_busy", [this](bool on, std::size_t) {
+      on_duties([on](duty_faults& faults) { faults.busy = on; });
+    });
+    add("duty_answers_lost", [this](bool on, std::size_t) {
+      on_duties([on](duty_faults& faults) { faults.lost_answers = on ? 2 : 0; });
+    });
+    add("holder_killed", [this](bool on, std::size_t target) {
+      if (on) {
+        killed_holder_ = system_.find_duty_holder().value_or(target % k_nodes);
+        system_.node(killed_holder_).kill();
+      } else {
+        restart(killed_holder_);
+      }
+    });
+    add("holder_frozen", [this](bool on, std::size_t target) {
+      if (on) frozen_holder_ = system_.find_duty_holder().value_or(target % k_nodes);
+      system_.node(frozen_holder_).send_signal(on ? SIGSTOP : SIGCONT);
+    });
+  }
+
   void cause_pair() {
     std::size_t const first = pick(faults_.size());
     std::size_t const second = pick(faults_.size());
@@ -271,8 +322,10 @@
     faults_[first].apply(true, target);
     if (second != first) faults_[second].apply(true, target + 1);
     caused_ += second == first ? 1 : 2;
-    bool const frozen =
-        faults_[first].name == "freeze_node" || faults_[second].name == "freeze_node";
+    bool const frozen = faults_[first].name.find("freeze") != std::string::npos ||
+                        faults_[first].name.find("frozen") != std::string::npos ||
+                        faults_[second].name.find("freeze") != std::string::npos ||
+                        faults_[second].name.find("frozen") != std::string::npos;
     std::this_thread::sleep_for(frozen ? k_frozen_time : k_fault_time);
     faults_[first].apply(false, target);
     if (second != first) faults_[second].apply(false, target + 1);
@@ -281,7 +334,7 @@
 
   bool is_served() {
     for (std::size_t node = 0; node < k_nodes; ++node) {
-      auto const answer = system_.call(node, http::verb::get, "/calls/recovery", next_id("r"));
+      auto const answer = system_.call(node, http::verb::get, "/open/recovery", next_id("r"));
       if (!answer || answer.value().result_int() != 200) return false;
     }
     return true;
@@ -303,8 +356,12 @@
       one.repeatable = pick(2) == 0;
       one.request = next_id("call");
       std::string const path = one.repeatable ? "/calls/x" : "/once/x";
-      auto const answer =
-          system_.call(pick(k_nodes), http::verb::post, path, one.request, "b", milliseconds(1500));
+      std::size_t const choice = pick(5);
+      std::string const key =
+          choice == 0 ? k_nobodys_key : (choice < 3 ? k_first_key : k_second_key);
+      if (choice > 0) one.tenant = choice < 3 ? k_first : k_second;
+      auto const answer = system_.call(pick(k_nodes), http::verb::post, path, one.request, "b",
+                                       milliseconds(1500), key);
       if (answer) {
         one.status = answer.value().result_int();
         one.body = answer.value().body();
@@ -338,6 +395,7 @@
       for (std::size_t index = 0; index < k_items; ++index) {
         job.items.push_back(job.job + "i" + std::to_string(index));
         items.push_back({job.items.back(), "g" + std::to_string(index / 4)});
+        items.back().scorer_path = "/open/score";
       }
       while (working_ && !job.accepted) {
         job.accepted = system_.submit(pick(k_nodes), job.job, items, job.min_version) == 202;
@@ -395,16 +453,27 @@
     });
     seen_.events = k_events;
     seen_.order_gap = k_order_gap;
+    seen_.job_tenant = k_first;
+    system_.on_platform([this] {
+      seen_.duty_violations = system_.duties().violations(k_order_gap);
+      for (char const* tenant : {k_first, k_second}) {
+        seen_.reported[tenant] = system_.duties().reported(tenant);
+      }
+      seen_.reports = system_.duties().calls().size();
+      return 0;
+    });
     soak_counts counts;
     auto broken = check_soak(seen_, counts);
     if (!recovered) broken.push_back({"recovery", "not served by all nodes within 12 s"});
     for (broken_promise const& one : broken) {
       std::cout << "BROKEN " << one.promise << ": " << one.detail << '\n';
     }
-    bool const judged = counts.requests > 0 && counts.samples > 0 && counts.positions > 0;
+    bool const judged = counts.requests > 0 && counts.samples > 0 && counts.positions > 0 &&
+                        counts.tenants > 0 && seen_.reports > 0;
     std::cout << "seed " << FLAGS_seed << ": " << caused_ << " faults, " << counts.requests
               << " requests, " << counts.samples << " samples, " << counts.positions
-              << " positions, " << counts.orders << " orders judged; " << broken.size()
+              << " positions, " << counts.orders << " orders, " << counts.tenants << " tenants, "
+              << seen_.reports << " reports judged; " << broken.size()
               << " promises broken; logs in " << system_.folder() << std::endl;
     return broken.empty() && judged;
   }
@@ -417,7 +486,11 @@
   std::atomic<std::uint64_t> next_id_ = 0;
   /// The newest that was named; used on the stand-ins' thread.
   std::uint64_t version_ = 1;
+  /// Of the configuration; used on the stand-ins' thread.
+  std::uint64_t config_version_ = 1;
   std::size_t handed_over_ = 0;
+  std::size_t killed_holder_ = 0;
+  std::size_t frozen_holder_ = 0;
   std::size_t caused_ = 0;
   soak_records seen_;
 };
--- a/tests/platform/soak_checker_test.cc
+++ b/tests/platform/soak_checker_test.cc
@@ -156,3 +156,29 @@
   seen.orders["engine"].back().fence = 0;
   check_breaks("fences rise");
 }
+
+TEST(soak_checker_test, key_or_another_tenant_at_a_server) {
+  seen.job_tenant = "first";
+  seen.calls.front().tenant = "second";
+  seen.arrivals["app"].front().tenant = "second";
+  soak_counts counts;
+  LONGS_EQUAL(0, check_soak(seen, counts).size());
+  LONGS_EQUAL(1, counts.tenants);
+  seen.arrivals["app"].front().authorization = "Bearer key";
+  check_breaks("no key at a server");
+  seen.arrivals["app"].front().tenant = "first";
+  check_breaks("tenant is its key's");
+  seen.calls.front().tenant = "";
+  check_breaks("no request of an unknown key");
+}
+
+TEST(soak_checker_test, usage_beyond_what_was_asked_and_reports_that_differ) {
+  seen.calls.front().tenant = "first";
+  seen.reported["first"] = 1;
+  soak_counts counts;
+  LONGS_EQUAL(0, check_soak(seen, counts).size());
+  seen.reported["first"] = 2;
+  check_breaks("no more usage than requests");
+  seen.duty_violations = {"window 7 by node-1: another report"};
+  check_breaks("one reporter");
+}
--- a/tests/platform_standin/duty_standin.cc
+++ b/tests/platform_standin/duty_standin.cc
@@ -79,8 +79,8 @@
     if (!fresh && holder->second != call.holder) found.push_back(where + ": fence of two holders");
     if (call.fence < highest) found.push_back(where + ": fence goes back");
     auto const own = last_call.find(call.holder);
-    bool const turns = own != last_call.end() && before != call.holder &&
-                       call.at - own->second < turn_gap;
+    bool const turns =
+        own != last_call.end() && before != call.holder && call.at - own->second < turn_gap;
     if (turns) found.push_back(where + ": holders take turns");
     highest = std::max(highest, call.fence);
     last_call[call.holder] = call.at;
--- a/tests/platform_standin/duty_standin.h
+++ b/tests/platform_standin/duty_standin.h
@@ -1,5 +1,5 @@
-/// @file Stand-in of the platform's service for calls of one node at a time, which checks no fences:
-/// it takes reports of usage and notes what a real one would hold against the callers.
+/// @file Stand-in of the platform's service for calls of one node at a time, which checks no
+/// fences: it takes reports of usage and notes what a real one would hold against the callers.
 #pragma once
 
 #include <cstdint>
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -191,12 +191,16 @@
 std::size_t platform_cluster::duty_holder() {
   std::optional<std::size_t> found;
   wait_until("a node holds the duties", [&] {
-    found = find_named("frostline/owners/duties/platform");
+    found = find_duty_holder();
     return found.has_value();
   });
   return *found;
 }
 
+std::optional<std::size_t> platform_cluster::find_duty_holder() {
+  return find_named("frostline/owners/duties/platform");
+}
+
 std::optional<std::size_t> platform_cluster::find_relay(std::uint32_t zone) {
   return find_named("frostline/relays/zone-" + std::to_string(zone));
 }
@@ -233,7 +237,8 @@
 result<http::response> platform_cluster::call(std::size_t node, http::verb method,
                                               std::string const& path,
                                               std::string const& request_id,
-                                              std::string const& body, milliseconds timeout) {
+                                              std::string const& body, milliseconds timeout,
+                                              std::optional<std::string> const& key) {
   // The blocking client names the node as host, which no route knows: a proxy's absolute form is
   // not wanted either, so the request is written by hand.
   asio::io_context context(1);
@@ -242,7 +247,8 @@
   message.set(http::field::host, k_host);
   if (!request_id.empty()) message.set("X-Frostline-Request-Id", request_id);
   message.set("X-Frostline-Deadline-Ms", std::to_string(timeout.count()));
-  if (!api_key_.empty()) message.set(http::field::authorization, "Bearer " + api_key_);
+  std::string const used_key = key.value_or(api_key_);
+  if (!used_key.empty()) message.set(http::field::authorization, "Bearer " + used_key);
   if (!header_name_.empty()) message.insert(header_name_, header_value_);
   message.body() = body;
   message.prepare_payload();
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -102,10 +102,13 @@
   std::optional<std::size_t> find_owner();
   /// Index of the node that holds the duties, by the store's record; waits until one does.
   std::size_t duty_holder();
-  /// One call to a node's client address. @param headers beyond Host and the request's identifier.
+  std::optional<std::size_t> find_duty_holder();
+  /// One call to a node's client address.
+  /// @param key instead of the one of use_key.
   result<http::response> call(std::size_t node, http::verb method, std::string const& path,
                               std::string const& request_id, std::string const& body = "",
-                              milliseconds timeout = milliseconds(5000));
+                              milliseconds timeout = milliseconds(5000),
+                              std::optional<std::string> const& key = std::nullopt);
   unsigned submit(std::size_t node, std::string const& job, std::vector<test_item> const& items,
                   std::uint64_t min_version = 1);
   /// Ends a job. @return the status; 0 without an answer.
--- a/tests/platform_standin/soak_checker.cc
+++ b/tests/platform_standin/soak_checker.cc
@@ -135,6 +135,44 @@
   }
 }
 
+/// What each arrival's tenant must be, by request.
+std::map<std::string, std::string> expected_tenants(soak_records const& seen) {
+  std::map<std::string, std::string> tenants;
+  for (call_record const& one : seen.calls) tenants[one.request] = one.tenant;
+  for (job_record const& job : seen.jobs) {
+    for (std::string const& item : job.items) tenants[item] = seen.job_tenant;
+  }
+  return tenants;
+}
+
+void check_tenants(soak_records const& seen, soak_counts& counts, broken_list& broken) {
+  if (seen.job_tenant.empty()) return;
+  auto const tenants = expected_tenants(seen);
+  for (auto const& [server, arrivals] : seen.arrivals) {
+    for (arrival const& one : arrivals) {
+      if (!one.authorization.empty()) broken.push_back({"no key at a server", one.request});
+      auto const found = tenants.find(one.request);
+      if (found == tenants.end()) continue;
+      ++counts.tenants;
+      if (found->second.empty()) broken.push_back({"no request of an unknown key", one.request});
+      if (found->second != one.tenant) {
+        broken.push_back({"tenant is its key's", one.request + " as " + one.tenant});
+      }
+    }
+  }
+}
+
+void check_usage(soak_records const& seen, broken_list& broken) {
+  for (std::string const& one : seen.duty_violations) broken.push_back({"one reporter", one});
+  std::map<std::string, std::uint64_t> asked;
+  for (call_record const& one : seen.calls) ++asked[one.tenant];
+  for (auto const& [tenant, requests] : seen.reported) {
+    if (requests <= asked[tenant]) continue;
+    broken.push_back({"no more usage than requests", tenant + ": " + std::to_string(requests) +
+                                                         " of " + std::to_string(asked[tenant])});
+  }
+}
+
 }  // namespace
 
 std::vector<broken_promise> check_soak(soak_records const& seen, soak_counts& counts) {
@@ -143,6 +181,8 @@
   for (job_record const& job : seen.jobs) check_job(seen, job, counts, broken);
   check_ends(seen, broken);
   check_orders(seen, counts, broken);
+  check_tenants(seen, counts, broken);
+  check_usage(seen, broken);
   return broken;
 }
 
--- a/tests/platform_standin/soak_checker.h
+++ b/tests/platform_standin/soak_checker.h
@@ -18,6 +18,8 @@
   unsigned status = 0;
   std::string body;
   bool repeatable = true;
+  /// Tenant whose key it carried; empty: a key that nobody holds.
+  std::string tenant;
 };
 
 /// One read of a job's results, from position 0.
@@ -47,6 +49,14 @@
   std::uint32_t events = 0;
   std::uint64_t newest_version = 1;
   milliseconds order_gap{0};
+  /// Tenant that handed the jobs in; empty: there are no tenants.
+  std::string job_tenant;
+  /// What the service for duties holds against its callers.
+  std::vector<std::string> duty_violations;
+  /// Reports that were taken.
+  std::size_t reports = 0;
+  /// Requests that were reported, by tenant.
+  std::map<std::string, std::uint64_t> reported;
 };
 
 /// A promise that was broken, and by what.
@@ -61,6 +71,8 @@
   std::size_t samples = 0;
   std::size_t positions = 0;
   std::size_t orders = 0;
+  /// Requests at servers whose tenant was judged.
+  std::size_t tenants = 0;
 };
 
 /// @param counts what was judged. @return every broken promise.
