The first order after a change of owner waits for what is under way, and holders do not take turns

Cause: an owner on another machine gave no orders, and would make no reports, for 3 s (orders.gap_ms). Change: a new orderer waits 0.8 s, the longest time that an order is under way (the former owner stops 0.15 s before its lease is over); one that may have ordered before the node that ordered last waits until orders.gap_ms after its own last term, or its process's start. The node that ordered last still orders at once.

--- a/src/ownership/owner_lease.cc
+++ b/src/ownership/owner_lease.cc
@@ -24,6 +24,9 @@
 constexpr milliseconds k_longest_handicap{250};
 constexpr milliseconds k_transaction_timeout{1500};
 constexpr milliseconds k_orderer_timeout{400};
+/// An order is given up by its sender, and its connection closed, within this time (0.8 s, the
+/// longest timeout of an order or a report); a former owner stops before its lease is over.
+constexpr milliseconds k_longest_order{800};
 
 }  // namespace
 
@@ -39,6 +42,7 @@
       store_(store),
       resource_(std::move(resource)),
       options_(std::move(options)),
+      may_have_ordered_until_(steady_clock::now()),
       changed_(context),
       renewed_(context) {}
 
@@ -141,11 +145,17 @@
            {{"resource", resource_}, {"epoch", epoch}});
 }
 
+time_point owner_lease::first_order_time(time_point now) const {
+  // Orders of one machine, whichever of its processes gives them, never count as another's.
+  if (ordered_last()) return now;
+  time_point const no_turns = may_have_ordered_until_ + order_gap_;
+  return std::max(now + std::min(k_longest_order, order_gap_), no_turns);
+}
+
 void owner_lease::become_owner(std::uint64_t epoch) {
   state_ = lease_state::owner;
   epoch_ = epoch;
-  // Orders of one machine, whichever of its processes gives them, never count as another's.
-  orders_from_ = ordered_last() ? steady_clock::now() : steady_clock::now() + order_gap_;
+  orders_from_ = first_order_time(steady_clock::now());
   last_owner_ = options_.node;
   owner_ = known_owner{options_.node, options_.address, epoch};
   log_line(log_level::info, k_part, "Ownership acquired.",
@@ -156,6 +166,7 @@
 
 void owner_lease::stop_owning(std::string_view cause) {
   state_ = lease_state::lapsed;
+  may_have_ordered_until_ = steady_clock::now();
   lease_ = 0;
   log_line(log_level::warning, k_part, "Ownership lost.",
            {{"resource", resource_}, {"epoch", epoch_}, {"cause", cause}});
--- a/src/ownership/owner_lease.h
+++ b/src/ownership/owner_lease.h
@@ -5,7 +5,8 @@
 /// A second record, the orderer's, outlives the lease: it names the last node that was entitled to
 /// give orders. An owner writes it before its first order, and takes the resource only at the
 /// revision of it that it knows. So the node that ordered last may order at once when it owns the
-/// resource again, and any other waits until no order of that node can be close.
+/// resource again. Any other waits until no order of that node can be under way and, if it may have
+/// ordered itself before that node did, until that is so long ago that the two do not take turns.
 #pragma once
 
 #include <cstdint>
@@ -81,14 +82,14 @@
   time_point confirmed_at() const { return confirmed_at_; }
   lease_state state() const { return state_; }
   std::uint64_t epoch() const { return epoch_; }
-  /// Earliest time for the first order: none of a former owner on another machine can follow.
+  /// Earliest time for the first order in this term.
   time_point orders_from() const { return orders_from_; }
   /// Whether an order may be given now.
   bool may_order(time_point now) const;
   /// Whether this node holds the owner's progress, and so asks for a free resource before the
   /// others.
   void set_preferred(bool preferred) { preferred_ = preferred; }
-  /// Time for which a former owner's orders count as close.
+  /// Orders of one node, another and the first again must be spread over more than this time.
   void set_order_gap(milliseconds gap) { order_gap_ = gap; }
   std::optional<known_owner> const& owner() const { return owner_; }
   std::string const& resource() const { return resource_; }
@@ -108,6 +109,7 @@
   awaitable<void> renew();
   awaitable<void> renew_once(kv::lease_id lease);
   void become_owner(std::uint64_t epoch);
+  time_point first_order_time(time_point now) const;
   bool ordered_last() const { return last_orderer_ == options_.node; }
   /// Writes the orderer's record once the first order is due; repeated until it is known to stand.
   awaitable<void> become_orderer();
@@ -125,6 +127,9 @@
   time_point valid_until_ = time_point::min();
   time_point confirmed_at_ = time_point::min();
   time_point orders_from_ = time_point::max();
+  /// Up to when this machine may have ordered in an earlier term; before its start, by a process
+  /// that this one does not know of.
+  time_point may_have_ordered_until_;
   milliseconds order_gap_{3000};
   std::optional<known_owner> owner_;
   /// Revision of the owner's record.
--- a/tests/unit/ownership/owner_lease_test.cc
+++ b/tests/unit/ownership/owner_lease_test.cc
@@ -153,6 +153,37 @@
   CHECK(one.orders_from() > steady_clock::now() + seconds(2));
 }
 
+TEST(owner_lease_test, node_that_never_ordered_waits_only_for_orders_that_are_under_way) {
+  put_orderer("other");
+  one.set_order_gap(milliseconds(1200));
+  time_point const old_enough = steady_clock::now() + milliseconds(1200);
+  while (steady_clock::now() < old_enough) context.run_for(milliseconds(5));
+  context.restart();
+  one.start();
+  tell(one);
+  run_until([&] { return gained == 1; });
+  time_point const now = steady_clock::now();
+  CHECK(one.orders_from() > now + milliseconds(500));
+  CHECK(one.orders_from() <= now + milliseconds(800));
+}
+
+TEST(owner_lease_test, node_that_ordered_before_another_one_does_not_take_turns_with_it) {
+  one.set_order_gap(milliseconds(0));
+  one.start();
+  tell(one);
+  run_until([&] { return one.may_order(steady_clock::now()); });
+  one.set_order_gap(milliseconds(3000));
+  put_owner("other", "another");
+  put_orderer("other");
+  tell(one);
+  LONGS_EQUAL(1, lost);
+  time_point const stopped = steady_clock::now();
+  store.remove_now(owner_lease::key_of("pool"));
+  tell(one);
+  run_until([&] { return gained == 2; });
+  CHECK(one.orders_from() >= stopped + milliseconds(2990));
+}
+
 TEST(owner_lease_test, pool_is_not_taken_on_stale_knowledge_of_the_orderer) {
   put_orderer("one");
   one.start();
