No more engines load a version than its samples can use

Change: a model gets at most three places for each sample of its latest job (two jobs may be open, and runs are quicker on engines that are not full); the shares stay below that. Tests: version_planner_test.no_more_engines_load_than_samples_can_use (40 engines: 40 orders before, 6 now).

--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -21,6 +21,9 @@
 /// Engines beyond its share that a model is served by, so that one model's long step finds room.
 constexpr std::size_t k_extra_engines = 1;
 constexpr std::size_t k_fewest_engines = 2;
+/// Places that a model gets for each sample of a job: two jobs may be open, and runs are quicker on
+/// engines that are not full. Beyond that a load serves nobody.
+constexpr std::size_t k_places_a_sample = 3;
 
 /// Where one model stands, and what it still lacks.
 struct model_plan {
@@ -32,6 +35,8 @@
   std::size_t fresh = 0;
   /// Engines that a job may use.
   std::size_t usable = 0;
+  /// Runs that its engines take at once, all together.
+  std::size_t places = 0;
   /// Engines to load, the best one last.
   std::vector<candidate> others;
 
@@ -49,6 +54,13 @@
   return std::min(engines, std::max(part, k_fewest_engines) + k_extra_engines);
 }
 
+/// Engines whose places are enough for a model's samples.
+std::size_t enough_engines(std::size_t engines, std::size_t places, std::size_t samples) {
+  if (samples == 0 || places == 0) return engines;
+  std::size_t const needed = samples * k_places_a_sample * engines;
+  return std::max((needed + places - 1) / places, k_fewest_engines);
+}
+
 /// Models for which an engine holds a recent version.
 std::size_t count_homes(board_engine const& one, model_needs const& needs) {
   std::size_t homes = 0;
@@ -63,6 +75,7 @@
   auto const held = one.versions.find(plan.model);
   if (!is_ready(one) || held == one.versions.end()) return;
   ++plan.wanted;
+  plan.places += one.server.slots;
   bool const coming = one.load == load_state::ordered && one.ordered_model == plan.model &&
                       one.ordered_version >= plan.need.newest;
   if (held->second >= plan.need.newest || coming) {
@@ -94,7 +107,9 @@
   plan.model = model;
   plan.need = need;
   for (auto const& [id, one] : board.engines()) take_engine(plan, one, needs);
+  std::size_t const enough = enough_engines(plan.wanted, plan.places, need.samples);
   plan.wanted = wanted_engines(plan.wanted, need, total_demand, needs.size());
+  plan.wanted = std::min(plan.wanted, enough);
   plan.fresh_wanted = need.slack == 0 ? plan.wanted : std::max<std::size_t>(plan.wanted / 2, 1);
   sort_candidates(plan);
   return plan;
--- a/src/engines/version_planner.h
+++ b/src/engines/version_planner.h
@@ -37,6 +37,8 @@
   std::uint64_t slack = 1;
   /// Size of its jobs, in any unit that all models share; 0: not known.
   double demand = 0;
+  /// Samples of its latest job; 0: not known.
+  std::size_t samples = 0;
 };
 
 using model_needs = std::map<std::string, model_need>;
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -44,9 +44,10 @@
 }
 
 void weight_orders::note_job(std::string const& model, std::uint64_t min_version,
-                             std::uint64_t size) {
+                             std::uint64_t size, std::size_t samples) {
   model_need& need = needs_[model];
   need.demand = static_cast<double>(size);
+  need.samples = samples;
   std::uint64_t const behind = need.newest > min_version ? need.newest - min_version : 0;
   // Before anything is named, the first jobs say nothing about later ones.
   if (need.newest >= 2) need.slack = std::min(behind, k_most_slack);
--- a/src/engines/weight_orders.h
+++ b/src/engines/weight_orders.h
@@ -33,7 +33,9 @@
   void name_version(std::string const& model, std::uint64_t version);
   /// A job of this model was accepted that allows versions from `min_version` on.
   /// @param size of the job, in tokens.
-  void note_job(std::string const& model, std::uint64_t min_version, std::uint64_t size);
+  /// @param samples of the job.
+  void note_job(std::string const& model, std::uint64_t min_version, std::uint64_t size,
+                std::size_t samples);
   std::uint64_t newest(std::string const& model) const;
   /// Plans and sends what is due. Called whenever something changed, and now and then.
   void advance(time_point now);
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -183,12 +183,16 @@
   co_return read_job(pool, id, answer.value().entries);
 }
 
+void pool_owner::note_job(rpc::JobRecordT const& record) {
+  orders_.note_job(record.model, record.min_version, tokens_of(record), record.items.size());
+}
+
 void pool_owner::take_stored(std::string const& id, stored_job stored) {
   if (!stored.record) {
     log_line(log_level::error, k_part, "A job's record can't be read.", {{"job", id}});
     return;
   }
-  orders_.note_job(stored.record->model, stored.record->min_version, tokens_of(*stored.record));
+  note_job(*stored.record);
   time_point const now = steady_clock::now();
   table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -80,6 +80,8 @@
   void gained();
   void lost();
   void drop_everything();
+  /// Tells what loads weights of a job that has come.
+  void note_job(rpc::JobRecordT const& record);
   awaitable<void> load(std::uint64_t term);
   awaitable<bool> load_marks(std::uint64_t term);
   /// Jobs that are being read, all at once.
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -111,7 +111,7 @@
       ahead == nullptr
           ? 0
           : std::chrono::duration_cast<milliseconds>(now - ahead->accepted_at).count()};
-  if (ahead == nullptr) orders_.note_job(record->model, record->min_version, tokens_of(*record));
+  if (ahead == nullptr) note_job(*record);
   log_line(log_level::info, k_part, "Job accepted.",
            {{"job", id},
             {"model", record->model},
@@ -134,7 +134,7 @@
   if (term != term_ || !submitting_.contains(id) || table_.find(id) != nullptr) co_return;
   log_line(log_level::info, k_part, "Job runs while its record is written.",
            {{"job", id}, {"items", record->items.size()}, {"epoch", parts_.lease.epoch()}});
-  orders_.note_job(record->model, record->min_version, tokens_of(*record));
+  note_job(*record);
   table_.add_unrecorded(rpc::JobRecordT(*record), steady_clock::now());
   notify();
 }
