Clients' calls and answers to what was given up stand in files of their own

Change: gateway/client_calls (who may, and what a request is) and calls/give_up (why there is no answer, and what the caller is told).

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -19,7 +19,6 @@
 /// Silence of an event stream after which it counts as dead.
 constexpr milliseconds k_stream_silence{1800};
 constexpr std::size_t k_longest_answer = 64 * 1024 * 1024;
-constexpr std::string_view k_retry_later = "0.3";
 constexpr std::string_view k_event_stream = "text/event-stream";
 
 /// Headers that belong to one connection (RFC 9110, 7.6.1).
@@ -49,44 +48,6 @@
 
 }  // namespace
 
-std::string_view to_string(give_up_reason reason) {
-  switch (reason) {
-    case give_up_reason::none:
-      return "none";
-    case give_up_reason::no_configuration:
-      return "no_configuration";
-    case give_up_reason::no_route:
-      return "no_route";
-    case give_up_reason::no_server:
-      return "no_server";
-    case give_up_reason::servers_full:
-      return "servers_full";
-    case give_up_reason::deadline_not_run:
-      return "deadline_not_run";
-    case give_up_reason::deadline_unknown:
-      return "deadline_unknown";
-    case give_up_reason::outcome_unknown:
-      return "outcome_unknown";
-    case give_up_reason::caller_left:
-      return "caller_left";
-  }
-  return "unknown";
-}
-
-http::response give_up_answer(give_up_reason reason) {
-  http::status code = http::status::service_unavailable;
-  if (reason == give_up_reason::no_route) code = http::status::not_found;
-  if (reason == give_up_reason::outcome_unknown) code = http::status::bad_gateway;
-  if (reason == give_up_reason::deadline_unknown) code = http::status::gateway_timeout;
-  std::string body = "{\"reason\":\"" + std::string(to_string(reason)) + "\"}";
-  http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
-  if (code == http::status::service_unavailable) {
-    answer.set(http::field::retry_after,
-               http::beast::string_view(k_retry_later.data(), k_retry_later.size()));
-  }
-  return answer;
-}
-
 forwarder::journey forwarder::begin(std::shared_ptr<route_table const> table, route const& by,
                                     http::request message, time_point deadline, caller* from) {
   journey one;
--- /dev/null
+++ b/src/calls/give_up.h
@@ -0,0 +1,32 @@
+/// @file Requests that got no server's answer: why, and what their callers are told.
+#pragma once
+
+#include <string_view>
+
+#include "http/message.h"
+
+namespace frostline::calls {
+
+/// Why a request got no server's answer.
+enum class give_up_reason {
+  none,
+  no_configuration,
+  no_route,
+  no_server,
+  /// Every server that was asked refused; it has not run.
+  servers_full,
+  /// Out of time before any server may have run it.
+  deadline_not_run,
+  /// Out of time while a server may run it.
+  deadline_unknown,
+  /// A server failed and may have run it.
+  outcome_unknown,
+  caller_left,
+};
+
+std::string_view to_string(give_up_reason reason);
+
+/// The answer for a request that was given up, with when to come back if it has not run.
+http::response give_up_answer(give_up_reason reason);
+
+}  // namespace frostline::calls
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -4,9 +4,9 @@
 
 #include "base/encoding.h"
 #include "base/log.h"
-#include "calls/access.h"
 #include "calls/forwarder.h"
 #include "calls/ingress.h"
+#include "gateway/client_calls.h"
 #include "gateway/duties.h"
 #include "gateway/metrics.h"
 #include "gateway/operator_requests.h"
@@ -32,13 +32,6 @@
 constexpr milliseconds k_stop_margin{700};
 constexpr milliseconds k_stop_poll{20};
 constexpr milliseconds k_last_requests{150};
-constexpr milliseconds k_default_deadline{10'000};
-/// Readers wait that much longer than they allow.
-constexpr milliseconds k_list_margin{1200};
-constexpr milliseconds k_end_deadline{3000};
-/// When to come back to a node that knows no configuration yet: it hears one from others in a few
-/// times this.
-constexpr milliseconds k_unconfigured_retry{300};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 constexpr std::string_view k_metrics_path = "/metrics";
 constexpr std::string_view k_plain_text = "text/plain; version=0.0.4";
@@ -64,15 +57,6 @@
   void note_progress();
   awaitable<void> housekeeping_loop();
   void resynchronize(std::string_view cause);
-  awaitable<void> handle(http::request message, calls::caller& from);
-  awaitable<void> handle_job(job_request request, calls::caller& from);
-  awaitable<void> handle_submission(http::request message, calls::route const& by,
-                                    std::string const& tenant, calls::caller& from);
-  /// Names the caller's tenant in a call about a job. @return false if it was refused and answered.
-  awaitable<bool> admit_job_call(calls::route_table const* table, http::request const& message,
-                                 job_request& request, calls::caller& from);
-  awaitable<void> refuse_access(calls::credentials verdict, calls::route_table const& table,
-                                std::string_view request, calls::caller& from);
   http::response readiness() const;
   http::response metrics_page();
   awaitable<http::response> handle_peer(http::request message);
@@ -104,6 +88,9 @@
                                                   settings_.zone, settings_.processor_share}};
   rpc::dispatcher peer_methods_;
   metrics metrics_;
+  client_calls client_calls_{client_calls_parts{adapter_, configuration_, forwarder_, job_client_,
+                                                metrics_,
+                                                [this] { return feed_.age(steady_clock::now()); }}};
   std::unique_ptr<http::server> peers_;
   std::unique_ptr<http::server> readiness_;
   std::unique_ptr<calls::ingress> ingress_;
@@ -147,7 +134,7 @@
   ingress_ = std::make_unique<calls::ingress>(
       context_,
       [this](http::request message, calls::caller& from) {
-        return handle(std::move(message), from);
+        return client_calls_.handle(std::move(message), from);
       },
       settings_.connections);
   std::string failure = peers_->listen(settings_.peers);
@@ -313,121 +300,6 @@
   co_return http::make_response(http::status::not_found, "", "text/plain");
 }
 
-awaitable<void> application::parts::handle(http::request message, calls::caller& from) {
-  time_point const begin = steady_clock::now();
-  calls::header_names const& names = adapter_.names();
-  auto about_job = adapter_.parse_job_request(message);
-  auto const table = configuration_.table();
-  if (about_job) {
-    if (co_await admit_job_call(table.get(), message, *about_job, from)) {
-      co_await handle_job(std::move(*about_job), from);
-    }
-    co_return;
-  }
-  calls::route const* by =
-      table ? table->match(http::header(message, "Host"), http::as_view(message.target()))
-            : nullptr;
-  calls::access access;
-  if (by != nullptr) access = calls::check_access(*table, message, by->is_public);
-  if (!access.is_granted) {
-    co_await refuse_access(access.verdict, *table, http::header(message, names.request_id), from);
-    co_return;
-  }
-  std::string const tenant = access.who == nullptr ? std::string() : access.who->name;
-  if (by != nullptr && by->kind == calls::route_kind::job) {
-    co_await handle_submission(std::move(message), *by, tenant, from);
-    co_return;
-  }
-  time_point deadline = begin + k_default_deadline;
-  std::string const told(http::header(message, names.deadline));
-  if (!told.empty()) deadline = begin + milliseconds(std::strtoll(told.c_str(), nullptr, 10));
-  co_await forwarder_.handle(table, by, std::move(message), tenant, deadline, from);
-  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
-  metrics_.note_call(spent);
-}
-
-awaitable<bool> application::parts::admit_job_call(calls::route_table const* table,
-                                                   http::request const& message,
-                                                   job_request& request, calls::caller& from) {
-  if (table == nullptr) {
-    // Whether the caller's key is good can't be told yet.
-    rpc::JobReplyT reply;
-    reply.status = rpc::JobStatus::UNAVAILABLE;
-    reply.retry_after_ms = static_cast<std::uint64_t>(k_unconfigured_retry.count());
-    co_await from.answer(adapter_.write_job_reply(request.call, reply));
-    co_return false;
-  }
-  bool const is_public = table->has_public_job_route(http::header(message, "Host"));
-  calls::access const access = calls::check_access(*table, message, is_public);
-  if (access.who != nullptr) request.call.tenant = access.who->name;
-  if (access.is_granted) co_return true;
-  co_await refuse_access(access.verdict, *table, request.call.job, from);
-  co_return false;
-}
-
-awaitable<void> application::parts::refuse_access(calls::credentials verdict,
-                                                  calls::route_table const& table,
-                                                  std::string_view request, calls::caller& from) {
-  metrics_.note_access_refused();
-  log_line(log_level::info, k_part, "Access refused.",
-           {{"request", request},
-            {"tenant", "unknown"},
-            {"reason", calls::to_string(verdict)},
-            {"config", table.all().version},
-            {"records_age_ms", feed_.age(steady_clock::now()).count()}});
-  co_await from.answer(calls::access_denied_answer(verdict));
-}
-
-awaitable<void> application::parts::handle_job(job_request request, calls::caller& from) {
-  bool const ends = request.call.action == rpc::JobAction::END;
-  auto const patience = ends ? k_end_deadline : milliseconds(request.call.wait_ms) + k_list_margin;
-  time_point const deadline =
-      steady_clock::now() + std::min(patience, request.deadline.value_or(patience));
-  rpc::JobReplyT const reply = co_await job_client_.ask(request.call, deadline);
-  if (reply.status != rpc::JobStatus::OK) {
-    log_line(log_level::info, k_part, "Job call not answered.",
-             {{"job", request.call.job},
-              {"action", rpc::EnumNameJobAction(request.call.action)},
-              {"status", rpc::EnumNameJobStatus(reply.status)},
-              {"detail", reply.detail}});
-  }
-  co_await from.answer(adapter_.write_job_reply(request.call, reply));
-}
-
-awaitable<void> application::parts::handle_submission(http::request message, calls::route const& by,
-                                                      std::string const& tenant,
-                                                      calls::caller& from) {
-  time_point const begin = steady_clock::now();
-  std::string const pool = by.shares.front().service;
-  milliseconds const longest = by.timeout > milliseconds(0) ? by.timeout : k_default_deadline;
-  rpc::JobReplyT reply;
-  auto request = adapter_.parse_submission(message);
-  if (!request) {
-    reply.status = rpc::JobStatus::INVALID;
-    reply.detail = "the body is not a job";
-    co_await from.answer(adapter_.write_job_reply(rpc::JobCallT(), reply));
-    co_return;
-  }
-  request->call.tenant = tenant;
-  request->call.record->tenant = tenant;
-  // A submission is taken by its body alone; its copies need not stay in memory.
-  message = http::request();
-  rpc::JobCallT asked;
-  asked.action = rpc::JobAction::SUBMIT;
-  asked.job = request->call.job;
-  time_point const deadline = begin + std::min(longest, request->deadline.value_or(longest));
-  reply = co_await job_client_.submit(pool, std::move(request->call), deadline);
-  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
-  metrics_.note_submission(spent);
-  log_line(log_level::info, k_part, "Submission answered.",
-           {{"job", asked.job},
-            {"pool", pool},
-            {"status", rpc::EnumNameJobStatus(reply.status)},
-            {"detail", reply.detail},
-            {"after_ms", spent.count()}});
-  co_await from.answer(adapter_.write_job_reply(asked, reply));
-}
-
 void application::parts::reload(settings const& all) {
   settings_.order_gap = all.order_gap;
   settings_.retention = all.retention;
--- /dev/null
+++ b/src/gateway/client_calls.cc
@@ -0,0 +1,136 @@
+#include "gateway/client_calls.h"
+
+#include <algorithm>
+
+#include "base/log.h"
+#include "calls/access.h"
+
+namespace frostline::gateway {
+namespace {
+
+constexpr std::string_view k_part = "gateway";
+constexpr milliseconds k_default_deadline{10'000};
+/// Readers wait that much longer than they allow.
+constexpr milliseconds k_list_margin{1200};
+constexpr milliseconds k_end_deadline{3000};
+/// When to come back to a node that knows no configuration yet: it hears one from others in a few
+/// times this.
+constexpr milliseconds k_unconfigured_retry{300};
+
+}  // namespace
+
+awaitable<void> client_calls::handle(http::request message, calls::caller& from) {
+  time_point const begin = steady_clock::now();
+  calls::header_names const& names = parts_.adapter.names();
+  auto about_job = parts_.adapter.parse_job_request(message);
+  auto const table = parts_.configuration.table();
+  if (about_job) {
+    if (co_await admit_job_call(table.get(), message, *about_job, from)) {
+      co_await handle_job(std::move(*about_job), from);
+    }
+    co_return;
+  }
+  calls::route const* by =
+      table ? table->match(http::header(message, "Host"), http::as_view(message.target()))
+            : nullptr;
+  calls::access access;
+  if (by != nullptr) access = calls::check_access(*table, message, by->is_public);
+  if (!access.is_granted) {
+    co_await refuse_access(access.verdict, *table, http::header(message, names.request_id), from);
+    co_return;
+  }
+  std::string const tenant = access.who == nullptr ? std::string() : access.who->name;
+  if (by != nullptr && by->kind == calls::route_kind::job) {
+    co_await handle_submission(std::move(message), *by, tenant, from);
+    co_return;
+  }
+  time_point deadline = begin + k_default_deadline;
+  std::string const told(http::header(message, names.deadline));
+  if (!told.empty()) deadline = begin + milliseconds(std::strtoll(told.c_str(), nullptr, 10));
+  co_await parts_.forwarder.handle(table, by, std::move(message), tenant, deadline, from);
+  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  parts_.figures.note_call(spent);
+}
+
+awaitable<bool> client_calls::admit_job_call(calls::route_table const* table,
+                                             http::request const& message, job_request& request,
+                                             calls::caller& from) {
+  if (table == nullptr) {
+    // Whether the caller's key is good can't be told yet.
+    rpc::JobReplyT reply;
+    reply.status = rpc::JobStatus::UNAVAILABLE;
+    reply.retry_after_ms = static_cast<std::uint64_t>(k_unconfigured_retry.count());
+    co_await from.answer(parts_.adapter.write_job_reply(request.call, reply));
+    co_return false;
+  }
+  bool const is_public = table->has_public_job_route(http::header(message, "Host"));
+  calls::access const access = calls::check_access(*table, message, is_public);
+  if (access.who != nullptr) request.call.tenant = access.who->name;
+  if (access.is_granted) co_return true;
+  co_await refuse_access(access.verdict, *table, request.call.job, from);
+  co_return false;
+}
+
+awaitable<void> client_calls::refuse_access(calls::credentials verdict,
+                                            calls::route_table const& table,
+                                            std::string_view request, calls::caller& from) {
+  parts_.figures.note_access_refused();
+  log_line(log_level::info, k_part, "Access refused.",
+           {{"request", request},
+            {"tenant", "unknown"},
+            {"reason", calls::to_string(verdict)},
+            {"config", table.all().version},
+            {"records_age_ms", parts_.records_age().count()}});
+  co_await from.answer(calls::access_denied_answer(verdict));
+}
+
+awaitable<void> client_calls::handle_job(job_request request, calls::caller& from) {
+  bool const ends = request.call.action == rpc::JobAction::END;
+  auto const patience = ends ? k_end_deadline : milliseconds(request.call.wait_ms) + k_list_margin;
+  time_point const deadline =
+      steady_clock::now() + std::min(patience, request.deadline.value_or(patience));
+  rpc::JobReplyT const reply = co_await parts_.jobs.ask(request.call, deadline);
+  if (reply.status != rpc::JobStatus::OK) {
+    log_line(log_level::info, k_part, "Job call not answered.",
+             {{"job", request.call.job},
+              {"action", rpc::EnumNameJobAction(request.call.action)},
+              {"status", rpc::EnumNameJobStatus(reply.status)},
+              {"detail", reply.detail}});
+  }
+  co_await from.answer(parts_.adapter.write_job_reply(request.call, reply));
+}
+
+awaitable<void> client_calls::handle_submission(http::request message, calls::route const& by,
+                                                std::string const& tenant, calls::caller& from) {
+  time_point const begin = steady_clock::now();
+  std::string const pool = by.shares.front().service;
+  milliseconds const longest = by.timeout > milliseconds(0) ? by.timeout : k_default_deadline;
+  rpc::JobReplyT reply;
+  auto request = parts_.adapter.parse_submission(message);
+  if (!request) {
+    reply.status = rpc::JobStatus::INVALID;
+    reply.detail = "the body is not a job";
+    co_await from.answer(parts_.adapter.write_job_reply(rpc::JobCallT(), reply));
+    co_return;
+  }
+  request->call.tenant = tenant;
+  request->call.record->tenant = tenant;
+  // A submission is taken by its body alone; its copies need not stay in memory.
+  message = http::request();
+  rpc::JobCallT asked;
+  asked.action = rpc::JobAction::SUBMIT;
+  asked.job = request->call.job;
+  time_point const deadline = begin + std::min(longest, request->deadline.value_or(longest));
+  reply = co_await parts_.jobs.submit(pool, std::move(request->call), deadline);
+  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  parts_.figures.note_submission(spent);
+  log_line(log_level::info, k_part, "Submission answered.",
+           {{"job", asked.job},
+            {"pool", pool},
+            {"status", rpc::EnumNameJobStatus(reply.status)},
+            {"detail", reply.detail},
+            {"after_ms", spent.count()}});
+  co_await from.answer(parts_.adapter.write_job_reply(asked, reply));
+}
+
+}  // namespace frostline::gateway
