--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -21,9 +21,11 @@
 /// Engines beyond its share that a model is served by, so that one model's long step finds room.
 constexpr std::size_t k_extra_engines = 1;
 constexpr std::size_t k_fewest_engines = 2;
-/// Places that a model gets for each sample of a job: two jobs may be open, and runs are quicker on
-/// engines that are not full. Beyond that a load serves nobody.
-constexpr std::size_t k_places_a_sample = 3;
+/// Places that a model gets for each sample of a job. Two jobs may be open, runs are quicker on
+/// engines that are not full, and a slow engine's runs need a quicker one to move to. Measured with
+/// 3,000 engines (docs/design/changed-workload.md): 3 make steps late, beyond 12 loads serve
+/// nobody.
+constexpr std::size_t k_places_a_sample = 12;
 
 /// Where one model stands, and what it still lacks.
 struct model_plan {
