--- a/tests/platform/usage_test.cc
+++ b/tests/platform/usage_test.cc
@@ -50,8 +50,7 @@
   }
 
   void check_rules() {
-    auto const found =
-        system.on_platform([&] { return system.duties().violations(k_turn_gap); });
+    auto const found = system.on_platform([&] { return system.duties().violations(k_turn_gap); });
     for (std::string const& one : found) FAIL(one.c_str());
   }
 
@@ -108,9 +107,8 @@
   send((holder + 1) % system.nodes());
   system.node(holder).send_signal(SIGSTOP);
   platform_cluster::wait_until("another node reports", [&] {
-    return system.on_platform([&] {
-      return system.duties().calls().back().holder != "node-" + std::to_string(holder);
-    });
+    return system.on_platform(
+        [&] { return system.duties().calls().back().holder != "node-" + std::to_string(holder); });
   });
   system.node(holder).send_signal(SIGCONT);
   send((holder + 1) % system.nodes());
