--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -273,9 +273,7 @@
   platform_cluster::wait_until("its samples run",
                                [&] { return engine_arrivals(system).size() >= before + 8; });
   // Nothing is accepted yet, so nothing is shown; and nobody is told that it does not exist.
-  auto const early = system.call(2, http::verb::get, "/api/lots/late?after_rev=0", "");
-  CHECK(static_cast<bool>(early));
-  LONGS_EQUAL(503, early.value().result_int());
+  LONGS_EQUAL(503, system.results_status(2, "late"));
   system.on_platform([&] {
     system.store().faults().silent = false;
     return 0;
--- a/tests/platform/tenants_test.cc
+++ b/tests/platform/tenants_test.cc
@@ -98,8 +98,7 @@
   system.wait_for_results(1, "job-1", 1);
   system.use_key("key-c");
   for (std::size_t node = 0; node < system.nodes(); ++node) {
-    LONGS_EQUAL(404,
-                system.call(node, http::verb::get, "/api/lots/job-1", "").value().result_int());
+    LONGS_EQUAL(404, system.results_status(node, "job-1"));
     LONGS_EQUAL(404, system.item_body(node, "job-1", "item-1").value().result_int());
     LONGS_EQUAL(404, system.end_job(node, "job-1"));
   }
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -312,6 +312,11 @@
   });
 }
 
+unsigned platform_cluster::results_status(std::size_t node, std::string const& job) {
+  auto const answer = call(node, http::verb::get, "/api/lots/" + job + "?after_rev=0", "");
+  return answer ? answer.value().result_int() : 0;
+}
+
 std::optional<json::object> platform_cluster::results(std::size_t node, std::string const& job,
                                                       std::uint64_t after) {
   auto const answer =
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -121,6 +121,8 @@
   /// Asks for a storage machine to be emptied, as an operator does.
   void ask_to_empty(std::string const& machine);
   bool is_reported_empty(std::string const& machine);
+  /// Status with which a node answers a call for a job's results; 0 without an answer.
+  unsigned results_status(std::size_t node, std::string const& job);
   /// Results of a job from a position on; nothing if the node does not answer 200.
   std::optional<boost::json::object> results(std::size_t node, std::string const& job,
                                              std::uint64_t after = 0);
