--- a/tests/platform_standin/duty_standin.cc
+++ b/tests/platform_standin/duty_standin.cc
@@ -8,8 +8,6 @@
 namespace frostline::testing {
 namespace {
 
-namespace json = boost::json;
-
 constexpr seconds k_silence{60};
 
 std::uint64_t to_number(std::string_view text) {
