--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -2,6 +2,7 @@
 /// piece; the exchange knows how far the request came, which decides whether it may be sent again.
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <memory>
@@ -33,6 +34,8 @@
   aborted,
 };
 
+inline constexpr std::size_t k_exchange_failures = 7;
+
 std::string_view to_string(exchange_failure failure);
 
 /// Which connections may carry a request.
@@ -96,6 +99,9 @@
   /// Closes the connection at once; what waits on it fails with `aborted`.
   void abort();
   bool is_aborted() const { return aborted_; }
+  /// The request goes to the same server once more, on a new connection.
+  void note_resent() { resent_ = true; }
+  bool is_resent() const { return resent_; }
   directory::server const& server() const { return server_; }
 
  private:
@@ -113,6 +119,7 @@
   bool request_whole_ = false;
   bool answer_begun_ = false;
   bool aborted_ = false;
+  bool resent_ = false;
 };
 
 }  // namespace frostline::calls
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -37,6 +37,10 @@
   for (http::field name : k_hop_by_hop) message.erase(name);
 }
 
+std::int64_t milliseconds_since(time_point then) {
+  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - then).count();
+}
+
 std::int64_t milliseconds_left(time_point deadline) {
   auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
   return std::max<std::int64_t>(left.count(), 1);
@@ -88,13 +92,28 @@
   exchange_failure failure = co_await with.send(one.message, choice, deadline);
   if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
   if (failure == exchange_failure::stale_connection && repeatable) {
+    with.note_resent();
     failure = co_await with.send(one.message, connection_choice::fresh, deadline);
     if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
   }
   co_return failure;
 }
 
+quarantine::fingerprint const& forwarder::identify(journey& one) const {
+  if (one.identity) return *one.identity;
+  quarantine::request_parts parts;
+  parts.caller = one.tenant;
+  if (one.tenant.empty()) parts.caller = http::as_view(one.message[http::field::authorization]);
+  parts.host = http::as_view(one.message[http::field::host]);
+  parts.method = http::as_view(one.message.method_string());
+  parts.target = http::as_view(one.message.target());
+  parts.body = one.message.body();
+  one.identity = quarantine::fingerprint::of(parts);
+  return *one.identity;
+}
+
 void forwarder::note_failure(journey& one, exchange const& with, exchange_failure failure) {
+  ++figures_.failed_attempts[static_cast<std::size_t>(failure)];
   bool const unsent = failure == exchange_failure::not_connected;
   if (unsent) {
     --one.attempts;
@@ -111,6 +130,10 @@
             {"server", with.server().id},
             {"failure", to_string(failure)},
             {"attempt", one.attempts},
+            {"sent_ms_ago", milliseconds_since(one.attempt_begun)},
+            {"resent", with.is_resent() ? "yes" : "no"},
+            {"others_under_way", parts_.selector.outstanding(with.server().id)},
+            {"fingerprint", identify(one).to_string()},
             {"config", one.table->all().version}});
 }
 
@@ -360,7 +383,8 @@
   co_return true;
 }
 
-void forwarder::log_outcome(journey const& one, unsigned status, std::string_view sentence) {
+void forwarder::log_outcome(journey& one, unsigned status, std::string_view sentence) {
+  bool const given_up = one.reason != give_up_reason::none;
   log_line(log_level::info, k_part, sentence,
            {{"request", http::header(one.message, parts_.names.request_id)},
             {"route", one.by->name},
@@ -369,6 +393,7 @@
             {"reason", to_string(one.reason)},
             {"server", one.server},
             {"attempts", one.attempts},
+            {"fingerprint", given_up ? identify(one).to_string() : std::string()},
             {"config", one.table->all().version}});
 }
 
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -1,8 +1,10 @@
 /// @file Ordinary calls: from a caller's request to the answer of one server, whole or in events.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -13,6 +15,7 @@
 #include "calls/route_table.h"
 #include "calls/server_selector.h"
 #include "directory/server_directory.h"
+#include "quarantine/fingerprint.h"
 #include "usage/run_counter.h"
 
 namespace frostline::calls {
@@ -34,6 +37,8 @@
   std::uint64_t given_up = 0;
   std::uint64_t retries = 0;
   std::uint64_t callers_left = 0;
+  /// Attempts that failed, by exchange_failure.
+  std::array<std::uint64_t, k_exchange_failures> failed_attempts{};
 };
 
 /// References outlive the forwarder.
@@ -86,6 +91,8 @@
     std::string tenant;
     /// A server has begun to run it, as far as is known; it is counted once.
     bool counted = false;
+    /// Set when it is first needed.
+    std::optional<quarantine::fingerprint> identity;
     give_up_reason reason = give_up_reason::none;
   };
 
@@ -99,6 +106,7 @@
   /// Whether the server's answer may be taken; else the next attempt follows.
   bool accepts(journey& one, exchange& with);
   void note_failure(journey& one, exchange const& with, exchange_failure failure);
+  quarantine::fingerprint const& identify(journey& one) const;
   /// What the tenant's usage owes to an attempt.
   void count_run(journey& one, usage::run_counter::attempt_id attempt, bool may_have_begun,
                  bool is_event_stream);
@@ -113,7 +121,7 @@
   /// Passes events on. @return true if the stream has ended or can't go on.
   awaitable<bool> pump(journey& one, exchange& with, event_splitter& splitter, bool& begun);
   awaitable<void> answer_give_up(journey& one);
-  void log_outcome(journey const& one, unsigned status, std::string_view sentence);
+  void log_outcome(journey& one, unsigned status, std::string_view sentence);
 
   forwarder_parts parts_;
   share_picker shares_;
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -107,6 +107,13 @@
            static_cast<double>(now.calls.retries));
   page.set("frostline_callers_left_total", "requests whose caller left",
            static_cast<double>(now.calls.callers_left));
+  for (std::size_t kind = 0; kind < now.calls.failed_attempts.size(); ++kind) {
+    auto const failure = static_cast<calls::exchange_failure>(kind);
+    if (failure == calls::exchange_failure::none) continue;
+    page.set("frostline_attempts_failed_total", "attempts at servers without an answer",
+             static_cast<double>(now.calls.failed_attempts[kind]),
+             {{"failure", std::string(calls::to_string(failure))}});
+  }
   page.set("frostline_connections_opened_total", "connections opened to servers",
            static_cast<double>(now.connections_opened));
   page.set("frostline_log_lines_dropped_total", "log lines dropped",
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -11,6 +11,7 @@
 
 #include "base/time.h"
 #include "calls/event_stream.h"
+#include "quarantine/fingerprint.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
@@ -119,6 +120,9 @@
 /// sum matters, and few of them are much longer than guessed.
 std::uint64_t expected_tokens(rpc::JobItemT const& item);
 
+/// What makes a sample's request the same in whichever job it comes.
+quarantine::fingerprint identify(job const& owner, std::uint32_t index);
+
 /// Names one run of one sample.
 struct run_key {
   std::string job;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -269,12 +269,14 @@
   time_point const now = steady_clock::now();
   job* const owner = parts_.table.find(key.job);
   sample* const one = parts_.table.running(key);
+  bool const tells = owner != nullptr && end == run_end::broken;
   log_line(log_level::info, k_part, "Run ended.",
            {{"request", owner == nullptr ? "" : owner->samples[key.index].spec->id},
             {"job", key.job},
             {"server", engine},
             {"run", key.attempt},
             {"end", name_of(end)},
+            {"fingerprint", tells ? identify(*owner, key.index).to_string() : std::string()},
             {"events", one == nullptr ? 0 : one->events}});
   if (end == run_end::broken) {
     ++figures_.broken;
