Failing tests: a request that crashes its servers comes again; suspension

Stand-ins of servers can end under a marked request and begin a new life; the test program's clocks can be set as if the machine had slept. Children of tests no longer inherit listeners of stand-ins: with them a stand-in's port stayed open after its end.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -119,6 +119,12 @@
   }
 }
 
+void server::abort() {
+  close_listener();
+  beast::error_code ignored;
+  for (auto const& peer : connections_) peer->stream.socket().close(ignored);
+}
+
 awaitable<void> server::accept_loop() {
   while (acceptor_.is_open()) {
     auto [failure, socket] = co_await acceptor_.async_accept(k_as_tuple);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,6 +64,9 @@
   /// Closes connections that wait for a request; those in an exchange go on.
   void close_idle();
 
+  /// Closes the listener and every connection at once, as the end of the process would.
+  void abort();
+
   /// Requests that are being answered.
   std::size_t in_flight() const { return in_flight_; }
 
--- /dev/null
+++ b/tests/platform/crashing_request_test.cc
@@ -0,0 +1,207 @@
+/// @file A request that ends each server that begins to run it, and comes again at any node.
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <future>
+#include <set>
+
+#include "http/json_fields.h"
+#include "platform_cluster.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+constexpr char k_deadly[] = "deadly";
+/// From this long after the third crash on, only few retries may reach a server.
+constexpr milliseconds k_contact{3000};
+constexpr std::size_t k_crashes_allowed = 3;
+constexpr std::size_t k_retries_allowed = 3;
+/// Tries after the bound holds: each would end up to three servers.
+constexpr std::size_t k_late_tries = 12;
+constexpr milliseconds k_patience{800};
+
+platform_options with_many_servers() {
+  platform_options options;
+  options.engines = 4;
+  options.apps = 4;
+  options.zones = 3;
+  options.event_gap = milliseconds(15);
+  return options;
+}
+
+std::vector<test_item> make_items(std::string const& job, std::size_t count) {
+  std::vector<test_item> items;
+  for (std::size_t index = 0; index < count; ++index) {
+    items.push_back({job + "-" + std::to_string(index), "group-" + std::to_string(index)});
+    items.back().scorer_path = "/open/score";
+  }
+  return items;
+}
+
+std::set<std::string> completed(boost::json::object const& listed) {
+  std::set<std::string> all;
+  for (auto const& one : listed.at("results").as_array()) {
+    bool const whole = json_text(one.as_object(), "state") == "completed";
+    if (whole) all.insert(json_text(one.as_object(), "id"));
+  }
+  return all;
+}
+
+}  // namespace
+
+TEST_GROUP(crashing_request_test) {
+  platform_cluster system{with_many_servers()};
+  std::size_t next_try = 0;
+  std::size_t next_other = 0;
+
+  void setup() override {
+    system.on_platform([&] {
+      for (std::size_t index = 0; index < system.apps(); ++index) {
+        system.app(index).faults().crash_text = k_deadly;
+      }
+      for (std::size_t index = 0; index < system.engines(); ++index) {
+        system.engine(index).faults().crash_text = k_deadly;
+      }
+      return 0;
+    });
+  }
+
+  /// Times at which a deadly request reached a server, in their order.
+  std::vector<time_point> deadly_arrivals() {
+    std::vector<time_point> times = system.on_platform([&] {
+      std::vector<time_point> all;
+      auto const take = [&](server_standin const& from) {
+        for (arrival const& one : from.arrivals()) {
+          if (one.crashed) all.push_back(one.at);
+        }
+      };
+      for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
+      for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
+      return all;
+    });
+    std::sort(times.begin(), times.end());
+    return times;
+  }
+
+  /// How often the request reached a server once the bound held.
+  std::size_t late_arrivals() {
+    auto const times = deadly_arrivals();
+    if (times.size() < k_crashes_allowed) return 0;
+    time_point const bound = times[k_crashes_allowed - 1] + k_contact;
+    return static_cast<std::size_t>(
+        std::count_if(times.begin(), times.end(), [&](time_point at) { return at > bound; }));
+  }
+
+  bool is_bound_in_force() {
+    auto const times = deadly_arrivals();
+    return times.size() >= k_crashes_allowed &&
+           steady_clock::now() > times[k_crashes_allowed - 1] + k_contact;
+  }
+
+  /// @return the status; 0 without an answer.
+  unsigned try_deadly(std::string const& path) {
+    std::size_t const number = next_try++;
+    auto const answer = system.call(number % system.nodes(), http::verb::post, path,
+                                    "deadly-" + std::to_string(number), k_deadly, k_patience);
+    return answer ? answer.value().result_int() : 0;
+  }
+
+  /// Waits until the node that is tried next can serve other requests on this path.
+  void wait_for_service(std::string const& path) {
+    platform_cluster::wait_until("others are served", [&] {
+      auto const answer = system.call(next_try % system.nodes(), http::verb::post, path,
+                                      "other-" + std::to_string(next_other++), "harmless",
+                                      k_patience);
+      return answer && answer.value().result_int() == 200;
+    });
+  }
+
+  /// Tries the deadly request at all nodes in turn until the bound holds, and some times after.
+  void keep_trying(std::string const& path) {
+    platform_cluster::wait_until("three servers have ended long enough ago", [&] {
+      try_deadly(path);
+      return is_bound_in_force();
+    });
+    for (std::size_t number = 0; number < k_late_tries; ++number) {
+      wait_for_service(path);
+      try_deadly(path);
+    }
+  }
+};
+
+TEST(crashing_request_test, safe_request_reaches_servers_no_more_after_three_have_ended) {
+  keep_trying("/calls/x");
+  CHECK(late_arrivals() <= k_retries_allowed);
+}
+
+TEST(crashing_request_test, one_try_ends_no_more_servers_than_it_has_attempts) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().work_time = milliseconds(60);
+    }
+    return 0;
+  });
+  // Requests at the same time leave kept connections to all servers.
+  platform_cluster::wait_until("the node has been connected to all servers", [&] {
+    std::vector<std::future<bool>> others;
+    for (std::size_t number = 0; number < 12; ++number) {
+      others.push_back(std::async(std::launch::async, [&, number] {
+        auto const answer = system.call(0, http::verb::post, "/calls/x",
+                                        "other-" + std::to_string(number), "harmless", k_patience);
+        return answer.has_value();
+      }));
+    }
+    for (auto& one : others) one.get();
+    return system.on_platform([&] {
+      for (std::size_t index = 0; index < system.apps(); ++index) {
+        if (system.app(index).arrivals().empty()) return false;
+      }
+      return true;
+    });
+  });
+  LONGS_EQUAL(502, try_deadly("/calls/x"));
+  LONGS_EQUAL(3, deadly_arrivals().size());
+}
+
+TEST(crashing_request_test, unsafe_request_reaches_servers_no_more_after_three_have_ended) {
+  keep_trying("/once/x");
+  CHECK(late_arrivals() <= k_retries_allowed);
+}
+
+TEST(crashing_request_test, stream_reaches_servers_no_more_after_three_have_ended) {
+  keep_trying("/stream/x");
+  CHECK(late_arrivals() <= k_retries_allowed);
+}
+
+TEST(crashing_request_test, sample_reaches_engines_no_more_and_the_others_are_finished) {
+  auto items = make_items("job", 12);
+  items[3].prompt = k_deadly;
+  LONGS_EQUAL(202, system.submit(0, "job", items));
+  auto const listed = system.wait_for_results(1, "job", 11);
+  LONGS_EQUAL(11, completed(listed).size());
+  platform_cluster::wait_until("the bound holds", [&] { return is_bound_in_force(); });
+  std::size_t const then = late_arrivals();
+  // The same sample in a job that comes later is the same request.
+  LONGS_EQUAL(202, system.submit(1, "again", {items[3], {"fresh", "group-f"}}));
+  CHECK(completed(system.wait_for_results(2, "again", 1)).contains("fresh"));
+  CHECK(then <= k_retries_allowed);
+  CHECK(late_arrivals() <= k_retries_allowed);
+}
+
+TEST(crashing_request_test, scorers_call_reaches_servers_no_more_and_the_others_are_scored) {
+  auto items = make_items("job", 12);
+  items[3].scorer_body = k_deadly;
+  LONGS_EQUAL(202, system.submit(0, "job", items));
+  auto const listed = system.wait_for_results(1, "job", 11);
+  LONGS_EQUAL(11, completed(listed).size());
+  platform_cluster::wait_until("the bound holds", [&] { return is_bound_in_force(); });
+  for (std::size_t number = 0; number < 4; ++number) {
+    std::string const job = "later-" + std::to_string(number);
+    LONGS_EQUAL(202, system.submit(number % 3, job, make_items(job, 4)));
+    LONGS_EQUAL(4, completed(system.wait_for_results(1, job, 4)).size());
+  }
+  CHECK(late_arrivals() <= k_retries_allowed);
+}
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -53,7 +53,7 @@
   json::object headers;
   headers["X-Frostline-Model"] = platform_cluster::k_model;
   item["headers"] = std::move(headers);
-  item["body"] = base64_encode("prompt of " + one.id);
+  item["body"] = base64_encode("prompt of " + one.id + one.prompt);
   item["tokens"] = 100;
   item["group"] = one.group;
   if (!one.scored) return item;
@@ -61,7 +61,7 @@
   scorer["id"] = "score-" + one.id;
   scorer["host"] = platform_cluster::k_host;
   scorer["path"] = one.scorer_path;
-  scorer["body"] = base64_encode("score " + one.id);
+  scorer["body"] = base64_encode("score " + one.id + one.scorer_body);
   item["scorer"] = std::move(scorer);
   return item;
 }
@@ -90,6 +90,10 @@
     server_standin* const made = kind.back().get();
     announce(*made, "ready");
     made->on_version([this, made] { announce(*made, "ready"); });
+    made->on_restart([this, made](std::string const& former) {
+      store_->remove("servers/" + former);
+      announce(*made, "ready");
+    });
   }
   put_config(1);
   thread_ = std::thread([this] {
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -45,6 +45,9 @@
   std::string group;
   bool scored = true;
   std::string scorer_path = "/calls/score";
+  /// Ends of the bodies of its request and of its scorer's.
+  std::string prompt;
+  std::string scorer_body;
 };
 
 class platform_cluster {
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -102,6 +102,40 @@
   return json_response(http::status::ok, body);
 }
 
+bool server_standin::is_deadly(http::request const& message) const {
+  std::string const& text = faults_.crash_text;
+  return !text.empty() && message.body().find(text) != std::string::npos;
+}
+
+void server_standin::crash() {
+  if (down_) return;
+  down_ = true;
+  ++crashes_;
+  server_.abort();
+  spawn(context_, start_next_life(faults_.down_time));
+}
+
+awaitable<void> server_standin::crash_under(http::request const& message) {
+  arrival one = note(message);
+  one.ran = true;
+  one.crashed = true;
+  arrivals_.push_back(one);
+  std::uint32_t const life = crashes_;
+  co_await wait_for(faults_.crash_after);
+  if (life == crashes_) crash();
+}
+
+awaitable<void> server_standin::start_next_life(milliseconds pause) {
+  co_await wait_for(pause);
+  std::string const former = options_.id;
+  restart(former.substr(0, former.rfind('.') + 1) + std::to_string(crashes_ + 1));
+  busy_ = false;
+  std::string const failure = server_.listen(options_.address);
+  if (!failure.empty()) throw std::runtime_error(failure);
+  down_ = false;
+  if (on_restart_) on_restart_(former);
+}
+
 awaitable<void> server_standin::load(std::uint64_t version) {
   co_await wait_for(options_.load_time);
   version_ = version;
@@ -160,6 +194,7 @@
   if (target == "/api/report") co_return report();
   if (target == "/api/order") co_return co_await order(message.body());
   if (refused) co_return refusal(message);
+  co_await wait_for(faults_.work_time);
   bool const fails = faults_.failures > 0;
   if (fails) --faults_.failures;
   auto const code = fails ? http::status::internal_server_error : http::status::ok;
@@ -192,6 +227,10 @@
     co_await cut_answer(message, writer);
     co_return true;
   }
+  if (is_deadly(message) && !target.starts_with("/api/") && !refuses(message)) {
+    co_await crash_under(message);
+    co_return true;
+  }
   bool const plain = options_.model.empty() || target.starts_with("/api/") || refuses(message) ||
                      faults_.failures > 0 || faults_.silent;
   if (plain) co_return false;
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -28,6 +28,8 @@
   time_point at{};
   /// It was run, not refused.
   bool ran = false;
+  /// The server ended because of it.
+  bool crashed = false;
 };
 
 /// One order that reached a model server.
@@ -55,6 +57,14 @@
   std::uint32_t cuts = 0;
   /// So many answers are followed by another one.
   std::uint32_t surplus = 0;
+  /// Requests whose bodies hold this text end the server that begins to run them; empty: none do.
+  std::string crash_text;
+  /// From the beginning of such a run to the server's end.
+  milliseconds crash_after{20};
+  /// From the server's end to its next life.
+  milliseconds down_time{300};
+  /// How long an application server works on a request.
+  milliseconds work_time{0};
 };
 
 struct server_options {
@@ -81,6 +91,15 @@
     options_.id = id;
     sequence_ = 0;
   }
+  /// Ends like a process that is killed. A new life begins at the same address after
+  /// `down_time`.
+  void crash();
+  /// Runs when a new life has begun after a crash, with the identifier of the former one.
+  void on_restart(std::function<void(std::string const&)> listener) {
+    on_restart_ = std::move(listener);
+  }
+  bool is_down() const { return down_; }
+  std::uint32_t crashes() const { return crashes_; }
   std::string const& id() const { return options_.id; }
   std::string const& service() const { return options_.service; }
   server_faults& faults() { return faults_; }
@@ -101,6 +120,10 @@
   order_arrival note_order(std::string const& body);
   awaitable<http::response> order(std::string body);
   awaitable<void> load(std::uint64_t version);
+  /// Whether a request that is run here ends the server.
+  bool is_deadly(http::request const& message) const;
+  awaitable<void> crash_under(http::request const& message);
+  awaitable<void> start_next_life(milliseconds pause);
   http::response report() const;
   arrival note(http::request const& message);
   bool refuses(http::request const& message) const;
@@ -117,6 +140,9 @@
   bool busy_ = false;
   std::uint32_t abandoned_ = 0;
   std::function<void()> on_version_;
+  std::function<void(std::string const&)> on_restart_;
+  std::uint32_t crashes_ = 0;
+  bool down_ = false;
 };
 
 }  // namespace frostline::testing
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -49,6 +49,8 @@
   int const flags = O_WRONLY | O_CREAT | O_APPEND;
   posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log_path_.c_str(), flags, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A child that inherited a stand-in's listener would keep its port open when the stand-in ends.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   std::set_terminate(end_all_processes);
   std::vector<char*> words = {const_cast<char*>(program.c_str())};
   for (std::string const& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
--- /dev/null
+++ b/tests/unit/base/suspension_test.cc
@@ -0,0 +1,81 @@
+/// @file A machine that was suspended: time passed that the monotonic clock does not count.
+
+#include <CppUTest/TestHarness.h>
+
+#include <chrono>
+
+#include "base/asio.h"
+#include "memory_record_store.h"
+#include "ownership/owner_lease.h"
+#include "suspension.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+/// What a test waits for at most, by the clock that does not count a suspension.
+constexpr std::chrono::seconds k_patience{3};
+
+bool run_until(asio::io_context& context, std::function<bool()> condition) {
+  auto const limit = std::chrono::steady_clock::now() + k_patience;
+  while (!condition() && std::chrono::steady_clock::now() < limit) {
+    context.run_one_for(std::chrono::milliseconds(50));
+  }
+  return condition();
+}
+
+}  // namespace
+
+TEST_GROUP(suspension_test){};
+
+TEST(suspension_test, time_that_was_slept_has_passed) {
+  time_point const before = steady_clock::now();
+  suspend(milliseconds(5000));
+  CHECK(steady_clock::now() - before >= milliseconds(5000));
+}
+
+TEST(suspension_test, lease_that_ran_out_meanwhile_is_not_held) {
+  asio::io_context context{1};
+  memory_record_store store{context};
+  ownership::owner_lease_options options;
+  options.node = "one";
+  options.address = endpoint{"127.0.0.1", 1000};
+  ownership::owner_lease lease{context, store, "pool", options};
+  bool gained = false;
+  lease.on_change([&] { gained = true; }, [] {});
+  lease.start();
+  lease.note_record(nullptr);
+  CHECK(run_until(context, [&] { return gained; }));
+  CHECK(lease.holds(steady_clock::now()));
+  suspend(options.time_to_live);
+  CHECK(!lease.holds(steady_clock::now()));
+  CHECK(!lease.may_order(steady_clock::now()));
+}
+
+TEST(suspension_test, wait_that_ended_meanwhile_ends_soon_after) {
+  asio::io_context context{1};
+  bool ended = false;
+  auto const wait = [&]() -> awaitable<void> {
+    co_await wait_for(milliseconds(60'000));
+    ended = true;
+  };
+  spawn(context, wait());
+  context.poll();
+  suspend(milliseconds(60'000));
+  CHECK(run_until(context, [&] { return ended; }));
+}
+
+TEST(suspension_test, condition_whose_deadline_passed_meanwhile_ends_soon_after) {
+  asio::io_context context{1};
+  async_condition condition{context};
+  bool ended = false;
+  auto const wait = [&]() -> awaitable<void> {
+    co_await condition.wait_until(steady_clock::now() + milliseconds(60'000));
+    ended = true;
+  };
+  spawn(context, wait());
+  context.poll();
+  suspend(milliseconds(60'000));
+  CHECK(run_until(context, [&] { return ended; }));
+}
