--- a/rehearsal/chaos.cc
+++ b/rehearsal/chaos.cc
@@ -110,12 +110,12 @@
     wait_while_faulty();
     for (auto const& undo : undo_) undo();
     undo_.clear();
-    time_point const begin = steady_clock::now();
+    time_point const begin = boot_clock::now();
     std::uint64_t const before = delivered();
     cluster::wait_until(
         "work flows after " + pair.to_string(), [&] { return all_ready() && delivered() > before; },
         k_recovery_limit);
-    std::chrono::duration<double> const took = steady_clock::now() - begin;
+    std::chrono::duration<double> const took = boot_clock::now() - begin;
     return took.count();
   }
 
@@ -199,8 +199,8 @@
   }
 
   void wait_while_faulty() {
-    time_point const end = steady_clock::now() + k_fault_time;
-    cluster::wait_until("the faults have lasted", [end] { return steady_clock::now() >= end; });
+    time_point const end = boot_clock::now() + k_fault_time;
+    cluster::wait_until("the faults have lasted", [end] { return boot_clock::now() >= end; });
   }
 
   bool all_ready() {
--- a/rehearsal/measure_control.cc
+++ b/rehearsal/measure_control.cc
@@ -182,9 +182,9 @@
 };
 
 double seconds_until(std::string const& what, std::function<bool()> condition) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   cluster::wait_until(what, std::move(condition), k_patience);
-  std::chrono::duration<double> const took = steady_clock::now() - begin;
+  std::chrono::duration<double> const took = boot_clock::now() - begin;
   return took.count();
 }
 
@@ -199,10 +199,10 @@
 void measure_idle(hollow_system& system, std::uint32_t duration_seconds, json::object& row) {
   totals const before = system.report();
   double const operations_before = system.kv_operations();
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   std::this_thread::sleep_for(std::chrono::seconds(duration_seconds));
   totals const after = system.report();
-  std::chrono::duration<double> const took = steady_clock::now() - begin;
+  std::chrono::duration<double> const took = boot_clock::now() - begin;
   double const node_seconds = took.count() * system.nodes();
   row["cpu_percent_per_node"] = 100 * (after.cpu_seconds - before.cpu_seconds) / node_seconds;
   row["gossip_bytes_per_second_per_node"] =
@@ -269,7 +269,7 @@
 
 json::object measure(std::uint32_t nodes, std::uint32_t engines, std::uint32_t idle_seconds) {
   json::object row{{"nodes", nodes}, {"engines", engines}};
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   hollow_system system(nodes, engines);
   rpc::PutTaskRequestT task;
   task.task = std::make_unique<rpc::TaskRecordT>();
@@ -286,7 +286,7 @@
         return now.lowest_alive == nodes && now.engines_ready == engines;
       },
       k_patience);
-  std::chrono::duration<double> const took = steady_clock::now() - begin;
+  std::chrono::duration<double> const took = boot_clock::now() - begin;
   row["whole_system_ready_seconds"] = took.count();
   std::this_thread::sleep_for(k_settle);
   measure_idle(system, idle_seconds, row);
--- a/rehearsal/measure_data.cc
+++ b/rehearsal/measure_data.cc
@@ -59,9 +59,9 @@
   cluster::wait_until("tokens flow", [&] { return tokens_in_journals(system, engines) > 1000; });
   std::uint64_t const tokens_before = tokens_in_journals(system, engines);
   double const cpu_before = nodes_cpu(system);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   std::this_thread::sleep_for(std::chrono::seconds(k_window_seconds));
-  std::chrono::duration<double> const took = steady_clock::now() - begin;
+  std::chrono::duration<double> const took = boot_clock::now() - begin;
   double const cpu = nodes_cpu(system) - cpu_before;
   double const tokens = static_cast<double>(tokens_in_journals(system, engines) - tokens_before);
   return {{"measurement", "relay"},
--- a/rehearsal/measure_latency.cc
+++ b/rehearsal/measure_latency.cc
@@ -21,9 +21,9 @@
 constexpr std::uint32_t k_saturating_calls = 40'000;
 
 double time_call(rpc::blocking_client& client, endpoint const& where) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   auto const answer = client.exchange(where, http::make_get("/lookup/price"), k_timeout);
-  std::chrono::duration<double, std::milli> const took = steady_clock::now() - begin;
+  std::chrono::duration<double, std::milli> const took = boot_clock::now() - begin;
   if (!answer || answer.value().result() != http::status::ok)
     throw std::runtime_error("call failed");
   return took.count();
--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -58,11 +58,11 @@
   /// @return whether every promise was kept.
   bool run(double minutes) {
     time_point const end =
-        steady_clock::now() + milliseconds(static_cast<std::int64_t>(minutes * 60'000));
+        boot_clock::now() + milliseconds(static_cast<std::int64_t>(minutes * 60'000));
     system_.use_key(k_first_key);
     std::thread caller([this] { call_loop(); });
     std::thread trainer([this] { train_loop(); });
-    while (steady_clock::now() < end) cause_pair();
+    while (boot_clock::now() < end) cause_pair();
     bool const recovered = wait_for_recovery();
     working_ = false;
     caller.join();
@@ -341,8 +341,8 @@
   }
 
   bool wait_for_recovery() {
-    time_point const limit = steady_clock::now() + k_recovery_limit;
-    while (steady_clock::now() < limit) {
+    time_point const limit = boot_clock::now() + k_recovery_limit;
+    while (boot_clock::now() < limit) {
       if (is_served()) return true;
     }
     return false;
@@ -417,7 +417,7 @@
     if (!answer) return 0;
     read_record one;
     one.job = job;
-    one.at = steady_clock::now();
+    one.at = boot_clock::now();
     one.results = answer->at("results").as_array();
     seen_.reads.push_back(std::move(one));
     return seen_.reads.back().results.size();
@@ -425,16 +425,16 @@
 
   void end(job_record& job) {
     job.ended = system_.end_job(pick(k_nodes), job.job) == 200;
-    job.ended_at = steady_clock::now();
+    job.ended_at = boot_clock::now();
     // An end without an answer may have been stored: whether the job goes on is open.
     if (!job.ended) job.accepted = false;
   }
 
   void finish_jobs() {
-    time_point const limit = steady_clock::now() + seconds(25);
+    time_point const limit = boot_clock::now() + seconds(25);
     for (job_record const& job : seen_.jobs) {
       if (!job.accepted || job.ended) continue;
-      while (steady_clock::now() < limit && read(job.job) < job.items.size()) {
+      while (boot_clock::now() < limit && read(job.job) < job.items.size()) {
         std::this_thread::sleep_for(milliseconds(50));
       }
     }
--- a/src/base/asio.h
+++ b/src/base/asio.h
@@ -1,14 +1,15 @@
 /// @file The parts of Asio that frostline uses, under short names, and two small awaitables.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <list>
 
@@ -24,9 +25,25 @@
 /// Completion token that yields errors as values.
 inline constexpr auto k_as_tuple = asio::as_tuple(asio::use_awaitable);
 
+/// How long the reactor sleeps for a timer. Its own timer counts no suspension, so it looks at the
+/// clock anew now and then: a wait that ended while the machine was suspended ends at most this
+/// long after.
+struct boot_wait_traits {
+  static constexpr boot_clock::duration k_longest_sleep = seconds(1);
+
+  static boot_clock::duration to_wait_duration(boot_clock::duration left) {
+    return std::min(left, k_longest_sleep);
+  }
+  static boot_clock::duration to_wait_duration(boot_clock::time_point when) {
+    return to_wait_duration(when - boot_clock::now());
+  }
+};
+
+using boot_timer = asio::basic_waitable_timer<boot_clock, boot_wait_traits>;
+
 /// Suspends the coroutine for `duration`.
 inline awaitable<void> wait_for(milliseconds duration) {
-  asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+  boot_timer timer(co_await asio::this_coro::executor, duration);
   co_await timer.async_wait(k_as_tuple);
 }
 
@@ -36,12 +53,12 @@
   explicit async_condition(asio::io_context& context) : context_(context) {}
 
   void notify_all() {
-    for (asio::steady_timer* waiter : waiters_) waiter->cancel();
+    for (boot_timer* waiter : waiters_) waiter->cancel();
   }
 
   /// Returns after the next notify_all, or at `deadline`.
   awaitable<void> wait_until(time_point deadline) {
-    asio::steady_timer timer(context_, deadline);
+    boot_timer timer(context_, deadline);
     auto const place = waiters_.insert(waiters_.end(), &timer);
     co_await timer.async_wait(k_as_tuple);
     waiters_.erase(place);
@@ -51,7 +68,7 @@
 
  private:
   asio::io_context& context_;
-  std::list<asio::steady_timer*> waiters_;
+  std::list<boot_timer*> waiters_;
 };
 
 /// Starts a coroutine whose exceptions end the process: none is expected.
--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -35,7 +35,7 @@
 class output {
  public:
   void add(std::string const& line) {
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     refill(now);
     if (allowance_ < 1 || gathered_.size() + line.size() > k_most_gathered) {
       ++dropped_;
@@ -47,7 +47,7 @@
   }
 
   void flush() {
-    flushed_at_ = steady_clock::now();
+    flushed_at_ = boot_clock::now();
     std::size_t written = 0;
     while (written < gathered_.size() && is_writable()) {
       std::size_t const part = std::min(gathered_.size() - written, k_write_bytes);
@@ -74,7 +74,7 @@
 
   std::string gathered_;
   double allowance_ = k_most_saved_lines;
-  time_point refilled_at_ = steady_clock::now();
+  time_point refilled_at_ = boot_clock::now();
   time_point flushed_at_{};
   std::uint64_t dropped_ = 0;
 };
--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -66,7 +66,7 @@
                                                                    connection_choice choice) {
   auto const found = kept_.find(server);
   if (found == kept_.end() || choice == connection_choice::fresh) return nullptr;
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   while (!found->second.empty()) {
     auto one = std::move(found->second.back());
     found->second.pop_back();
@@ -83,13 +83,13 @@
 void connection_pool::give_back(std::string const& server, std::unique_ptr<connection> one) {
   auto& kept = kept_[server];
   if (kept.size() >= k_kept_per_server) return;
-  one->idle_since = steady_clock::now();
+  one->idle_since = boot_clock::now();
   one->stream.expires_never();
   kept.push_back(std::move(one));
 }
 
 void connection_pool::clean(directory::server_directory const& servers) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   for (auto& [server, kept] : kept_) {
     std::erase_if(kept, [&](auto const& one) { return now - one->idle_since > one->keep; });
   }
@@ -119,8 +119,8 @@
   beast::error_code ignored;
   tcp::endpoint const remote(asio::ip::make_address(server_.address.address, ignored),
                              server_.address.port);
-  time_point const latest = std::min(deadline, steady_clock::now() + k_connect_timeout);
-  connection_->stream.expires_at(latest);
+  time_point const latest = std::min(deadline, boot_clock::now() + k_connect_timeout);
+  connection_->stream.expires_after(time_left(latest));
   auto [failure] = co_await connection_->stream.async_connect(remote, k_as_tuple);
   if (failure) {
     co_return aborted_ ? exchange_failure::aborted : exchange_failure::not_connected;
@@ -152,7 +152,7 @@
   head_only_ = message.method() == http::verb::head;
   exchange_failure const opened = co_await open(choice, deadline);
   if (opened != exchange_failure::none) co_return opened;
-  connection_->stream.expires_at(deadline);
+  connection_->stream.expires_after(time_left(deadline));
   beast::error_code const failure = co_await write(message);
   if (failure) co_return classify(failure);
   co_return exchange_failure::none;
@@ -163,7 +163,7 @@
   parser_->body_limit(boost::none);
   parser_->eager(true);
   if (head_only_) parser_->skip(true);
-  connection_->stream.expires_at(deadline);
+  connection_->stream.expires_after(time_left(deadline));
   auto [failure, count] = co_await bhttp::async_read_header(
       connection_->stream, connection_->buffer, *parser_, k_as_tuple);
   answer_begun_ = count > 0 || connection_->buffer.size() > 0;
@@ -178,7 +178,7 @@
 awaitable<exchange_failure> exchange::read_piece(std::string& piece, time_point deadline) {
   piece.clear();
   std::string& body = parser_->get().body();
-  connection_->stream.expires_at(deadline);
+  connection_->stream.expires_after(time_left(deadline));
   while (body.empty() && !parser_->is_done()) {
     auto [failure, count] = co_await bhttp::async_read_some(
         connection_->stream, connection_->buffer, *parser_, k_as_tuple);
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -38,12 +38,7 @@
 }
 
 std::int64_t milliseconds_since(time_point then) {
-  return std::chrono::duration_cast<milliseconds>(steady_clock::now() - then).count();
-}
-
-std::int64_t milliseconds_left(time_point deadline) {
-  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
-  return std::max<std::int64_t>(left.count(), 1);
+  return std::chrono::duration_cast<milliseconds>(boot_clock::now() - then).count();
 }
 
 bool has_events(http::response const& head) {
@@ -80,11 +75,13 @@
   bool const last = one.attempts >= one.by->max_attempts || !one.by->is_repeatable();
   if (last) return one.deadline;
   milliseconds const share = std::max(one.by->target_latency * 2, k_shortest_attempt);
-  return std::min(one.deadline, steady_clock::now() + share);
+  return std::min(one.deadline, boot_clock::now() + share);
 }
 
 awaitable<exchange_failure> forwarder::attempt(journey& one, exchange& with) {
-  one.message.set(parts_.names.deadline, std::to_string(milliseconds_left(one.deadline)));
+  // Without time left a server would not be asked; 0 might be read as "no deadline".
+  milliseconds const told = std::max(time_left(one.deadline), milliseconds(1));
+  one.message.set(parts_.names.deadline, std::to_string(told.count()));
   one.message.set(parts_.names.expected_instance, with.server().id);
   bool const repeatable = one.by->is_repeatable();
   auto const choice = repeatable ? connection_choice::kept : connection_choice::just_used;
@@ -123,7 +120,7 @@
   if (failure == exchange_failure::aborted) {
     parts_.selector.note_abandoned(with.server().id);
   } else {
-    parts_.selector.note_failure(with.server().id, steady_clock::now());
+    parts_.selector.note_failure(with.server().id, boot_clock::now());
   }
   log_line(log_level::info, k_part, "Attempt failed.",
            {{"request", http::header(one.message, parts_.names.request_id)},
@@ -138,7 +135,7 @@
 }
 
 void forwarder::note_whole_answer(journey const& one, exchange const& with) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   bool const in_time = now - one.attempt_begun <= one.by->target_latency / k_swift_part;
   if (in_time && with.head().result_int() < 500) {
     parts_.selector.note_swift_answer(with.server().id, now);
@@ -157,7 +154,7 @@
   bool const counts = may_have_begun && !one.counted;
   one.counted = one.counted || may_have_begun;
   // A request for events begins to run with the first of them, any other when it arrives.
-  time_point const begun = is_event_stream ? steady_clock::now() : one.attempt_begun;
+  time_point const begun = is_event_stream ? boot_clock::now() : one.attempt_begun;
   parts_.runs.end_attempt(attempt, one.tenant, counts, begun);
 }
 
@@ -165,7 +162,7 @@
   http::response const& head = with.head();
   if (is_refusal(head)) {
     one.was_refused = true;
-    parts_.selector.note_full(with.server().id, steady_clock::now());
+    parts_.selector.note_full(with.server().id, boot_clock::now());
     return false;
   }
   bool const failed = head.result_int() >= 500;
@@ -180,17 +177,17 @@
 awaitable<std::unique_ptr<exchange>> forwarder::next_exchange(journey& one) {
   while (one.attempts < one.by->max_attempts && may_try_again(one)) {
     if (one.from != nullptr && one.from->is_gone()) break;
-    if (steady_clock::now() >= one.deadline) break;
+    if (boot_clock::now() >= one.deadline) break;
     auto const ready = parts_.servers.ready_servers(one.service);
-    directory::server const* chosen = parts_.selector.pick(ready, one.tried, steady_clock::now());
+    directory::server const* chosen = parts_.selector.pick(ready, one.tried, boot_clock::now());
     bool const all_failed = chosen == nullptr && one.may_have_run && one.by->is_repeatable();
-    if (all_failed) chosen = parts_.selector.pick(ready, {}, steady_clock::now());
+    if (all_failed) chosen = parts_.selector.pick(ready, {}, boot_clock::now());
     if (chosen == nullptr) break;
     one.tried.insert(chosen->id);
     one.server = chosen->id;
     if (++one.attempts > 1) ++figures_.retries;
     parts_.selector.note_sent(chosen->id);
-    one.attempt_begun = steady_clock::now();
+    one.attempt_begun = boot_clock::now();
     auto with = std::make_unique<exchange>(parts_.connections, parts_.names, *chosen);
     if (one.from != nullptr) one.from->on_gone([open = with.get()] { open->abort(); });
     auto const counting = parts_.runs.begin_attempt(one.attempt_begun);
@@ -211,7 +208,7 @@
 void forwarder::conclude_without_answer(journey& one) {
   if (one.from != nullptr && one.from->is_gone()) {
     one.reason = give_up_reason::caller_left;
-  } else if (steady_clock::now() >= one.deadline) {
+  } else if (boot_clock::now() >= one.deadline) {
     one.reason =
         one.may_have_run ? give_up_reason::deadline_unknown : give_up_reason::deadline_not_run;
   } else if (one.may_have_run) {
@@ -285,7 +282,7 @@
     co_await from.answer(give_up_answer(give_up_reason::no_route));
     co_return;
   }
-  time_point const latest = std::min(deadline, steady_clock::now() + by->timeout);
+  time_point const latest = std::min(deadline, boot_clock::now() + by->timeout);
   journey one = begin(table, *by, std::move(message), latest - k_answer_margin, &from);
   set_tenant(one.message, parts_.names, table->tenants(), tenant);
   one.tenant = std::move(tenant);
@@ -356,7 +353,7 @@
   std::string piece;
   while (true) {
     if (with.is_whole() && with.head().body().empty()) break;
-    time_point const silent = steady_clock::now() + k_stream_silence;
+    time_point const silent = boot_clock::now() + k_stream_silence;
     exchange_failure const failure = co_await with.read_piece(piece, silent);
     if (failure != exchange_failure::none) {
       note_failure(one, with, failure);
--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -112,7 +112,7 @@
 
 awaitable<void> sync::peer_loop() {
   while (true) {
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     store_.note_peer_revision(members_.newest_config_revision());
     members_.set_local_facts(store_.revision(), kv_age(now));
     std::string const address = peer_to_ask();
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -97,7 +97,7 @@
   board_engine* const one = board_.find(engine.id);
   if (one == nullptr) co_return;
   if (!report) {
-    board_.note_failure(engine.id, steady_clock::now());
+    board_.note_failure(engine.id, boot_clock::now());
     one->load = load_state::idle;
     co_return;
   }
@@ -120,7 +120,7 @@
   bool const needless = one->versions[order.model] >= order.version;
   if (!known || needless || !authority_.may_order()) {
     one->load = load_state::idle;
-    if (!known) board_.note_failure(engine.id, steady_clock::now());
+    if (!known) board_.note_failure(engine.id, boot_clock::now());
     co_return;
   }
   load_command command;
@@ -154,8 +154,8 @@
   // expectation keeps it from being carried out twice.
   bool const changed = reply == command_reply::conflict || reply == command_reply::refused;
   if (changed) sequences_[engine.id].known = false;
-  if (reply == command_reply::not_sent) board_.note_failure(engine.id, steady_clock::now());
-  one->ordered_at = steady_clock::now() + k_refused_pause;
+  if (reply == command_reply::not_sent) board_.note_failure(engine.id, boot_clock::now());
+  one->ordered_at = boot_clock::now() + k_refused_pause;
 }
 
 void weight_orders::advance(time_point now) {
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -90,7 +90,7 @@
   metrics metrics_;
   client_calls client_calls_{client_calls_parts{adapter_, configuration_, forwarder_, job_client_,
                                                 metrics_,
-                                                [this] { return feed_.age(steady_clock::now()); }}};
+                                                [this] { return feed_.age(boot_clock::now()); }}};
   std::unique_ptr<http::server> peers_;
   std::unique_ptr<http::server> readiness_;
   std::unique_ptr<calls::ingress> ingress_;
@@ -208,12 +208,12 @@
 
 void application::parts::note_progress() {
   bool const known = configuration_.table() && servers_.is_loaded();
-  if (state_ == application_state::starting && known && feed_.is_trusted(steady_clock::now())) {
+  if (state_ == application_state::starting && known && feed_.is_trusted(boot_clock::now())) {
     state_ = application_state::serving;
     log_line(log_level::info, k_part, "Serving.",
              {{"config", configuration_.table()->all().version},
               {"servers", servers_.servers().size()},
-              {"records_age_ms", feed_.age(steady_clock::now()).count()}});
+              {"records_age_ms", feed_.age(boot_clock::now()).count()}});
   }
   pools_.notify();
 }
@@ -245,10 +245,10 @@
 }
 
 awaitable<void> application::parts::housekeeping_loop() {
-  time_point last = steady_clock::now();
+  time_point last = boot_clock::now();
   while (state_ != application_state::stopped) {
     co_await wait_for(k_housekeeping_interval);
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     auto const pause = std::chrono::duration_cast<milliseconds>(now - last);
     last = now;
     if (pause > k_standstill) resynchronize("this process stood still");
@@ -281,7 +281,7 @@
   now.role = feed_.role();
   now.records = feed_.figures();
   now.polls_answered = feed_.polls_answered();
-  now.records_age = feed_.age(steady_clock::now());
+  now.records_age = feed_.age(boot_clock::now());
   for (auto const& [name, one] : pools_.all()) {
     now.pools.push_back({name, one.lease->state() == ownership::lease_state::owner,
                          one.owner->jobs(), one.owner->runner().running(),
@@ -314,21 +314,20 @@
   if (state_ == application_state::stopping) co_return;
   state_ = application_state::stopping;
   log_line(log_level::info, k_part, "Planned stop begins.", {{"in_flight", ingress_->in_flight()}});
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   time_point const deadline = begin + settings_.stop_time - k_stop_margin;
   ingress_->drain();
   spawn(context_, feed_.leave());
   co_await pools_.release(begin + k_leave_notice / 2);
   if (duties_) co_await duties_->release(begin + k_leave_notice);
-  while (steady_clock::now() < begin + k_leave_notice ||
-         (ingress_->in_flight() > 0 && steady_clock::now() < deadline)) {
+  while (boot_clock::now() < begin + k_leave_notice ||
+         (ingress_->in_flight() > 0 && boot_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll);
   }
   ingress_->close_listener();
   // Connections that were just accepted may still bring a request.
-  time_point const last = std::min(steady_clock::now() + k_last_requests, deadline);
-  while (steady_clock::now() < last ||
-         (ingress_->in_flight() > 0 && steady_clock::now() < deadline)) {
+  time_point const last = std::min(boot_clock::now() + k_last_requests, deadline);
+  while (boot_clock::now() < last || (ingress_->in_flight() > 0 && boot_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll);
   }
   log_line(log_level::info, k_part, "Planned stop ends.", {{"cut", ingress_->in_flight()}});
--- a/src/gateway/client_calls.cc
+++ b/src/gateway/client_calls.cc
@@ -20,7 +20,7 @@
 }  // namespace
 
 awaitable<void> client_calls::handle(http::request message, calls::caller& from) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   calls::header_names const& names = parts_.adapter.names();
   auto about_job = parts_.adapter.parse_job_request(message);
   auto const table = parts_.configuration.table();
@@ -48,7 +48,7 @@
   std::string const told(http::header(message, names.deadline));
   if (!told.empty()) deadline = begin + milliseconds(std::strtoll(told.c_str(), nullptr, 10));
   co_await parts_.forwarder.handle(table, by, std::move(message), tenant, deadline, from);
-  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
   parts_.figures.note_call(spent);
 }
 
@@ -88,7 +88,7 @@
   bool const ends = request.call.action == rpc::JobAction::END;
   auto const patience = ends ? k_end_deadline : milliseconds(request.call.wait_ms) + k_list_margin;
   time_point const deadline =
-      steady_clock::now() + std::min(patience, request.deadline.value_or(patience));
+      boot_clock::now() + std::min(patience, request.deadline.value_or(patience));
   rpc::JobReplyT const reply = co_await parts_.jobs.ask(request.call, deadline);
   if (reply.status != rpc::JobStatus::OK) {
     log_line(log_level::info, k_part, "Job call not answered.",
@@ -102,7 +102,7 @@
 
 awaitable<void> client_calls::handle_submission(http::request message, calls::route const& by,
                                                 std::string const& tenant, calls::caller& from) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   std::string const pool = by.shares.front().service;
   milliseconds const longest = by.timeout > milliseconds(0) ? by.timeout : k_default_deadline;
   rpc::JobReplyT reply;
@@ -122,7 +122,7 @@
   asked.job = request->call.job;
   time_point const deadline = begin + std::min(longest, request->deadline.value_or(longest));
   reply = co_await parts_.jobs.submit(pool, std::move(request->call), deadline);
-  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
   parts_.figures.note_submission(spent);
   log_line(log_level::info, k_part, "Submission answered.",
            {{"job", asked.job},
--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -69,7 +69,7 @@
 }
 
 void server_watch::note_departure(std::string const& id) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   directory::server const* const known = servers_.find(id);
   time_point const when = departure_time(now, store_back_at_(), leave_time_);
   bool const lapsed = known != nullptr && known->state == directory::server_state::ready;
@@ -86,7 +86,7 @@
 }
 
 awaitable<void> server_watch::remove_at(std::string id, time_point when) {
-  co_await wait_for(std::chrono::ceil<milliseconds>(when - steady_clock::now()));
+  co_await wait_for(std::chrono::ceil<milliseconds>(when - boot_clock::now()));
   auto const found = missing_.find(id);
   if (found == missing_.end() || found->second != when) co_return;
   missing_.erase(found);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -59,7 +59,7 @@
 
 awaitable<result<response>> client::exchange(endpoint where, request message, milliseconds timeout,
                                              connection_use use) {
-  time_point const deadline = steady_clock::now() + timeout;
+  time_point const deadline = boot_clock::now() + timeout;
   connection stream;
   if (use == connection_use::pooled) stream = take_pooled(where);
   if (!stream) {
@@ -67,7 +67,7 @@
     if (!connected) co_return connected.error();
     stream = std::move(connected.value());
   }
-  stream->expires_at(deadline);
+  stream->expires_after(time_left(deadline));
   message.set(field::host, where.to_string());
   message.keep_alive(use == connection_use::pooled);
   message.prepare_payload();
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -15,11 +15,6 @@
 /// Longest time for which one owner's answer is awaited before ownership is looked at again.
 constexpr milliseconds k_patience{2500};
 
-milliseconds left_until(time_point deadline) {
-  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
-  return std::max(left, milliseconds(0));
-}
-
 rpc::JobReplyT unavailable() {
   rpc::JobReplyT reply;
   reply.status = rpc::JobStatus::UNAVAILABLE;
@@ -37,7 +32,7 @@
 
 awaitable<rpc::JobReplyT> job_client::ask_remote(endpoint where, rpc::JobCallT const& call,
                                                  time_point deadline) {
-  milliseconds const timeout = std::min(left_until(deadline), k_patience);
+  milliseconds const timeout = std::min(time_left(deadline), k_patience);
   auto reply = co_await rpc::call<rpc::JobCallT, rpc::JobReplyT>(transport_, where, "JobService",
                                                                  "Call", call, timeout);
   if (reply) co_return std::move(reply.value());
@@ -48,7 +43,7 @@
 }
 
 void job_client::describe_self(rpc::JobCallT& call) const {
-  auto const uptime = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_);
+  auto const uptime = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at_);
   call.from_address = node_.address;
   call.from_zone = node_.zone;
   call.from_uptime_ms = static_cast<std::uint64_t>(uptime.count());
@@ -75,7 +70,7 @@
   while (true) {
     rpc::JobCallT next = call;
     next.pool = one.lease->resource();
-    next.deadline_ms = static_cast<std::uint64_t>(left_until(deadline).count());
+    next.deadline_ms = static_cast<std::uint64_t>(time_left(deadline).count());
     auto const& owner = one.lease->owner();
     rpc::JobReplyT reply = unavailable();
     bool const local = !owner || owner->node == node_.id;
@@ -93,8 +88,8 @@
     bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
                          reply.status != rpc::JobStatus::OUTCOME_UNKNOWN;
     if (settled) co_return reply;
-    if (left_until(deadline) <= k_retry_pause) break;
-    co_await one.lease->wait_for_change(steady_clock::now() + k_retry_pause);
+    if (time_left(deadline) <= k_retry_pause) break;
+    co_await one.lease->wait_for_change(boot_clock::now() + k_retry_pause);
   }
   // Only what changes something can be left half known.
   bool const changes = call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -65,7 +65,7 @@
   kv::record_store& store_;
   pool_map& pools_;
   calling_node node_;
-  time_point started_at_ = steady_clock::now();
+  time_point started_at_ = boot_clock::now();
 };
 
 }  // namespace frostline::jobs
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -28,7 +28,7 @@
   engines::order_authority authority;
   authority.holder = parts.node;
   ownership::owner_lease& lease = parts.lease;
-  authority.may_order = [&lease] { return lease.may_order(steady_clock::now()); };
+  authority.may_order = [&lease] { return lease.may_order(boot_clock::now()); };
   authority.fence = [&lease] { return lease.epoch(); };
   authority.mode_for = [&runner](engines::board_engine const& engine) {
     bool const bound = runner.has_single_version_run(engine.server.id);
@@ -94,7 +94,7 @@
 }
 
 awaitable<void> pool_owner::load(std::uint64_t term) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   bool done = co_await load_marks(term);
   while (!done && term == term_) {
     co_await wait_for(with_jitter(k_load_pause));
@@ -107,7 +107,7 @@
   log_.open(ownership::owner_lease::key_of(parts_.lease.resource()), parts_.lease.epoch());
   orders_.begin_term();
   state_ = owner_state::active;
-  auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
   log_line(log_level::info, k_part, "Jobs loaded.",
            {{"pool", parts_.lease.resource()},
             {"epoch", parts_.lease.epoch()},
@@ -142,7 +142,7 @@
     spawn(parts_.context, read_into(ids[place], progress, place));
   }
   while (progress->left > 0 && term == term_) {
-    co_await loaded_.wait_until(steady_clock::now() + k_tick);
+    co_await loaded_.wait_until(boot_clock::now() + k_tick);
   }
   if (progress->left > 0 || progress->failed || term != term_) co_return false;
   // Taken in the order of their acceptance, which is that of their age.
@@ -167,8 +167,8 @@
 awaitable<void> pool_owner::wait_until_ready(rpc::JobCallT const& call) {
   bool const changes = call.action == rpc::JobAction::SUBMIT || call.action == rpc::JobAction::END;
   auto const patience = changes ? milliseconds(call.deadline_ms) : k_longest_hold;
-  time_point const limit = steady_clock::now() + std::min(patience, k_longest_hold);
-  while (steady_clock::now() < limit) {
+  time_point const limit = boot_clock::now() + std::min(patience, k_longest_hold);
+  while (boot_clock::now() < limit) {
     bool const coming = state_ == owner_state::loading || state_ == owner_state::suspended;
     bool const ready = changes ? state_ == owner_state::active : can_read();
     if (ready || !coming) co_return;
@@ -193,7 +193,7 @@
     return;
   }
   note_job(*stored.record);
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore(std::move(batch));
   progress_replica from_store;
@@ -213,23 +213,23 @@
   while (true) {
     // Changes that come close together are acted on together.
     co_await wait_for(k_least_pause);
-    if (!work_pending_) co_await work_.wait_until(steady_clock::now() + k_tick);
+    if (!work_pending_) co_await work_.wait_until(boot_clock::now() + k_tick);
     work_pending_ = false;
     bool const seen = state_ == owner_state::suspended && parts_.lease.owner() &&
                       parts_.lease.owner()->node != parts_.node;
     bool const told = newer_epoch_ > parts_.lease.epoch() && state_ != owner_state::standby &&
-                      !parts_.lease.holds(steady_clock::now());
+                      !parts_.lease.holds(boot_clock::now());
     if (told) lost();
     if (seen || told) drop_everything();
     offer_replica();
     parts_.lease.set_preferred(state_ == owner_state::standby &&
-                               replica_.is_fresh(steady_clock::now()));
+                               replica_.is_fresh(boot_clock::now()));
     if (state_ == owner_state::active || state_ == owner_state::suspended) advance();
   }
 }
 
 void pool_owner::advance() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   refresh_board();
   refresh_terms();
   drop_unrecorded(now);
@@ -288,7 +288,7 @@
 }
 
 void pool_owner::commit_results(bool all) {
-  time_point const now = all ? time_point::max() : steady_clock::now();
+  time_point const now = all ? time_point::max() : boot_clock::now();
   for (auto const& [id, held] : table_.jobs()) {
     auto batch = table_.next_batch(*held, now, log_.value_limit());
     if (!batch) continue;
@@ -339,14 +339,14 @@
 awaitable<void> pool_owner::flush(time_point deadline) {
   if (state_ != owner_state::active) co_return;
   commit_results(true);
-  while (state_ == owner_state::active && !log_.is_idle() && steady_clock::now() < deadline) {
+  while (state_ == owner_state::active && !log_.is_idle() && boot_clock::now() < deadline) {
     co_await wait_for(milliseconds(5));
   }
   co_await progress_.finish(table_, parts_.lease.epoch());
 }
 
 bool pool_owner::is_certain() const {
-  return state_ == owner_state::active && parts_.lease.holds(steady_clock::now());
+  return state_ == owner_state::active && parts_.lease.holds(boot_clock::now());
 }
 
 bool pool_owner::may_start_runs(time_point now) {
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -47,14 +47,14 @@
     reply.taken = true;
     return reply;
   }
-  reply.taken = !own && replica_.take(std::move(report), steady_clock::now());
+  reply.taken = !own && replica_.take(std::move(report), boot_clock::now());
   return reply;
 }
 
 void pool_owner::adopt(rpc::ProgressReportT const& report) {
   std::size_t adopted = 0;
   for (auto const& progress : report.entries) {
-    if (!table_.adopt(*progress, steady_clock::now())) continue;
+    if (!table_.adopt(*progress, boot_clock::now())) continue;
     runner_.abort_run(progress->job, progress->index);
     ++adopted;
   }
@@ -67,7 +67,7 @@
   auto const& owner = parts_.lease.owner();
   bool const followed = owner && owner->node != parts_.node && owner->epoch > replica_.epoch();
   if (state_ != owner_state::standby || !followed) return;
-  if (replica_.is_fresh(steady_clock::now())) {
+  if (replica_.is_fresh(boot_clock::now())) {
     spawn(parts_.context, send_offer(owner->address, replica_.whole(parts_.lease.resource())));
   }
   replica_.clear();
@@ -87,7 +87,7 @@
   auto const peer = parse_endpoint(call.from_address);
   if (peer) {
     progress_.note_peer(*peer, call.from_zone, milliseconds(call.from_uptime_ms),
-                        call.from_processor_share, steady_clock::now());
+                        call.from_processor_share, boot_clock::now());
   }
   co_await wait_until_ready(call);
   switch (call.action) {
@@ -104,7 +104,7 @@
 }
 
 void pool_owner::accept(std::shared_ptr<rpc::JobRecordT> const& record) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   std::string const id = record->id;
   job const* const ahead = table_.find(id);
   milliseconds const ran_ahead{
@@ -135,7 +135,7 @@
   log_line(log_level::info, k_part, "Job runs while its record is written.",
            {{"job", id}, {"items", record->items.size()}, {"epoch", parts_.lease.epoch()}});
   note_job(*record);
-  table_.add_unrecorded(rpc::JobRecordT(*record), steady_clock::now());
+  table_.add_unrecorded(rpc::JobRecordT(*record), boot_clock::now());
   notify();
 }
 
@@ -186,8 +186,8 @@
                          "not the owner");
   }
   if (!submitting_.contains(id)) begin_submission(std::move(*call.record));
-  time_point const deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  while (submitting_.contains(id) && steady_clock::now() < deadline) {
+  time_point const deadline = boot_clock::now() + milliseconds(call.deadline_ms);
+  while (submitting_.contains(id) && boot_clock::now() < deadline) {
     co_await written_.wait_until(deadline);
   }
   if (find_recorded(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
@@ -196,7 +196,7 @@
 
 awaitable<rpc::JobReplyT> pool_owner::list(rpc::JobCallT call) {
   auto const wait = std::min(milliseconds(call.wait_ms), k_longest_wait);
-  time_point const deadline = steady_clock::now() + wait;
+  time_point const deadline = boot_clock::now() + wait;
   while (true) {
     if (!can_read()) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not the owner");
     if (auto unread = answer_unread(call)) co_return std::move(*unread);
@@ -209,7 +209,7 @@
     if (!may_see(call, *owner)) co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, "not its tenant");
     if (!owner->recorded) co_return reply_with(rpc::JobStatus::UNAVAILABLE, "not accepted yet");
     bool const waiting =
-        owner->listed.size() <= call.after && steady_clock::now() < deadline && owner->is_open();
+        owner->listed.size() <= call.after && boot_clock::now() < deadline && owner->is_open();
     if (!waiting) break;
     co_await listed_.wait_until(deadline);
   }
@@ -225,7 +225,7 @@
   }
   bool const passed_on = !call.from_address.empty();
   bool const final = !owner.is_open() && !reply.results.empty();
-  if (passed_on && final && !reads_.take(bytes, steady_clock::now())) {
+  if (passed_on && final && !reads_.take(bytes, boot_clock::now())) {
     reply.status = rpc::JobStatus::READ_RECORDS;
     reply.listed = owner.listed.size();
     reply.results.clear();
@@ -310,8 +310,8 @@
       written_.notify_all();
     });
   }
-  time_point const deadline = steady_clock::now() + milliseconds(call.deadline_ms);
-  while (writing_.contains(call.job) && !writing_[call.job] && steady_clock::now() < deadline) {
+  time_point const deadline = boot_clock::now() + milliseconds(call.deadline_ms);
+  while (writing_.contains(call.job) && !writing_[call.job] && boot_clock::now() < deadline) {
     co_await written_.wait_until(deadline);
   }
   auto const found = writing_.find(call.job);
--- a/src/jobs/pool_owner_ended.cc
+++ b/src/jobs/pool_owner_ended.cc
@@ -39,9 +39,9 @@
 
 awaitable<void> pool_owner::ensure_loaded(std::string id) {
   std::uint64_t const term = term_;
-  time_point const limit = steady_clock::now() + k_longest_read;
+  time_point const limit = boot_clock::now() + k_longest_read;
   if (ended_unread_.contains(id)) want_ended(id);
-  while (term == term_ && ended_unread_.contains(id) && steady_clock::now() < limit) {
+  while (term == term_ && ended_unread_.contains(id) && boot_clock::now() < limit) {
     co_await loaded_.wait_until(limit);
   }
 }
@@ -57,13 +57,13 @@
 
 awaitable<void> pool_owner::read_ended_loop(std::uint64_t term) {
   while (term == term_ && !ended_wanted_.empty()) {
-    time_point const begin = steady_clock::now();
+    time_point const begin = boot_clock::now();
     std::string const id = ended_wanted_.front();
     co_await read_ended(id, term);
     if (term != term_) break;
     std::erase(ended_wanted_, id);
     loaded_.notify_all();
-    auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+    auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
     bool const failed = ended_unread_.contains(id);
     co_await wait_for(failed ? k_failed_pause : spent * k_pause_factor);
   }
--- a/src/jobs/progress_replica.cc
+++ b/src/jobs/progress_replica.cc
@@ -156,7 +156,7 @@
 
 awaitable<void> progress_sender::finish(job_table& table, std::uint64_t epoch) {
   while (sending_) co_await wait_for(milliseconds(5));
-  auto const where = choose(steady_clock::now());
+  auto const where = choose(boot_clock::now());
   if (!where) co_return;
   auto report = make_report(table, epoch);
   sending_ = true;
@@ -176,7 +176,7 @@
   log_line(log_level::info, k_part, "Replica did not answer.",
            {{"pool", pool_}, {"replica", where.to_string()}, {"error", reply.error().detail}});
   auto const found = peers_.find(where);
-  if (found != peers_.end()) found->second.avoided_until = steady_clock::now() + k_avoid_time;
+  if (found != peers_.end()) found->second.avoided_until = boot_clock::now() + k_avoid_time;
   if (replica_ == where) replica_.reset();
 }
 
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -263,10 +263,10 @@
                                               std::uint64_t session) {
   for (std::size_t tries = 0; session == session_; ++tries) {
     ++transactions_;
-    time_point const asked = steady_clock::now();
+    time_point const asked = boot_clock::now();
     auto outcome = co_await store_.apply(change, patience_.wait(bytes, tries));
     if (session != session_) co_return false;
-    auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - asked);
+    auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - asked);
     if (outcome) {
       patience_.note_answer(spent);
       bool const stored =
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -86,7 +86,7 @@
 
 void sample_runner::start(job& owner, std::uint32_t index, engines::board_engine const& engine) {
   sample& one = owner.samples[index];
-  run_key const key = parts_.table.start(owner, index, engine.server.id, steady_clock::now());
+  run_key const key = parts_.table.start(owner, index, engine.server.id, boot_clock::now());
   std::uint64_t const tokens = expected_tokens(*one.spec);
   parts_.board.note_started(engine.server.id, tokens, one.spec->group);
   ++figures_.runs;
@@ -178,12 +178,12 @@
   if (one == nullptr) co_return run_end::unwanted;
   http::request const message = make_request(*parts_.table.find(key.job), *one);
   auto choice = calls::connection_choice::kept;
-  auto failure = co_await with.send(message, choice, steady_clock::now() + k_send_timeout);
-  time_point const first = steady_clock::now() + k_first_event_timeout;
+  auto failure = co_await with.send(message, choice, boot_clock::now() + k_send_timeout);
+  time_point const first = boot_clock::now() + k_first_event_timeout;
   if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
   if (failure == calls::exchange_failure::stale_connection) {
     choice = calls::connection_choice::fresh;
-    failure = co_await with.send(message, choice, steady_clock::now() + k_send_timeout);
+    failure = co_await with.send(message, choice, boot_clock::now() + k_send_timeout);
     if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
   }
   if (parts_.table.running(key) == nullptr) co_return run_end::unwanted;
@@ -209,7 +209,7 @@
   std::string version_field = parts_.names.versions;
   std::uint64_t version = parse_whole(http::header(with.head(), version_field));
   std::string const engine = with.server().id;
-  time_point last = steady_clock::now();
+  time_point last = boot_clock::now();
   bool first = true;
   std::string piece;
   while (!with.is_whole() || !with.head().body().empty()) {
@@ -220,12 +220,12 @@
         k_least_silence, milliseconds(static_cast<std::int64_t>(usual * k_silence_factor)));
     if (first) silence = k_first_event_timeout;
     if (loading) silence = std::max(silence, k_load_silence);
-    auto const failure = co_await with.read_piece(piece, steady_clock::now() + silence);
+    auto const failure = co_await with.read_piece(piece, boot_clock::now() + silence);
     if (parts_.table.running(key) == nullptr) co_return run_end::unwanted;
     if (failure != calls::exchange_failure::none) co_return run_end::broken;
     auto const events = splitter.feed(piece);
     if (events.empty()) continue;
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     if (!first && !loading) {
       auto const gap = std::chrono::duration_cast<milliseconds>(now - last);
       parts_.board.note_event_gap(engine, gap / static_cast<int>(events.size()), now);
@@ -250,7 +250,7 @@
     sample* const one = parts_.table.running(key);
     job const* const owner = parts_.table.find(key.job);
     if (one == nullptr || owner == nullptr) return run_end::unwanted;
-    switch (parts_.table.take_event(*owner, *one, event, version, steady_clock::now())) {
+    switch (parts_.table.take_event(*owner, *one, event, version, boot_clock::now())) {
       case event_result::taken:
         break;
       case event_result::too_old:
@@ -266,7 +266,7 @@
 }
 
 void sample_runner::conclude(run_key const& key, std::string const& engine, run_end end) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   job* const owner = parts_.table.find(key.job);
   sample* const one = parts_.table.running(key);
   bool const tells = owner != nullptr && end == run_end::broken;
@@ -320,7 +320,7 @@
 }
 
 void sample_runner::conclude_failure(job& owner, run_key const& key, sample& one) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (++one.failures >= owner.terms.max_attempts) {
     ++figures_.dead;
     parts_.table.give_up(owner, key.index, now);
--- a/src/jobs/sample_scorer.cc
+++ b/src/jobs/sample_scorer.cc
@@ -41,7 +41,7 @@
 }
 
 std::size_t sample_scorer::limit() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (now < limit_until_) return limit_;
   limit_ = std::max(limit_, k_fewest_calls);
   sample const* one = waiting_sample(queue_.front().job, queue_.front().index);
@@ -81,7 +81,7 @@
   message.set(parts_.names.request_id, call.id);
   message.body().assign(call.body.begin(), call.body.end());
   std::uint32_t const most_failures = by->max_attempts;
-  time_point const deadline = steady_clock::now() + k_scoring_deadline;
+  time_point const deadline = boot_clock::now() + k_scoring_deadline;
   auto const outcome =
       co_await parts_.forwarder.call(table, *by, std::move(message), deadline, nullptr);
   sample* const now = waiting_sample(job, index);
@@ -99,13 +99,13 @@
             {"status", answered ? outcome.answer.result_int() : 0}});
   if (good) {
     ++figures_.scored;
-    parts_.table.score(*owner, index, proof, steady_clock::now());
+    parts_.table.score(*owner, index, proof, boot_clock::now());
     co_return true;
   }
   now->scoring_failures += outcome.failed_answers;
   if (now->scoring_failures < most_failures) co_return false;
   ++figures_.dead;
-  parts_.table.give_up(*owner, index, steady_clock::now());
+  parts_.table.give_up(*owner, index, boot_clock::now());
   co_return true;
 }
 
--- a/src/kv/client.cc
+++ b/src/kv/client.cc
@@ -32,12 +32,12 @@
 
 void client::note_failure() {
   ++current_;
-  breaker_.note_failure(steady_clock::now());
+  breaker_.note_failure(boot_clock::now());
 }
 
 awaitable<result<std::string>> client::post(std::string target, std::string body) {
   // What the breaker holds back was not sent, so nothing changed.
-  if (!breaker_.allows(steady_clock::now())) co_return std::error_code(errc::unavailable);
+  if (!breaker_.allows(boot_clock::now())) co_return std::error_code(errc::unavailable);
   ++operations_;
   auto message = http::make_post(target, std::move(body), http::k_json);
   auto answer = co_await transport_.exchange(server(), std::move(message), k_operation_timeout);
@@ -53,7 +53,7 @@
   }
   breaker_.note_answer();
   if (code != http::status::ok) co_return std::error_code(errc::malformed_answer);
-  last_answer_ = steady_clock::now();
+  last_answer_ = boot_clock::now();
   co_return std::move(answer.value().body());
 }
 
@@ -110,7 +110,7 @@
   std::string pending;
   bool malformed = false;
   auto on_piece = [&](std::string_view piece) {
-    last_answer_ = steady_clock::now();
+    last_answer_ = boot_clock::now();
     pending.append(piece);
     std::size_t line_end = pending.find('\n');
     while (line_end != std::string::npos) {
--- a/src/load/callers.cc
+++ b/src/load/callers.cc
@@ -58,8 +58,8 @@
 }
 
 awaitable<caller_report> callers::run() {
-  time_point const begin = steady_clock::now();
-  asio::steady_timer timer(context_);
+  time_point const begin = boot_clock::now();
+  boot_timer timer(context_);
   for (arrival const& when : options_.calls) {
     timer.expires_at(begin + when.offset);
     co_await timer.async_wait(k_as_tuple);
@@ -78,14 +78,14 @@
 }
 
 awaitable<void> callers::make_call(one_call call) {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   attempt_result outcome = attempt_result::try_again;
   for (std::uint32_t number = 0; number < options_.most_attempts; ++number) {
     outcome = co_await attempt(call, number);
     if (outcome != attempt_result::try_again) break;
     co_await wait_for(k_retry_pause);
   }
-  std::chrono::duration<double, std::milli> const took = steady_clock::now() - begin;
+  std::chrono::duration<double, std::milli> const took = boot_clock::now() - begin;
   if (outcome == attempt_result::answered) {
     latencies_ms_.push_back(took.count());
     ++report_.answered;
--- a/src/load/trainer.cc
+++ b/src/load/trainer.cc
@@ -29,7 +29,7 @@
       client_(context),
       journal_(options_.journal_path),
       received_(context),
-      deadline_(steady_clock::now() + options_.give_up_after) {}
+      deadline_(boot_clock::now() + options_.give_up_after) {}
 
 bool trainer::is_told_to_stop() const {
   return !options_.stop_file.empty() && boost::filesystem::exists(options_.stop_file);
@@ -156,17 +156,17 @@
 
 awaitable<bool> trainer::wait_for_step(std::uint32_t step) {
   std::uint64_t const wanted = groups_per_step() * options_.group_size;
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   while (received_per_step_[step] < wanted && !given_up()) {
     co_await received_.wait_until(deadline_);
   }
-  std::chrono::duration<double> const waited = steady_clock::now() - begin;
+  std::chrono::duration<double> const waited = boot_clock::now() - begin;
   report_.idle_seconds += waited.count();
   co_return received_per_step_[step] >= wanted;
 }
 
 awaitable<trainer_report> trainer::run() {
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   bool running = co_await publish(1);
   for (std::uint32_t step = 0; running && step <= options_.steps_ahead; ++step) {
     running = co_await submit_step(step);
@@ -189,7 +189,7 @@
   }
   done_ = true;
   report_.finished = running && report_.steps_done == steps;
-  std::chrono::duration<double> const total = steady_clock::now() - begin;
+  std::chrono::duration<double> const total = boot_clock::now() - begin;
   report_.total_seconds = total.count();
   journal_.write("finished", {{"idle_seconds", report_.idle_seconds},
                               {"total_seconds", report_.total_seconds},
--- a/src/load/trainer.h
+++ b/src/load/trainer.h
@@ -64,7 +64,7 @@
   void take_batch(std::uint32_t shard, rpc::BatchT const& batch, std::uint64_t revision);
   awaitable<bool> wait_for_step(std::uint32_t step);
   bool is_told_to_stop() const;
-  bool given_up() const { return steady_clock::now() >= deadline_; }
+  bool given_up() const { return boot_clock::now() >= deadline_; }
   endpoint const& next_node();
   std::string prompt_of(std::uint64_t group) const;
   std::uint64_t groups_per_step() const;
--- a/src/membership/gossip_service.cc
+++ b/src/membership/gossip_service.cc
@@ -27,7 +27,7 @@
 }
 
 void gossip_service::announce_leave() {
-  if (socket_.is_open()) send(table_.leave(steady_clock::now()));
+  if (socket_.is_open()) send(table_.leave(boot_clock::now()));
 }
 
 void gossip_service::stop() {
@@ -65,13 +65,13 @@
                {{"from", remote.address().to_string()}});
       continue;
     }
-    send(table_.receive(*message, steady_clock::now()));
+    send(table_.receive(*message, boot_clock::now()));
   }
 }
 
 awaitable<void> gossip_service::tick_loop() {
   while (socket_.is_open()) {
-    send(table_.tick(steady_clock::now()));
+    send(table_.tick(boot_clock::now()));
     co_await wait_for(k_tick);
   }
 }
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -245,7 +245,7 @@
 }
 
 bool node::parts::is_cut_off() const {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (!members_.knows_other_members()) return false;
   if (config_sync_.kv_age(now) < k_kv_silence) return false;
   time_point const heard = members_.last_heard_outside_zone();
@@ -254,7 +254,7 @@
 }
 
 void node::parts::take_machine_list() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   for (auto const& [id, machine] : machines_.machines()) {
     if (machine.leaving) {
       leaving_.mark(id, machine.incarnation, routing::leaving_source::machine_list);
@@ -300,7 +300,7 @@
 
 void node::parts::describe(rpc::GetStatusResponseT& status) {
   take_gossiped_leaving();
-  status.kv_reachable = config_sync_.kv_age(steady_clock::now()) < k_kv_silence;
+  status.kv_reachable = config_sync_.kv_age(boot_clock::now()) < k_kv_silence;
   rollout_->describe(status);
   for (auto const& entry : leaving_.entries()) {
     auto item = std::make_unique<rpc::LeavingStatusT>();
@@ -312,7 +312,7 @@
 }
 
 awaitable<void> node::parts::wait_until_idle(time_point deadline) {
-  while (steady_clock::now() < deadline) {
+  while (boot_clock::now() < deadline) {
     bool const idle = server_->in_flight() == 0 && rollout_->runs_in_flight() == 0;
     if (idle) co_return;
     co_await wait_for(k_drain_poll);
@@ -324,12 +324,12 @@
   if (state_ == node_state::draining) co_return;
   state_ = node_state::draining;
   log_line(log_level::info, k_part, "Planned stop begins.");
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   time_point const deadline = begin + settings_.drain_time;
   server_->drain();
   gossip_.announce_leave();
   rollout_->stop_owners();
-  while (rollout_->owners_busy() && steady_clock::now() < deadline) {
+  while (rollout_->owners_busy() && boot_clock::now() < deadline) {
     co_await wait_for(k_drain_poll);
   }
   co_await keeper_->release_all();
--- a/src/ownership/keeper.cc
+++ b/src/ownership/keeper.cc
@@ -84,8 +84,8 @@
 }
 
 awaitable<void> keeper::rebalance(std::vector<resource> const& resources) {
-  if (steady_clock::now() < next_rebalance_) co_return;
-  next_rebalance_ = steady_clock::now() + k_rebalance_interval;
+  if (boot_clock::now() < next_rebalance_) co_return;
+  next_rebalance_ = boot_clock::now() + k_rebalance_interval;
   std::vector<std::string> held;
   for (resource const& one : resources) {
     if (epoch_of(one.key) != 0) held.push_back(one.key);
--- a/src/ownership/owner_lease.cc
+++ b/src/ownership/owner_lease.cc
@@ -42,7 +42,7 @@
       store_(store),
       resource_(std::move(resource)),
       options_(std::move(options)),
-      may_have_ordered_until_(steady_clock::now()),
+      may_have_ordered_until_(boot_clock::now()),
       changed_(context),
       renewed_(context) {}
 
@@ -155,7 +155,7 @@
 void owner_lease::become_owner(std::uint64_t epoch) {
   state_ = lease_state::owner;
   epoch_ = epoch;
-  orders_from_ = first_order_time(steady_clock::now());
+  orders_from_ = first_order_time(boot_clock::now());
   last_owner_ = options_.node;
   owner_ = known_owner{options_.node, options_.address, epoch};
   log_line(log_level::info, k_part, "Ownership acquired.",
@@ -166,7 +166,7 @@
 
 void owner_lease::stop_owning(std::string_view cause) {
   state_ = lease_state::lapsed;
-  may_have_ordered_until_ = steady_clock::now();
+  may_have_ordered_until_ = boot_clock::now();
   lease_ = 0;
   log_line(log_level::warning, k_part, "Ownership lost.",
            {{"resource", resource_}, {"epoch", epoch_}, {"cause", cause}});
@@ -181,7 +181,7 @@
     } else if (record_known_ && (!owner_ || owner_->node == options_.node)) {
       co_await compete();
     } else {
-      co_await changed_.wait_until(steady_clock::now() + seconds(1));
+      co_await changed_.wait_until(boot_clock::now() + seconds(1));
     }
   }
 }
@@ -194,18 +194,18 @@
 }
 
 awaitable<void> owner_lease::compete() {
-  co_await changed_.wait_until(steady_clock::now() + delay_before_asking());
+  co_await changed_.wait_until(boot_clock::now() + delay_before_asking());
   bool const own_former = owner_ && owner_->node == options_.node;
   if ((owner_ && !own_former) || released_) co_return;
   state_ = lease_state::acquiring;
   bool const done = co_await create_record(own_former ? record_revision_ : 0);
   if (state_ != lease_state::acquiring) co_return;
   state_ = lease_state::standby;
-  if (!done) co_await changed_.wait_until(steady_clock::now() + with_jitter(k_retry_pause));
+  if (!done) co_await changed_.wait_until(boot_clock::now() + with_jitter(k_retry_pause));
 }
 
 awaitable<bool> owner_lease::create_record(kv::revision replaced) {
-  time_point const asked = steady_clock::now();
+  time_point const asked = boot_clock::now();
   auto lease = co_await store_.grant_lease(options_.time_to_live);
   bool const overtaken = owner_ && (replaced == 0 || record_revision_ != replaced);
   if (!lease || overtaken) co_return false;
@@ -240,21 +240,21 @@
 }
 
 awaitable<void> owner_lease::renew() {
-  time_point next = steady_clock::now() + options_.renewal_interval;
-  if (orders_from_ > steady_clock::now()) next = std::min(next, orders_from_);
+  time_point next = boot_clock::now() + options_.renewal_interval;
+  if (orders_from_ > boot_clock::now()) next = std::min(next, orders_from_);
   co_await changed_.wait_until(next);
-  time_point const begun = steady_clock::now();
+  time_point const begun = boot_clock::now();
   bool const entitled = holds(begun) && begun >= orders_from_;
   if (entitled && !ordered_last() && !becoming_orderer_) spawn(context_, become_orderer());
   // An answer may be lost, so another renewal goes out long before the lease is over.
   while (state_ == lease_state::owner && !released_ && confirmed_at_ < begun) {
     spawn(context_, renew_once(lease_));
-    co_await renewed_.wait_until(steady_clock::now() + options_.renewal_patience);
+    co_await renewed_.wait_until(boot_clock::now() + options_.renewal_patience);
   }
 }
 
 awaitable<void> owner_lease::renew_once(kv::lease_id lease) {
-  time_point const asked = steady_clock::now();
+  time_point const asked = boot_clock::now();
   auto renewed = co_await store_.renew_lease(lease);
   if (state_ != lease_state::owner || lease != lease_) co_return;
   if (renewed) {
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -71,7 +71,7 @@
     position->after = views.view(one).at();
     call.positions.push_back(std::move(position));
   }
-  time_point const asked = steady_clock::now();
+  time_point const asked = boot_clock::now();
   auto reply = co_await rpc::call<rpc::PollCallT, rpc::PollReplyT>(
       transport, std::move(peer), "RelayService", "Poll", call,
       request.wait + request.answer_margin);
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -47,7 +47,7 @@
   one.processor_share = call.processor_share;
   one.uptime = milliseconds(call.uptime_ms);
   one.leaving = call.leaving;
-  asking_.note(std::move(one), steady_clock::now());
+  asking_.note(std::move(one), boot_clock::now());
 }
 
 void poll_service::note_newer(rpc::PollCallT const& call) const {
@@ -68,7 +68,7 @@
   told.whole = delta.whole;
   told.store_revision = delta.at;
   told.confirmed_ms_ago =
-      milliseconds_since(views_.confirmed_at(position.topic), steady_clock::now());
+      milliseconds_since(views_.confirmed_at(position.topic), boot_clock::now());
   for (kv::watch_event const& change : delta.changes) {
     told.changes.push_back(write_change(change));
   }
@@ -79,12 +79,12 @@
   std::erase_if(call.positions, is_unknown);
   note_asking(call);
   note_newer(call);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   time_point const deadline = begin + std::min(milliseconds(call.wait_ms), k_longest_wait);
-  while (steady_clock::now() < deadline && can_wait(call)) co_await changed_.wait_until(deadline);
+  while (boot_clock::now() < deadline && can_wait(call)) co_await changed_.wait_until(deadline);
   rpc::PollReplyT reply;
-  reply.waited_ms = milliseconds_since(begin, steady_clock::now());
-  reply.store_back_ms_ago = milliseconds_since(views_.store_back_at(), steady_clock::now());
+  reply.waited_ms = milliseconds_since(begin, boot_clock::now());
+  reply.store_back_ms_ago = milliseconds_since(views_.store_back_at(), boot_clock::now());
   for (auto const& position : call.positions) {
     reply.topics.push_back(std::make_unique<rpc::TopicChangesT>(write_changes(*position)));
   }
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -79,7 +79,7 @@
       options_(std::move(options)),
       find_owner_(std::move(find_owner)),
       views_(options_.servers_alike),
-      service_(context, views_, [this](topic one) { return is_sure(one, steady_clock::now()); }),
+      service_(context, views_, [this](topic one) { return is_sure(one, boot_clock::now()); }),
       source_(context, store, options_.prefixes, make_source_callbacks()),
       picker_(picker_options{options_.node, options_.zone, options_.self, options_.seeds}),
       claims_(make_claim_options(), hash_bytes(make_unique_token())),
@@ -122,14 +122,14 @@
   callbacks.complete_to = [this](topic one, kv::revision at) { views_.advance(one, at); };
   callbacks.confirmed = [this] {
     for (topic const one : k_topics) {
-      if (source_.is_current(one, steady_clock::now())) {
+      if (source_.is_current(one, boot_clock::now())) {
         views_.confirm(one, source_.confirmed_at());
       }
     }
   };
   callbacks.contact_changed = [this] {
     if (!source_.is_silent()) {
-      views_.note_store_back(steady_clock::now());
+      views_.note_store_back(boot_clock::now());
       if (store_back_) store_back_();
     }
     service_.notify();
@@ -139,7 +139,7 @@
 
 void record_feed::note_store_answer() {
   // A record may be read before the next sign of life says that the store is back.
-  if (source_.is_silent()) views_.note_store_back(steady_clock::now());
+  if (source_.is_silent()) views_.note_store_back(boot_clock::now());
 }
 
 void record_feed::listen(topic one, kv::follower_callbacks listener) {
@@ -147,7 +147,7 @@
 }
 
 void record_feed::start() {
-  started_at_ = steady_clock::now();
+  started_at_ = boot_clock::now();
   source_.start();
   spawn(context_, peers_loop());
   spawn(context_, servers_loop());
@@ -232,7 +232,7 @@
 }
 
 awaitable<void> record_feed::ask_next_peer() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   auto const peer = picker_.pick(relays_, now);
   // Who follows the store can hear of more from relays alone.
   bool const useful = peer && (role_ == feed_role::standby || is_relay_address(*peer));
@@ -253,7 +253,7 @@
 }
 
 awaitable<void> record_feed::ask_back(endpoint peer) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (leaving_ || now < asked_back_at_ + k_ask_back_pause) co_return;
   asked_back_at_ = now;
   poll_request request = make_request();
@@ -268,7 +268,7 @@
   request.self = options_.self;
   request.zone = options_.zone;
   request.processor_share = options_.processor_share;
-  request.uptime = std::chrono::duration_cast<milliseconds>(steady_clock::now() - started_at_);
+  request.uptime = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at_);
   request.leaving = leaving_;
   request.topics.assign(k_topics.begin(), k_topics.end());
   return request;
@@ -285,7 +285,7 @@
 }
 
 void record_feed::note_result(endpoint const& peer, poll_result const& result) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   bool const is_relay = is_relay_address(peer);
   answered_once_ = answered_once_ || result.outcome != poll_outcome::failed;
   if (result.outcome != poll_outcome::failed && is_relay) relay_answered_at_ = now;
@@ -326,10 +326,10 @@
       continue;
     }
     auto const owner = find_owner_();
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     if (owner && now >= avoided_until) {
       if (co_await ask_owner(*owner)) continue;
-      avoided_until = steady_clock::now() + k_owner_avoid_time;
+      avoided_until = boot_clock::now() + k_owner_avoid_time;
       continue;
     }
     source_.follow(topic::SERVERS, true);
@@ -346,7 +346,7 @@
   auto const result = co_await poll_peer(transport_, owner, std::move(request), views_);
   bool const sure = result.outcome == poll_outcome::sure;
   if (sure) {
-    owner_told_at_ = steady_clock::now();
+    owner_told_at_ = boot_clock::now();
     // An owner's own records hold more than it passes on.
     if (!owner_) source_.follow(topic::SERVERS, false);
   } else {
@@ -367,7 +367,7 @@
 }
 
 awaitable<void> record_feed::check_store() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   bool const patient = now < std::max(served_at_, started_at_) + k_doubt_patience;
   if (patient || now < next_store_check_ || relays_.all().empty()) co_return;
   auto const answers = co_await store_.probe(k_store_check_timeout);
@@ -391,13 +391,13 @@
                   (own != nullptr && serving_peer_ && *serving_peer_ == own->address);
   health.others_serve = served && !health.serves;
   bool const store_serves =
-      role_ == feed_role::direct && source_.is_current(topic::RELAYS, steady_clock::now());
+      role_ == feed_role::direct && source_.is_current(topic::RELAYS, boot_clock::now());
   health.anybody_serves = serving_peer_ || store_serves;
   return health;
 }
 
 awaitable<void> record_feed::review() {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (must_follow_store(now)) {
     change_role(feed_role::direct, "no relay answers");
   } else if (role_ == feed_role::standby && !serving_peer_) {
@@ -409,7 +409,7 @@
 }
 
 awaitable<void> record_feed::claim(kv::revision replaced) {
-  claims_.postpone(steady_clock::now());
+  claims_.postpone(boot_clock::now());
   // At a tenth of the price: whether the store serves this node at all.
   auto const reachable = co_await store_.probe(k_claim_timeout);
   bool const overtaken = relays_.revision_of(options_.zone) != replaced;
@@ -452,7 +452,7 @@
   kv::transaction change;
   std::string const key = zone_relays::key_of(options_.zone);
   change.compares.push_back({key, relays_.revision_of(options_.zone)});
-  auto const next = service_.asking().pick(options_.zone, steady_clock::now());
+  auto const next = service_.asking().pick(options_.zone, boot_clock::now());
   kv::key_value entry;
   entry.key = key;
   if (next) entry.value = zone_relays::encode({options_.zone, next->node, next->address, 0});
--- a/src/relay/store_source.cc
+++ b/src/relay/store_source.cc
@@ -74,7 +74,7 @@
       co_await wanted_.wait();
       continue;
     }
-    time_point const asked = steady_clock::now();
+    time_point const asked = boot_clock::now();
     auto const answer = co_await store_.probe(k_contact_timeout);
     note_contact(static_cast<bool>(answer), asked);
     co_await wait_for(with_jitter(answer ? k_contact_interval : k_retry_pause));
@@ -86,7 +86,7 @@
   if (answered) {
     confirmed_at_ = asked;
     silent_ = false;
-  } else if (steady_clock::now() > confirmed_at_ + k_longest_silence) {
+  } else if (boot_clock::now() > confirmed_at_ + k_longest_silence) {
     silent_ = true;
   }
   if (answered) callbacks_.confirmed();
--- a/src/rollout/shard_batches.cc
+++ b/src/rollout/shard_batches.cc
@@ -62,10 +62,10 @@
 
 awaitable<shard_owner::pull_reply> shard_owner::answer_pull(rpc::PullBatchRequestT request) {
   std::uint32_t const wait_ms = std::min(request.max_wait_ms, k_longest_wait_ms);
-  time_point const deadline = steady_clock::now() + milliseconds(wait_ms);
+  time_point const deadline = boot_clock::now() + milliseconds(wait_ms);
   while (true) {
     if (state_ == owner_state::stopped) co_return not_owner();
-    bool const expired = steady_clock::now() >= deadline;
+    bool const expired = boot_clock::now() >= deadline;
     if (state_ == owner_state::serving && !committing_) {
       std::optional<pull_reply> answer;
       switch (ledger_.classify(request.cursor, request.cursor_identity)) {
@@ -93,7 +93,7 @@
       none.retry_after_ms = k_empty_retry_ms;
       co_return none;
     }
-    time_point const look_again = steady_clock::now() + k_look_again;
+    time_point const look_again = boot_clock::now() + k_look_again;
     co_await changed_.wait_until(std::min(deadline, look_again));
   }
 }
--- a/src/rollout/shard_owner.cc
+++ b/src/rollout/shard_owner.cc
@@ -75,7 +75,7 @@
     if (!committing_ && table_.drop_stale(published(), bound()) > 0) changed_.notify_all();
     abandon_lost_runs();
     dispatch();
-    time_point const deadline = std::min(table_.next_due(), steady_clock::now() + k_main_tick);
+    time_point const deadline = std::min(table_.next_due(), boot_clock::now() + k_main_tick);
     co_await changed_.wait_until(deadline);
   }
   log_line(log_level::info, k_part, "Stopped owning a shard.",
--- a/src/rollout/shard_runs.cc
+++ b/src/rollout/shard_runs.cc
@@ -53,7 +53,7 @@
   refresh_engines();
   std::vector<engine_view> views;
   for (auto const& [id, view] : engines_) views.push_back(view);
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   while (auto const group = table_.peek_group(now)) {
     placement_request const request{*group, parts_.zone};
     auto const chosen = place(*placement_, views, request, now);
@@ -84,7 +84,7 @@
   for (std::string const& attempt : lost) {
     active_run const run = runs_.at(attempt);
     release_slot(run.engine, attempt);
-    table_.interrupt(run.key, attempt, steady_clock::now(), {});
+    table_.interrupt(run.key, attempt, boot_clock::now(), {});
   }
 }
 
@@ -95,7 +95,7 @@
 }
 
 void shard_owner::block_engine(std::string const& engine, milliseconds duration) {
-  engines_[engine].blocked_until = steady_clock::now() + with_jitter(duration);
+  engines_[engine].blocked_until = boot_clock::now() + with_jitter(duration);
 }
 
 awaitable<rpc::reply<rpc::RunSampleResponseT>> shard_owner::call_controller(
@@ -139,7 +139,7 @@
   log_line(log_level::warning, k_part, "Run was lost with its controller.",
            {{"attempt", work.attempt}, {"engine", engine}, {"detail", issue.detail}});
   block_engine(engine, k_failure_pause);
-  table_.interrupt(work.key, work.attempt, steady_clock::now(), work.resume);
+  table_.interrupt(work.key, work.attempt, boot_clock::now(), work.resume);
 }
 
 awaitable<void> shard_owner::take_response(work_item const& work, std::string const& engine,
@@ -147,7 +147,7 @@
   switch (response.outcome) {
     case rpc::RunOutcome::REFUSED:
       block_engine(engine, milliseconds(std::max<std::uint32_t>(response.retry_after_ms, 20)));
-      table_.interrupt(work.key, work.attempt, steady_clock::now(), work.resume);
+      table_.interrupt(work.key, work.attempt, boot_clock::now(), work.resume);
       break;
     case rpc::RunOutcome::INTERRUPTED:
       block_engine(engine, k_retry_pause);
@@ -175,7 +175,7 @@
     table_.restart(work.key, work.attempt);
     return;
   }
-  time_point const again = steady_clock::now() + with_jitter(k_retry_pause);
+  time_point const again = boot_clock::now() + with_jitter(k_retry_pause);
   table_.interrupt(work.key, work.attempt, again, std::move(rest));
 }
 
--- a/src/routing/admission.cc
+++ b/src/routing/admission.cc
@@ -23,7 +23,7 @@
     while (abandoned_.erase(serving_ticket_) > 0) ++serving_ticket_;
     bool const free = in_flight_ < concurrent_;
     if (free && ticket == serving_ticket_) break;
-    if (steady_clock::now() >= deadline) {
+    if (boot_clock::now() >= deadline) {
       --queued_;
       abandoned_.insert(ticket);
       freed_.notify_all();
@@ -41,7 +41,7 @@
 
 void admission_gate::leave() {
   --in_flight_;
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (last_leave_ != time_point::min()) {
     std::chrono::duration<double, std::milli> const interval = now - last_leave_;
     leave_interval_ms_ += k_smoothing * (interval.count() - leave_interval_ms_);
--- a/src/routing/claims.cc
+++ b/src/routing/claims.cc
@@ -20,14 +20,14 @@
     auto granted = co_await service_.grant_lease(k_claim_memory_most);
     if (granted) {
       lease_ = granted.value();
-      lease_granted_ = steady_clock::now();
+      lease_granted_ = boot_clock::now();
     }
     co_await wait_for(granted ? k_lease_interval : k_lease_retry);
   }
 }
 
 awaitable<claim_result> claims::claim(std::string route, std::string identifier) {
-  auto const age = steady_clock::now() - lease_granted_;
+  auto const age = boot_clock::now() - lease_granted_;
   bool const usable = lease_ != 0 && age < k_claim_memory_most - k_claim_memory_least;
   if (!usable) co_return claim_result::unreadable;
   std::string const key = config::key_of(config::k_claims, route + "/" + base64_encode(identifier));
--- a/src/routing/proxy.cc
+++ b/src/routing/proxy.cc
@@ -23,11 +23,6 @@
   for (http::field name : k_hop_by_hop) message.erase(name);
 }
 
-milliseconds time_left(time_point deadline) {
-  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
-  return std::max(left, milliseconds(0));
-}
-
 }  // namespace
 
 proxy::proxy(asio::io_context& context, http::client& transport, config::store const& config,
@@ -51,7 +46,7 @@
 }
 
 awaitable<http::response> proxy::handle(http::request message) {
-  time_point const start = steady_clock::now();
+  time_point const start = boot_clock::now();
   std::string const path(message.target());
   if (!config_.is_complete()) {
     co_return rpc::to_response(rpc::unavailable(
@@ -73,7 +68,7 @@
     metrics_.count_problem(one.route.name, answer.error().why);
     co_return rpc::to_response(answer.error());
   }
-  auto const duration = std::chrono::duration_cast<milliseconds>(steady_clock::now() - start);
+  auto const duration = std::chrono::duration_cast<milliseconds>(boot_clock::now() - start);
   metrics_.count_answer(one.route.name, duration);
   co_return std::move(answer.value());
 }
@@ -131,7 +126,7 @@
   rpc::problem last = rpc::unavailable(rpc::reason::no_back_end, "no back end takes this route",
                                        k_no_back_end_retry);
   while (time_left(one.deadline).count() > 0) {
-    auto const chosen = picker_.pick(usable_servers(one.route), one.tried, steady_clock::now());
+    auto const chosen = picker_.pick(usable_servers(one.route), one.tried, boot_clock::now());
     machines::machine const* found = chosen ? machines_.find(*chosen) : nullptr;
     if (found == nullptr) co_return last;
     if (!claimed) {
@@ -190,7 +185,7 @@
 }
 
 proxy::try_outcome proxy::take_error(machines::machine const& server, std::error_code error) {
-  picker_.note_failure(server.id, steady_clock::now());
+  picker_.note_failure(server.id, boot_clock::now());
   try_outcome outcome;
   std::string detail = "back end " + server.id + ": " + error.message();
   if (error == http::errc::connect_failed) {
--- a/src/standin/engine_server.cc
+++ b/src/standin/engine_server.cc
@@ -89,14 +89,14 @@
   }
 
   awaitable<void> generate() {
-    asio::steady_timer timer(context_);
-    time_point next = steady_clock::now();
+    boot_timer timer(context_);
+    time_point next = boot_clock::now();
     while (true) {
       if (model_.running() == 0 && model_.waiting() == 0) {
         co_await work_.wait();
-        next = steady_clock::now();
+        next = boot_clock::now();
       }
-      next = std::max(next + step_time(), steady_clock::now() - milliseconds(100));
+      next = std::max(next + step_time(), boot_clock::now() - milliseconds(100));
       timer.expires_at(std::max(next, faults_.stalled_until));
       co_await timer.async_wait(k_as_tuple);
       for (generated_tokens& piece : model_.step()) deliver(std::move(piece));
@@ -133,7 +133,7 @@
 
   awaitable<void> report_load() {
     while (true) {
-      reports_.push_back({steady_clock::now(), current_load()});
+      reports_.push_back({boot_clock::now(), current_load()});
       if (reports_.size() > k_reports_kept) reports_.pop_front();
       co_await wait_for(milliseconds(settings_.report_interval_ms));
     }
@@ -141,7 +141,7 @@
 
   /// The newest report that is at least as old as the lag.
   http::response load() const {
-    time_point const cut = steady_clock::now() - milliseconds(settings_.report_lag_ms);
+    time_point const cut = boot_clock::now() - milliseconds(settings_.report_lag_ms);
     load_report const* chosen = &reports_.front();
     for (load_report const& report : reports_) {
       if (report.taken <= cut) chosen = &report;
@@ -173,7 +173,7 @@
     faults_.truncate_after = json_number(body, "truncate_after", faults_.truncate_after);
     faults_.leaving = json_flag(body, "leaving", faults_.leaving);
     auto const stall = json_number(body, "stall_ms", 0);
-    if (stall > 0) faults_.stalled_until = steady_clock::now() + milliseconds(stall);
+    if (stall > 0) faults_.stalled_until = boot_clock::now() + milliseconds(stall);
     return empty_ok();
   }
 
--- a/src/standin/kv_server.cc
+++ b/src/standin/kv_server.cc
@@ -51,20 +51,20 @@
   }
 
  private:
-  bool in_outage() const { return steady_clock::now() < faults_.outage_until; }
+  bool in_outage() const { return boot_clock::now() < faults_.outage_until; }
 
   awaitable<void> tick() {
     bool was_out = false;
-    time_point next_progress = steady_clock::now();
+    time_point next_progress = boot_clock::now();
     while (true) {
       co_await wait_for(k_expiry_tick);
       bool const out = in_outage();
-      if (was_out && !out) store_.extend_leases(steady_clock::now());
+      if (was_out && !out) store_.extend_leases(boot_clock::now());
       was_out = out;
       kv::revision const before = store_.current_revision();
-      if (!out) store_.expire(steady_clock::now());
-      bool const progress_due = steady_clock::now() >= next_progress;
-      if (progress_due) next_progress = steady_clock::now() + k_progress_interval;
+      if (!out) store_.expire(boot_clock::now());
+      bool const progress_due = boot_clock::now() >= next_progress;
+      if (progress_due) next_progress = boot_clock::now() + k_progress_interval;
       if (progress_due || store_.current_revision() != before) changed_.notify_all();
     }
   }
@@ -79,7 +79,7 @@
     if (in_outage()) {
       co_return json_response(http::status::service_unavailable, {{"error", "unavailable"}});
     }
-    if (!limiter_.allow(steady_clock::now())) {
+    if (!limiter_.allow(boot_clock::now())) {
       ++limited_;
       co_return json_response(http::status::too_many_requests,
                               {{"code", 8}, {"error", "too many requests"}});
@@ -104,11 +104,11 @@
 
   http::response set_faults(json::object const& body) {
     auto const outage = json_number(body, "outage_ms", -1);
-    if (outage >= 0) faults_.outage_until = steady_clock::now() + milliseconds(outage);
+    if (outage >= 0) faults_.outage_until = boot_clock::now() + milliseconds(outage);
     faults_.lose_answers = json_number(body, "lose_answers", faults_.lose_answers);
     faults_.delay_ms = json_number(body, "delay_ms", faults_.delay_ms);
     auto const hold = json_number(body, "hold_watches_ms", -1);
-    if (hold >= 0) faults_.watches_held_until = steady_clock::now() + milliseconds(hold);
+    if (hold >= 0) faults_.watches_held_until = boot_clock::now() + milliseconds(hold);
     faults_.slow_prefix = json_text(body, "slow_prefix", faults_.slow_prefix);
     faults_.slow_ms = json_number(body, "slow_ms", faults_.slow_ms);
     faults_.late_answer_ms = json_number(body, "late_answer_ms", faults_.late_answer_ms);
@@ -229,7 +229,7 @@
 
   http::response grant(json::object const& body) {
     seconds const time_to_live(kv::read_number(body, "TTL"));
-    kv::lease_id const lease = store_.grant(time_to_live, steady_clock::now());
+    kv::lease_id const lease = store_.grant(time_to_live, boot_clock::now());
     return json_response(http::status::ok, {{"header", header(store_.current_revision())},
                                             {"ID", std::to_string(lease)},
                                             {"TTL", std::to_string(time_to_live.count())}});
@@ -237,7 +237,7 @@
 
   http::response keep_alive(json::object const& body) {
     kv::lease_id const lease = kv::read_number(body, "ID");
-    auto const remaining = store_.keep_alive(lease, steady_clock::now());
+    auto const remaining = store_.keep_alive(lease, boot_clock::now());
     json::object result;
     result["header"] = header(store_.current_revision());
     result["ID"] = std::to_string(lease);
@@ -298,7 +298,7 @@
   awaitable<void> follow(http::stream_writer& writer, std::string first, std::string last,
                          kv::revision next) {
     while (!in_outage() && !writer.peer_gone()) {
-      while (steady_clock::now() < faults_.watches_held_until) co_await wait_for(k_expiry_tick);
+      while (boot_clock::now() < faults_.watches_held_until) co_await wait_for(k_expiry_tick);
       std::string line = events_line(store_.events_since(first, last, next));
       next = store_.current_revision() + 1;
       bool const sent = co_await writer.write(std::move(line));
--- a/src/standin/platform_servers.cc
+++ b/src/standin/platform_servers.cc
@@ -19,7 +19,7 @@
 class machine_list_server {
  public:
   explicit machine_list_server(options const& settings) : settings_(settings) {
-    snapshots_.push_back({0, steady_clock::now(), {}});
+    snapshots_.push_back({0, boot_clock::now(), {}});
   }
 
   int run() {
@@ -44,14 +44,14 @@
     if (id.empty()) co_return json_response(http::status::bad_request, {{"error", "no id"}});
     snapshot next = snapshots_.back();
     ++next.number;
-    next.taken = steady_clock::now();
+    next.taken = boot_clock::now();
     next.machines[id] = *body;
     snapshots_.push_back(std::move(next));
     co_return empty_ok();
   }
 
   http::response list(http::request const& message) {
-    time_point const cut = steady_clock::now() - milliseconds(settings_.list_lag_ms);
+    time_point const cut = boot_clock::now() - milliseconds(settings_.list_lag_ms);
     while (snapshots_.size() > 1 && snapshots_[1].taken <= cut) snapshots_.pop_front();
     std::string const tag = "\"" + std::to_string(snapshots_.front().number) + "\"";
     if (http::header(message, "If-None-Match") == tag) {
@@ -80,7 +80,7 @@
 
  private:
   awaitable<http::response> fetch() {
-    if (!limiter_.allow(steady_clock::now())) {
+    if (!limiter_.allow(boot_clock::now())) {
       auto refusal = json_response(http::status::too_many_requests, {{"error", "rate limit"}});
       refusal.set(http::field::retry_after, "1");
       co_return refusal;
--- a/src/standin/service.h
+++ b/src/standin/service.h
@@ -32,7 +32,7 @@
  private:
   double per_second_;
   double tokens_;
-  time_point last_ = steady_clock::now();
+  time_point last_ = boot_clock::now();
 };
 
 inline http::response empty_ok() { return json_response(http::status::ok, {}); }
--- a/src/usage/usage_reporter.cc
+++ b/src/usage/usage_reporter.cc
@@ -80,7 +80,7 @@
 
 rpc::UsageReplyT usage_reporter::count(rpc::UsageCallT call) {
   rpc::UsageReplyT reply;
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   if (state_ != holder_state::active || !parts_.lease.holds(now)) return reply;
   std::uint64_t const late_before = ledger_.late();
   reply.counted_to = ledger_.take(call, now);
@@ -95,7 +95,7 @@
 awaitable<void> usage_reporter::tell_loop() {
   while (!leaving_) {
     co_await wait_for(k_tick);
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     parts_.counter.forget_before(now - k_retention);
     if (!leaving_ && is_time_to_tell(now)) co_await tell_holder(k_tell_timeout);
   }
@@ -114,7 +114,7 @@
   if (!holder || telling_) co_return;
   telling_ = true;
   std::uint64_t const from = holder->epoch == told_epoch_ ? told_to_ : 0;
-  rpc::UsageCallT call = parts_.counter.entries_after(from, steady_clock::now(), k_most_entries);
+  rpc::UsageCallT call = parts_.counter.entries_after(from, boot_clock::now(), k_most_entries);
   call.node = parts_.node;
   call.incarnation = incarnation_;
   call.wall_clock_ms = wall_clock_ms();
@@ -130,7 +130,7 @@
     if (!answer) failure = answer.error().detail;
   }
   telling_ = false;
-  told_at_ = steady_clock::now();
+  told_at_ = boot_clock::now();
   if (!failure.empty()) {
     ++figures_.calls_failed;
     log_line(log_level::info, k_part, "The holder did not take this node's counts.",
@@ -144,7 +144,7 @@
 awaitable<void> usage_reporter::hold_loop() {
   while (!leaving_) {
     co_await wait_for(k_tick);
-    time_point const now = steady_clock::now();
+    time_point const now = boot_clock::now();
     if (!parts_.lease.holds(now)) {
       if (parts_.lease.state() != ownership::lease_state::owner) state_ = holder_state::standby;
       continue;
@@ -182,7 +182,7 @@
   if (state) {
     for (auto const& one : state->unreported) stored_windows_.insert(one->window);
   }
-  loaded_at_ = steady_clock::now();
+  loaded_at_ = boot_clock::now();
   ledger_.restore(or_null(state), static_cast<wall_time>(wall_clock_ms()), loaded_at_);
   epoch_ = epoch;
   state_ = holder_state::active;
@@ -226,7 +226,7 @@
   put.value = rpc::encode(state);
   change.on_success.push_back(std::move(put));
   ledger_.note_stored();
-  stored_at_ = steady_clock::now();
+  stored_at_ = boot_clock::now();
   auto outcome = co_await parts_.store.apply(std::move(change), k_store_timeout);
   kv::revision revision = outcome && outcome.value().succeeded ? outcome.value().store_revision : 0;
   bool stored = revision != 0;
@@ -268,7 +268,7 @@
   for (std::uint64_t window : ready) {
     auto const found = ledger_.unreported().find(window);
     if (found == ledger_.unreported().end()) continue;
-    time_point const begin = steady_clock::now();
+    time_point const begin = boot_clock::now();
     // Checked right before each call: what is sent must not come after a successor's first call.
     if (leaving_ || state_ != holder_state::active || !parts_.lease.may_order(begin)) co_return;
     if (is_given_up(window, begin)) {
@@ -281,7 +281,7 @@
     rpc::UsageWindowT const report = found->second;
     duty_holder const holder{parts_.node, epoch_};
     report_reply const reply = co_await parts_.service.report_usage(holder, report);
-    auto const spent = std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+    auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - begin);
     bool const accepted = reply == report_reply::accepted;
     log_line(accepted ? log_level::info : log_level::warning, k_part, "Usage reported.",
              {{"window", window},
@@ -302,10 +302,9 @@
 
 awaitable<void> usage_reporter::finish(time_point deadline) {
   leaving_ = true;
-  auto const left = std::chrono::duration_cast<milliseconds>(deadline - steady_clock::now());
-  while ((telling_ || storing_) && steady_clock::now() < deadline)
-    co_await wait_for(milliseconds(5));
-  bool const holds = state_ == holder_state::active && parts_.lease.holds(steady_clock::now());
+  auto const left = std::chrono::duration_cast<milliseconds>(deadline - boot_clock::now());
+  while ((telling_ || storing_) && boot_clock::now() < deadline) co_await wait_for(milliseconds(5));
+  bool const holds = state_ == holder_state::active && parts_.lease.holds(boot_clock::now());
   if (left > milliseconds(0)) co_await tell_holder(std::min(left, k_tell_timeout));
   if (holds && ledger_.is_changed()) co_await store_state();
 }
--- a/tests/integration/freshness_test.cc
+++ b/tests/integration/freshness_test.cc
@@ -122,9 +122,9 @@
   trainer.submit(0, 4, 4, 32);
   wait_for_finished(system, "main", 0, 0, 8);
   system.set_faults(system.kv(), {{"outage_ms", 60'000}});
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   auto const refused = trainer.pull(0, milliseconds(10'000));
-  CHECK(steady_clock::now() - begin < seconds(3));
+  CHECK(boot_clock::now() - begin < seconds(3));
   CHECK(refused.error().why == rpc::reason::kv_unavailable);
   CHECK(refused.error().retry_after.count() > 0);
   system.set_faults(system.kv(), {{"outage_ms", 0}});
--- a/tests/integration/leaving_test.cc
+++ b/tests/integration/leaving_test.cc
@@ -30,13 +30,13 @@
 
   /// Calls through all nodes until three seconds and some after the back end began to leave.
   void check_nothing_reaches(std::string const& back_end) {
-    time_point const limit = steady_clock::now() + seconds(3);
+    time_point const limit = boot_clock::now() + seconds(3);
     time_point const end = limit + seconds(1);
     int late = 0;
     int served = 0;
-    while (steady_clock::now() < end) {
+    while (boot_clock::now() < end) {
       for (std::uint32_t node = 0; node < 3; ++node) {
-        bool const after = steady_clock::now() > limit;
+        bool const after = boot_clock::now() > limit;
         std::string const server = server_of_call(node);
         if (after && server == back_end) ++late;
         if (after && !server.empty()) ++served;
@@ -108,9 +108,9 @@
   system.set_faults(system.kv(), {{"outage_ms", 60'000}});
   system.process("node-1").send_signal(SIGSTOP);
   system.process("node-2").send_signal(SIGSTOP);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   cluster::wait_until("node 0 refuses", [&] { return server_of_call(0).empty(); });
-  CHECK(steady_clock::now() - begin < milliseconds(3500));
+  CHECK(boot_clock::now() - begin < milliseconds(3500));
   auto const refused =
       system.client().exchange(system.node(0), http::make_get("/lookup/x"), milliseconds(3000));
   LONGS_EQUAL(503, refused.value().result_int());
--- a/tests/platform/calls_test.cc
+++ b/tests/platform/calls_test.cc
@@ -81,11 +81,11 @@
 
 TEST(calls_test, refusal_by_all_servers_is_passed_on_at_once_with_when_to_come_back) {
   set_faults([](server_faults& faults) { faults.full = true; });
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   auto const answer = system.call(0, http::verb::post, "/once/x", "once-3", "b");
   LONGS_EQUAL(503, answer.value().result_int());
   CHECK(!http::header(answer.value(), "Retry-After").empty());
-  CHECK(steady_clock::now() - begin < seconds(1));
+  CHECK(boot_clock::now() - begin < seconds(1));
   for (arrival const& one : app_arrivals()) CHECK(!one.ran);
 }
 
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -98,7 +98,7 @@
   bool is_bound_in_force() {
     auto const times = deadly_arrivals();
     return times.size() >= k_crashes_allowed &&
-           steady_clock::now() > times[k_crashes_allowed - 1] + k_contact;
+           boot_clock::now() > times[k_crashes_allowed - 1] + k_contact;
   }
 
   /// @return the status; 0 without an answer.
@@ -112,9 +112,9 @@
   /// Waits until the node that is tried next can serve other requests on this path.
   void wait_for_service(std::string const& path) {
     platform_cluster::wait_until("others are served", [&] {
-      auto const answer = system.call(next_try % system.nodes(), http::verb::post, path,
-                                      "other-" + std::to_string(next_other++), "harmless",
-                                      k_patience);
+      auto const answer =
+          system.call(next_try % system.nodes(), http::verb::post, path,
+                      "other-" + std::to_string(next_other++), "harmless", k_patience);
       return answer && answer.value().result_int() == 200;
     });
   }
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -93,13 +93,13 @@
   settle();
   std::size_t const relay = system.relay(0);
   system.node(relay).send_signal(SIGSTOP);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   put_config(3);
   withdraw(0);
   platform_cluster::wait_until("the others know", [&] {
     return all_say(in_force(3), {relay}) && all_say("Server gone", {relay});
   });
-  CHECK(steady_clock::now() - begin < seconds(2));
+  CHECK(boot_clock::now() - begin < seconds(2));
   platform_cluster::wait_until("another node relays",
                                [&] { return system.find_relay(0).value_or(relay) != relay; });
   system.node(relay).send_signal(SIGCONT);
@@ -112,11 +112,11 @@
   proxy_faults cut;
   cut.stall = true;
   system.store_proxy(relay).set(cut);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   put_config(3);
   platform_cluster::wait_until("all know, the relay among them",
                                [&] { return all_say(in_force(3)); });
-  CHECK(steady_clock::now() - begin < seconds(2));
+  CHECK(boot_clock::now() - begin < seconds(2));
 }
 
 TEST(relay_test, killed_relays_are_back_or_replaced) {
--- a/tests/platform_standin/duty_standin.cc
+++ b/tests/platform_standin/duty_standin.cc
@@ -27,7 +27,7 @@
   call.holder = std::string(http::header(message, "X-Frostline-Duty-Holder"));
   call.fence = to_number(http::header(message, "X-Frostline-Fencing-Token"));
   call.window = static_cast<std::uint64_t>(json_number(*body, "window"));
-  call.at = steady_clock::now();
+  call.at = boot_clock::now();
   for (auto const& [tenant, requests] : counts->as_object()) {
     call.counts[std::string(tenant)] = requests.to_number<std::uint64_t>();
   }
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -57,7 +57,7 @@
 
 arrival server_standin::note(http::request const& message) {
   arrival one;
-  one.at = steady_clock::now();
+  one.at = boot_clock::now();
   one.request = std::string(http::header(message, k_id));
   one.path = std::string(message.target());
   one.body = message.body();
@@ -150,7 +150,7 @@
   one.holder = json_text(*body, "holder");
   one.fence = static_cast<std::uint64_t>(json_number(*body, "fence"));
   one.version = static_cast<std::uint64_t>(json_number(*body, "version"));
-  one.at = steady_clock::now();
+  one.at = boot_clock::now();
   orders_.push_back(one);
   return one;
 }
--- a/tests/platform_standin/store_standin.cc
+++ b/tests/platform_standin/store_standin.cc
@@ -116,7 +116,7 @@
     if (faults_.silent || faults_.busy) continue;
     std::vector<std::uint64_t> over;
     for (auto const& [id, one] : leases_) {
-      if (one.ends <= steady_clock::now()) over.push_back(id);
+      if (one.ends <= boot_clock::now()) over.push_back(id);
     }
     for (std::uint64_t id : over) end_lease(id);
   }
@@ -173,7 +173,7 @@
   std::string const prefix = query_value(target, "path_prefix");
   std::uint64_t const after = to_number(query_value(target, "after_rev"));
   time_point const deadline =
-      steady_clock::now() + milliseconds(to_number(query_value(target, "wait_ms")));
+      boot_clock::now() + milliseconds(to_number(query_value(target, "wait_ms")));
   std::uint64_t const cuts = cuts_;
   json::array events;
   while (true) {
@@ -185,7 +185,7 @@
       if (one.gone) event["gone"] = true;
       events.push_back(std::move(event));
     }
-    if (!events.empty() || steady_clock::now() >= deadline) break;
+    if (!events.empty() || boot_clock::now() >= deadline) break;
     co_await changed_.wait_until(deadline);
   }
   if (!events.empty()) ++answered_watches_[prefix];
@@ -260,7 +260,7 @@
   if (!body) return answer(400, {});
   lease one;
   one.time_to_live = milliseconds(field(*body, "ttl_ms"));
-  one.ends = steady_clock::now() + one.time_to_live;
+  one.ends = boot_clock::now() + one.time_to_live;
   std::uint64_t const id = next_lease_++;
   leases_[id] = one;
   json::object granted;
@@ -272,7 +272,7 @@
 http::response store_standin::renew(std::uint64_t id) {
   auto const found = leases_.find(id);
   if (found == leases_.end()) return answer(404, {});
-  found->second.ends = steady_clock::now() + found->second.time_to_live;
+  found->second.ends = boot_clock::now() + found->second.time_to_live;
   json::object renewed;
   renewed["ttl_ms"] = found->second.time_to_live.count();
   return answer(200, renewed);
--- a/tests/support/cluster.cc
+++ b/tests/support/cluster.cc
@@ -279,9 +279,9 @@
 
 void cluster::wait_until(std::string const& what, std::function<bool()> condition,
                          milliseconds timeout) {
-  time_point const deadline = steady_clock::now() + timeout;
+  time_point const deadline = boot_clock::now() + timeout;
   while (!condition()) {
-    if (steady_clock::now() >= deadline) throw std::runtime_error("waited in vain until " + what);
+    if (boot_clock::now() >= deadline) throw std::runtime_error("waited in vain until " + what);
     std::this_thread::sleep_for(k_poll);
   }
 }
--- a/tests/support/memory_record_store.cc
+++ b/tests/support/memory_record_store.cc
@@ -124,7 +124,7 @@
                                                               kv::revision after,
                                                               milliseconds wait) {
   ++watches_;
-  time_point const deadline = steady_clock::now() + wait;
+  time_point const deadline = boot_clock::now() + wait;
   kv::watch_batch batch;
   while (true) {
     if (down_) co_return std::error_code(kv::errc::unavailable);
@@ -133,7 +133,7 @@
       bool const wanted = event.entry.mod_revision > after && event.entry.key.starts_with(prefix);
       if (wanted) batch.events.push_back(event);
     }
-    if (batch.compacted || !batch.events.empty() || steady_clock::now() >= deadline) break;
+    if (batch.compacted || !batch.events.empty() || boot_clock::now() >= deadline) break;
     co_await changed_.wait_until(deadline);
   }
   batch.store_revision = revision_;
--- a/tests/support/raw_connection.cc
+++ b/tests/support/raw_connection.cc
@@ -22,9 +22,9 @@
 
 std::string raw_connection::read(std::string const& until, milliseconds timeout) {
   std::array<char, 4096> buffer{};
-  time_point const deadline = steady_clock::now() + timeout;
+  time_point const deadline = boot_clock::now() + timeout;
   auto const done = [&] { return !until.empty() && received_.find(until) != std::string::npos; };
-  while (!closed_ && !done() && steady_clock::now() < deadline) {
+  while (!closed_ && !done() && boot_clock::now() < deadline) {
     auto on_read = [this, &buffer](boost::system::error_code failure, std::size_t count) {
       if (failure == asio::error::operation_aborted) return;
       if (failure) closed_ = true;
--- a/tests/support/suspension.h
+++ b/tests/support/suspension.h
@@ -1,5 +1,6 @@
-/// @file As if the machine had been suspended: the time of day and the time since its start go on by
-/// what was slept, the monotonic clock does not. Works on the clocks of this test's process alone.
+/// @file As if the machine had been suspended: the time of day and the time since its start go on
+/// by what was slept, the monotonic clock does not. Works on the clocks of this test's process
+/// alone.
 #pragma once
 
 #include "base/time.h"
--- a/tests/unit/base/suspension_test.cc
+++ b/tests/unit/base/suspension_test.cc
@@ -1,5 +1,7 @@
 /// @file A machine that was suspended: time passed that the monotonic clock does not count.
 
+#include "suspension.h"
+
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>
@@ -7,7 +9,6 @@
 #include "base/asio.h"
 #include "memory_record_store.h"
 #include "ownership/owner_lease.h"
-#include "suspension.h"
 
 using namespace frostline;
 using namespace frostline::testing;
@@ -30,9 +31,9 @@
 TEST_GROUP(suspension_test){};
 
 TEST(suspension_test, time_that_was_slept_has_passed) {
-  time_point const before = steady_clock::now();
+  time_point const before = boot_clock::now();
   suspend(milliseconds(5000));
-  CHECK(steady_clock::now() - before >= milliseconds(5000));
+  CHECK(boot_clock::now() - before >= milliseconds(5000));
 }
 
 TEST(suspension_test, lease_that_ran_out_meanwhile_is_not_held) {
@@ -47,10 +48,10 @@
   lease.start();
   lease.note_record(nullptr);
   CHECK(run_until(context, [&] { return gained; }));
-  CHECK(lease.holds(steady_clock::now()));
+  CHECK(lease.holds(boot_clock::now()));
   suspend(options.time_to_live);
-  CHECK(!lease.holds(steady_clock::now()));
-  CHECK(!lease.may_order(steady_clock::now()));
+  CHECK(!lease.holds(boot_clock::now()));
+  CHECK(!lease.may_order(boot_clock::now()));
 }
 
 TEST(suspension_test, wait_that_ended_meanwhile_ends_soon_after) {
@@ -71,7 +72,7 @@
   async_condition condition{context};
   bool ended = false;
   auto const wait = [&]() -> awaitable<void> {
-    co_await condition.wait_until(steady_clock::now() + milliseconds(60'000));
+    co_await condition.wait_until(boot_clock::now() + milliseconds(60'000));
     ended = true;
   };
   spawn(context, wait());
--- a/tests/unit/calls/server_selector_test.cc
+++ b/tests/unit/calls/server_selector_test.cc
@@ -9,7 +9,7 @@
 
 TEST_GROUP(server_selector_test) {
   server_selector selector{"a", 1};
-  time_point now = steady_clock::now();
+  time_point now = boot_clock::now();
   std::vector<directory::server> servers;
   std::vector<directory::server const*> candidates;
 
--- a/tests/unit/gateway/server_watch_test.cc
+++ b/tests/unit/gateway/server_watch_test.cc
@@ -8,7 +8,7 @@
 using namespace frostline::gateway;
 
 TEST_GROUP(server_watch_test) {
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   milliseconds const leave_time{4000};
 };
 
--- a/tests/unit/jobs/result_reader_test.cc
+++ b/tests/unit/jobs/result_reader_test.cc
@@ -81,7 +81,7 @@
 
 TEST(result_reader_test, budget_refuses_what_is_beyond_it_and_fills_with_time) {
   read_budget budget(1000);
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   CHECK_TRUE(budget.take(600, now));
   CHECK_FALSE(budget.take(600, now));
   CHECK_TRUE(budget.take(400, now));
@@ -91,7 +91,7 @@
 
 TEST(result_reader_test, reply_larger_than_the_budget_goes_when_the_budget_is_full) {
   read_budget budget(1000);
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   CHECK_TRUE(budget.take(5000, now));
   CHECK_FALSE(budget.take(1, now + seconds(1)));
   CHECK_TRUE(budget.take(5000, now + seconds(6)));
--- a/tests/unit/ownership/owner_lease_test.cc
+++ b/tests/unit/ownership/owner_lease_test.cc
@@ -68,16 +68,16 @@
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
-  CHECK(one.holds(steady_clock::now()));
+  CHECK(one.holds(boot_clock::now()));
   LONGS_EQUAL(store.revision_of(owner_lease::key_of("pool")), one.epoch());
-  CHECK(one.orders_from() > steady_clock::now() + seconds(2));
+  CHECK(one.orders_from() > boot_clock::now() + seconds(2));
 }
 
 TEST(owner_lease_test, lease_is_not_held_beyond_its_time) {
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
-  CHECK_FALSE(one.holds(steady_clock::now() + milliseconds(1400)));
+  CHECK_FALSE(one.holds(boot_clock::now() + milliseconds(1400)));
 }
 
 TEST(owner_lease_test, pool_of_another_node_is_left_alone) {
@@ -97,7 +97,7 @@
   tell(one);
   run_until([&] { return gained == 1; });
   CHECK(one.epoch() > former);
-  CHECK(one.orders_from() <= steady_clock::now());
+  CHECK(one.orders_from() <= boot_clock::now());
 }
 
 TEST(owner_lease_test, another_owners_record_ends_the_own_ownership) {
@@ -107,7 +107,7 @@
   put_owner("other", "t");
   tell(one);
   LONGS_EQUAL(1, lost);
-  CHECK_FALSE(one.holds(steady_clock::now()));
+  CHECK_FALSE(one.holds(boot_clock::now()));
 }
 
 TEST(owner_lease_test, expired_lease_ends_the_ownership_and_it_is_asked_for_again) {
@@ -118,20 +118,20 @@
   run_until([&] { return lost == 1; });
   run_until([&] { return gained == 2; });
   // It never was entitled to order, so a former owner's order may still be close.
-  CHECK(one.orders_from() > steady_clock::now() + seconds(2));
+  CHECK(one.orders_from() > boot_clock::now() + seconds(2));
 }
 
 TEST(owner_lease_test, node_that_ordered_last_orders_at_once_when_it_owns_the_pool_again) {
   one.set_order_gap(milliseconds(20));
   one.start();
   tell(one);
-  run_until([&] { return one.may_order(steady_clock::now()); });
+  run_until([&] { return one.may_order(boot_clock::now()); });
   CHECK(store.revision_of(owner_lease::orderer_key_of("pool")) != 0);
   one.set_order_gap(milliseconds(3000));
   store.expire_leases();
   run_until([&] { return lost == 1; });
   run_until([&] { return gained == 2; });
-  CHECK(one.may_order(steady_clock::now()));
+  CHECK(one.may_order(boot_clock::now()));
 }
 
 TEST(owner_lease_test, nothing_may_be_ordered_before_the_store_knows_the_orderer) {
@@ -139,8 +139,8 @@
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
-  CHECK_FALSE(one.may_order(steady_clock::now()));
-  run_until([&] { return one.may_order(steady_clock::now()); });
+  CHECK_FALSE(one.may_order(boot_clock::now()));
+  run_until([&] { return one.may_order(boot_clock::now()); });
   LONGS_EQUAL(1, store.writes_of(owner_lease::orderer_key_of("pool")));
 }
 
@@ -150,19 +150,19 @@
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
-  CHECK(one.orders_from() > steady_clock::now() + seconds(2));
+  CHECK(one.orders_from() > boot_clock::now() + seconds(2));
 }
 
 TEST(owner_lease_test, node_that_never_ordered_waits_only_for_orders_that_are_under_way) {
   put_orderer("other");
   one.set_order_gap(milliseconds(1200));
-  time_point const old_enough = steady_clock::now() + milliseconds(1200);
-  while (steady_clock::now() < old_enough) context.run_for(milliseconds(5));
+  time_point const old_enough = boot_clock::now() + milliseconds(1200);
+  while (boot_clock::now() < old_enough) context.run_for(milliseconds(5));
   context.restart();
   one.start();
   tell(one);
   run_until([&] { return gained == 1; });
-  time_point const now = steady_clock::now();
+  time_point const now = boot_clock::now();
   CHECK(one.orders_from() > now + milliseconds(500));
   CHECK(one.orders_from() <= now + milliseconds(800));
 }
@@ -171,13 +171,13 @@
   one.set_order_gap(milliseconds(0));
   one.start();
   tell(one);
-  run_until([&] { return one.may_order(steady_clock::now()); });
+  run_until([&] { return one.may_order(boot_clock::now()); });
   one.set_order_gap(milliseconds(3000));
   put_owner("other", "another");
   put_orderer("other");
   tell(one);
   LONGS_EQUAL(1, lost);
-  time_point const stopped = steady_clock::now();
+  time_point const stopped = boot_clock::now();
   store.remove_now(owner_lease::key_of("pool"));
   tell(one);
   run_until([&] { return gained == 2; });
@@ -190,7 +190,7 @@
   tell(one);
   put_orderer("other");
   run_until([&] { return gained == 1; });
-  CHECK(one.orders_from() > steady_clock::now() + seconds(2));
+  CHECK(one.orders_from() > boot_clock::now() + seconds(2));
 }
 
 TEST(owner_lease_test, orderers_record_whose_answer_is_lost_counts_once) {
@@ -199,7 +199,7 @@
   tell(one);
   run_until([&] { return gained == 1; });
   store.lose_answers(1);
-  run_until([&] { return one.may_order(steady_clock::now()); });
+  run_until([&] { return one.may_order(boot_clock::now()); });
   LONGS_EQUAL(1, store.writes_of(owner_lease::orderer_key_of("pool")));
 }
 
@@ -217,7 +217,7 @@
   run_until([&] { return store.revision_of(owner_lease::key_of("pool")) != 0; });
   tell(one);
   run_until([&] { return gained == 1; });
-  CHECK(one.holds(steady_clock::now()));
+  CHECK(one.holds(boot_clock::now()));
 }
 
 TEST(owner_lease_test, released_pool_is_free_and_not_asked_for_again) {
@@ -255,8 +255,8 @@
   tell(one);
   run_until([&] { return gained == 1; });
   store.lose_renewals(2);
-  time_point const former_end = steady_clock::now() + milliseconds(1500);
-  run_until([&] { return steady_clock::now() > former_end; });
-  CHECK(one.holds(steady_clock::now()));
+  time_point const former_end = boot_clock::now() + milliseconds(1500);
+  run_until([&] { return boot_clock::now() > former_end; });
+  CHECK(one.holds(boot_clock::now()));
   LONGS_EQUAL(0, lost);
 }
--- a/tests/unit/relay/claim_timer_test.cc
+++ b/tests/unit/relay/claim_timer_test.cc
@@ -9,7 +9,7 @@
 
 TEST_GROUP(claim_timer_test) {
   claim_options options;
-  time_point const start = steady_clock::now();
+  time_point const start = boot_clock::now();
 
   relay_health failing(kv::revision record, bool others_serve = true) {
     return relay_health{record, false, others_serve, true};
--- a/tests/unit/relay/peer_picker_test.cc
+++ b/tests/unit/relay/peer_picker_test.cc
@@ -11,7 +11,7 @@
 
 TEST_GROUP(peer_picker_test) {
   zone_relays relays;
-  time_point now = steady_clock::now();
+  time_point now = boot_clock::now();
 
   static endpoint at(std::uint16_t port) { return {"127.0.0.1", port}; }
 
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -138,7 +138,7 @@
 }
 
 TEST(poll_service_test, tells_how_long_ago_a_topic_was_known_to_be_complete) {
-  views.confirm(topic::OWNERS, steady_clock::now() - seconds(3));
+  views.confirm(topic::OWNERS, boot_clock::now() - seconds(3));
   ask(call_of(5, 0));
   run_until_reply();
   CHECK(told(topic::OWNERS).confirmed_ms_ago >= 3000);
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -112,9 +112,9 @@
   }
 
   bool run_until(std::function<bool()> const& condition) {
-    time_point const deadline = steady_clock::now() + k_patience;
+    time_point const deadline = boot_clock::now() + k_patience;
     while (!condition()) {
-      if (steady_clock::now() > deadline) return false;
+      if (boot_clock::now() > deadline) return false;
       context.run_for(milliseconds(2));
     }
     return true;
@@ -170,14 +170,14 @@
     bool const relays = nodes[index]->feed->role() == feed_role::relay;
     if (!relays) LONGS_EQUAL(before[index], calls_of(*nodes[index]));
   }
-  CHECK(nodes.front()->feed->age(steady_clock::now()) < k_bound);
+  CHECK(nodes.front()->feed->age(boot_clock::now()) < k_bound);
 }
 
 TEST(record_feed_test, node_that_starts_later_asks_the_store_for_nothing) {
   start_two_zones();
   test_node& late = add("a");
   CHECK(all_have("1"));
-  CHECK(run_until([&] { return late.feed->is_trusted(steady_clock::now()); }));
+  CHECK(run_until([&] { return late.feed->is_trusted(boot_clock::now()); }));
   LONGS_EQUAL(0, calls_of(late));
 }
 
@@ -185,11 +185,11 @@
   start_two_zones();
   test_node& cut = *relay_of("a");
   cut.store.set_cut(true);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   shared.put_now(k_configuration, "2");
   // The relay itself hears of it from the other zone's.
   CHECK(all_have("2"));
-  CHECK(steady_clock::now() - begin < k_bound);
+  CHECK(boot_clock::now() - begin < k_bound);
   CHECK(run_until([&] { return relay_of("a") != &cut && relay_of("a") != nullptr; }));
   CHECK(run_until([&] { return cut.feed->role() == feed_role::standby; }));
 }
@@ -198,11 +198,11 @@
   start_two_zones();
   for (std::string const zone : {"a", "b"}) relay_of(zone)->store.set_cut(true);
   shared.put_now(k_configuration, "2");
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   CHECK(all_have("2"));
   // Relays are not sure after 0.9 s. Others then wait half a second, look twice whether the store
   // serves them, up to 0.9 s apart, and pause up to 0.3 s before each look: 2.9 s, and the calls.
-  CHECK(steady_clock::now() - begin < milliseconds(4000));
+  CHECK(boot_clock::now() - begin < milliseconds(4000));
 }
 
 TEST(record_feed_test, relays_that_do_not_know_each_other_are_no_hindrance) {
@@ -220,10 +220,10 @@
   test_node& gone = *relay_of("b");
   gone.fall_silent();
   gone.store.set_cut(true);
-  time_point const begin = steady_clock::now();
+  time_point const begin = boot_clock::now();
   shared.put_now(k_configuration, "2");
   CHECK(all_have("2"));
-  CHECK(steady_clock::now() - begin < k_bound);
+  CHECK(boot_clock::now() - begin < k_bound);
   CHECK(run_until([&] { return relay_of("b") != &gone; }));
 }
 
@@ -257,8 +257,8 @@
   std::vector<std::uint64_t> before;
   for (auto const& node : nodes) before.push_back(calls_of(*node));
   shared.set_down(true);
-  time_point const end = steady_clock::now() + seconds(5);
-  while (steady_clock::now() < end) context.run_for(milliseconds(20));
+  time_point const end = boot_clock::now() + seconds(5);
+  while (boot_clock::now() < end) context.run_for(milliseconds(20));
   for (std::size_t index = 0; index < nodes.size(); ++index) {
     if (nodes[index]->feed->role() == feed_role::relay) continue;
     LONGS_EQUAL(before[index], calls_of(*nodes[index]));
@@ -284,8 +284,8 @@
   test_node& relay = *relay_of("a");
   relay.feed->on_store_back([&told] { ++told; });
   shared.set_down(true);
-  time_point const end = steady_clock::now() + store_source::k_longest_silence + seconds(1);
-  while (steady_clock::now() < end) context.run_for(milliseconds(10));
+  time_point const end = boot_clock::now() + store_source::k_longest_silence + seconds(1);
+  while (boot_clock::now() < end) context.run_for(milliseconds(10));
   shared.set_down(false);
   CHECK(run_until([&] { return told > 0; }));
 }
@@ -295,7 +295,7 @@
   shared.set_down(true);
   test_node& late = add("b");
   CHECK(run_until([&] { return late.configuration == "1"; }));
-  CHECK(run_until([&] { return late.feed->is_trusted(steady_clock::now()); }));
+  CHECK(run_until([&] { return late.feed->is_trusted(boot_clock::now()); }));
 }
 
 TEST(record_feed_test, node_whose_seeds_are_dead_learns_of_relays_from_the_store) {
@@ -307,7 +307,7 @@
   test_node& late = add("a");
   CHECK(run_until([&] { return late.configuration == "1"; }));
   CHECK(run_until([&] { return late.feed->role() == feed_role::standby; }));
-  CHECK(late.feed->is_trusted(steady_clock::now()));
+  CHECK(late.feed->is_trusted(boot_clock::now()));
 }
 
 TEST(record_feed_test, node_that_no_relay_answers_follows_the_store_until_one_does) {
--- a/tests/unit/routing/admission_test.cc
+++ b/tests/unit/routing/admission_test.cc
@@ -18,7 +18,7 @@
   }
 
   void enter(int name, milliseconds patience) {
-    spawn(context, enter_and_note(name, steady_clock::now() + patience));
+    spawn(context, enter_and_note(name, boot_clock::now() + patience));
     context.restart();
     context.poll();
   }
