--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -104,9 +104,10 @@
 
 exchange::~exchange() = default;
 
-exchange_failure exchange::classify(beast::error_code const& failure) const {
+exchange_failure exchange::classify(beast::error_code const& failure) {
   if (aborted_) return exchange_failure::aborted;
   if (failure == beast::error::timeout) return exchange_failure::timed_out;
+  has_broken_ = true;
   bool const unread = connection_ && connection_->reused && !answer_begun_;
   return unread ? exchange_failure::stale_connection : exchange_failure::broken;
 }
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -99,6 +99,8 @@
   /// Closes the connection at once; what waits on it fails with `aborted`.
   void abort();
   bool is_aborted() const { return aborted_; }
+  /// Whether a connection of this exchange ended after bytes were sent, without a whole answer.
+  bool has_broken() const { return has_broken_; }
   /// The request goes to the same server once more, on a new connection.
   void note_resent() { resent_ = true; }
   bool is_resent() const { return resent_; }
@@ -107,7 +109,7 @@
  private:
   awaitable<exchange_failure> open(connection_choice choice, time_point deadline);
   awaitable<http::beast::error_code> write(http::request const& message);
-  exchange_failure classify(http::beast::error_code const& failure) const;
+  exchange_failure classify(http::beast::error_code const& failure);
 
   connection_pool& pool_;
   header_names const& names_;
@@ -120,6 +122,7 @@
   bool answer_begun_ = false;
   bool aborted_ = false;
   bool resent_ = false;
+  bool has_broken_ = false;
 };
 
 }  // namespace frostline::calls
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -68,9 +68,24 @@
 }
 
 bool forwarder::may_try_again(journey const& one) const {
+  if (one.is_trial && one.attempts > 0) return false;
   return one.by->is_repeatable() || !one.may_have_run;
 }
 
+awaitable<bool> forwarder::is_held_back(journey& one) {
+  if (one.is_trial || !parts_.quarantine.is_watching()) co_return false;
+  quarantine::fingerprint const& request = identify(one);
+  quarantine::verdict const verdict = parts_.quarantine.check(request, boot_clock::now());
+  if (verdict == quarantine::verdict::allowed) co_return false;
+  // Only a request that has not run yet is fit for a trial: its answer tells what came of it.
+  bool const fit = verdict == quarantine::verdict::trial && one.attempts == 0;
+  if (fit) one.is_trial = co_await parts_.quarantine.claim_trial(request);
+  if (one.is_trial) co_return false;
+  one.is_quarantined = true;
+  parts_.quarantine.note_refused(request);
+  co_return true;
+}
+
 time_point forwarder::attempt_deadline(journey const& one) const {
   bool const last = one.attempts >= one.by->max_attempts || !one.by->is_repeatable();
   if (last) return one.deadline;
@@ -84,7 +99,8 @@
   one.message.set(parts_.names.deadline, std::to_string(told.count()));
   one.message.set(parts_.names.expected_instance, with.server().id);
   bool const repeatable = one.by->is_repeatable();
-  auto const choice = repeatable ? connection_choice::kept : connection_choice::just_used;
+  auto choice = repeatable ? connection_choice::kept : connection_choice::just_used;
+  if (one.is_trial) choice = connection_choice::fresh;
   time_point const deadline = attempt_deadline(one);
   exchange_failure failure = co_await with.send(one.message, choice, deadline);
   if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
@@ -92,6 +108,9 @@
     with.note_resent();
     failure = co_await with.send(one.message, connection_choice::fresh, deadline);
     if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
+    // A server that is gone now may have run what was sent before: it counts as an attempt, or one
+    // request could end more servers than it has attempts and be answered as not run.
+    if (failure == exchange_failure::not_connected) failure = exchange_failure::broken;
   }
   co_return failure;
 }
@@ -122,6 +141,9 @@
   } else {
     parts_.selector.note_failure(with.server().id, boot_clock::now());
   }
+  bool const ended =
+      failure == exchange_failure::broken || failure == exchange_failure::stale_connection;
+  if (ended) parts_.quarantine.note_broken(with.server(), identify(one), one.attempt_begun);
   log_line(log_level::info, k_part, "Attempt failed.",
            {{"request", http::header(one.message, parts_.names.request_id)},
             {"server", with.server().id},
@@ -134,7 +156,14 @@
             {"config", one.table->all().version}});
 }
 
-void forwarder::note_whole_answer(journey const& one, exchange const& with) {
+void forwarder::clear_suspicion(journey& one, exchange const& with) {
+  // A server's own 5xx may come without a run, as at the end of its deadline in a queue.
+  bool const ran = with.head().result_int() < 500;
+  if (ran && parts_.quarantine.is_watching()) parts_.quarantine.note_answer(identify(one));
+}
+
+void forwarder::note_whole_answer(journey& one, exchange const& with) {
+  clear_suspicion(one, with);
   time_point const now = boot_clock::now();
   bool const in_time = now - one.attempt_begun <= one.by->target_latency / k_swift_part;
   if (in_time && with.head().result_int() < 500) {
@@ -178,6 +207,7 @@
   while (one.attempts < one.by->max_attempts && may_try_again(one)) {
     if (one.from != nullptr && one.from->is_gone()) break;
     if (boot_clock::now() >= one.deadline) break;
+    if (co_await is_held_back(one)) break;
     auto const ready = parts_.servers.ready_servers(one.service);
     directory::server const* chosen = parts_.selector.pick(ready, one.tried, boot_clock::now());
     bool const all_failed = chosen == nullptr && one.may_have_run && one.by->is_repeatable();
@@ -213,6 +243,8 @@
         one.may_have_run ? give_up_reason::deadline_unknown : give_up_reason::deadline_not_run;
   } else if (one.may_have_run) {
     one.reason = give_up_reason::outcome_unknown;
+  } else if (one.is_quarantined) {
+    one.reason = give_up_reason::quarantined;
   } else {
     one.reason = one.was_refused ? give_up_reason::servers_full : give_up_reason::no_server;
   }
@@ -372,6 +404,7 @@
     }
   }
   if (!splitter.is_between_events()) co_return !one.by->resumable;
+  clear_suspicion(one, with);
   parts_.selector.note_answer(with.server().id);
   with.finish();
   ++figures_.answered;
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -15,7 +15,7 @@
 #include "calls/route_table.h"
 #include "calls/server_selector.h"
 #include "directory/server_directory.h"
-#include "quarantine/fingerprint.h"
+#include "quarantine/service.h"
 #include "usage/run_counter.h"
 
 namespace frostline::calls {
@@ -50,6 +50,7 @@
   header_names const& names;
   /// Counts the requests of tenants.
   usage::run_counter& runs;
+  quarantine::service& quarantine;
 };
 
 class forwarder {
@@ -93,6 +94,10 @@
     bool counted = false;
     /// Set when it is first needed.
     std::optional<quarantine::fingerprint> identity;
+    /// It ends servers, so no other one gets it.
+    bool is_quarantined = false;
+    /// It is sent once, to see whether it still does.
+    bool is_trial = false;
     give_up_reason reason = give_up_reason::none;
   };
 
@@ -110,9 +115,13 @@
   /// What the tenant's usage owes to an attempt.
   void count_run(journey& one, usage::run_counter::attempt_id attempt, bool may_have_begun,
                  bool is_event_stream);
-  void note_whole_answer(journey const& one, exchange const& with);
+  void note_whole_answer(journey& one, exchange const& with);
+  /// A server has answered: the request is none that ends its servers.
+  void clear_suspicion(journey& one, exchange const& with);
   void conclude_without_answer(journey& one);
   bool may_try_again(journey const& one) const;
+  /// Whether a request must not go to a server now, since servers have ended under it.
+  awaitable<bool> is_held_back(journey& one);
   time_point attempt_deadline(journey const& one) const;
   awaitable<call_outcome> run_whole(journey& one);
   /// Reads the rest of an answer. @return false if it broke.
--- a/src/calls/give_up.cc
+++ b/src/calls/give_up.cc
@@ -7,6 +7,9 @@
 
 /// Seconds after which a server that was full has mostly room again.
 constexpr std::string_view k_retry_later = "0.3";
+/// Seconds for a request under quarantine: most trials lie further apart, so a caller that comes
+/// sooner is refused again.
+constexpr std::string_view k_retry_quarantined = "60";
 
 }  // namespace
 
@@ -30,6 +33,8 @@
       return "outcome_unknown";
     case give_up_reason::caller_left:
       return "caller_left";
+    case give_up_reason::quarantined:
+      return "quarantined";
   }
   return "unknown";
 }
@@ -42,8 +47,9 @@
   std::string body = "{\"reason\":\"" + std::string(to_string(reason)) + "\"}";
   http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
   if (code == http::status::service_unavailable) {
-    answer.set(http::field::retry_after,
-               http::beast::string_view(k_retry_later.data(), k_retry_later.size()));
+    bool const held_back = reason == give_up_reason::quarantined;
+    std::string_view const when = held_back ? k_retry_quarantined : k_retry_later;
+    answer.set(http::field::retry_after, http::beast::string_view(when.data(), when.size()));
   }
   return answer;
 }
--- a/src/calls/give_up.h
+++ b/src/calls/give_up.h
@@ -22,11 +22,14 @@
   /// A server failed and may have run it.
   outcome_unknown,
   caller_left,
+  /// It ends the servers that run it, so no server gets it; it has not run this time.
+  quarantined,
 };
 
 std::string_view to_string(give_up_reason reason);
 
-/// The answer for a request that was given up, with when to come back if it has not run.
+/// The answer for a request that was given up, with when to come back if it has not run. One under
+/// quarantine is told a time after which a trial may have ended it, and so not to come again soon.
 http::response give_up_answer(give_up_reason reason);
 
 }  // namespace frostline::calls
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -14,6 +14,7 @@
 #include "gateway/server_watch.h"
 #include "http/server.h"
 #include "jobs/job_client.h"
+#include "quarantine/service.h"
 #include "relay/record_feed.h"
 #include "rpc/dispatcher.h"
 
@@ -33,6 +34,8 @@
 constexpr milliseconds k_stop_poll{20};
 constexpr milliseconds k_last_requests{150};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
+/// Nodes that bring evidence of crashes together: one is enough, two more outlast it.
+constexpr std::size_t k_collectors = 3;
 constexpr std::string_view k_metrics_path = "/metrics";
 constexpr std::string_view k_plain_text = "text/plain; version=0.0.4";
 
@@ -71,10 +74,13 @@
   calls::connection_pool connections_{context_};
   calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id)};
   usage::run_counter runs_;
-  calls::forwarder forwarder_{
-      calls::forwarder_parts{context_, servers_, connections_, selector_, adapter_.names(), runs_}};
+  quarantine::service quarantine_{quarantine::service_parts{
+      context_, adapter_.store(), transport_, settings_.id, settings_.peers,
+      [this] { return feed_.relay_addresses(k_collectors); }}};
+  calls::forwarder forwarder_{calls::forwarder_parts{context_, servers_, connections_, selector_,
+                                                     adapter_.names(), runs_, quarantine_}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
-                           connections_, forwarder_}};
+                           connections_, forwarder_, quarantine_}};
   /// None if the platform takes no calls of one node at a time.
   std::optional<duties> duties_;
   server_watch server_watch_{context_, adapter_, servers_, settings_.leave_time,
@@ -121,6 +127,7 @@
   }
   pools_.add_methods(peer_methods_);
   feed_.add_methods(peer_methods_);
+  quarantine_.add_methods(peer_methods_);
 }
 
 std::string application::parts::listen() {
@@ -153,6 +160,7 @@
   listen_to_records();
   feed_.on_store_back([this] { operator_requests_.resynchronize(); });
   feed_.start();
+  quarantine_.start();
   if (duties_) duties_->start();
   spawn(context_, housekeeping_loop());
   log_line(log_level::info, k_part, "Started.",
@@ -174,6 +182,8 @@
   options.prefixes[relay::index_of(relay::topic::OWNERS)] = ownership::owner_lease::owners_prefix();
   options.prefixes[relay::index_of(relay::topic::RELAYS)] = relay::zone_relays::records_prefix();
   options.prefixes[relay::index_of(relay::topic::SERVERS)] = adapter_.keys().servers_prefix;
+  options.prefixes[relay::index_of(relay::topic::QUARANTINE)] =
+      quarantine::quarantine_list::records_prefix();
   options.servers_alike = server_watch_.alike();
   options.processor_share = settings_.processor_share;
   options.claim_handicap =
@@ -204,6 +214,7 @@
   feed_.listen(relay::topic::CONFIGURATION, std::move(on_configuration));
   feed_.listen(relay::topic::OWNERS, std::move(on_owners));
   feed_.listen(relay::topic::SERVERS, server_watch_.listener());
+  feed_.listen(relay::topic::QUARANTINE, quarantine_.listener());
 }
 
 void application::parts::note_progress() {
@@ -254,6 +265,7 @@
     if (pause > k_standstill) resynchronize("this process stood still");
     connections_.clean(servers_);
     selector_.clean(servers_);
+    quarantine_.clean(now);
     note_ownership();
     if (state_ == application_state::starting) note_progress();
     flush_logs();
@@ -271,6 +283,8 @@
   now.config_version = configuration_.table() ? configuration_.table()->all().version : 0;
   now.servers = servers_.servers().size();
   now.calls = forwarder_.figures();
+  now.quarantine = quarantine_.figures();
+  now.quarantine_records = quarantine_.records();
   now.connections_opened = connections_.opened();
   now.logs_dropped = dropped_log_lines();
   now.tenants_requests = runs_.total();
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -75,6 +75,18 @@
   set("late_requests_total", "requests told after their window was closed", usage.late);
 }
 
+void write_quarantine(snapshot& page, node_readings const& now) {
+  auto const set = [&](std::string const& name, std::string const& help, std::uint64_t value) {
+    page.set("frostline_quarantine_" + name, help, static_cast<double>(value));
+  };
+  set("records", "requests that no server gets", now.quarantine_records);
+  set("crashes_total", "requests of this node under which a server ended", now.quarantine.crashes);
+  set("refused_total", "requests kept from servers", now.quarantine.refused);
+  set("trials_total", "trials that this node made", now.quarantine.trials);
+  set("written_total", "records that this node wrote", now.quarantine.written);
+  set("taken_back_total", "records taken back here after an answer", now.quarantine.taken_back);
+}
+
 }  // namespace
 
 metrics::metrics()
@@ -123,6 +135,7 @@
   page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
            static_cast<double>(now.tenants_requests));
   if (now.usage) write_usage(page, *now.usage);
+  write_quarantine(page, now);
   write_records(page, now);
   for (pool_readings const& pool : now.pools) write_pool(page, pool);
   return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -42,6 +42,8 @@
   std::uint64_t config_version = 0;
   std::size_t servers = 0;
   calls::call_figures calls;
+  quarantine::quarantine_figures quarantine;
+  std::size_t quarantine_records = 0;
   std::uint64_t connections_opened = 0;
   std::uint64_t logs_dropped = 0;
   relay::feed_role role = relay::feed_role::standby;
--- a/src/gateway/pools.cc
+++ b/src/gateway/pools.cc
@@ -18,10 +18,11 @@
   one.lease->set_order_gap(own.order_gap);
   auto const orderer = orderers_.find(name);
   if (orderer != orderers_.end()) one.lease->note_orderer(orderer->second);
-  one.owner = std::make_unique<jobs::pool_owner>(jobs::owner_parts{
-      parts_.context, parts_.adapter.store(), own.store_limits, parts_.configuration,
-      parts_.servers, parts_.connections, parts_.forwarder, parts_.adapter.names(),
-      parts_.adapter.engines(), *one.lease, parts_.transport, own.id, own.zone, own.retention});
+  one.owner = std::make_unique<jobs::pool_owner>(
+      jobs::owner_parts{parts_.context, parts_.adapter.store(), own.store_limits,
+                        parts_.configuration, parts_.servers, parts_.connections, parts_.forwarder,
+                        parts_.quarantine, parts_.adapter.names(), parts_.adapter.engines(),
+                        *one.lease, parts_.transport, own.id, own.zone, own.retention});
   one.owner->start();
   return one;
 }
--- a/src/gateway/pools.h
+++ b/src/gateway/pools.h
@@ -24,6 +24,7 @@
   directory::server_directory const& servers;
   calls::connection_pool& connections;
   calls::forwarder& forwarder;
+  quarantine::service& quarantine;
 };
 
 class pools {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -72,6 +72,10 @@
   sent_progress stored;
   /// When the first event of the text came.
   time_point begun_at{};
+  /// Set when it is first needed.
+  std::optional<quarantine::fingerprint> identity;
+  /// Engines have ended under it, and it was kept from the next.
+  bool held_back = false;
 
   /// The text is to be another one: what was sent of the present one counts no more.
   void drop_text();
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -35,6 +35,7 @@
   directory::server_directory const& servers;
   calls::connection_pool& connections;
   calls::forwarder& forwarder;
+  quarantine::service& quarantine;
   calls::header_names const& names;
   engines::engine_control& control;
   ownership::owner_lease& lease;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -20,6 +20,11 @@
 constexpr milliseconds k_refused_pause{80};
 constexpr milliseconds k_broken_pause{10};
 constexpr milliseconds k_failed_pause{100};
+/// After an engine has ended under a sample: whether a second one has, too, is known here within
+/// some 30 ms (quarantine/crash_watch), and the next run waits for that.
+constexpr milliseconds k_suspect_pause{40};
+/// How often a sample that is held back is looked at again.
+constexpr milliseconds k_held_back_pause{500};
 /// Runs started in one turn of the loop: other work, such as the lease, must not wait for all.
 constexpr std::size_t k_most_starts = 24;
 /// Longest time that an engine may spend on a run, where its job sets none.
@@ -58,6 +63,33 @@
   });
 }
 
+bool sample_runner::may_start(job& owner, std::uint32_t index, time_point now) {
+  if (!parts_.quarantine.is_watching()) return true;
+  sample& one = owner.samples[index];
+  if (!one.identity) one.identity = identify(owner, index);
+  if (trials_.erase(*one.identity) > 0) return true;
+  quarantine::verdict const verdict = parts_.quarantine.check(*one.identity, now);
+  if (verdict == quarantine::verdict::allowed) return true;
+  one.not_before = now + k_held_back_pause;
+  if (verdict == quarantine::verdict::trial) {
+    spawn(parts_.context, ask_for_trial(*one.identity));
+  } else if (!one.held_back) {
+    parts_.quarantine.note_refused(*one.identity);
+    log_line(log_level::warning, k_part, "Sample is held back: engines end under it.",
+             {{"request", one.spec->id},
+              {"job", owner.record.id},
+              {"fingerprint", one.identity->to_string()}});
+  }
+  one.held_back = true;
+  return false;
+}
+
+awaitable<void> sample_runner::ask_for_trial(quarantine::fingerprint request) {
+  if (!co_await parts_.quarantine.claim_trial(request)) co_return;
+  trials_.insert(request);
+  parts_.notify();
+}
+
 void sample_runner::advance(time_point now) {
   auto const table = parts_.configuration.table();
   if (!table) return;
@@ -76,6 +108,7 @@
         route->shares.begin(), route->shares.end(),
         [&](calls::service_share const& share) { return share.service == one.service; });
     if (!still_there) one.service = shares_.pick(*route);
+    if (!may_start(owner, next.index, now)) continue;
     engines::board_engine const* engine = parts_.board.choose(need_of(owner, one), now);
     if (engine == nullptr) continue;
     start(owner, next.index, *engine);
@@ -133,6 +166,19 @@
   }
 }
 
+void sample_runner::note_broken_run(run_key const& key, directory::server const& engine,
+                                    time_point sent_at) {
+  job const* const owner = parts_.table.find(key.job);
+  if (owner == nullptr) return;
+  parts_.quarantine.note_broken(engine, identify(*owner, key.index), sent_at);
+}
+
+milliseconds sample_runner::pause_after_break(job const& owner, std::uint32_t index) const {
+  if (!parts_.quarantine.is_watching()) return k_broken_pause;
+  bool const suspect = parts_.quarantine.crashes_seen(identify(owner, index)) > 0;
+  return suspect ? k_suspect_pause : k_broken_pause;
+}
+
 http::request sample_runner::make_request(job const& owner, sample const& one) const {
   http::request message(http::verb::post, one.spec->path, 11);
   message.set(http::field::host, owner.record.host);
@@ -160,12 +206,14 @@
   open_run open;
   open.exchange = &with;
   open.engine = engine.id;
+  open.sent_at = boot_clock::now();
   open.single_version = owner != nullptr && owner->terms.single_version;
   runs_[id] = open;
   keys_[id] = key;
   run_end end = co_await drive(key, with);
   if (end == run_end::broken && runs_[id].moving) end = run_end::moved;
   if (end == run_end::completed) with.finish();
+  if (end == run_end::broken && with.has_broken()) note_broken_run(key, engine, open.sent_at);
   runs_.erase(id);
   keys_.erase(id);
   parts_.board.note_ended(engine.id, tokens, group);
@@ -286,6 +334,9 @@
   switch (end) {
     case run_end::completed:
       ++figures_.completed;
+      if (parts_.quarantine.is_watching()) {
+        parts_.quarantine.note_answer(identify(*owner, key.index));
+      }
       if (parts_.table.complete_text(*owner, key.index, now)) scorer_.start(key.job, key.index);
       break;
     case run_end::refused:
@@ -297,7 +348,7 @@
       parts_.table.requeue(*one, now);
       break;
     case run_end::broken:
-      parts_.table.requeue(*one, now + k_broken_pause);
+      parts_.table.requeue(*one, now + pause_after_break(*owner, key.index));
       break;
     case run_end::failed:
       conclude_failure(*owner, key, *one);
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 #include "base/asio.h"
@@ -13,6 +14,7 @@
 #include "engines/engine_board.h"
 #include "jobs/job_table.h"
 #include "jobs/sample_scorer.h"
+#include "quarantine/service.h"
 
 namespace frostline::jobs {
 
@@ -25,6 +27,7 @@
   calls::forwarder& forwarder;
   calls::header_names const& names;
   engines::engine_board& board;
+  quarantine::service& quarantine;
   job_table& table;
   /// Something changed that the owner may act on.
   std::function<void()> notify;
@@ -82,12 +85,19 @@
     bool moving = false;
     bool single_version = false;
     std::string engine;
+    time_point sent_at{};
   };
   using run_id = std::uint64_t;
 
   engines::run_need need_of(job const& owner, sample const& one) const;
+  /// Whether a sample may go to an engine: not one under which engines have ended, but for a trial.
+  bool may_start(job& owner, std::uint32_t index, time_point now);
+  awaitable<void> ask_for_trial(quarantine::fingerprint request);
   void start(job& owner, std::uint32_t index, engines::board_engine const& engine);
   void move_slow_runs(time_point now);
+  /// A run's connection ended, and maybe its engine with it.
+  void note_broken_run(run_key const& key, directory::server const& engine, time_point sent_at);
+  milliseconds pause_after_break(job const& owner, std::uint32_t index) const;
   awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
                       std::string group);
   awaitable<run_end> drive(run_key const& key, calls::exchange& with);
@@ -107,6 +117,8 @@
   sample_scorer scorer_{scorer_parts{parts_.context, parts_.configuration, parts_.servers,
                                      parts_.forwarder, parts_.names, parts_.table, parts_.notify}};
   calls::share_picker shares_;
+  /// Requests that this node may send once.
+  std::set<quarantine::fingerprint> trials_;
   runner_figures figures_;
 };
 
--- a/src/jobs/sample_scorer.cc
+++ b/src/jobs/sample_scorer.cc
@@ -11,6 +11,8 @@
 constexpr std::string_view k_part = "jobs";
 constexpr milliseconds k_scoring_pause{100};
 constexpr milliseconds k_scoring_deadline{2000};
+/// A call that is kept from the servers leaves its place to others for so long.
+constexpr milliseconds k_held_back_pause{1000};
 constexpr std::size_t k_fewest_calls = 4;
 /// The servers' slots are counted anew after that long.
 constexpr milliseconds k_limit_memory{250};
@@ -59,23 +61,30 @@
 }
 
 awaitable<void> sample_scorer::score(std::string job, std::uint32_t index) {
-  bool over = co_await score_once(job, index);
-  while (!over) {
+  scoring_step step = co_await score_once(job, index);
+  while (step == scoring_step::again) {
     co_await wait_for(with_jitter(k_scoring_pause));
-    over = co_await score_once(job, index);
+    step = co_await score_once(job, index);
   }
+  if (step == scoring_step::later) spawn(parts_.context, queue_later(job, index));
   --under_way_;
   pump();
   parts_.notify();
 }
 
-awaitable<bool> sample_scorer::score_once(std::string job, std::uint32_t index) {
+awaitable<void> sample_scorer::queue_later(std::string job, std::uint32_t index) {
+  co_await wait_for(k_held_back_pause);
+  start(job, index);
+}
+
+awaitable<sample_scorer::scoring_step> sample_scorer::score_once(std::string job,
+                                                                 std::uint32_t index) {
   sample const* one = waiting_sample(job, index);
-  if (one == nullptr) co_return true;
+  if (one == nullptr) co_return scoring_step::over;
   rpc::ScorerCallT const& call = *one->spec->scorer;
   auto const table = parts_.configuration.table();
   calls::route const* by = table ? table->match(call.host, call.path) : nullptr;
-  if (by == nullptr) co_return false;
+  if (by == nullptr) co_return scoring_step::again;
   http::request message(http::verb::post, call.path, 11);
   message.set(http::field::host, call.host);
   message.set(parts_.names.request_id, call.id);
@@ -85,7 +94,7 @@
   auto const outcome =
       co_await parts_.forwarder.call(table, *by, std::move(message), deadline, nullptr);
   sample* const now = waiting_sample(job, index);
-  if (now == nullptr) co_return true;
+  if (now == nullptr) co_return scoring_step::over;
   auto* const owner = parts_.table.find(job);
   bool const answered = outcome.reason == calls::give_up_reason::none;
   std::string const proof(http::header(outcome.answer, parts_.names.stamp));
@@ -100,13 +109,14 @@
   if (good) {
     ++figures_.scored;
     parts_.table.score(*owner, index, proof, boot_clock::now());
-    co_return true;
+    co_return scoring_step::over;
   }
+  if (outcome.reason == calls::give_up_reason::quarantined) co_return scoring_step::later;
   now->scoring_failures += outcome.failed_answers;
-  if (now->scoring_failures < most_failures) co_return false;
+  if (now->scoring_failures < most_failures) co_return scoring_step::again;
   ++figures_.dead;
   parts_.table.give_up(*owner, index, boot_clock::now());
-  co_return true;
+  co_return scoring_step::over;
 }
 
 }  // namespace frostline::jobs
--- a/src/jobs/sample_scorer.h
+++ b/src/jobs/sample_scorer.h
@@ -53,9 +53,12 @@
   void pump();
   /// Calls that may be under way now. The queue is not empty.
   std::size_t limit();
+  /// What came of one call. `again`: at once; `later`: no server gets the call now.
+  enum class scoring_step { over, again, later };
+
   awaitable<void> score(std::string job, std::uint32_t index);
-  /// @return whether the sample's scoring is over.
-  awaitable<bool> score_once(std::string job, std::uint32_t index);
+  awaitable<scoring_step> score_once(std::string job, std::uint32_t index);
+  awaitable<void> queue_later(std::string job, std::uint32_t index);
   /// The sample, if it still waits for its score.
   sample* waiting_sample(std::string const& job, std::uint32_t index);
 
--- /dev/null
+++ b/src/quarantine/quarantine_list.cc
@@ -0,0 +1,84 @@
+#include "quarantine/quarantine_list.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "base/encoding.h"
+#include "rpc/codec.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::quarantine {
+namespace {
+
+constexpr std::string_view k_prefix = "frostline/quarantine/";
+
+}  // namespace
+
+std::string quarantine_list::records_prefix() { return std::string(k_prefix); }
+
+std::string quarantine_list::key_of(fingerprint const& request) {
+  return records_prefix() + request.to_string();
+}
+
+std::string quarantine_list::encode(quarantine_entry const& entry, std::string const& trial_node) {
+  rpc::QuarantineRecordT record;
+  record.servers = entry.servers;
+  record.trials = entry.trials;
+  record.trial_node = trial_node;
+  record.token = make_unique_token();
+  return rpc::encode(record);
+}
+
+std::optional<quarantine_entry> quarantine_list::decode(kv::key_value const& record) {
+  if (!record.key.starts_with(k_prefix)) return std::nullopt;
+  auto const request =
+      fingerprint::parse(std::string_view(record.key).substr(k_prefix.size()));
+  auto const decoded = rpc::decode<rpc::QuarantineRecordT>(record.value);
+  if (!request || !decoded) return std::nullopt;
+  return quarantine_entry{*request, record.mod_revision, decoded->servers, decoded->trials};
+}
+
+bool quarantine_list::put(quarantine_entry entry, time_point now) {
+  auto const [place, fresh] = entries_.try_emplace(entry.request);
+  known_entry& known = place->second;
+  if (!fresh && entry.revision <= known.record.revision) return false;
+  if (fresh) known.first_seen_at = now;
+  known.changed_at = now;
+  known.record = std::move(entry);
+  return true;
+}
+
+bool quarantine_list::remove(fingerprint const& request) { return entries_.erase(request) > 0; }
+
+verdict quarantine_list::check(fingerprint const& request, time_point now) const {
+  auto const found = entries_.find(request);
+  if (found == entries_.end()) return verdict::allowed;
+  known_entry const& known = found->second;
+  if (now < known.first_seen_at + k_objection_time) return verdict::allowed;
+  std::size_t const trials = known.record.trials;
+  bool const more = trials < std::size(k_trial_pauses);
+  bool const due = more && now >= known.changed_at + k_trial_pauses[trials];
+  return due ? verdict::trial : verdict::refused;
+}
+
+quarantine_entry const* quarantine_list::find(fingerprint const& request) const {
+  auto const found = entries_.find(request);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+milliseconds quarantine_list::known_for(fingerprint const& request, time_point now) const {
+  auto const found = entries_.find(request);
+  if (found == entries_.end()) return milliseconds(0);
+  return std::chrono::duration_cast<milliseconds>(now - found->second.first_seen_at);
+}
+
+quarantine_entry const* quarantine_list::surplus() const {
+  if (entries_.size() <= k_most_entries) return nullptr;
+  auto const oldest =
+      std::min_element(entries_.begin(), entries_.end(), [](auto const& left, auto const& right) {
+        return left.second.record.revision < right.second.record.revision;
+      });
+  return &oldest->second.record;
+}
+
+}  // namespace frostline::quarantine
--- /dev/null
+++ b/src/quarantine/quarantine_list.h
@@ -0,0 +1,77 @@
+/// @file The requests that no server gets any more, as the record store says, and when one of them
+/// may be tried again. Pure.
+///
+/// A record takes effect a moment after this node has heard of it, so that a node at which the
+/// request is being answered can take the record back first. It goes when a trial is answered, or
+/// when an operator removes it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "kv/types.h"
+#include "quarantine/fingerprint.h"
+
+namespace frostline::quarantine {
+
+/// What may be done with a request now. `trial`: it may be sent once, by who claims that.
+enum class verdict { allowed, refused, trial };
+
+/// What the store's record says.
+struct quarantine_entry {
+  fingerprint request;
+  /// Revision at which the record stands.
+  kv::revision revision = 0;
+  /// Lives of servers that ended under it.
+  std::vector<std::string> servers;
+  std::uint32_t trials = 0;
+};
+
+class quarantine_list {
+ public:
+  /// From a node's first sight of a record to its effect there. A node that answers the request
+  /// hears of the record within some 150 ms and takes it back; with the way of the evidence (about
+  /// 0.3 s) this leaves over a second of the three that are allowed.
+  static constexpr milliseconds k_objection_time{700};
+  /// From the record's last change to the next trial. The first comes soon, for a request that only
+  /// stood beside others' crashes; each costs a server if the request is what it seems. Two, since
+  /// three more retries are allowed after the third crash, and one may have been under way unseen.
+  static constexpr milliseconds k_trial_pauses[] = {milliseconds(5'000), milliseconds(300'000)};
+  /// Records that are kept in all; beyond that the one that has not changed for longest goes.
+  static constexpr std::size_t k_most_entries = 256;
+
+  static std::string records_prefix();
+  static std::string key_of(fingerprint const& request);
+  static std::string encode(quarantine_entry const& entry, std::string const& trial_node);
+  /// @return nothing if the record is malformed.
+  static std::optional<quarantine_entry> decode(kv::key_value const& record);
+
+  /// An older revision than the known one changes nothing. @return whether it is news.
+  bool put(quarantine_entry entry, time_point now);
+  /// @return whether it was known.
+  bool remove(fingerprint const& request);
+
+  verdict check(fingerprint const& request, time_point now) const;
+  quarantine_entry const* find(fingerprint const& request) const;
+  /// How long this node has known of it.
+  milliseconds known_for(fingerprint const& request, time_point now) const;
+  /// The one that goes when there are too many; null if there are not.
+  quarantine_entry const* surplus() const;
+  bool empty() const { return entries_.empty(); }
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct known_entry {
+    quarantine_entry record;
+    time_point first_seen_at{};
+    time_point changed_at{};
+  };
+
+  std::map<fingerprint, known_entry> entries_;
+};
+
+}  // namespace frostline::quarantine
--- /dev/null
+++ b/src/quarantine/service.cc
@@ -0,0 +1,300 @@
+#include "quarantine/service.h"
+
+#include <algorithm>
+
+#include "base/encoding.h"
+#include "base/jitter.h"
+#include "base/log.h"
+#include "rpc/client.h"
+
+namespace frostline::quarantine {
+namespace {
+
+constexpr std::string_view k_part = "quarantine";
+/// Evidence of one moment is told together.
+constexpr milliseconds k_report_pause{30};
+constexpr milliseconds k_report_timeout{250};
+constexpr milliseconds k_report_retry{200};
+constexpr milliseconds k_idle_look{1000};
+/// A collector leaves that much time to each one before it: a write and its spreading take less.
+constexpr milliseconds k_turn{150};
+constexpr milliseconds k_write_timeout{400};
+constexpr milliseconds k_write_retry{300};
+/// Evidence without an answer to the request is kept for that long on the node that saw it: a
+/// client that comes again does so within minutes.
+constexpr milliseconds k_memory{600'000};
+
+}  // namespace
+
+service::service(service_parts parts)
+    : parts_(std::move(parts)),
+      incarnation_(make_unique_token()),
+      crash_watch_(parts_.context,
+                   [this](std::vector<crash> crashes) { note_crashes(crashes); }),
+      evidence_(parts_.context) {}
+
+verdict service::check(fingerprint const& request, time_point now) const {
+  verdict const listed = list_.check(request, now);
+  if (listed != verdict::allowed) return listed;
+  // What this node has seen itself needs nobody's word, and no record.
+  suspicion const* const seen = seen_here_.find(request);
+  bool const ends_servers = seen != nullptr && seen->in_turn >= k_most_crashes;
+  return ends_servers ? verdict::refused : verdict::allowed;
+}
+
+std::size_t service::crashes_seen(fingerprint const& request) const {
+  suspicion const* const seen = seen_here_.find(request);
+  return seen == nullptr ? 0 : seen->servers.size();
+}
+
+void service::note_refused(fingerprint const& request) {
+  ++figures_.refused;
+  quarantine_entry const* const listed = list_.find(request);
+  log_line(log_level::info, k_part, "Request refused.",
+           {{"fingerprint", request.to_string()},
+            {"known_for_ms", list_.known_for(request, boot_clock::now()).count()},
+            {"revision", listed == nullptr ? 0 : listed->revision},
+            {"trials", listed == nullptr ? 0 : listed->trials},
+            {"crashes_seen_here", crashes_seen(request)}});
+}
+
+void service::note_crashes(std::vector<crash> const& crashes) {
+  for (crash const& one : crashes) {
+    ++figures_.crashes;
+    suspicion const& seen = seen_here_.note(one);
+    log_line(log_level::info, k_part, "Server ended under a request.",
+             {{"fingerprint", one.request.to_string()},
+              {"server", one.server},
+              {"beside", crashes.size() - 1},
+              {"crashes_seen_here", seen.servers.size()},
+              {"in_turn", seen.in_turn}});
+    outbox_.add(one);
+    collect(one);
+  }
+  evidence_.notify_all();
+}
+
+bool service::is_proven(fingerprint const& request) const {
+  suspicion const* const known = collected_.find(request);
+  return known != nullptr && known->servers.size() >= k_most_crashes;
+}
+
+void service::collect(crash const& one) {
+  collected_.note(one);
+  bool const open = is_proven(one.request) && list_.find(one.request) == nullptr;
+  if (!open || !writing_.insert(one.request).second) return;
+  spawn(parts_.context, write_record(one.request));
+}
+
+std::size_t service::own_rank() const {
+  auto const collectors = parts_.find_collectors();
+  auto const place = std::find(collectors.begin(), collectors.end(), parts_.self);
+  return static_cast<std::size_t>(place - collectors.begin());
+}
+
+awaitable<void> service::write_record(fingerprint request) {
+  co_await wait_for(k_turn * static_cast<int>(own_rank()));
+  while (is_proven(request) && list_.find(request) == nullptr) {
+    co_await try_to_write(request);
+    if (list_.find(request) == nullptr) co_await wait_for(with_jitter(k_write_retry));
+  }
+  writing_.erase(request);
+}
+
+awaitable<void> service::try_to_write(fingerprint request) {
+  quarantine_entry entry;
+  entry.request = request;
+  entry.servers = collected_.find(request)->servers;
+  kv::operation put;
+  put.key = quarantine_list::key_of(request);
+  put.value = quarantine_list::encode(entry, "");
+  std::size_t const servers = entry.servers.size();
+  if (!co_await apply(std::move(entry), std::move(put))) co_return;
+  ++figures_.written;
+  log_line(log_level::warning, k_part, "Request put under quarantine.",
+           {{"fingerprint", request.to_string()}, {"servers", servers}});
+  quarantine_entry const* const surplus = list_.surplus();
+  if (surplus != nullptr) spawn(parts_.context, take_back(surplus->request));
+}
+
+awaitable<bool> service::apply(quarantine_entry entry, kv::operation change) {
+  kv::transaction transaction;
+  transaction.compares.push_back({change.key, entry.revision});
+  bool const removes = change.kind == kv::operation_kind::remove;
+  transaction.on_success.push_back(std::move(change));
+  auto const outcome = co_await parts_.store.apply(std::move(transaction), k_write_timeout);
+  if (!outcome) {
+    log_line(log_level::info, k_part, "Record was not changed, as far as is known.",
+             {{"fingerprint", entry.request.to_string()}, {"error", outcome.error().message()}});
+    co_return false;
+  }
+  if (!outcome.value().succeeded) {
+    for (kv::key_value const& record : outcome.value().read) take(record);
+    co_return false;
+  }
+  if (removes) {
+    forget(entry.request, "taken back here");
+    co_return true;
+  }
+  entry.revision = outcome.value().store_revision;
+  list_.put(std::move(entry), boot_clock::now());
+  co_return true;
+}
+
+awaitable<bool> service::claim_trial(fingerprint request) {
+  quarantine_entry const* const known = list_.find(request);
+  if (known == nullptr || !claiming_.insert(request).second) co_return false;
+  quarantine_entry entry = *known;
+  ++entry.trials;
+  kv::operation put;
+  put.key = quarantine_list::key_of(request);
+  put.value = quarantine_list::encode(entry, parts_.node);
+  std::uint32_t const number = entry.trials;
+  bool const claimed = co_await apply(std::move(entry), std::move(put));
+  claiming_.erase(request);
+  log_line(log_level::info, k_part, "Trial asked for.",
+           {{"fingerprint", request.to_string()},
+            {"number", number},
+            {"granted", claimed ? "yes" : "no"}});
+  if (claimed) ++figures_.trials;
+  co_return claimed;
+}
+
+void service::note_answer(fingerprint const& request) {
+  seen_here_.clear(request);
+  collected_.clear(request);
+  outbox_.clear(request);
+  if (list_.find(request) == nullptr || !taking_back_.insert(request).second) return;
+  spawn(parts_.context, take_back(request));
+}
+
+awaitable<void> service::take_back(fingerprint request) {
+  quarantine_entry const* known = list_.find(request);
+  while (known != nullptr) {
+    kv::operation remove;
+    remove.kind = kv::operation_kind::remove;
+    remove.key = quarantine_list::key_of(request);
+    if (co_await apply(*known, std::move(remove))) {
+      ++figures_.taken_back;
+      break;
+    }
+    co_await wait_for(with_jitter(k_write_retry));
+    known = list_.find(request);
+  }
+  taking_back_.erase(request);
+}
+
+void service::take(kv::key_value const& record) {
+  auto entry = quarantine_list::decode(record);
+  if (!entry) {
+    log_line(log_level::error, k_part, "Record is malformed; it has no effect.",
+             {{"key", record.key}, {"revision", record.mod_revision}});
+    return;
+  }
+  fingerprint const request = entry->request;
+  std::size_t const servers = entry->servers.size();
+  std::uint32_t const trials = entry->trials;
+  if (!list_.put(std::move(*entry), boot_clock::now())) return;
+  log_line(log_level::info, k_part, "Request is under quarantine.",
+           {{"fingerprint", request.to_string()},
+            {"servers", servers},
+            {"trials", trials},
+            {"revision", record.mod_revision}});
+}
+
+void service::forget(fingerprint const& request, std::string_view cause) {
+  seen_here_.clear(request);
+  collected_.clear(request);
+  outbox_.clear(request);
+  if (!list_.remove(request)) return;
+  log_line(log_level::info, k_part, "Quarantine ended.",
+           {{"fingerprint", request.to_string()}, {"cause", cause}});
+}
+
+kv::follower_callbacks service::listener() {
+  kv::follower_callbacks callbacks;
+  callbacks.snapshot = [this](kv::range_answer const& all) {
+    for (kv::key_value const& record : all.entries) take(record);
+  };
+  callbacks.event = [this](kv::watch_event const& event) {
+    if (!event.deleted) {
+      take(event.entry);
+      return;
+    }
+    std::string_view const key = event.entry.key;
+    auto const request = fingerprint::parse(key.substr(quarantine_list::records_prefix().size()));
+    if (request) forget(*request, "the record is gone");
+  };
+  return callbacks;
+}
+
+void service::clean(time_point now) {
+  seen_here_.expire(now - k_memory);
+  outbox_.expire(now - k_memory);
+}
+
+awaitable<void> service::report_loop() {
+  while (true) {
+    if (outbox_.empty()) {
+      co_await evidence_.wait();
+      co_await wait_for(k_report_pause);
+    }
+    auto const collectors = parts_.find_collectors();
+    outbox_.keep_collectors(collectors);
+    for (endpoint const& collector : collectors) {
+      bool const due = collector != parts_.self && outbox_.has_pending(collector);
+      if (due && reporting_to_.insert(collector).second) {
+        spawn(parts_.context, report_to(collector));
+      }
+    }
+    bool const waiting = std::any_of(collectors.begin(), collectors.end(), [this](auto const& one) {
+      return one != parts_.self && outbox_.has_pending(one);
+    });
+    // Whoever becomes a collector later is told, too.
+    co_await evidence_.wait_until(boot_clock::now() + (waiting ? k_report_retry : k_idle_look));
+  }
+}
+
+awaitable<void> service::report_to(endpoint collector) {
+  crash_report const report = outbox_.next_report(collector);
+  rpc::CrashReportCallT call;
+  call.node = parts_.node;
+  for (crash const& one : report.evidence) {
+    auto evidence = std::make_unique<rpc::CrashEvidenceT>();
+    evidence->fingerprint = one.request.to_string();
+    evidence->server = one.server;
+    call.evidence.push_back(std::move(evidence));
+  }
+  auto const reply = co_await rpc::call<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
+      parts_.transport, collector, "QuarantineService", "Report", call, k_report_timeout);
+  reporting_to_.erase(collector);
+  if (reply) {
+    outbox_.note_told(collector, reply.value().incarnation, report.up_to);
+    co_return;
+  }
+  log_line(log_level::info, k_part, "Collector did not take a report.",
+           {{"collector", collector.to_string()},
+            {"evidence", report.evidence.size()},
+            {"error", reply.error().detail}});
+}
+
+rpc::CrashReportReplyT service::take_report(rpc::CrashReportCallT const& call) {
+  time_point const now = boot_clock::now();
+  for (auto const& evidence : call.evidence) {
+    auto const request = fingerprint::parse(evidence->fingerprint);
+    if (request) collect({*request, evidence->server, now, now});
+  }
+  rpc::CrashReportReplyT reply;
+  reply.incarnation = incarnation_;
+  return reply;
+}
+
+void service::add_methods(rpc::dispatcher& methods) {
+  methods.add<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
+      "QuarantineService", "Report",
+      [this](rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
+        co_return take_report(call);
+      });
+}
+
+}  // namespace frostline::quarantine
--- /dev/null
+++ b/src/quarantine/service.h
@@ -0,0 +1,130 @@
+/// @file Keeps requests that end the servers that run them from reaching more servers.
+///
+/// Each node notes under which of its requests servers ended, and tells the collectors, the relays
+/// of some zones. Once three servers have ended under a request and none has answered it, a
+/// collector writes a record to the record store, which the relays spread like any other. A node
+/// that knows the record refuses the request, except for a trial now and then; a server's answer to
+/// it, wherever it is seen, takes the record back.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/asio.h"
+#include "base/endpoint.h"
+#include "http/client.h"
+#include "kv/follower.h"
+#include "kv/record_store.h"
+#include "quarantine/crash_watch.h"
+#include "quarantine/quarantine_list.h"
+#include "quarantine/report_outbox.h"
+#include "quarantine/suspect_table.h"
+#include "rpc/dispatcher.h"
+#include "schema/frostline_generated.h"
+
+namespace frostline::quarantine {
+
+/// References outlive the service.
+struct service_parts {
+  asio::io_context& context;
+  kv::record_store& store;
+  http::client& transport;
+  std::string node;
+  /// Where other nodes reach this one.
+  endpoint self;
+  /// Nodes that bring evidence together, in the order in which they act. Few, and the same at all
+  /// nodes.
+  std::function<std::vector<endpoint>()> find_collectors;
+};
+
+/// What the service counts, since the process began.
+struct quarantine_figures {
+  /// Requests of this node under which a server ended.
+  std::uint64_t crashes = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t trials = 0;
+  /// Records that this node wrote, and took back because the request was answered.
+  std::uint64_t written = 0;
+  std::uint64_t taken_back = 0;
+};
+
+class service {
+ public:
+  /// Servers that end under a request before it is kept from others.
+  static constexpr std::uint32_t k_most_crashes = 3;
+
+  explicit service(service_parts parts);
+
+  void start() { spawn(parts_.context, report_loop()); }
+  /// To be told of the store's records.
+  kv::follower_callbacks listener();
+  /// Registers what other nodes call.
+  void add_methods(rpc::dispatcher& methods);
+  /// Forgets what was seen long ago.
+  void clean(time_point now);
+
+  /// Whether any request has to be looked at; mostly none, which saves their fingerprints.
+  bool is_watching() const { return !seen_here_.empty() || !list_.empty(); }
+  /// Whether a request may be sent to a server now. With `trial`, only if `claim_trial` succeeds.
+  verdict check(fingerprint const& request, time_point now) const;
+  /// Asks for the right to send a request once, among all nodes.
+  awaitable<bool> claim_trial(fingerprint request);
+  /// A request was refused for its verdict.
+  void note_refused(fingerprint const& request);
+  /// How many servers ended under a request, as this node has seen.
+  std::size_t crashes_seen(fingerprint const& request) const;
+
+  /// A request's connection to a server ended without a whole answer.
+  void note_broken(directory::server const& server, fingerprint const& request,
+                   time_point sent_at) {
+    crash_watch_.note_broken(server, request, sent_at);
+  }
+  /// A server answered the request.
+  void note_answer(fingerprint const& request);
+
+  quarantine_figures const& figures() const { return figures_; }
+  std::size_t records() const { return list_.size(); }
+
+ private:
+  void note_crashes(std::vector<crash> const& crashes);
+  /// Evidence of this node or another one.
+  void collect(crash const& one);
+  bool is_proven(fingerprint const& request) const;
+  /// Writes the record, after the collectors before this one have had time to.
+  awaitable<void> write_record(fingerprint request);
+  awaitable<void> try_to_write(fingerprint request);
+  awaitable<void> take_back(fingerprint request);
+  /// Applies a change of one record. @return whether it took effect for certain.
+  awaitable<bool> apply(quarantine_entry entry, kv::operation change);
+  std::size_t own_rank() const;
+
+  awaitable<void> report_loop();
+  awaitable<void> report_to(endpoint collector);
+  rpc::CrashReportReplyT take_report(rpc::CrashReportCallT const& call);
+
+  void take(kv::key_value const& record);
+  void forget(fingerprint const& request, std::string_view cause);
+
+  service_parts parts_;
+  std::string incarnation_;
+  crash_watch crash_watch_;
+  /// What this node has seen itself.
+  suspect_table seen_here_;
+  /// What all nodes have told this one, its own evidence included.
+  suspect_table collected_;
+  quarantine_list list_;
+  report_outbox outbox_;
+  async_condition evidence_;
+  /// Requests whose records are being written or taken back, or whose trial is being claimed.
+  std::set<fingerprint> writing_;
+  std::set<fingerprint> taking_back_;
+  std::set<fingerprint> claiming_;
+  std::set<endpoint> reporting_to_;
+  quarantine_figures figures_;
+};
+
+}  // namespace frostline::quarantine
--- /dev/null
+++ b/src/quarantine/suspect_table.cc
@@ -0,0 +1,49 @@
+#include "quarantine/suspect_table.h"
+
+#include <algorithm>
+
+namespace frostline::quarantine {
+
+suspicion const& suspect_table::note(crash const& one) {
+  auto const [place, fresh] = entries_.try_emplace(one.request);
+  entry& known = place->second;
+  auto& servers = known.known.servers;
+  if (std::find(servers.begin(), servers.end(), one.server) != servers.end()) return known.known;
+  if (!fresh) ranks_.erase(rank_of(one.request, known));
+  if (servers.size() < k_most_servers) servers.push_back(one.server);
+  if (one.sent_at >= known.last_in_turn_at) {
+    ++known.known.in_turn;
+    known.last_in_turn_at = one.ended_at;
+  }
+  known.last_at = std::max(known.last_at, one.ended_at);
+  if (fresh && entries_.size() > most_entries_) {
+    // The new entry is not ranked yet, so it is not the one that goes.
+    fingerprint const victim = std::get<fingerprint>(*ranks_.begin());
+    ranks_.erase(ranks_.begin());
+    entries_.erase(victim);
+  }
+  ranks_.insert(rank_of(one.request, known));
+  return known.known;
+}
+
+void suspect_table::clear(fingerprint const& request) {
+  auto const found = entries_.find(request);
+  if (found == entries_.end()) return;
+  ranks_.erase(rank_of(request, found->second));
+  entries_.erase(found);
+}
+
+void suspect_table::expire(time_point before) {
+  std::erase_if(entries_, [&](auto const& item) {
+    bool const old = item.second.last_at <= before;
+    if (old) ranks_.erase(rank_of(item.first, item.second));
+    return old;
+  });
+}
+
+suspicion const* suspect_table::find(fingerprint const& request) const {
+  auto const found = entries_.find(request);
+  return found == entries_.end() ? nullptr : &found->second.known;
+}
+
+}  // namespace frostline::quarantine
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -183,6 +183,15 @@
   return std::chrono::duration_cast<milliseconds>(now - std::max(oldest, started_at_));
 }
 
+std::vector<endpoint> record_feed::relay_addresses(std::size_t most) const {
+  std::vector<endpoint> addresses;
+  for (auto const& [zone, one] : relays_.all()) {
+    if (addresses.size() == most) break;
+    addresses.push_back(one.address);
+  }
+  return addresses;
+}
+
 bool record_feed::is_seed() const {
   auto const& seeds = options_.seeds;
   return seeds.empty() || std::find(seeds.begin(), seeds.end(), options_.self) != seeds.end();
@@ -220,6 +229,7 @@
   source_.follow(topic::CONFIGURATION, follows);
   source_.follow(topic::OWNERS, follows);
   source_.follow(topic::RELAYS, follows);
+  source_.follow(topic::QUARANTINE, follows);
   if (owner_ || !follows) source_.follow(topic::SERVERS, owner_);
 }
 
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -88,6 +88,9 @@
   /// When the store last answered again after a silence; time_point::min(): it was never silent.
   time_point store_back_at() const { return views_.store_back_at(); }
   feed_role role() const { return role_; }
+  /// Relays of some zones, in the order of the zones' names: the same at all nodes that know the
+  /// same records.
+  std::vector<endpoint> relay_addresses(std::size_t most) const;
   feed_figures const& figures() const { return figures_; }
   std::uint64_t polls_answered() const { return service_.answered(); }
   /// How long ago the records were last known to be complete, by the oldest topic.
--- a/src/relay/topics.h
+++ b/src/relay/topics.h
@@ -11,8 +11,8 @@
 
 using topic = rpc::RecordTopic;
 
-inline constexpr std::array<topic, 4> k_topics = {topic::CONFIGURATION, topic::OWNERS,
-                                                  topic::RELAYS, topic::SERVERS};
+inline constexpr std::array<topic, 5> k_topics = {topic::CONFIGURATION, topic::OWNERS,
+                                                  topic::RELAYS, topic::SERVERS, topic::QUARANTINE};
 
 constexpr std::size_t index_of(topic one) { return static_cast<std::size_t>(one); }
 
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -296,6 +296,22 @@
 struct UsageStateBuilder;
 struct UsageStateT;
 
+struct CrashEvidence;
+struct CrashEvidenceBuilder;
+struct CrashEvidenceT;
+
+struct CrashReportCall;
+struct CrashReportCallBuilder;
+struct CrashReportCallT;
+
+struct CrashReportReply;
+struct CrashReportReplyBuilder;
+struct CrashReportReplyT;
+
+struct QuarantineRecord;
+struct QuarantineRecordBuilder;
+struct QuarantineRecordT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -548,33 +564,36 @@
   OWNERS = 1,
   RELAYS = 2,
   SERVERS = 3,
+  QUARANTINE = 4,
   MIN = CONFIGURATION,
-  MAX = SERVERS
+  MAX = QUARANTINE
 };
 
-inline const RecordTopic (&EnumValuesRecordTopic())[4] {
+inline const RecordTopic (&EnumValuesRecordTopic())[5] {
   static const RecordTopic values[] = {
     RecordTopic::CONFIGURATION,
     RecordTopic::OWNERS,
     RecordTopic::RELAYS,
-    RecordTopic::SERVERS
+    RecordTopic::SERVERS,
+    RecordTopic::QUARANTINE
   };
   return values;
 }
 
 inline const char * const *EnumNamesRecordTopic() {
-  static const char * const names[5] = {
+  static const char * const names[6] = {
     "CONFIGURATION",
     "OWNERS",
     "RELAYS",
     "SERVERS",
+    "QUARANTINE",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameRecordTopic(RecordTopic e) {
-  if (flatbuffers::IsOutRange(e, RecordTopic::CONFIGURATION, RecordTopic::SERVERS)) return "";
+  if (flatbuffers::IsOutRange(e, RecordTopic::CONFIGURATION, RecordTopic::QUARANTINE)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesRecordTopic()[index];
 }
@@ -9317,6 +9336,392 @@
 
 flatbuffers::Offset<UsageState> CreateUsageState(flatbuffers::FlatBufferBuilder &_fbb, const UsageStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct CrashEvidenceT : public flatbuffers::NativeTable {
+  typedef CrashEvidence TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashEvidenceT";
+  }
+  std::string fingerprint{};
+  std::string server{};
+};
+
+/// One server that ended while it ran a request.
+struct CrashEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashEvidenceT NativeTableType;
+  typedef CrashEvidenceBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashEvidence";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_SERVER = 6
+  };
+  /// 32 hexadecimal digits: what is the same at each try of the request.
+  const flatbuffers::String *fingerprint() const {
+    return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
+  }
+  /// The life of the server that ended.
+  const flatbuffers::String *server() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVER);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FINGERPRINT) &&
+           verifier.VerifyString(fingerprint()) &&
+           VerifyOffset(verifier, VT_SERVER) &&
+           verifier.VerifyString(server()) &&
+           verifier.EndTable();
+  }
+  CrashEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashEvidence> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashEvidenceBuilder {
+  typedef CrashEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
+    fbb_.AddOffset(CrashEvidence::VT_FINGERPRINT, fingerprint);
+  }
+  void add_server(flatbuffers::Offset<flatbuffers::String> server) {
+    fbb_.AddOffset(CrashEvidence::VT_SERVER, server);
+  }
+  explicit CrashEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashEvidence> CreateCrashEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
+    flatbuffers::Offset<flatbuffers::String> server = 0) {
+  CrashEvidenceBuilder builder_(_fbb);
+  builder_.add_server(server);
+  builder_.add_fingerprint(fingerprint);
+  return builder_.Finish();
+}
+
+struct CrashEvidence::Traits {
+  using type = CrashEvidence;
+  static auto constexpr Create = CreateCrashEvidence;
+};
+
+inline flatbuffers::Offset<CrashEvidence> CreateCrashEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *fingerprint = nullptr,
+    const char *server = nullptr) {
+  auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
+  auto server__ = server ? _fbb.CreateString(server) : 0;
+  return frostline::rpc::CreateCrashEvidence(
+      _fbb,
+      fingerprint__,
+      server__);
+}
+
+flatbuffers::Offset<CrashEvidence> CreateCrashEvidence(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CrashReportCallT : public flatbuffers::NativeTable {
+  typedef CrashReportCall TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashReportCallT";
+  }
+  std::string node{};
+  std::vector<std::unique_ptr<frostline::rpc::CrashEvidenceT>> evidence{};
+  CrashReportCallT() = default;
+  CrashReportCallT(const CrashReportCallT &o);
+  CrashReportCallT(CrashReportCallT&&) FLATBUFFERS_NOEXCEPT = default;
+  CrashReportCallT &operator=(CrashReportCallT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node has seen, for the nodes that bring all of it together. Evidence may come again.
+struct CrashReportCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashReportCallT NativeTableType;
+  typedef CrashReportCallBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashReportCall";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_EVIDENCE = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CrashEvidence>> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CrashEvidence>> *>(VT_EVIDENCE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           verifier.VerifyVectorOfTables(evidence()) &&
+           verifier.EndTable();
+  }
+  CrashReportCallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashReportCallT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashReportCall> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportCallT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashReportCallBuilder {
+  typedef CrashReportCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(CrashReportCall::VT_NODE, node);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CrashEvidence>>> evidence) {
+    fbb_.AddOffset(CrashReportCall::VT_EVIDENCE, evidence);
+  }
+  explicit CrashReportCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashReportCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashReportCall>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashReportCall> CreateCrashReportCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::CrashEvidence>>> evidence = 0) {
+  CrashReportCallBuilder builder_(_fbb);
+  builder_.add_evidence(evidence);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct CrashReportCall::Traits {
+  using type = CrashReportCall;
+  static auto constexpr Create = CreateCrashReportCall;
+};
+
+inline flatbuffers::Offset<CrashReportCall> CreateCrashReportCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::CrashEvidence>> *evidence = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::CrashEvidence>>(*evidence) : 0;
+  return frostline::rpc::CreateCrashReportCall(
+      _fbb,
+      node__,
+      evidence__);
+}
+
+flatbuffers::Offset<CrashReportCall> CreateCrashReportCall(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportCallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CrashReportReplyT : public flatbuffers::NativeTable {
+  typedef CrashReportReply TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashReportReplyT";
+  }
+  std::string incarnation{};
+};
+
+struct CrashReportReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashReportReplyT NativeTableType;
+  typedef CrashReportReplyBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashReportReply";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_INCARNATION = 4
+  };
+  /// Unique for each process: one that has just started knows nothing of earlier reports.
+  const flatbuffers::String *incarnation() const {
+    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_INCARNATION) &&
+           verifier.VerifyString(incarnation()) &&
+           verifier.EndTable();
+  }
+  CrashReportReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashReportReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashReportReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashReportReplyBuilder {
+  typedef CrashReportReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(CrashReportReply::VT_INCARNATION, incarnation);
+  }
+  explicit CrashReportReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashReportReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashReportReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashReportReply> CreateCrashReportReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0) {
+  CrashReportReplyBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  return builder_.Finish();
+}
+
+struct CrashReportReply::Traits {
+  using type = CrashReportReply;
+  static auto constexpr Create = CreateCrashReportReply;
+};
+
+inline flatbuffers::Offset<CrashReportReply> CreateCrashReportReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *incarnation = nullptr) {
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  return frostline::rpc::CreateCrashReportReply(
+      _fbb,
+      incarnation__);
+}
+
+flatbuffers::Offset<CrashReportReply> CreateCrashReportReply(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantineRecordT : public flatbuffers::NativeTable {
+  typedef QuarantineRecord TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.QuarantineRecordT";
+  }
+  std::vector<std::string> servers{};
+  uint32_t trials = 0;
+  std::string trial_node{};
+  std::string token{};
+};
+
+/// A request that no server gets any more, but for trials. Stored in the record store, one record for each
+/// fingerprint.
+struct QuarantineRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantineRecordT NativeTableType;
+  typedef QuarantineRecordBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.QuarantineRecord";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4,
+    VT_TRIALS = 6,
+    VT_TRIAL_NODE = 8,
+    VT_TOKEN = 10
+  };
+  /// Lives of servers that ended under it.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
+  /// Trials since then, each of one run at one server.
+  uint32_t trials() const {
+    return GetField<uint32_t>(VT_TRIALS, 0);
+  }
+  /// Node that claimed the last one.
+  const flatbuffers::String *trial_node() const {
+    return GetPointer<const flatbuffers::String *>(VT_TRIAL_NODE);
+  }
+  /// Unique for each write, so that a lost answer can be resolved.
+  const flatbuffers::String *token() const {
+    return GetPointer<const flatbuffers::String *>(VT_TOKEN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
+           VerifyField<uint32_t>(verifier, VT_TRIALS, 4) &&
+           VerifyOffset(verifier, VT_TRIAL_NODE) &&
+           verifier.VerifyString(trial_node()) &&
+           VerifyOffset(verifier, VT_TOKEN) &&
+           verifier.VerifyString(token()) &&
+           verifier.EndTable();
+  }
+  QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantineRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantineRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantineRecordBuilder {
+  typedef QuarantineRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(QuarantineRecord::VT_SERVERS, servers);
+  }
+  void add_trials(uint32_t trials) {
+    fbb_.AddElement<uint32_t>(QuarantineRecord::VT_TRIALS, trials, 0);
+  }
+  void add_trial_node(flatbuffers::Offset<flatbuffers::String> trial_node) {
+    fbb_.AddOffset(QuarantineRecord::VT_TRIAL_NODE, trial_node);
+  }
+  void add_token(flatbuffers::Offset<flatbuffers::String> token) {
+    fbb_.AddOffset(QuarantineRecord::VT_TOKEN, token);
+  }
+  explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantineRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantineRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
+    uint32_t trials = 0,
+    flatbuffers::Offset<flatbuffers::String> trial_node = 0,
+    flatbuffers::Offset<flatbuffers::String> token = 0) {
+  QuarantineRecordBuilder builder_(_fbb);
+  builder_.add_token(token);
+  builder_.add_trial_node(trial_node);
+  builder_.add_trials(trials);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct QuarantineRecord::Traits {
+  using type = QuarantineRecord;
+  static auto constexpr Create = CreateQuarantineRecord;
+};
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
+    uint32_t trials = 0,
+    const char *trial_node = nullptr,
+    const char *token = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
+  auto trial_node__ = trial_node ? _fbb.CreateString(trial_node) : 0;
+  auto token__ = token ? _fbb.CreateString(token) : 0;
+  return frostline::rpc::CreateQuarantineRecord(
+      _fbb,
+      servers__,
+      trials,
+      trial_node__,
+      token__);
+}
+
+flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TaskRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -12497,6 +12902,137 @@
       _token);
 }
 
+inline CrashEvidenceT *CrashEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashEvidenceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashEvidence::UnPackTo(CrashEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fingerprint(); if (_e) _o->fingerprint = _e->str(); }
+  { auto _e = server(); if (_e) _o->server = _e->str(); }
+}
+
+inline flatbuffers::Offset<CrashEvidence> CrashEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashEvidence(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashEvidence> CreateCrashEvidence(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashEvidenceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fingerprint = _o->fingerprint.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->fingerprint);
+  auto _server = _o->server.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->server);
+  return frostline::rpc::CreateCrashEvidence(
+      _fbb,
+      _fingerprint,
+      _server);
+}
+
+inline CrashReportCallT::CrashReportCallT(const CrashReportCallT &o)
+      : node(o.node) {
+  evidence.reserve(o.evidence.size());
+  for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new frostline::rpc::CrashEvidenceT(*evidence_) : nullptr); }
+}
+
+inline CrashReportCallT &CrashReportCallT::operator=(CrashReportCallT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(evidence, o.evidence);
+  return *this;
+}
+
+inline CrashReportCallT *CrashReportCall::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashReportCallT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashReportCall::UnPackTo(CrashReportCallT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = std::unique_ptr<frostline::rpc::CrashEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<CrashReportCall> CrashReportCall::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportCallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashReportCall(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashReportCall> CreateCrashReportCall(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportCallT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportCallT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->node);
+  auto _evidence = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::CrashEvidence>> (_o->evidence.size(), [](size_t i, _VectorArgs *__va) { return CreateCrashEvidence(*__va->__fbb, __va->__o->evidence[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateCrashReportCall(
+      _fbb,
+      _node,
+      _evidence);
+}
+
+inline CrashReportReplyT *CrashReportReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashReportReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashReportReply::UnPackTo(CrashReportReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+}
+
+inline flatbuffers::Offset<CrashReportReply> CrashReportReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashReportReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashReportReply> CreateCrashReportReply(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _incarnation = _o->incarnation.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->incarnation);
+  return frostline::rpc::CreateCrashReportReply(
+      _fbb,
+      _incarnation);
+}
+
+inline QuarantineRecordT *QuarantineRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantineRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantineRecord::UnPackTo(QuarantineRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = trials(); _o->trials = _e; }
+  { auto _e = trial_node(); if (_e) _o->trial_node = _e->str(); }
+  { auto _e = token(); if (_e) _o->token = _e->str(); }
+}
+
+inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantineRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantineRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _servers = _fbb.CreateVectorOfStrings(_o->servers);
+  auto _trials = _o->trials;
+  auto _trial_node = _o->trial_node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->trial_node);
+  auto _token = _o->token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->token);
+  return frostline::rpc::CreateQuarantineRecord(
+      _fbb,
+      _servers,
+      _trials,
+      _trial_node,
+      _token);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -573,7 +573,7 @@
   deleted:bool;
 }
 /// What nodes keep views of; each is the records below one prefix of the record store.
-enum RecordTopic : byte { CONFIGURATION = 0, OWNERS = 1, RELAYS = 2, SERVERS = 3 }
+enum RecordTopic : byte { CONFIGURATION = 0, OWNERS = 1, RELAYS = 2, SERVERS = 3, QUARANTINE = 4 }
 /// A zone's relay: the node that passes records on to the nodes of its zone.
 table RelayRecord {
   node:string;
@@ -681,5 +681,37 @@
 rpc_service UsageService {
   Count(UsageCall):UsageReply;
 }
+
+/// One server that ended while it ran a request.
+table CrashEvidence {
+  /// 32 hexadecimal digits: what is the same at each try of the request.
+  fingerprint:string;
+  /// The life of the server that ended.
+  server:string;
+}
+/// What a node has seen, for the nodes that bring all of it together. Evidence may come again.
+table CrashReportCall {
+  node:string;
+  evidence:[CrashEvidence];
+}
+table CrashReportReply {
+  /// Unique for each process: one that has just started knows nothing of earlier reports.
+  incarnation:string;
+}
+/// A request that no server gets any more, but for trials. Stored in the record store, one record for each
+/// fingerprint.
+table QuarantineRecord {
+  /// Lives of servers that ended under it.
+  servers:[string];
+  /// Trials since then, each of one run at one server.
+  trials:uint32;
+  /// Node that claimed the last one.
+  trial_node:string;
+  /// Unique for each write, so that a lost answer can be resolved.
+  token:string;
+}
+rpc_service QuarantineService {
+  Report(CrashReportCall):CrashReportReply;
+}
 )schema";
 }  // namespace frostline::schema
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -3,8 +3,10 @@
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <set>
+#include <thread>
 
 #include "http/json_fields.h"
 #include "platform_cluster.h"
@@ -57,18 +59,31 @@
   std::size_t next_try = 0;
   std::size_t next_other = 0;
 
-  void setup() override {
+  void setup() override { set_crash_text(k_deadly); }
+
+  void set_crash_text(std::string const& text) {
     system.on_platform([&] {
       for (std::size_t index = 0; index < system.apps(); ++index) {
-        system.app(index).faults().crash_text = k_deadly;
+        system.app(index).faults().crash_text = text;
       }
       for (std::size_t index = 0; index < system.engines(); ++index) {
-        system.engine(index).faults().crash_text = k_deadly;
+        system.engine(index).faults().crash_text = text;
       }
       return 0;
     });
   }
 
+  std::vector<arrival> app_arrivals() {
+    return system.on_platform([&] {
+      std::vector<arrival> all;
+      for (std::size_t index = 0; index < system.apps(); ++index) {
+        auto const& some = system.app(index).arrivals();
+        all.insert(all.end(), some.begin(), some.end());
+      }
+      return all;
+    });
+  }
+
   /// Times at which a deadly request reached a server, in their order.
   std::vector<time_point> deadly_arrivals() {
     std::vector<time_point> times = system.on_platform([&] {
@@ -205,3 +220,170 @@
   }
   CHECK(late_arrivals() <= k_retries_allowed);
 }
+
+TEST(crashing_request_test, refusal_is_the_same_at_each_node_at_once_and_invites_no_retry) {
+  keep_trying("/calls/x");
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    time_point const begin = boot_clock::now();
+    auto const answer = system.call(node, http::verb::post, "/calls/x",
+                                    "refused-" + std::to_string(node), k_deadly);
+    CHECK(boot_clock::now() - begin < k_patience);
+    LONGS_EQUAL(503, answer.value().result_int());
+    STRCMP_EQUAL("60", std::string(http::header(answer.value(), "Retry-After")).c_str());
+    CHECK(answer.value().body().find("quarantined") != std::string::npos);
+  }
+  for (arrival const& one : app_arrivals()) CHECK(!one.request.starts_with("refused-"));
+}
+
+TEST(crashing_request_test, quarantine_outlasts_the_end_of_every_node) {
+  keep_trying("/calls/x");
+  std::size_t const before = deadly_arrivals().size();
+  for (std::size_t node = 0; node < system.nodes(); ++node) system.node(node).kill();
+  for (std::size_t node = 0; node < system.nodes(); ++node) system.start_node(node);
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    platform_cluster::wait_until("the node knows the record", [&] {
+      return system.log(node).find("Request is under quarantine") != std::string::npos;
+    });
+    platform_cluster::wait_until("it is in effect", [&] {
+      auto const answer = system.call(node, http::verb::post, "/calls/x", "late", k_deadly);
+      return answer && answer.value().body().find("quarantined") != std::string::npos;
+    });
+  }
+  // The record takes a moment to take effect on a node that has just started.
+  CHECK(deadly_arrivals().size() <= before + system.nodes() * k_crashes_allowed);
+  std::size_t const after = deadly_arrivals().size();
+  for (std::size_t number = 0; number < k_late_tries; ++number) {
+    wait_for_service("/calls/x");
+    try_deadly("/calls/x");
+  }
+  CHECK(deadly_arrivals().size() <= after + 1);
+}
+
+TEST(crashing_request_test, request_is_served_again_once_the_servers_bear_it) {
+  keep_trying("/calls/x");
+  set_crash_text("");
+  platform_cluster::wait_until("a trial was answered and the record is gone",
+                               [&] { return try_deadly("/calls/x") == 200; });
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    platform_cluster::wait_until("every node serves it", [&] {
+      auto const answer = system.call(node, http::verb::post, "/calls/x", "again", k_deadly);
+      return answer && answer.value().result_int() == 200;
+    });
+  }
+}
+
+TEST(crashing_request_test, operator_who_removes_the_record_ends_the_quarantine) {
+  keep_trying("/calls/x");
+  set_crash_text("");
+  system.on_platform([&] {
+    std::vector<std::string> keys;
+    for (auto const& [key, item] : system.store().items()) {
+      if (key.starts_with("frostline/quarantine/")) keys.push_back(key);
+    }
+    for (std::string const& key : keys) system.store().remove(key);
+    return 0;
+  });
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    platform_cluster::wait_until("every node serves it", [&] {
+      auto const answer = system.call(node, http::verb::post, "/calls/x", "again", k_deadly);
+      return answer && answer.value().result_int() == 200;
+    });
+  }
+}
+
+TEST(crashing_request_test, bound_holds_after_the_store_was_away) {
+  system.on_platform([&] {
+    system.store().faults().silent = true;
+    return 0;
+  });
+  platform_cluster::wait_until("three servers have ended", [&] {
+    try_deadly("/calls/x");
+    return deadly_arrivals().size() >= k_crashes_allowed;
+  });
+  system.on_platform([&] {
+    system.store().faults().silent = false;
+    return 0;
+  });
+  time_point const back = boot_clock::now();
+  platform_cluster::wait_until("the bound holds", [&] {
+    try_deadly("/calls/x");
+    return boot_clock::now() > back + k_contact;
+  });
+  std::size_t const before = deadly_arrivals().size();
+  for (std::size_t number = 0; number < k_late_tries; ++number) {
+    wait_for_service("/calls/x");
+    try_deadly("/calls/x");
+  }
+  CHECK(deadly_arrivals().size() <= before + k_retries_allowed);
+}
+
+TEST(crashing_request_test, wide_crash_under_a_popular_request_refuses_nothing) {
+  set_crash_text("");
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().work_time = milliseconds(40);
+    }
+    return 0;
+  });
+  std::atomic<bool> stop = false;
+  std::atomic<int> refused = 0;
+  std::atomic<int> served = 0;
+  std::vector<std::thread> callers;
+  for (std::size_t number = 0; number < 12; ++number) {
+    callers.emplace_back([&, number] {
+      for (int call = 0; !stop; ++call) {
+        auto const id = "popular-" + std::to_string(number) + "-" + std::to_string(call);
+        auto const answer = system.call(number % system.nodes(), http::verb::post, "/calls/x", id,
+                                        "popular", k_patience);
+        if (!answer) continue;
+        if (answer.value().result_int() == 200) ++served;
+        if (answer.value().body().find("quarantined") != std::string::npos) ++refused;
+      }
+    });
+  }
+  for (int round = 0; round < 4; ++round) {
+    int const then = served;
+    platform_cluster::wait_until("the request is served", [&] { return served > then + 30; });
+    // Three of four servers end at once, under many runs of the same request.
+    system.on_platform([&] {
+      for (std::size_t index = 0; index < 3; ++index) {
+        system.app((index + static_cast<std::size_t>(round)) % 4).crash();
+      }
+      return 0;
+    });
+    platform_cluster::wait_until("all servers are back", [&] {
+      return system.on_platform([&] {
+        for (std::size_t index = 0; index < 4; ++index) {
+          if (system.app(index).is_down()) return false;
+        }
+        return true;
+      });
+    });
+  }
+  stop = true;
+  for (std::thread& one : callers) one.join();
+  LONGS_EQUAL(0, refused);
+}
+
+TEST(crashing_request_test, connections_that_are_cut_are_no_crashes) {
+  set_crash_text("");
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().cuts = 100;
+    }
+    return 0;
+  });
+  for (int number = 0; number < 8; ++number) try_deadly("/calls/x");
+  platform_cluster::wait_until("the servers were looked at", [&] {
+    return system.log(0).find("\"condition\":\"lives\"") != std::string::npos;
+  });
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) system.app(index).faults().cuts = 0;
+    return 0;
+  });
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    auto const answer = system.call(node, http::verb::post, "/calls/x", "whole", k_deadly);
+    LONGS_EQUAL(200, answer.value().result_int());
+    CHECK(system.log(node).find("Server ended under a request") == std::string::npos);
+  }
+}
--- /dev/null
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -0,0 +1,101 @@
+/// @file When a record takes effect, and when a request may be tried again.
+
+#include "quarantine/quarantine_list.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <iterator>
+
+using namespace frostline;
+using namespace frostline::quarantine;
+
+TEST_GROUP(quarantine_list_test) {
+  quarantine_list list;
+  time_point const start{milliseconds(1'000'000)};
+  fingerprint const request = fingerprint::of({"", "host", "POST", "/", "body"});
+  fingerprint const other = fingerprint::of({"", "host", "POST", "/", "other"});
+
+  bool put(kv::revision revision, std::uint32_t trials, time_point now) {
+    return list.put({request, revision, {"s1", "s2", "s3"}, trials}, now);
+  }
+  bool is(verdict expected, time_point now) const { return list.check(request, now) == expected; }
+};
+
+TEST(quarantine_list_test, unlisted_request_is_allowed) {
+  CHECK(is(verdict::allowed, start));
+  put(5, 0, start);
+  CHECK(list.check(other, start + seconds(10)) == verdict::allowed);
+}
+
+TEST(quarantine_list_test, record_takes_effect_after_the_time_to_object) {
+  put(5, 0, start);
+  CHECK(is(verdict::allowed, start + quarantine_list::k_objection_time - milliseconds(1)));
+  CHECK(is(verdict::refused, start + quarantine_list::k_objection_time));
+}
+
+TEST(quarantine_list_test, trials_are_due_at_growing_pauses_and_end) {
+  time_point changed = start;
+  std::uint32_t trials = 0;
+  for (milliseconds const pause : quarantine_list::k_trial_pauses) {
+    put(5 + trials, trials, changed);
+    CHECK(is(verdict::refused, changed + pause - milliseconds(1)));
+    CHECK(is(verdict::trial, changed + pause));
+    changed += pause;
+    ++trials;
+  }
+  put(5 + trials, trials, changed);
+  CHECK(is(verdict::refused, changed + seconds(1'000'000)));
+}
+
+TEST(quarantine_list_test, trials_with_one_unseen_retry_stay_within_three) {
+  CHECK(std::size(quarantine_list::k_trial_pauses) + 1 <= 3);
+}
+
+TEST(quarantine_list_test, claimed_trial_does_not_begin_the_time_to_object_anew) {
+  put(5, 0, start);
+  time_point const claimed = start + quarantine_list::k_trial_pauses[0];
+  put(6, 1, claimed);
+  CHECK(is(verdict::refused, claimed));
+}
+
+TEST(quarantine_list_test, older_revision_changes_nothing) {
+  CHECK(put(6, 1, start));
+  CHECK(!put(5, 0, start));
+  CHECK(!put(6, 1, start));
+  LONGS_EQUAL(1, list.find(request)->trials);
+}
+
+TEST(quarantine_list_test, removed_record_has_no_effect) {
+  put(5, 0, start);
+  CHECK(list.remove(request));
+  CHECK(!list.remove(request));
+  CHECK(is(verdict::allowed, start + seconds(10)));
+}
+
+TEST(quarantine_list_test, record_is_read_back_and_a_malformed_one_is_refused) {
+  quarantine_entry entry{request, 0, {"s1", "s2", "s3"}, 1};
+  kv::key_value record;
+  record.key = quarantine_list::key_of(request);
+  record.value = quarantine_list::encode(entry, "node");
+  record.mod_revision = 9;
+  auto const decoded = quarantine_list::decode(record);
+  CHECK(decoded.has_value());
+  CHECK(decoded->request == request);
+  LONGS_EQUAL(9, decoded->revision);
+  LONGS_EQUAL(3, decoded->servers.size());
+  LONGS_EQUAL(1, decoded->trials);
+  record.value = "nonsense";
+  CHECK(!quarantine_list::decode(record));
+  record.key = quarantine_list::records_prefix() + "short";
+  CHECK(!quarantine_list::decode(record));
+}
+
+TEST(quarantine_list_test, oldest_record_is_the_surplus) {
+  for (std::size_t number = 0; number <= quarantine_list::k_most_entries; ++number) {
+    CHECK(list.surplus() == nullptr);
+    auto const one = fingerprint::of({"", "host", "POST", "/", std::to_string(number)});
+    list.put({one, 100 + number, {}, 0}, start);
+  }
+  CHECK(list.surplus() != nullptr);
+  LONGS_EQUAL(100, list.surplus()->revision);
+}
--- /dev/null
+++ b/tests/unit/quarantine/suspect_table_test.cc
@@ -0,0 +1,101 @@
+/// @file What is held against a request, and what clears it.
+
+#include "quarantine/suspect_table.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace frostline;
+using namespace frostline::quarantine;
+
+namespace {
+
+fingerprint request_of(std::string const& body) {
+  return fingerprint::of({"", "host", "POST", "/", body});
+}
+
+}  // namespace
+
+TEST_GROUP(suspect_table_test) {
+  suspect_table table{3};
+  time_point const start{milliseconds(1'000'000)};
+
+  /// A run of a request at a server, from one time to the server's end, in ms.
+  suspicion note(std::string const& body, std::string const& server, int sent, int ended) {
+    return table.note(
+        {request_of(body), server, start + milliseconds(sent), start + milliseconds(ended)});
+  }
+};
+
+TEST(suspect_table_test, servers_that_end_one_after_the_other_are_counted_in_turn) {
+  LONGS_EQUAL(1, note("a", "s1", 0, 40).in_turn);
+  LONGS_EQUAL(2, note("a", "s2", 45, 90).in_turn);
+  LONGS_EQUAL(3, note("a", "s3", 90, 130).in_turn);
+  LONGS_EQUAL(3, table.find(request_of("a"))->servers.size());
+}
+
+TEST(suspect_table_test, servers_that_end_together_count_once_in_turn) {
+  note("a", "s1", 0, 40);
+  note("a", "s2", 10, 41);
+  auto const known = note("a", "s3", 39, 41);
+  LONGS_EQUAL(3, known.servers.size());
+  LONGS_EQUAL(1, known.in_turn);
+}
+
+TEST(suspect_table_test, same_life_of_a_server_counts_once_whoever_tells_of_it) {
+  note("a", "s1", 0, 40);
+  auto const known = note("a", "s1", 50, 90);
+  LONGS_EQUAL(1, known.servers.size());
+  LONGS_EQUAL(1, known.in_turn);
+}
+
+TEST(suspect_table_test, answer_clears_all_that_was_known) {
+  note("a", "s1", 0, 40);
+  note("a", "s2", 45, 90);
+  table.clear(request_of("a"));
+  CHECK(table.find(request_of("a")) == nullptr);
+  CHECK(table.empty());
+  LONGS_EQUAL(1, note("a", "s3", 100, 140).in_turn);
+}
+
+TEST(suspect_table_test, requests_are_told_apart) {
+  note("a", "s1", 0, 40);
+  note("b", "s1", 0, 40);
+  LONGS_EQUAL(1, table.find(request_of("a"))->servers.size());
+  CHECK(table.find(request_of("c")) == nullptr);
+}
+
+TEST(suspect_table_test, least_proven_and_oldest_goes_first_when_there_is_no_room) {
+  note("proven", "s1", 0, 10);
+  note("proven", "s2", 10, 20);
+  note("old", "s1", 0, 30);
+  note("new", "s1", 0, 40);
+  note("newest", "s1", 0, 50);
+  CHECK(table.find(request_of("old")) == nullptr);
+  for (char const* kept : {"proven", "new", "newest"}) CHECK(table.find(request_of(kept)));
+  LONGS_EQUAL(3, table.size());
+}
+
+TEST(suspect_table_test, million_different_requests_leave_what_is_proven) {
+  note("proven", "s1", 0, 10);
+  note("proven", "s2", 10, 20);
+  for (int number = 0; number < 100'000; ++number) {
+    note("many-" + std::to_string(number), "s3", 20, 30 + number);
+  }
+  LONGS_EQUAL(3, table.size());
+  LONGS_EQUAL(2, table.find(request_of("proven"))->servers.size());
+}
+
+TEST(suspect_table_test, lives_that_are_kept_are_bounded) {
+  for (int number = 0; number < 100; ++number) {
+    note("a", "s" + std::to_string(number), number * 10, number * 10 + 5);
+  }
+  LONGS_EQUAL(suspect_table::k_most_servers, table.find(request_of("a"))->servers.size());
+}
+
+TEST(suspect_table_test, what_was_seen_long_ago_is_forgotten) {
+  note("a", "s1", 0, 40);
+  note("b", "s1", 0, 400);
+  table.expire(start + milliseconds(40));
+  CHECK(table.find(request_of("a")) == nullptr);
+  CHECK(table.find(request_of("b")) != nullptr);
+}
