Soak: requests that end their servers, suspended nodes and owners

Change: three faults: a request that ends each server that runs it, sent to all nodes; a node, and the owner of the pool, suspended (stopped, and its monotonic clock set back by that time). After the faults, in calm, each such request is sent three times to each node: three crashes may follow. No other call may be refused for it, the popular one of the soak included.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -11,6 +11,7 @@
 #include <random>
 #include <thread>
 
+#include "deadly_requests.h"
 #include "http/json_fields.h"
 #include "platform_cluster.h"
 #include "soak_checker.h"
@@ -44,6 +45,10 @@
 constexpr milliseconds k_order_time{60};
 constexpr milliseconds k_frozen_time{2200};
 constexpr milliseconds k_recovery_limit{12'000};
+/// A node has heard of everything that long after the last fault.
+constexpr milliseconds k_contact{3000};
+/// How long an application server works on a call: some are under way when it ends.
+constexpr milliseconds k_work_time{8};
 
 /// Causes one fault, and undoes it with the same call when `on` is false.
 struct soak_fault {
@@ -53,7 +58,13 @@
 
 class soak {
  public:
-  explicit soak(std::uint64_t seed) : random_(seed), system_(options()) { make_faults(); }
+  explicit soak(std::uint64_t seed)
+      : random_(seed), system_(options()), deadly_(system_, k_first_key, seed) {
+    for (std::size_t app = 0; app < k_apps; ++app) {
+      on_app(app, [](server_faults& faults) { faults.work_time = k_work_time; });
+    }
+    make_faults();
+  }
 
   /// @return whether every promise was kept.
   bool run(double minutes) {
@@ -63,7 +74,9 @@
     std::thread caller([this] { call_loop(); });
     std::thread trainer([this] { train_loop(); });
     while (boot_clock::now() < end) cause_pair();
+    deadly_.stop();
     bool const recovered = wait_for_recovery();
+    check_deadly_requests();
     working_ = false;
     caller.join();
     trainer.join();
@@ -82,6 +95,7 @@
     all.proxied_store = true;
     all.tenants = k_tenants;
     all.usage_window = milliseconds(500);
+    all.suspendable = true;
     return all;
   }
 
@@ -151,6 +165,22 @@
     add("freeze_node", [this](bool on, std::size_t target) {
       system_.node(target % k_nodes).send_signal(on ? SIGSTOP : SIGCONT);
     });
+    add("suspend_node", [this](bool on, std::size_t target) {
+      if (on) {
+        system_.suspend(target % k_nodes);
+      } else {
+        system_.wake(target % k_nodes);
+      }
+    });
+    add("suspend_owner", [this](bool on, std::size_t target) {
+      if (on) {
+        suspended_owner_ = find_owner().value_or(target % k_nodes);
+        system_.suspend(suspended_owner_);
+        name_next();
+      } else {
+        system_.wake(suspended_owner_);
+      }
+    });
     add("hand_over", [this](bool on, std::size_t target) {
       if (!on) {
         system_.node(handed_over_).wait(15);
@@ -262,6 +292,13 @@
     add("app_cuts_answers", [this](bool on, std::size_t target) {
       on_app(target, [on](server_faults& faults) { faults.cuts = on ? 12 : 0; });
     });
+    add("deadly_request", [this](bool on, std::size_t) {
+      if (on) {
+        deadly_.switch_on();
+      } else {
+        deadly_.switch_off();
+      }
+    });
     add("app_withdrawn", [this](bool on, std::size_t target) {
       system_.on_platform([&] {
         server_standin& app = system_.app(target % k_apps);
@@ -322,16 +359,27 @@
     faults_[first].apply(true, target);
     if (second != first) faults_[second].apply(true, target + 1);
     caused_ += second == first ? 1 : 2;
-    bool const frozen = faults_[first].name.find("freeze") != std::string::npos ||
-                        faults_[first].name.find("frozen") != std::string::npos ||
-                        faults_[second].name.find("freeze") != std::string::npos ||
-                        faults_[second].name.find("frozen") != std::string::npos;
+    bool const frozen = stands_still(faults_[first].name) || stands_still(faults_[second].name);
     std::this_thread::sleep_for(frozen ? k_frozen_time : k_fault_time);
     faults_[first].apply(false, target);
     if (second != first) faults_[second].apply(false, target + 1);
     std::this_thread::sleep_for(k_quiet_time);
   }
 
+  static bool stands_still(std::string const& fault) {
+    for (char const* word : {"freeze", "frozen", "suspend"}) {
+      if (fault.find(word) != std::string::npos) return true;
+    }
+    return false;
+  }
+
+  /// Once all nodes are calm, what has ended three servers reaches few more.
+  void check_deadly_requests() {
+    time_point const calm = boot_clock::now() + k_contact;
+    while (boot_clock::now() < calm) is_served();
+    budget_broken_ = deadly_.check([this] { wait_for_recovery(); });
+  }
+
   bool is_served() {
     for (std::size_t node = 0; node < k_nodes; ++node) {
       auto const answer = system_.call(node, http::verb::get, "/open/recovery", next_id("r"));
@@ -464,6 +512,7 @@
     });
     soak_counts counts;
     auto broken = check_soak(seen_, counts);
+    broken.insert(broken.end(), budget_broken_.begin(), budget_broken_.end());
     if (!recovered) broken.push_back({"recovery", "not served by all nodes within 12 s"});
     for (broken_promise const& one : broken) {
       std::cout << "BROKEN " << one.promise << ": " << one.detail << '\n';
@@ -473,8 +522,9 @@
     std::cout << "seed " << FLAGS_seed << ": " << caused_ << " faults, " << counts.requests
               << " requests, " << counts.samples << " samples, " << counts.positions
               << " positions, " << counts.orders << " orders, " << counts.tenants << " tenants, "
-              << seen_.reports << " reports judged; " << broken.size()
-              << " promises broken; logs in " << system_.folder() << std::endl;
+              << seen_.reports << " reports, " << deadly_.judged() << " of " << deadly_.count()
+              << " deadly requests judged; " << broken.size() << " promises broken; logs in "
+              << system_.folder() << std::endl;
     return broken.empty() && judged;
   }
 
@@ -491,8 +541,11 @@
   std::size_t handed_over_ = 0;
   std::size_t killed_holder_ = 0;
   std::size_t frozen_holder_ = 0;
+  std::size_t suspended_owner_ = 0;
   std::size_t caused_ = 0;
   soak_records seen_;
+  std::vector<broken_promise> budget_broken_;
+  deadly_requests deadly_;
 };
 
 }  // namespace
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -1,5 +1,7 @@
 #include "platform_cluster.h"
 
+#include <signal.h>
+
 #include <boost/filesystem.hpp>
 #include <boost/json.hpp>
 #include <fstream>
@@ -171,8 +173,21 @@
   // Each start has a log of its own.
   static std::size_t starts = 0;
   logs_[index] = name + "." + std::to_string(++starts) + ".log";
+  std::string const preload =
+      options_.suspendable ? program_path("tests/libfrostline-suspension.so") : std::string();
   nodes_.at(index) = std::make_unique<child_process>(program_path("frostline-gateway"), arguments,
-                                                     logs_.at(index));
+                                                     logs_.at(index), preload);
+}
+
+void platform_cluster::suspend(std::size_t index) {
+  suspended_at_[index] = boot_clock::now();
+  nodes_.at(index)->send_signal(SIGSTOP);
+}
+
+void platform_cluster::wake(std::size_t index) {
+  auto const slept =
+      std::chrono::duration_cast<milliseconds>(boot_clock::now() - suspended_at_.at(index));
+  nodes_.at(index)->wake_from_suspension(static_cast<int>(slept.count()));
 }
 
 bool platform_cluster::is_ready(std::size_t index) {
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -37,6 +37,8 @@
   milliseconds usage_window{0};
   /// A window's usage is due that long after its end.
   milliseconds usage_late{1500};
+  /// Nodes can be suspended.
+  bool suspendable = false;
 };
 
 /// One item of a job, in the words of the test.
@@ -93,6 +95,9 @@
   /// Writes a node's settings file again, with a later time.
   void touch_settings(std::size_t index);
   child_process& node(std::size_t index) { return *nodes_.at(index); }
+  /// Stops a node as if its machine slept, and lets it go on. Only with `suspendable`.
+  void suspend(std::size_t index);
+  void wake(std::size_t index);
   bool is_ready(std::size_t index);
   /// What the node's present process has written.
   std::string log(std::size_t index) const;
@@ -159,6 +164,7 @@
   };
   std::vector<node_addresses> addresses_;
   std::map<std::size_t, std::string> logs_;
+  std::map<std::size_t, time_point> suspended_at_;
   std::vector<std::unique_ptr<fault_proxy>> store_proxies_;
   std::vector<std::unique_ptr<child_process>> nodes_;
   rpc::blocking_client client_;
--- a/tests/platform_standin/soak_checker.cc
+++ b/tests/platform_standin/soak_checker.cc
@@ -34,6 +34,10 @@
     if (!one.repeatable && refused && ran > 0) {
       broken.push_back({"refused is not run", one.request});
     }
+    // None of these calls ends a server.
+    if (one.body.find("\"quarantined\"") != std::string::npos) {
+      broken.push_back({"no call refused for another's crashes", one.request});
+    }
     bool const own = one.body.starts_with("answer to " + one.request + " of ");
     if (one.status == 200 && !own) broken.push_back({"whole own answer", one.request});
   }
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -42,7 +42,7 @@
 }  // namespace
 
 child_process::child_process(std::string const& program, std::vector<std::string> const& arguments,
-                             std::string log_path)
+                             std::string log_path, std::string const& preload)
     : log_path_(std::move(log_path)) {
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
@@ -55,7 +55,13 @@
   std::vector<char*> words = {const_cast<char*>(program.c_str())};
   for (std::string const& word : arguments) words.push_back(const_cast<char*>(word.c_str()));
   words.push_back(nullptr);
-  int const failure = posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), environ);
+  std::string variable = "LD_PRELOAD=" + preload;
+  std::vector<char*> variables;
+  for (char** one = environ; *one != nullptr; ++one) variables.push_back(*one);
+  if (!preload.empty()) variables.push_back(variable.data());
+  variables.push_back(nullptr);
+  int const failure =
+      posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), variables.data());
   posix_spawn_file_actions_destroy(&actions);
   if (failure != 0) throw std::runtime_error("can't start " + program);
   running_processes().insert(pid_);
@@ -72,6 +78,15 @@
   if (pid_ > 0) ::kill(pid_, number);
 }
 
+void child_process::wake_from_suspension(int milliseconds_slept) {
+  if (pid_ <= 0) return;
+  // Heard before anything else when the process goes on.
+  sigval slept{};
+  slept.sival_int = milliseconds_slept;
+  ::sigqueue(pid_, SIGUSR2, slept);
+  ::kill(pid_, SIGCONT);
+}
+
 void child_process::kill() {
   if (pid_ <= 0) return;
   ::kill(pid_, SIGCONT);
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -11,13 +11,17 @@
 class child_process {
  public:
   /// Starts `program`; both of its outputs go to `log_path`.
+  /// @param preload a library to load into it first; empty: none.
   child_process(std::string const& program, std::vector<std::string> const& arguments,
-                std::string log_path);
+                std::string log_path, std::string const& preload = "");
   ~child_process();
   child_process(child_process&& other) noexcept;
   child_process& operator=(child_process&&) = delete;
 
   void send_signal(int number);
+  /// Lets a stopped process go on as after a suspension of its machine: its monotonic clock has
+  /// stood still. Only with the library for that, see suspended_process.cc.
+  void wake_from_suspension(int milliseconds_slept);
   /// SIGKILL, and waits for the end.
   void kill();
   /// Waits until the process has ended by itself. @return exit code; -1 if it was killed or still
