A request is answered at once when no server takes a connection any more

Change: after all servers were tried, one that takes no connection is offered it once more, not for ever; then the caller gets its answer. The relay test that failed once (record_feed_test, stopped_relay_names_who_follows_it_before_anybody_claims) waits until the relay has been asked by a node of its zone, which it assumed.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -219,10 +219,13 @@
     auto const ready = parts_.servers.ready_servers(one.service);
     directory::server const* chosen = parts_.selector.pick(ready, one.tried, boot_clock::now());
     bool const all_failed = chosen == nullptr && one.may_have_run && one.by->is_repeatable();
-    if (all_failed) chosen = parts_.selector.pick(ready, {}, boot_clock::now());
+    // Once more each: a server that takes no connection then is not waited for, its caller knows
+    // better what to do with the time that is left.
+    if (all_failed) chosen = parts_.selector.pick(ready, one.unreachable, boot_clock::now());
     if (chosen == nullptr) break;
-    one.tried.insert(chosen->id);
-    one.server = chosen->id;
+    std::string const chosen_id = chosen->id;
+    one.tried.insert(chosen_id);
+    one.server = chosen_id;
     if (++one.attempts > 1) ++figures_.retries;
     parts_.selector.note_sent(chosen->id);
     one.attempt_begun = boot_clock::now();
@@ -235,6 +238,7 @@
     bool const taken = answered && accepts(one, *with);
     bool const refused = answered && !taken && is_refusal(with->head());
     bool const unsent = failure == exchange_failure::not_connected;
+    if (unsent && all_failed) one.unreachable.insert(chosen_id);
     count_run(one, counting, !refused && !unsent, answered && has_events(with->head()));
     if (taken) co_return with;
     if (one.from != nullptr) one.from->on_gone(nullptr);
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -82,6 +82,8 @@
     caller* from = nullptr;
     std::string service;
     std::set<std::string> tried;
+    /// Servers that took no connection after all had been tried.
+    std::set<std::string> unreachable;
     std::uint32_t attempts = 0;
     time_point attempt_begun{};
     std::uint32_t failed_answers = 0;
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -93,6 +93,10 @@
   std::vector<endpoint> relay_addresses(std::size_t most) const;
   feed_figures const& figures() const { return figures_; }
   std::uint64_t polls_answered() const { return service_.answered(); }
+  /// Whether a node of its zone asks this one and could follow it as relay.
+  bool has_successor(time_point now) const {
+    return service_.asking().pick(options_.zone, now).has_value();
+  }
   /// How long ago the records were last known to be complete, by the oldest topic.
   milliseconds age(time_point now) const;
 
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -451,3 +451,17 @@
     CHECK(system.log(node).find("Server ended under a request") == std::string::npos);
   }
 }
+
+TEST(crashing_request_test, request_is_answered_at_once_when_no_server_is_left) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().down_time = seconds(5);
+    }
+    system.app(0).crash();
+    system.app(1).crash();
+    return 0;
+  });
+  time_point const begin = boot_clock::now();
+  LONGS_EQUAL(502, try_deadly("/calls/x"));
+  CHECK(boot_clock::now() - begin < k_patience / 2);
+}
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -243,6 +243,8 @@
   for (auto const& node : nodes) claims += node->feed->figures().claims;
   for (int stop = 0; stop < 2; ++stop) {
     test_node& stopped = *relay_of("a");
+    // One that was named a moment ago has not been asked by anybody: it frees its record.
+    CHECK(run_until([&] { return stopped.feed->has_successor(boot_clock::now()); }));
     spawn(context, stopped.feed->leave());
     CHECK(run_until([&] { return relay_of("a") != nullptr && relay_of("a") != &stopped; }));
     shared.put_now(k_configuration, std::to_string(2 + stop));
