Quarantine: cheaper for a collector under a wide crash, one trial for one run

A collector looked through all evidence for each further report against a popular request; a granted trial of a sample was lost when no engine had room; all nodes that answer a popular request took its record back at the same moment. Change: what is settled is not looked at again; an engine is chosen before a trial is used up; records are taken back at different times within 0.3 s. The load that is saved was not measured.

--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -110,9 +110,8 @@
         route->shares.begin(), route->shares.end(),
         [&](calls::service_share const& share) { return share.service == one.service; });
     if (!still_there) one.service = shares_.pick(*route);
-    if (!may_start(owner, next.index, now)) continue;
     engines::board_engine const* engine = parts_.board.choose(need_of(owner, one), now);
-    if (engine == nullptr) continue;
+    if (engine == nullptr || !may_start(owner, next.index, now)) continue;
     start(owner, next.index, *engine);
     ++started;
   }
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -24,6 +24,8 @@
 /// explains the crashes. While the store is out it lets the request through once in that time.
 constexpr milliseconds k_own_word{5'000};
 constexpr milliseconds k_write_timeout{400};
+/// Nodes take a record back at different times within that, well within the time to object.
+constexpr milliseconds k_take_back_spread{300};
 constexpr milliseconds k_write_retry{300};
 /// Evidence without an answer to the request is kept for that long on the node that saw it: a
 /// client that comes again does so within minutes.
@@ -88,8 +90,9 @@
 
 void service::collect(crash const& one) {
   collected_.note(one);
-  bool const open = is_proven(one.request) && list_.find(one.request) == nullptr;
-  if (!open || !writing_.insert(one.request).second) return;
+  bool const settled = list_.find(one.request) != nullptr || writing_.contains(one.request);
+  if (settled || !is_proven(one.request)) return;
+  writing_.insert(one.request);
   spawn(parts_.context, write_record(one.request));
 }
 
@@ -182,6 +185,8 @@
 }
 
 awaitable<void> service::take_back(fingerprint request) {
+  // Of many nodes that have answered it, most hear that one of them was faster.
+  co_await wait_for(with_jitter(2 * k_take_back_spread) - k_take_back_spread);
   quarantine_entry const* known = list_.find(request);
   while (known != nullptr) {
     kv::operation remove;
