Test of a wide crash: nodes that collect do not see the answers

Change: six nodes; only those that do not collect get the popular request, and a record must have been written.

--- a/rehearsal/deadly_requests.cc
+++ b/rehearsal/deadly_requests.cc
@@ -83,9 +83,9 @@
     }
     std::size_t const more = crashes(request) - before;
     if (more <= k_retries_allowed) continue;
-    broken.push_back({"few retries after three crashes",
-                      body_of(request) + ": " + std::to_string(before) + ", then " +
-                          std::to_string(more) + " more"});
+    broken.push_back({"few retries after three crashes", body_of(request) + ": " +
+                                                             std::to_string(before) + ", then " +
+                                                             std::to_string(more) + " more"});
   }
   return broken;
 }
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -335,23 +335,31 @@
 }
 
 TEST(crashing_request_test, wide_crash_under_a_popular_request_refuses_nothing) {
-  set_crash_text("");
-  system.on_platform([&] {
-    for (std::size_t index = 0; index < system.apps(); ++index) {
-      system.app(index).faults().work_time = milliseconds(40);
+  platform_options options = with_many_servers();
+  options.nodes = 6;
+  platform_cluster wide{options};
+  wide.on_platform([&] {
+    for (std::size_t index = 0; index < wide.apps(); ++index) {
+      wide.app(index).faults().work_time = milliseconds(40);
     }
     return 0;
   });
+  // The nodes that bring evidence together do not see the request answered.
+  std::vector<std::size_t> callers_nodes;
+  std::set<std::size_t> const relays = {wide.relay(0), wide.relay(1), wide.relay(2)};
+  for (std::size_t node = 0; node < wide.nodes(); ++node) {
+    if (!relays.contains(node)) callers_nodes.push_back(node);
+  }
   std::atomic<bool> stop = false;
   std::atomic<int> refused = 0;
   std::atomic<int> served = 0;
   std::vector<std::thread> callers;
-  for (std::size_t number = 0; number < 12; ++number) {
+  for (std::size_t number = 0; number < 15; ++number) {
     callers.emplace_back([&, number] {
       for (int call = 0; !stop; ++call) {
         auto const id = "popular-" + std::to_string(number) + "-" + std::to_string(call);
-        auto const answer = system.call(number % system.nodes(), http::verb::post, "/calls/x", id,
-                                        "popular", k_patience);
+        auto const answer = wide.call(callers_nodes[number % callers_nodes.size()],
+                                      http::verb::post, "/calls/x", id, "popular", k_patience);
         if (!answer) continue;
         if (answer.value().result_int() == 200) ++served;
         if (answer.value().body().find("quarantined") != std::string::npos) ++refused;
@@ -362,16 +370,16 @@
     int const then = served;
     platform_cluster::wait_until("the request is served", [&] { return served > then + 30; });
     // Three of four servers end at once, under many runs of the same request.
-    system.on_platform([&] {
+    wide.on_platform([&] {
       for (std::size_t index = 0; index < 3; ++index) {
-        system.app((index + static_cast<std::size_t>(round)) % 4).crash();
+        wide.app((index + static_cast<std::size_t>(round)) % 4).crash();
       }
       return 0;
     });
     platform_cluster::wait_until("all servers are back", [&] {
-      return system.on_platform([&] {
+      return wide.on_platform([&] {
         for (std::size_t index = 0; index < 4; ++index) {
-          if (system.app(index).is_down()) return false;
+          if (wide.app(index).is_down()) return false;
         }
         return true;
       });
@@ -380,6 +388,11 @@
   stop = true;
   for (std::thread& one : callers) one.join();
   LONGS_EQUAL(0, refused);
+  bool suspected = false;
+  for (std::size_t node : relays) {
+    suspected = suspected || wide.log(node).find("put under quarantine") != std::string::npos;
+  }
+  CHECK(suspected);
 }
 
 TEST(crashing_request_test, requests_that_stand_beside_it_are_served_soon_after) {
