--- a/src/base/time.h
+++ b/src/base/time.h
@@ -19,7 +19,8 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true;
+  // The name that the standard library asks of a clock.
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming)
 
   static time_point now() noexcept;
 };
