Failing tests: records that were seen only in a refused transaction

Cause: usage_test.killed_holder_loses_no_request_of_the_others waited in vain once, in the whole ctest. Its logs (three nodes): node-0 took the duties and was killed 94 ms later; nodes 1 and 2 had their own claims refused 160 and 170 ms after that and so learned of node-0's record; their feed never held it, as node-0 was the one that passed records on.

A pool's owner would be missed in the same way: no sample would run any more. The same stands in the quarantine: a record that a refused write showed, or that is gone before this node's feed has heard of it, is removed again every 0.3 s without an end. Ruled out: load as the cause; the order of events in the logs is enough for it.

--- a/tests/unit/ownership/owner_lease_test.cc
+++ b/tests/unit/ownership/owner_lease_test.cc
@@ -89,6 +89,32 @@
   STRCMP_EQUAL("other", one.owner()->node.c_str());
 }
 
+TEST(owner_lease_test, owner_that_only_a_refused_claim_showed_is_asked_for_again) {
+  // The follower is behind: it says that there is no owner, and never hears of this one's record.
+  put_owner("other", "t");
+  one.start();
+  one.note_record(nullptr);
+  run_until([&] { return one.owner().has_value(); });
+  STRCMP_EQUAL("other", one.owner()->node.c_str());
+  store.remove_now(owner_lease::key_of("pool"));
+  time_point const limit = boot_clock::now() + seconds(6);
+  run_until([&] { return gained == 1 || boot_clock::now() > limit; });
+  LONGS_EQUAL(1, gained);
+}
+
+TEST(owner_lease_test, owner_that_the_follower_told_of_is_not_asked_for_again) {
+  put_owner("other", "t");
+  one.start();
+  one.note_record(nullptr);
+  run_until([&] { return one.owner().has_value(); });
+  tell(one);
+  time_point const limit = boot_clock::now() + seconds(4);
+  run_until([&] { return boot_clock::now() > limit; });
+  STRCMP_EQUAL("other", one.owner()->node.c_str());
+  LONGS_EQUAL(0, gained);
+  LONGS_EQUAL(1, store.writes_of(owner_lease::key_of("pool")));
+}
+
 TEST(owner_lease_test, record_of_the_own_former_process_is_replaced_at_once_and_orders_go_on) {
   put_owner("one", "former");
   put_orderer("one");
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -75,3 +75,16 @@
   report("three");
   CHECK(!is_recorded_in_time());
 }
+
+TEST(quarantine_service_test, record_that_is_gone_unheard_of_is_not_taken_back_for_ever) {
+  quarantine_entry entry;
+  entry.request = request;
+  kv::watch_event event;
+  event.entry.key = quarantine_list::key_of(request);
+  event.entry.value = quarantine_list::encode(entry, "");
+  event.entry.mod_revision = 7;
+  collector.listener().event(event);
+  LONGS_EQUAL(1, collector.records());
+  collector.note_answer(request);
+  CHECK(run_until([&] { return collector.records() == 0; }));
+}
