An owner, or a record, that only a refused write showed is not believed in for ever

Cause: a refused claim shows the owner's record, and a node then waits for its end, which the feed of records tells; but a feed that has never heard of the record has no end of it to tell. So a resource whose owner dies before its record has spread stays without an owner. A node that takes a quarantine's record back, and finds that the store has none, asked again every 0.3 s without an end. Change: an owner known by a refused claim alone is asked for again after the lease's time (1.5 s), by one more claim. A refused write that shows no record ends the quarantine on this node. Ruled out: leaving the owner unknown after a refused claim, since each node would claim again every 0.5 s until its feed is there; telling the feed of the record, one more way into the views.

--- a/src/ownership/owner_lease.cc
+++ b/src/ownership/owner_lease.cc
@@ -73,6 +73,11 @@
 }
 
 void owner_lease::note_record(kv::key_value const* record) {
+  shown_by_claim_at_.reset();
+  adopt(record);
+}
+
+void owner_lease::adopt(kv::key_value const* record) {
   record_known_ = true;
   if (record == nullptr) {
     owner_.reset();
@@ -109,10 +114,22 @@
 void owner_lease::take_current(std::vector<kv::key_value> const& records) {
   for (kv::key_value const& one : records) {
     if (one.key == orderer_key_of(resource_)) note_orderer(one);
-    if (one.key == key_of(resource_)) note_record(&one);
+    if (one.key != key_of(resource_)) continue;
+    adopt(&one);
+    shown_by_claim_at_ = boot_clock::now();
   }
 }
 
+void owner_lease::forget_unheard_owner() {
+  bool const due = shown_by_claim_at_ && state_ != lease_state::owner &&
+                   boot_clock::now() >= *shown_by_claim_at_ + options_.time_to_live;
+  if (!due) return;
+  shown_by_claim_at_.reset();
+  owner_.reset();
+  log_line(log_level::info, k_part, "Owner of a refused claim was not heard of again.",
+           {{"resource", resource_}, {"owner", last_owner_}, {"epoch", record_revision_}});
+}
+
 bool owner_lease::may_order(time_point now) const {
   return holds(now) && now >= orders_from_ && ordered_last();
 }
@@ -182,6 +199,7 @@
       co_await compete();
     } else {
       co_await changed_.wait_until(boot_clock::now() + seconds(1));
+      forget_unheard_owner();
     }
   }
 }
--- a/src/ownership/owner_lease.h
+++ b/src/ownership/owner_lease.h
@@ -114,6 +114,9 @@
   /// Writes the orderer's record once the first order is due; repeated until it is known to stand.
   awaitable<void> become_orderer();
   void take_current(std::vector<kv::key_value> const& records);
+  void adopt(kv::key_value const* record);
+  /// Asks anew about an owner of whom no follower has told.
+  void forget_unheard_owner();
   void stop_owning(std::string_view cause);
 
   asio::io_context& context_;
@@ -132,6 +135,9 @@
   time_point may_have_ordered_until_;
   milliseconds order_gap_{3000};
   std::optional<known_owner> owner_;
+  /// When a refused claim showed the owner, until a follower tells of it. A record that is gone
+  /// before the follower has heard of it is nothing that it would tell the end of.
+  std::optional<time_point> shown_by_claim_at_;
   /// Revision of the owner's record.
   kv::revision record_revision_ = 0;
   /// Node that owned the resource last, as far as is known.
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -141,7 +141,10 @@
     co_return false;
   }
   if (!outcome.value().succeeded) {
-    for (kv::key_value const& record : outcome.value().read) take(record);
+    auto const& read = outcome.value().read;
+    for (kv::key_value const& record : read) take(record);
+    // Nobody tells the end of a record of which the feed has never heard.
+    if (read.empty()) forget(entry.request, "the store has no such record");
     co_return false;
   }
   if (removes) {
