Test of the relays: nobody is about to claim when the calls to the store are counted

Cause: one_node_of_each_zone_* counted a call of a node that is no relay. Traced in its logs: two nodes of the zone had seen no relay's record yet, so their claims of it, begun before the test began to count, came in the same millisecond as the first one and were refused. Change: the test's premise, 'each zone has its relay', waits until all nodes have heard of both. What it asserts is unchanged. Ruled out: claims after a node knows its relay; there is none in the logs.

--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -154,6 +154,11 @@
              count(feed_role::standby) == 4;
     }));
     CHECK(all_have("1"));
+    // Who has not heard of its zone's relay yet may be about to claim the record, in vain.
+    CHECK(run_until([&] {
+      return std::all_of(nodes.begin(), nodes.end(),
+                         [](auto const& one) { return one->feed->relay_addresses(2).size() == 2; });
+    }));
   }
 
   std::uint64_t calls_of(test_node const& one) {
