Soak: samples and scorers' calls that end servers, power lost everywhere, all suspended

Cause: of what is new on the users' pages the soak caused calls that end servers, and suspended single nodes. Not samples, nor scorers' calls; nor power lost everywhere right after something was accepted. Change: a job with a sample that ends engines, one whose scorer's call ends application servers, and a harmless one; after the faults its samples come again in jobs at every node: few retries may reach a server, and the harmless one must be finished. All nodes without power (silent, then killed) in the moment after a job's acceptance; all nodes suspended at once. A node that was started anew is no longer woken from the sleep of the process before it, which set its clock back.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -19,15 +19,16 @@
 
 DEFINE_uint64(seed, 1, "seed of everything random");
 DEFINE_double(minutes, 1, "how long faults are caused");
+DEFINE_uint32(nodes, 4, "gateways, 2 to 200");
+DEFINE_uint32(engines, 3, "stand-ins of engines, 1 to 64");
+DEFINE_uint32(apps, 3, "stand-ins of application servers, 1 to 64");
+DEFINE_uint32(zones, 1, "zones of the gateways");
 
 namespace {
 
 using namespace frostline;
 using namespace frostline::testing;
 
-constexpr std::uint32_t k_nodes = 4;
-constexpr std::uint32_t k_engines = 3;
-constexpr std::uint32_t k_apps = 3;
 constexpr std::uint32_t k_events = 5;
 constexpr std::size_t k_items = 12;
 constexpr milliseconds k_order_gap{300};
@@ -43,6 +44,8 @@
 constexpr milliseconds k_fault_time{1500};
 constexpr milliseconds k_quiet_time{700};
 constexpr milliseconds k_frozen_time{2200};
+/// An acceptance is waited for no longer: there is none while faults stop all.
+constexpr milliseconds k_acceptance_limit{1500};
 constexpr milliseconds k_recovery_limit{12'000};
 constexpr milliseconds k_recovery_patience{5000};
 /// A node has heard of everything that long after the last fault.
@@ -56,9 +59,10 @@
       : random_(seed),
         system_(options()),
         deadly_(system_, k_first_key, seed),
-        faults_(system_, deadly_, {k_tenants, k_without_second_key}) {
+        faults_(system_, deadly_, {k_tenants, k_without_second_key},
+                [this] { wait_for_acceptance(); }) {
     system_.on_platform([this] {
-      for (std::size_t app = 0; app < k_apps; ++app) {
+      for (std::size_t app = 0; app < FLAGS_apps; ++app) {
         system_.app(app).faults().work_time = k_work_time;
       }
       return 0;
@@ -72,7 +76,9 @@
     system_.use_key(k_first_key);
     std::thread caller([this] { call_loop(); });
     std::thread trainer([this] { train_loop(); });
-    while (boot_clock::now() < end) cause_pair();
+    // Of the others any may come, these in each soak.
+    cause_pair(faults_.find("deadly_request"), faults_.find("deadly_job"), 0);
+    while (boot_clock::now() < end) cause_random_pair();
     deadly_.stop();
     bool const recovered = wait_for_recovery();
     check_deadly_requests();
@@ -86,9 +92,10 @@
  private:
   static platform_options options() {
     platform_options all;
-    all.nodes = k_nodes;
-    all.engines = k_engines;
-    all.apps = k_apps;
+    all.nodes = FLAGS_nodes;
+    all.engines = FLAGS_engines;
+    all.apps = FLAGS_apps;
+    all.zones = FLAGS_zones;
     all.events = k_events;
     all.event_gap = milliseconds(25);
     all.proxied_store = true;
@@ -103,23 +110,35 @@
     return random_() % count;
   }
 
-  void cause_pair() {
-    auto const& faults = faults_.all();
+  void cause_random_pair() {
+    std::vector<soak_fault> const& faults = faults_.all();
     std::size_t const first = pick(faults.size());
     std::size_t const second = pick(faults.size());
     std::size_t const target = pick(1000);
-    std::cout << "fault " << faults[first].name << " + " << faults[second].name << " on "
-              << target % k_nodes << std::endl;
-    faults[first].apply(true, target);
-    if (second != first) faults[second].apply(true, target + 1);
-    caused_ += second == first ? 1 : 2;
-    bool const frozen = stands_still(faults[first].name) || stands_still(faults[second].name);
+    cause_pair(faults[first], faults[second], target);
+  }
+
+  void cause_pair(soak_fault const& first, soak_fault const& second, std::size_t target) {
+    std::cout << "fault " << first.name << " + " << second.name << " on " << target % FLAGS_nodes
+              << std::endl;
+    bool const two = &first != &second;
+    first.apply(true, target);
+    if (two) second.apply(true, target + 1);
+    caused_ += two ? 2 : 1;
+    bool const frozen = stands_still(first.name) || stands_still(second.name);
     std::this_thread::sleep_for(frozen ? k_frozen_time : k_fault_time);
-    faults[first].apply(false, target);
-    if (second != first) faults[second].apply(false, target + 1);
+    first.apply(false, target);
+    if (two) second.apply(false, target + 1);
     std::this_thread::sleep_for(k_quiet_time);
   }
 
+  /// Returns right after a job was accepted, or after a while.
+  void wait_for_acceptance() {
+    std::uint64_t const before = accepted_;
+    time_point const limit = boot_clock::now() + k_acceptance_limit;
+    while (accepted_ == before && boot_clock::now() < limit) std::this_thread::yield();
+  }
+
   static bool stands_still(std::string const& fault) {
     for (char const* word : {"freeze", "frozen", "suspend"}) {
       if (fault.find(word) != std::string::npos) return true;
@@ -136,7 +155,7 @@
   }
 
   bool is_served() {
-    for (std::size_t node = 0; node < k_nodes; ++node) {
+    for (std::size_t node = 0; node < FLAGS_nodes; ++node) {
       // Without a key, so that they count as no tenant's requests.
       auto const answer = system_.call(node, http::verb::get, "/open/recovery", next_id("r"), "",
                                        k_recovery_patience, "");
@@ -165,7 +184,7 @@
       std::string const key =
           choice == 0 ? k_nobodys_key : (choice < 3 ? k_first_key : k_second_key);
       if (choice > 0) one.tenant = choice < 3 ? k_first : k_second;
-      auto const answer = system_.call(pick(k_nodes), http::verb::post, path, one.request, "b",
+      auto const answer = system_.call(pick(FLAGS_nodes), http::verb::post, path, one.request, "b",
                                        milliseconds(1500), key);
       if (answer) {
         one.status = answer.value().result_int();
@@ -188,8 +207,9 @@
         items.back().scorer_path = "/open/score";
       }
       while (working_ && !job.accepted) {
-        job.accepted = system_.submit(pick(k_nodes), job.job, items, job.min_version) == 202;
+        job.accepted = system_.submit(pick(FLAGS_nodes), job.job, items, job.min_version) == 202;
       }
+      if (job.accepted) ++accepted_;
       for (int reads = 0; reads < 12 && job.accepted; ++reads) {
         if (read(job.job) == k_items) break;
         std::this_thread::sleep_for(milliseconds(100));
@@ -203,7 +223,7 @@
 
   /// @return results listed.
   std::size_t read(std::string const& job) {
-    auto const answer = system_.results(pick(k_nodes), job);
+    auto const answer = system_.results(pick(FLAGS_nodes), job);
     if (!answer) return 0;
     read_record one;
     one.job = job;
@@ -214,7 +234,7 @@
   }
 
   void end(job_record& job) {
-    job.ended = system_.end_job(pick(k_nodes), job.job) == 200;
+    job.ended = system_.end_job(pick(FLAGS_nodes), job.job) == 200;
     job.ended_at = boot_clock::now();
     // An end without an answer may have been stored: whether the job goes on is open.
     if (!job.ended) job.accepted = false;
@@ -232,11 +252,11 @@
 
   bool judge(bool recovered) {
     system_.on_platform([this] {
-      for (std::size_t index = 0; index < k_engines; ++index) {
+      for (std::size_t index = 0; index < FLAGS_engines; ++index) {
         seen_.arrivals[system_.engine(index).id()] = system_.engine(index).arrivals();
         seen_.orders[system_.engine(index).id()] = system_.engine(index).orders();
       }
-      for (std::size_t index = 0; index < k_apps; ++index) {
+      for (std::size_t index = 0; index < FLAGS_apps; ++index) {
         seen_.arrivals[system_.app(index).id()] = system_.app(index).arrivals();
       }
       return 0;
@@ -275,6 +295,8 @@
   platform_cluster system_;
   std::atomic<bool> working_ = true;
   std::atomic<std::uint64_t> next_id_ = 0;
+  /// Jobs that were accepted.
+  std::atomic<std::uint64_t> accepted_ = 0;
   std::size_t caused_ = 0;
   soak_records seen_;
   std::vector<broken_promise> budget_broken_;
@@ -287,6 +309,12 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("Faults in pairs around gateways on stand-ins of the platform.");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  bool const fits = FLAGS_nodes >= 2 && FLAGS_nodes <= 200 && FLAGS_engines >= 1 &&
+                    FLAGS_engines <= 64 && FLAGS_apps >= 1 && FLAGS_apps <= 64 && FLAGS_zones >= 1;
+  if (!fits) {
+    std::cerr << "The numbers of nodes, engines, apps and zones are out of their bounds.\n";
+    return 2;
+  }
   soak one(FLAGS_seed);
   return one.run(FLAGS_minutes) ? 0 : 1;
 }
--- a/rehearsal/soak_faults.cc
+++ b/rehearsal/soak_faults.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 
+#include <stdexcept>
 #include <thread>
 
 namespace frostline::testing {
@@ -12,14 +13,26 @@
 
 }  // namespace
 
-soak_faults::soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants)
-    : system_(system), deadly_(deadly), tenants_(std::move(tenants)) {
+soak_faults::soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants,
+                         std::function<void()> wait_for_acceptance)
+    : system_(system),
+      deadly_(deadly),
+      tenants_(std::move(tenants)),
+      wait_for_acceptance_(std::move(wait_for_acceptance)) {
   add_process_faults();
+  add_faults_of_all();
   add_store_faults();
   add_server_faults();
   add_duty_faults();
 }
 
+soak_fault const& soak_faults::find(std::string_view name) const {
+  for (soak_fault const& one : faults_) {
+    if (one.name == name) return one;
+  }
+  throw std::logic_error("no such fault: " + std::string(name));
+}
+
 void soak_faults::on_store(std::function<void(store_faults&)> change) {
   system_.on_platform([&] {
     change(system_.store().faults());
@@ -103,6 +116,12 @@
     name_next();
     system_.node(handed_over_).send_signal(SIGTERM);
   });
+  add("reload", [this](bool on, std::size_t target) {
+    if (on) system_.node(node_of(target)).send_signal(SIGHUP);
+  });
+}
+
+void soak_faults::add_faults_of_all() {
   add("kill_all", [this](bool on, std::size_t) {
     for (std::size_t node = 0; node < system_.nodes(); ++node) {
       if (on) {
@@ -112,8 +131,26 @@
       }
     }
   });
-  add("reload", [this](bool on, std::size_t target) {
-    if (on) system_.node(node_of(target)).send_signal(SIGHUP);
+  add("suspend_all", [this](bool on, std::size_t) {
+    for (std::size_t node = 0; node < system_.nodes(); ++node) {
+      if (on) {
+        system_.suspend(node);
+      } else {
+        system_.wake(node);
+      }
+    }
+  });
+  // Without power a machine closes no connection: others see silence until it is back.
+  add("power_lost_after_acceptance", [this](bool on, std::size_t) {
+    if (on) wait_for_acceptance_();
+    for (std::size_t node = 0; node < system_.nodes(); ++node) {
+      if (on) {
+        system_.node(node).send_signal(SIGSTOP);
+      } else {
+        system_.node(node).kill();
+        restart(node);
+      }
+    }
   });
 }
 
@@ -207,6 +244,9 @@
       deadly_.switch_off();
     }
   });
+  add("deadly_job", [this](bool on, std::size_t) {
+    if (on) deadly_.hand_in_job();
+  });
   add("app_withdrawn", [this](bool on, std::size_t target) {
     system_.on_platform([&] {
       server_standin& app = system_.app(target % system_.apps());
--- a/rehearsal/soak_faults.h
+++ b/rehearsal/soak_faults.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "deadly_requests.h"
@@ -27,9 +28,13 @@
 
 class soak_faults {
  public:
-  soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants);
+  /// @param wait_for_acceptance returns right after a job was accepted, or after a while.
+  soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants,
+              std::function<void()> wait_for_acceptance);
 
   std::vector<soak_fault> const& all() const { return faults_; }
+  /// The fault of this name; there has to be one.
+  soak_fault const& find(std::string_view name) const;
   /// Names the next version of the weights. @return its number.
   std::uint64_t name_next();
   std::uint64_t newest_version();
@@ -37,6 +42,7 @@
  private:
   void add(std::string name, std::function<void(bool, std::size_t)> apply);
   void add_process_faults();
+  void add_faults_of_all();
   void add_store_faults();
   void add_server_faults();
   void add_duty_faults();
@@ -52,6 +58,7 @@
   platform_cluster& system_;
   deadly_requests& deadly_;
   soak_tenants tenants_;
+  std::function<void()> wait_for_acceptance_;
   std::vector<soak_fault> faults_;
   /// The newest that was named; used on the stand-ins' thread.
   std::uint64_t version_ = 1;
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -167,6 +167,7 @@
 }
 
 void platform_cluster::start_node(std::size_t index) {
+  suspended_at_.erase(index);
   write_settings(index);
   std::string const name = folder_ + "/node-" + std::to_string(index);
   std::vector<std::string> const arguments = {"--config=" + name + ".toml"};
@@ -180,13 +181,15 @@
 }
 
 void platform_cluster::suspend(std::size_t index) {
-  suspended_at_[index] = boot_clock::now();
+  suspended_at_.try_emplace(index, boot_clock::now());
   nodes_.at(index)->send_signal(SIGSTOP);
 }
 
 void platform_cluster::wake(std::size_t index) {
+  auto const suspended = suspended_at_.extract(index);
+  if (suspended.empty()) return;
   auto const slept =
-      std::chrono::duration_cast<milliseconds>(boot_clock::now() - suspended_at_.at(index));
+      std::chrono::duration_cast<milliseconds>(boot_clock::now() - suspended.mapped());
   nodes_.at(index)->wake_from_suspension(static_cast<int>(slept.count()));
 }
 
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -95,7 +95,8 @@
   /// Writes a node's settings file again, with a later time.
   void touch_settings(std::size_t index);
   child_process& node(std::size_t index) { return *nodes_.at(index); }
-  /// Stops a node as if its machine slept, and lets it go on. Only with `suspendable`.
+  /// Stops a node as if its machine slept, and lets it go on; a process that has not slept is not
+  /// woken. Only with `suspendable`.
   void suspend(std::size_t index);
   void wake(std::size_t index);
   bool is_ready(std::size_t index);
