--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -219,6 +219,17 @@
   CHECK(late_arrivals() <= k_retries_allowed);
 }
 
+TEST(crashing_request_test, samples_that_ran_beside_it_are_not_held_back) {
+  // All engines are full, so that it takes seven others along each time.
+  auto items = make_items("job", 32);
+  items[3].prompt = k_deadly;
+  LONGS_EQUAL(202, system.submit(0, "job", items));
+  platform_cluster::wait_until("there is a record", [&] { return quarantine_records() > 0; });
+  auto const listed = system.wait_for_results(1, "job", 31);
+  LONGS_EQUAL(31, completed(listed).size());
+  LONGS_EQUAL(1, quarantine_records());
+}
+
 TEST(crashing_request_test, scorers_call_reaches_servers_no_more_and_the_others_are_scored) {
   auto items = make_items("job", 12);
   items[3].scorer_body = k_deadly;
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "cluster.h"
+#include "http/server.h"
 #include "memory_record_store.h"
 #include "quarantine/service.h"
 
@@ -21,12 +23,45 @@
   memory_record_store store{context};
   http::client transport{context};
   endpoint const self{"127.0.0.1", 1};
-  service collector{
-      {context, store, transport, "node", self, [this] { return std::vector<endpoint>{self}; }}};
+  std::vector<endpoint> collectors{self};
+  service collector{{context, store, transport, "node", self, [this] { return collectors; }}};
   rpc::dispatcher methods;
+  std::string address = own_loopback_address();
+  /// Evidence that the other collector was told.
+  std::size_t told = 0;
+  rpc::dispatcher other_methods;
+  http::server other{context, http::server_limits(), [this](http::request message) {
+                       return other_methods.handle(std::move(message));
+                     }};
   fingerprint const request = fingerprint::of({"", "host", "POST", "/", "body"});
 
-  void setup() override { collector.add_methods(methods); }
+  void setup() override {
+    collector.add_methods(methods);
+    collector.start();
+  }
+
+  /// A server at whose address nobody listens.
+  directory::server ended_server(std::string const& id) {
+    directory::server server;
+    server.id = id;
+    server.address = free_endpoint(address);
+    return server;
+  }
+
+  /// Another collector, which takes reports.
+  endpoint listening() {
+    other_methods.add<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
+        "QuarantineService", "Report",
+        [this](rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
+          told += call.evidence.size();
+          rpc::CrashReportReplyT reply;
+          reply.incarnation = "other";
+          co_return reply;
+        });
+    endpoint const where = free_endpoint(address);
+    STRCMP_EQUAL("", other.listen(where).c_str());
+    return where;
+  }
 
   bool run_until(std::function<bool()> const& condition) {
     time_point const limit = boot_clock::now() + k_patience;
@@ -76,6 +111,37 @@
   CHECK(!is_recorded_in_time());
 }
 
+TEST(quarantine_service_test, node_refuses_alone_only_when_it_is_not_disputed) {
+  for (char const* server : {"one", "two", "three"}) {
+    std::size_t const before = collector.crashes_seen(request);
+    collector.note_broken(ended_server(server), request, boot_clock::now());
+    CHECK(run_until([&] { return collector.crashes_seen(request) > before; }));
+  }
+  time_point const now = boot_clock::now();
+  CHECK(collector.check(request, now) == verdict::allowed);
+  CHECK(collector.check(request, now + quarantine_list::k_objection_time) == verdict::refused);
+  collector.note_answer(request);
+  CHECK(collector.check(request, now + quarantine_list::k_objection_time) == verdict::allowed);
+}
+
+TEST(quarantine_service_test, node_that_is_no_collector_leaves_the_record_to_those_who_are) {
+  collectors = {listening()};
+  for (char const* server : {"one", "two", "three"}) {
+    collector.note_broken(ended_server(server), request, boot_clock::now());
+  }
+  CHECK(run_until([&] { return collector.crashes_seen(request) == 3; }));
+  CHECK(run_until([&] { return told == 3; }));
+  CHECK(!is_recorded_in_time());
+}
+
+TEST(quarantine_service_test, node_whose_collectors_are_silent_writes_the_record_itself) {
+  collectors = {free_endpoint(address)};
+  for (char const* server : {"one", "two", "three"}) {
+    collector.note_broken(ended_server(server), request, boot_clock::now());
+  }
+  CHECK(is_recorded_in_time());
+}
+
 TEST(quarantine_service_test, record_that_is_gone_unheard_of_is_not_taken_back_for_ever) {
   quarantine_entry entry;
   entry.request = request;
--- a/tests/unit/quarantine/suspect_table_test.cc
+++ b/tests/unit/quarantine/suspect_table_test.cc
@@ -135,3 +135,15 @@
     return other == request_of("deadly");
   }));
 }
+
+TEST(suspect_table_test, request_that_ended_many_servers_explains_the_last_of_them_too) {
+  for (int server = 0; server < 20; ++server) {
+    note("ends", "s" + std::to_string(server), 50 * server, 50 * server + 40);
+  }
+  for (int server = 17; server < 20; ++server) {
+    note("beside", "s" + std::to_string(server), 50 * server, 50 * server + 40);
+  }
+  auto const none = [](fingerprint const&) { return false; };
+  CHECK(table.is_explained_by_others(request_of("beside"), none));
+  CHECK(!table.is_explained_by_others(request_of("ends"), none));
+}
