Requests and samples that only stood beside a crash are kept from it, and are not refused

Change: a node's own evidence refuses a request 0.7 s after the third crash, as a record does, and for 2 s, by when there is a record or another request explains the crashes; for 5 s only while records do not come (an outage of the store). Only collectors write records, others if no collector takes their reports. Runs of samples under which two engines have ended, and trials, share no engine with each other. All servers that a request has ended explain what ended beside it (32 are kept, not 8). Ruled out: a second trial sooner than 5 minutes, since it would use up the retry kept in reserve; keeping samples apart after one crash, since a full engine's crash would make all wait.

--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -50,6 +50,7 @@
   // A load concerns the runs of its own model only.
   bool const loading = one.load == load_state::ordered && one.ordered_model == need.model;
   if (loading || one.blocked_until > now) return false;
+  if (need.excluded.contains(one.server.id)) return false;
   if (one.in_flight >= one.server.slots) return false;
   bool const fits = cache_tokens_ == 0 || one.in_flight == 0 ||
                     one.tokens_in_flight + need.tokens <= cache_tokens_;
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   std::optional<std::uint64_t> exact_version;
   std::uint64_t tokens = 0;
   std::string group;
+  /// Engines that will not do.
+  std::set<std::string> excluded;
 };
 
 class engine_board {
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -36,6 +36,9 @@
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 /// Nodes that bring evidence of crashes together: one is enough, two more outlast it.
 constexpr std::size_t k_collectors = 3;
+/// Age of records that come without delay: a wait at a relay (0.7 s), and the relay's own look at
+/// the store, with a margin.
+constexpr milliseconds k_current_age{2000};
 constexpr std::string_view k_metrics_path = "/metrics";
 constexpr std::string_view k_plain_text = "text/plain; version=0.0.4";
 
@@ -76,7 +79,8 @@
   usage::run_counter runs_;
   quarantine::service quarantine_{quarantine::service_parts{
       context_, adapter_.store(), transport_, settings_.id, settings_.peers,
-      [this] { return feed_.relay_addresses(k_collectors); }}};
+      [this] { return feed_.relay_addresses(k_collectors); },
+      [this] { return feed_.age(boot_clock::now()) < k_current_age; }}};
   calls::forwarder forwarder_{calls::forwarder_parts{context_, servers_, connections_, selector_,
                                                      adapter_.names(), runs_, quarantine_}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -23,6 +23,10 @@
 /// After an engine has ended under a sample: whether a second one has, too, is known here within
 /// some 30 ms (quarantine/crash_watch), and the next run waits for that.
 constexpr milliseconds k_suspect_pause{40};
+/// Engines that have ended under a sample when its runs are kept apart from those of others like
+/// it: the next one that ends would condemn all that run there. One would be too few: after the
+/// crash of a full engine all its samples would wait for engines of their own.
+constexpr std::size_t k_apart_crashes = quarantine::k_most_crashes - 1;
 /// How often a sample that is held back is looked at again.
 constexpr milliseconds k_held_back_pause{500};
 /// Runs started in one turn of the loop: other work, such as the lease, must not wait for all.
@@ -63,22 +67,35 @@
   });
 }
 
+quarantine::fingerprint const& sample_runner::identity_of(job& owner, std::uint32_t index) const {
+  sample& one = owner.samples[index];
+  if (!one.identity) one.identity = identify(owner, index);
+  return *one.identity;
+}
+
+bool sample_runner::runs_apart(job& owner, std::uint32_t index, time_point now) const {
+  if (!parts_.quarantine.is_watching()) return false;
+  quarantine::fingerprint const& request = identity_of(owner, index);
+  return parts_.quarantine.crashes_seen(request) >= k_apart_crashes ||
+         parts_.quarantine.check(request, now) != quarantine::verdict::allowed;
+}
+
 bool sample_runner::may_start(job& owner, std::uint32_t index, time_point now) {
   if (!parts_.quarantine.is_watching()) return true;
   sample& one = owner.samples[index];
-  if (!one.identity) one.identity = identify(owner, index);
-  if (trials_.erase(*one.identity) > 0) return true;
-  quarantine::verdict const verdict = parts_.quarantine.check(*one.identity, now);
+  quarantine::fingerprint const& request = identity_of(owner, index);
+  if (trials_.erase(request) > 0) return true;
+  quarantine::verdict const verdict = parts_.quarantine.check(request, now);
   if (verdict == quarantine::verdict::allowed) return true;
   one.not_before = now + k_held_back_pause;
   if (verdict == quarantine::verdict::trial) {
-    spawn(parts_.context, ask_for_trial(*one.identity));
+    spawn(parts_.context, ask_for_trial(request));
   } else if (!one.held_back) {
-    parts_.quarantine.note_refused(*one.identity);
+    parts_.quarantine.note_refused(request);
     log_line(log_level::warning, k_part, "Sample is held back: engines end under it.",
              {{"request", one.spec->id},
               {"job", owner.record.id},
-              {"fingerprint", one.identity->to_string()}});
+              {"fingerprint", request.to_string()}});
   }
   one.held_back = true;
   return false;
@@ -110,28 +127,34 @@
         route->shares.begin(), route->shares.end(),
         [&](calls::service_share const& share) { return share.service == one.service; });
     if (!still_there) one.service = shares_.pick(*route);
-    engines::board_engine const* engine = parts_.board.choose(need_of(owner, one), now);
+    bool const apart = runs_apart(owner, next.index, now);
+    engines::run_need need = need_of(owner, one);
+    if (apart) need.excluded = apart_;
+    engines::board_engine const* engine = parts_.board.choose(need, now);
     if (engine == nullptr || !may_start(owner, next.index, now)) continue;
-    start(owner, next.index, *engine);
+    start(owner, next.index, *engine, apart);
     ++started;
   }
   move_slow_runs(now);
 }
 
-void sample_runner::start(job& owner, std::uint32_t index, engines::board_engine const& engine) {
+void sample_runner::start(job& owner, std::uint32_t index, engines::board_engine const& engine,
+                          bool apart) {
   sample& one = owner.samples[index];
   run_key const key = parts_.table.start(owner, index, engine.server.id, boot_clock::now());
   std::uint64_t const tokens = expected_tokens(*one.spec);
   parts_.board.note_started(engine.server.id, tokens, one.spec->group);
   ++figures_.runs;
+  if (apart) apart_.insert(engine.server.id);
   log_line(log_level::info, k_part, "Run started.",
            {{"request", one.spec->id},
             {"job", owner.record.id},
             {"server", engine.server.id},
             {"run", key.attempt},
             {"events", one.events},
-            {"in_flight", engine.in_flight}});
-  spawn(parts_.context, run(key, engine.server, tokens, one.spec->group));
+            {"in_flight", engine.in_flight},
+            {"apart", apart ? "yes" : "no"}});
+  spawn(parts_.context, run(key, engine.server, tokens, one.spec->group, apart));
 }
 
 void sample_runner::move_slow_runs(time_point now) {
@@ -200,7 +223,7 @@
 }
 
 awaitable<void> sample_runner::run(run_key key, directory::server engine, std::uint64_t tokens,
-                                   std::string group) {
+                                   std::string group, bool apart) {
   run_id const id = next_run_++;
   calls::exchange with(parts_.connections, parts_.names, engine);
   job const* const owner = parts_.table.find(key.job);
@@ -217,6 +240,7 @@
   if (end == run_end::broken && with.has_broken()) note_broken_run(key, engine, open.sent_at);
   runs_.erase(id);
   keys_.erase(id);
+  if (apart) apart_.erase(engine.id);
   parts_.board.note_ended(engine.id, tokens, group);
   conclude(key, engine.id, end);
   parts_.notify();
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -90,16 +90,21 @@
   using run_id = std::uint64_t;
 
   engines::run_need need_of(job const& owner, sample const& one) const;
+  /// Whether the sample's run shares its engine with no other one of which this holds: a trial, or
+  /// one run more under which an engine ends would condemn it.
+  bool runs_apart(job& owner, std::uint32_t index, time_point now) const;
+  quarantine::fingerprint const& identity_of(job& owner, std::uint32_t index) const;
   /// Whether a sample may go to an engine: not one under which engines have ended, but for a trial.
   bool may_start(job& owner, std::uint32_t index, time_point now);
   awaitable<void> ask_for_trial(quarantine::fingerprint request);
-  void start(job& owner, std::uint32_t index, engines::board_engine const& engine);
+  /// @param apart whether runs_apart held.
+  void start(job& owner, std::uint32_t index, engines::board_engine const& engine, bool apart);
   void move_slow_runs(time_point now);
   /// A run's connection ended, and maybe its engine with it.
   void note_broken_run(run_key const& key, directory::server const& engine, time_point sent_at);
   milliseconds pause_after_break(job const& owner, std::uint32_t index) const;
   awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
-                      std::string group);
+                      std::string group, bool apart);
   awaitable<run_end> drive(run_key const& key, calls::exchange& with);
   awaitable<run_end> read_events(run_key const& key, calls::exchange& with);
   run_end take_head(calls::exchange const& with) const;
@@ -119,6 +124,8 @@
   calls::share_picker shares_;
   /// Requests that this node may send once.
   std::set<quarantine::fingerprint> trials_;
+  /// Engines with a run that is kept apart.
+  std::set<std::string> apart_;
   runner_figures figures_;
 };
 
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -20,9 +20,12 @@
 /// that ran there explains them all. Each collector leaves as much again to the one before it: a
 /// write and its spreading take less.
 constexpr milliseconds k_turn{150};
-/// So long a node refuses by its own evidence alone: by then there is a record, or another request
-/// explains the crashes. While the store is out it lets the request through once in that time.
-constexpr milliseconds k_own_word{5'000};
+/// So long after the last crash a node refuses by its own evidence alone. By then there is a record
+/// (its way takes 0.3 to 0.6 s, and the time to object), or another request explains the crashes.
+constexpr milliseconds k_own_word{2'000};
+/// The same while records do not come here, as in an outage of the store: the node lets the request
+/// through once in that time.
+constexpr milliseconds k_own_word_alone{5'000};
 constexpr milliseconds k_write_timeout{400};
 /// Nodes take a record back at different times within that, well within the time to object.
 constexpr milliseconds k_take_back_spread{300};
@@ -43,11 +46,17 @@
 verdict service::check(fingerprint const& request, time_point now) const {
   verdict const listed = list_.check(request, now);
   if (listed != verdict::allowed) return listed;
-  // What this node has seen itself needs nobody's word, and no record; but others may know better.
+  return refuses_alone(request, now) ? verdict::refused : verdict::allowed;
+}
+
+bool service::refuses_alone(fingerprint const& request, time_point now) const {
   suspicion const* const seen = seen_here_.find(request);
-  bool const ends_servers =
-      seen != nullptr && seen->in_turn >= k_most_crashes && now < seen->last_at + k_own_word;
-  return ends_servers ? verdict::refused : verdict::allowed;
+  if (seen == nullptr || !seen->enough_at) return false;
+  // Others may know better: a request that stood beside the one that ends servers is answered as
+  // soon as servers are back.
+  bool const undisputed = now >= *seen->enough_at + quarantine_list::k_objection_time;
+  milliseconds const lasts = parts_.are_records_current() ? k_own_word : k_own_word_alone;
+  return undisputed && now < seen->last_at + lasts;
 }
 
 std::size_t service::crashes_seen(fingerprint const& request) const {
@@ -103,9 +112,17 @@
   return static_cast<std::size_t>(place - collectors.begin());
 }
 
+bool service::leaves_it_to_collectors() const {
+  // One node's evidence does not show which of the requests explains the crashes.
+  auto const collectors = parts_.find_collectors();
+  if (own_rank() < collectors.size()) return false;
+  return std::any_of(collectors.begin(), collectors.end(),
+                     [this](endpoint const& one) { return !outbox_.has_pending(one); });
+}
+
 awaitable<void> service::write_record(fingerprint request) {
   co_await wait_for(k_turn * static_cast<int>(own_rank() + 1));
-  while (is_proven(request) && list_.find(request) == nullptr) {
+  while (is_proven(request) && list_.find(request) == nullptr && !leaves_it_to_collectors()) {
     co_await try_to_write(request);
     if (list_.find(request) == nullptr) co_await wait_for(with_jitter(k_write_retry));
   }
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -40,6 +40,8 @@
   /// Nodes that bring evidence together, in the order in which they act. Few, and the same at all
   /// nodes.
   std::function<std::vector<endpoint>()> find_collectors;
+  /// Whether changes of the store's records come to this node without delay.
+  std::function<bool()> are_records_current;
 };
 
 /// What the service counts, since the process began.
@@ -55,9 +57,6 @@
 
 class service {
  public:
-  /// Servers that end under a request before it is kept from others.
-  static constexpr std::uint32_t k_most_crashes = 3;
-
   explicit service(service_parts parts);
 
   void start() { spawn(parts_.context, report_loop()); }
@@ -96,6 +95,10 @@
   void collect(crash const& one);
   /// Whether enough servers have ended under a request, and none of the others explains them.
   bool is_proven(fingerprint const& request) const;
+  /// Whether a collector knows what this node knows, and this node is none.
+  bool leaves_it_to_collectors() const;
+  /// Whether this node has seen enough itself to refuse the request without a record.
+  bool refuses_alone(fingerprint const& request, time_point now) const;
   /// Writes the record, after the collectors before this one have had time to.
   awaitable<void> write_record(fingerprint request);
   awaitable<void> try_to_write(fingerprint request);
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -18,6 +19,9 @@
 
 namespace frostline::quarantine {
 
+/// Servers that end under a request before it is kept from others.
+inline constexpr std::uint32_t k_most_crashes = 3;
+
 /// One server that ended while it ran a request.
 struct crash {
   fingerprint request;
@@ -35,6 +39,8 @@
   /// How many of them ended in turn, each after the one before had. Servers that end together, as
   /// in a loss of power, count as one: a request that is popular is under way at many of them.
   std::uint32_t in_turn = 0;
+  /// When that number came to k_most_crashes.
+  std::optional<time_point> enough_at;
   /// When the last of them ended.
   time_point last_at = time_point::min();
 };
@@ -45,8 +51,10 @@
   /// (600 servers with 8 requests each) leaves 4,800; beyond the limit the request goes first under
   /// which the fewest servers have ended, and among these the one that was seen longest ago.
   static constexpr std::size_t k_most_entries = 8192;
-  /// Lives of servers that are kept for an entry; more add nothing to what is decided.
-  static constexpr std::size_t k_most_servers = 8;
+  /// Lives of servers that are kept for an entry. More than the three that decide, since they
+  /// explain what ended beside it: a request that is tried without a pause ended 15 servers in the
+  /// 1.5 s until it was refused everywhere (soak, three servers that are back after 0.3 s).
+  static constexpr std::size_t k_most_servers = 32;
 
   explicit suspect_table(std::size_t most_entries = k_most_entries) : most_entries_(most_entries) {}
 
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -24,7 +24,9 @@
   http::client transport{context};
   endpoint const self{"127.0.0.1", 1};
   std::vector<endpoint> collectors{self};
-  service collector{{context, store, transport, "node", self, [this] { return collectors; }}};
+  bool records_current = true;
+  service collector{{context, store, transport, "node", self, [this] { return collectors; },
+                     [this] { return records_current; }}};
   rpc::dispatcher methods;
   std::string address = own_loopback_address();
   /// Evidence that the other collector was told.
@@ -124,6 +126,21 @@
   CHECK(collector.check(request, now + quarantine_list::k_objection_time) == verdict::allowed);
 }
 
+TEST(quarantine_service_test, node_refuses_alone_for_longer_while_no_records_come) {
+  collectors = {listening()};
+  for (char const* server : {"one", "two", "three"}) {
+    std::size_t const before = collector.crashes_seen(request);
+    collector.note_broken(ended_server(server), request, boot_clock::now());
+    CHECK(run_until([&] { return collector.crashes_seen(request) > before; }));
+  }
+  time_point const now = boot_clock::now();
+  CHECK(collector.check(request, now + milliseconds(1500)) == verdict::refused);
+  CHECK(collector.check(request, now + milliseconds(3000)) == verdict::allowed);
+  records_current = false;
+  CHECK(collector.check(request, now + milliseconds(3000)) == verdict::refused);
+  CHECK(collector.check(request, now + milliseconds(6000)) == verdict::allowed);
+}
+
 TEST(quarantine_service_test, node_that_is_no_collector_leaves_the_record_to_those_who_are) {
   collectors = {listening()};
   for (char const* server : {"one", "two", "three"}) {
--- a/tests/unit/quarantine/suspect_table_test.cc
+++ b/tests/unit/quarantine/suspect_table_test.cc
@@ -136,6 +136,13 @@
   }));
 }
 
+TEST(suspect_table_test, time_of_enough_crashes_stays_when_more_follow) {
+  CHECK(!note("a", "s1", 0, 40).enough_at);
+  CHECK(!note("a", "s2", 45, 90).enough_at);
+  CHECK(note("a", "s3", 90, 130).enough_at == start + milliseconds(130));
+  CHECK(note("a", "s4", 140, 180).enough_at == start + milliseconds(130));
+}
+
 TEST(suspect_table_test, request_that_ended_many_servers_explains_the_last_of_them_too) {
   for (int server = 0; server < 20; ++server) {
     note("ends", "s" + std::to_string(server), 50 * server, 50 * server + 40);
