--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -87,6 +87,7 @@
   if (fit) one.is_trial = co_await parts_.quarantine.claim_trial(request);
   if (one.is_trial) co_return false;
   one.is_quarantined = true;
+  one.next_try = parts_.quarantine.time_to_next_try(request, boot_clock::now());
   parts_.quarantine.note_refused(request);
   co_return true;
 }
@@ -351,7 +352,7 @@
   } else {
     ++figures_.given_up;
   }
-  http::response refusal = give_up_answer(one.reason);
+  http::response refusal = give_up_answer(one.reason, one.next_try);
   log_outcome(one, refusal.result_int(), "Given up.");
   co_await one.from->answer(std::move(refusal));
 }
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -100,6 +100,8 @@
     bool has_broken = false;
     /// It ends servers, so no other one gets it.
     bool is_quarantined = false;
+    /// When it may be tried again, as far as is known.
+    std::optional<milliseconds> next_try;
     /// It is sent once, to see whether it still does.
     bool is_trial = false;
     give_up_reason reason = give_up_reason::none;
--- a/src/calls/give_up.cc
+++ b/src/calls/give_up.cc
@@ -1,5 +1,6 @@
 #include "calls/give_up.h"
 
+#include <algorithm>
 #include <string>
 
 namespace frostline::calls {
@@ -7,9 +8,14 @@
 
 /// Seconds after which a server that was full has mostly room again.
 constexpr std::string_view k_retry_later = "0.3";
-/// Seconds for a request under quarantine: most trials lie further apart, so a caller that comes
+/// For a request under quarantine: its later trials lie further apart, so a caller that comes
 /// sooner is refused again.
-constexpr std::string_view k_retry_quarantined = "60";
+constexpr seconds k_longest_pause{60};
+
+std::string seconds_until(std::optional<milliseconds> next_try) {
+  seconds const pause = std::chrono::ceil<seconds>(next_try.value_or(k_longest_pause));
+  return std::to_string(std::clamp(pause, seconds(1), k_longest_pause).count());
+}
 
 }  // namespace
 
@@ -39,7 +45,7 @@
   return "unknown";
 }
 
-http::response give_up_answer(give_up_reason reason) {
+http::response give_up_answer(give_up_reason reason, std::optional<milliseconds> next_try) {
   http::status code = http::status::service_unavailable;
   if (reason == give_up_reason::no_route) code = http::status::not_found;
   if (reason == give_up_reason::outcome_unknown) code = http::status::bad_gateway;
@@ -48,8 +54,8 @@
   http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
   if (code == http::status::service_unavailable) {
     bool const held_back = reason == give_up_reason::quarantined;
-    std::string_view const when = held_back ? k_retry_quarantined : k_retry_later;
-    answer.set(http::field::retry_after, http::beast::string_view(when.data(), when.size()));
+    answer.set(http::field::retry_after,
+               held_back ? seconds_until(next_try) : std::string(k_retry_later));
   }
   return answer;
 }
--- a/src/calls/give_up.h
+++ b/src/calls/give_up.h
@@ -1,8 +1,10 @@
 /// @file Requests that got no server's answer: why, and what their callers are told.
 #pragma once
 
+#include <optional>
 #include <string_view>
 
+#include "base/time.h"
 #include "http/message.h"
 
 namespace frostline::calls {
@@ -28,8 +30,11 @@
 
 std::string_view to_string(give_up_reason reason);
 
-/// The answer for a request that was given up, with when to come back if it has not run. One under
-/// quarantine is told a time after which a trial may have ended it, and so not to come again soon.
-http::response give_up_answer(give_up_reason reason);
+/// The answer for a request that was given up, with when to come back if it has not run.
+/// @param next_try for one under quarantine: when it may be tried again. Until its first trial that
+/// is soon, and a request that only stood beside a crash is served then; after it the caller is
+/// told a minute, as it is where nothing is known.
+http::response give_up_answer(give_up_reason reason,
+                              std::optional<milliseconds> next_try = std::nullopt);
 
 }  // namespace frostline::calls
--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -54,10 +54,23 @@
   if (found == entries_.end()) return verdict::allowed;
   known_entry const& known = found->second;
   if (now < known.first_seen_at + k_objection_time) return verdict::allowed;
+  auto const due = trial_time(known);
+  return due && now >= *due ? verdict::trial : verdict::refused;
+}
+
+std::optional<time_point> quarantine_list::trial_time(known_entry const& known) {
   std::size_t const trials = known.record.trials;
-  bool const more = trials < std::size(k_trial_pauses);
-  bool const due = more && now >= known.changed_at + k_trial_pauses[trials];
-  return due ? verdict::trial : verdict::refused;
+  if (trials >= std::size(k_trial_pauses)) return std::nullopt;
+  return known.changed_at + k_trial_pauses[trials];
+}
+
+std::optional<milliseconds> quarantine_list::time_to_trial(fingerprint const& request,
+                                                           time_point now) const {
+  auto const found = entries_.find(request);
+  if (found == entries_.end()) return std::nullopt;
+  auto const due = trial_time(found->second);
+  if (!due) return std::nullopt;
+  return std::max(milliseconds(0), std::chrono::ceil<milliseconds>(*due - now));
 }
 
 quarantine_entry const* quarantine_list::find(fingerprint const& request) const {
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -57,6 +57,8 @@
   bool remove(fingerprint const& request);
 
   verdict check(fingerprint const& request, time_point now) const;
+  /// How long until the next trial is due; nothing if there is none any more, or no record.
+  std::optional<milliseconds> time_to_trial(fingerprint const& request, time_point now) const;
   quarantine_entry const* find(fingerprint const& request) const;
   /// How long this node has known of it.
   milliseconds known_for(fingerprint const& request, time_point now) const;
@@ -66,6 +68,9 @@
   std::size_t size() const { return entries_.size(); }
 
  private:
+  struct known_entry;
+  static std::optional<time_point> trial_time(known_entry const& known);
+
   struct known_entry {
     quarantine_entry record;
     time_point first_seen_at{};
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -59,6 +59,12 @@
   return undisputed && now < seen->last_at + lasts;
 }
 
+std::optional<milliseconds> service::time_to_next_try(fingerprint const& request,
+                                                      time_point now) const {
+  if (list_.find(request) != nullptr) return list_.time_to_trial(request, now);
+  return refuses_alone(request, now) ? std::optional(k_own_word) : std::nullopt;
+}
+
 std::size_t service::crashes_seen(fingerprint const& request) const {
   suspicion const* const seen = seen_here_.find(request);
   return seen == nullptr ? 0 : seen->servers.size();
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -71,6 +72,8 @@
   bool is_watching() const { return !seen_here_.empty() || !list_.empty(); }
   /// Whether a request may be sent to a server now. With `trial`, only if `claim_trial` succeeds.
   verdict check(fingerprint const& request, time_point now) const;
+  /// When a request that is refused now may be tried again; nothing if that is not known.
+  std::optional<milliseconds> time_to_next_try(fingerprint const& request, time_point now) const;
   /// Asks for the right to send a request once, among all nodes.
   awaitable<bool> claim_trial(fingerprint request);
   /// A request was refused for its verdict.
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -47,6 +47,16 @@
   CHECK(is(verdict::refused, changed + seconds(1'000'000)));
 }
 
+TEST(quarantine_list_test, time_to_the_next_trial_is_told_as_long_as_there_is_one) {
+  CHECK(!list.time_to_trial(request, start));
+  put(5, 0, start);
+  CHECK(list.time_to_trial(request, start + milliseconds(700)) ==
+        quarantine_list::k_trial_pauses[0] - milliseconds(700));
+  CHECK(list.time_to_trial(request, start + seconds(9)) == milliseconds(0));
+  put(6, std::size(quarantine_list::k_trial_pauses), start);
+  CHECK(!list.time_to_trial(request, start));
+}
+
 TEST(quarantine_list_test, trials_with_one_unseen_retry_stay_within_three) {
   CHECK(std::size(quarantine_list::k_trial_pauses) + 1 <= 3);
 }
