Comments of the quarantine name what was measured

Cause: found by reading the diff: two figures were estimates. Conclusion: no change of logic; nothing ruled out.

--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -21,7 +21,8 @@
 /// write and its spreading take less.
 constexpr milliseconds k_turn{150};
 /// So long after the last crash a node refuses by its own evidence alone. By then there is a record
-/// (its way takes 0.3 to 0.6 s, and the time to object), or another request explains the crashes.
+/// (its way took 0.3 to 0.5 s in soaks, and the time to object), or another request explains the
+/// crashes.
 constexpr milliseconds k_own_word{2'000};
 /// The same while records do not come here, as in an outage of the store: the node lets the request
 /// through once in that time.
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -52,8 +52,8 @@
   /// which the fewest servers have ended, and among these the one that was seen longest ago.
   static constexpr std::size_t k_most_entries = 8192;
   /// Lives of servers that are kept for an entry. More than the three that decide, since they
-  /// explain what ended beside it: a request that is tried without a pause ended 15 servers in the
-  /// 1.5 s until it was refused everywhere (soak, three servers that are back after 0.3 s).
+  /// explain what ended beside it: a request that was tried 25 times a second ended ten servers in
+  /// the 1.1 s until it was refused everywhere (soak, three servers that are back after 0.3 s).
   static constexpr std::size_t k_most_servers = 32;
 
   explicit suspect_table(std::size_t most_entries = k_most_entries) : most_entries_(most_entries) {}
