--- a/rehearsal/soak_faults.cc
+++ b/rehearsal/soak_faults.cc
@@ -66,6 +66,13 @@
   if (!system_.node(node).is_running()) system_.start_node(node);
 }
 
+void soak_faults::follow_stop(std::size_t node) {
+  system_.wake(node);
+  system_.node(node).send_signal(SIGCONT);
+  system_.node(node).wait(15);
+  restart(node);
+}
+
 void soak_faults::add_process_faults() {
   add("kill_node", [this](bool on, std::size_t target) {
     std::size_t const node = node_of(target);
@@ -80,8 +87,7 @@
     if (on) {
       system_.node(node).send_signal(SIGTERM);
     } else {
-      system_.node(node).wait(15);
-      restart(node);
+      follow_stop(node);
     }
   });
   add("freeze_node", [this](bool on, std::size_t target) {
@@ -105,8 +111,7 @@
   });
   add("hand_over", [this](bool on, std::size_t target) {
     if (!on) {
-      system_.node(handed_over_).wait(15);
-      restart(handed_over_);
+      follow_stop(handed_over_);
       return;
     }
     handed_over_ = system_.find_owner().value_or(node_of(target));
--- a/rehearsal/soak_faults.h
+++ b/rehearsal/soak_faults.h
@@ -53,6 +53,9 @@
   void on_duties(std::function<void(duty_faults&)> change);
   void set_store_link(std::size_t target, proxy_faults faults);
   void restart(std::size_t node);
+  /// Waits for the end of a node that was asked to stop, and starts it anew. Another fault may have
+  /// frozen it meanwhile: then it goes on first, or it would not be started again.
+  void follow_stop(std::size_t node);
   std::size_t node_of(std::size_t target) const { return target % system_.nodes(); }
 
   platform_cluster& system_;
