--- a/src/base/time.h
+++ b/src/base/time.h
@@ -34,6 +34,11 @@
   return std::max(left, milliseconds(0));
 }
 
+/// Whole milliseconds since `then`, for logs and metrics.
+inline std::int64_t milliseconds_since(time_point then) {
+  return std::chrono::duration_cast<milliseconds>(boot_clock::now() - then).count();
+}
+
 /// Wall clock in milliseconds since the epoch, for logs, journals and incarnations only.
 inline std::uint64_t wall_clock_ms() {
   auto const since = std::chrono::system_clock::now().time_since_epoch();
--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -125,7 +125,11 @@
 
 awaitable<exchange_failure> exchange::open(connection_choice choice, time_point deadline) {
   connection_ = pool_.take(server_.id, choice);
-  if (connection_) co_return exchange_failure::none;
+  rested_.reset();
+  if (connection_) {
+    rested_ = milliseconds(milliseconds_since(connection_->idle_since));
+    co_return exchange_failure::none;
+  }
   connection_ = std::make_unique<connection_pool::connection>(pool_.context());
   pool_.note_opened();
   beast::error_code ignored;
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -119,6 +119,8 @@
   /// The request goes to the same server once more, on a new connection.
   void note_resent() { resent_ = true; }
   bool is_resent() const { return resent_; }
+  /// How long the kept connection that carried the request had rested; nothing for a new one.
+  std::optional<milliseconds> rested() const { return rested_; }
   directory::server const& server() const { return server_; }
 
  private:
@@ -154,6 +156,7 @@
   bool aborted_ = false;
   bool resent_ = false;
   bool has_broken_ = false;
+  std::optional<milliseconds> rested_;
   std::shared_ptr<void> held_;
 };
 
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -37,10 +37,6 @@
   for (http::field name : k_hop_by_hop) message.erase(name);
 }
 
-std::int64_t milliseconds_since(time_point then) {
-  return std::chrono::duration_cast<milliseconds>(boot_clock::now() - then).count();
-}
-
 bool has_events(http::response const& head) {
   return http::header(head, "Content-Type").starts_with(k_event_stream);
 }
@@ -160,6 +156,8 @@
             {"attempt", one.attempts},
             {"sent_ms_ago", milliseconds_since(one.attempt_begun)},
             {"resent", with.is_resent() ? "yes" : "no"},
+            {"connection", with.rested() ? "kept" : "new"},
+            {"rested_ms", with.rested().value_or(milliseconds(0)).count()},
             {"others_under_way", parts_.selector.outstanding(with.server().id)},
             {"fingerprint", identify(one).to_string()},
             {"config", one.table->all().version}});
@@ -324,7 +322,9 @@
     log_line(log_level::info, k_part, "No route.",
              {{"request", http::header(message, parts_.names.request_id)},
               {"path", path},
-              {"config", table->all().version}});
+              {"config", table->all().version},
+              {"in_force_ms", milliseconds_since(table->in_force_since())},
+              {"records_age_ms", parts_.records_age().count()}});
     co_await from.answer(give_up_answer(give_up_reason::no_route));
     co_return;
   }
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -51,11 +51,13 @@
   /// Counts the requests of tenants.
   usage::run_counter& runs;
   quarantine::service& quarantine;
+  /// How old this node's records are, for the log.
+  std::function<milliseconds()> records_age;
 };
 
 class forwarder {
  public:
-  explicit forwarder(forwarder_parts parts) : parts_(parts) {}
+  explicit forwarder(forwarder_parts parts) : parts_(std::move(parts)) {}
 
   /// Answers a client's request whose access was granted.
   /// @param table in force; null if there is none yet.
--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -213,9 +213,12 @@
   }
   if (failure) {
     if (has_left(failure)) co_return false;
+    http::status const refusal = status_for(failure);
+    log_line(log_level::info, k_part, "Request can't be read.",
+             {{"status", static_cast<unsigned>(refusal)}, {"error", failure.message()}});
     peer->begin_request(http::request());
-    co_await peer->answer(http::make_response(
-        status_for(failure), "{\"reason\":\"" + failure.message() + "\"}", http::k_problem_json));
+    co_await peer->answer(http::make_response(refusal, "{\"reason\":\"" + failure.message() + "\"}",
+                                              http::k_problem_json));
     co_return false;
   }
   peer->stream().expires_never();
--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -11,7 +11,8 @@
 
 }  // namespace
 
-route_table::route_table(configuration all) : all_(std::move(all)), tenants_(all_.tenants) {
+route_table::route_table(configuration all, time_point in_force_since)
+    : all_(std::move(all)), in_force_since_(in_force_since), tenants_(all_.tenants) {
   for (route const& one : all_.routes) by_host_[one.host].push_back(&one);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](route const* left, route const* right) {
@@ -60,11 +61,12 @@
 bool active_configuration::offer(configuration next) {
   if (table_ && next.version <= table_->all().version) return false;
   std::uint64_t const before = table_ ? table_->all().version : 0;
-  table_ = std::make_shared<route_table const>(std::move(next));
+  table_ = std::make_shared<route_table const>(std::move(next), boot_clock::now());
   log_line(log_level::info, k_part, "Configuration in force.",
            {{"version", table_->all().version},
             {"before", before},
             {"routes", table_->all().routes.size()},
+            {"routes_left_out", table_->all().routes_left_out},
             {"tenants", table_->all().tenants.size()}});
   return true;
 }
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -84,6 +84,8 @@
 struct configuration {
   std::uint64_t version = 0;
   std::vector<route> routes;
+  /// Entries that no request can go by, since they name no service.
+  std::size_t routes_left_out = 0;
   std::map<std::string, service> services;
   client_limits limits;
   /// None: callers need no keys. Without fault, see find_fault.
@@ -93,11 +95,13 @@
 /// Immutable; requests hold on to the table that they began with.
 class route_table {
  public:
-  explicit route_table(configuration all);
+  /// @param in_force_since for the log.
+  explicit route_table(configuration all, time_point in_force_since = time_point::min());
 
   /// The route of `host` whose prefix begins `path` and is longest; null if there is none.
   route const* match(std::string_view host, std::string_view path) const;
   configuration const& all() const { return all_; }
+  time_point in_force_since() const { return in_force_since_; }
   service const* find_service(std::string const& name) const;
   tenant_index const& tenants() const { return tenants_; }
   /// Whether jobs can be handed in at this host without a key.
@@ -105,6 +109,7 @@
 
  private:
   configuration all_;
+  time_point in_force_since_;
   /// By host, longest prefix first.
   std::map<std::string, std::vector<route const*>, std::less<>> by_host_;
   tenant_index tenants_;
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -56,6 +56,7 @@
  private:
   std::string listen();
   void listen_to_records();
+  milliseconds records_age() const { return feed_.age(boot_clock::now()); }
   relay::feed_options make_feed_options() const;
   void take_configuration(std::string_view value);
   /// Takes up, or lays down, what only owners of a pool do.
@@ -82,7 +83,8 @@
       [this] { return feed_.relay_addresses(k_collectors); },
       [this] { return feed_.age(boot_clock::now()) < k_current_age; }}};
   calls::forwarder forwarder_{calls::forwarder_parts{context_, servers_, connections_, selector_,
-                                                     adapter_.names(), runs_, quarantine_}};
+                                                     adapter_.names(), runs_, quarantine_,
+                                                     [this] { return records_age(); }}};
   pools pools_{pools_parts{context_, settings_, adapter_, transport_, configuration_, servers_,
                            connections_, forwarder_, quarantine_}};
   /// None if the platform takes no calls of one node at a time.
@@ -99,8 +101,7 @@
   rpc::dispatcher peer_methods_;
   metrics metrics_;
   client_calls client_calls_{client_calls_parts{adapter_, configuration_, forwarder_, job_client_,
-                                                metrics_,
-                                                [this] { return feed_.age(boot_clock::now()); }}};
+                                                metrics_, [this] { return records_age(); }}};
   std::unique_ptr<http::server> peers_;
   std::unique_ptr<http::server> readiness_;
   std::unique_ptr<calls::ingress> ingress_;
@@ -301,6 +302,10 @@
   now.records = feed_.figures();
   now.polls_answered = feed_.polls_answered();
   now.records_age = feed_.age(boot_clock::now());
+  for (relay::topic const one : relay::k_topics) {
+    auto const watch_age = feed_.watch_age(one, boot_clock::now());
+    if (watch_age) now.watch_ages.emplace_back(rpc::EnumNameRecordTopic(one), *watch_age);
+  }
   for (auto const& [name, one] : pools_.all()) {
     now.pools.push_back({name, one.lease->state() == ownership::lease_state::owner,
                          one.owner->jobs(), one.owner->runner().running(),
--- a/src/gateway/client_calls.cc
+++ b/src/gateway/client_calls.cc
@@ -125,6 +125,12 @@
   if (!request) {
     reply.status = rpc::JobStatus::INVALID;
     reply.detail = "the body is not a job";
+    log_line(log_level::info, k_part, "Submission answered.",
+             {{"job", http::header(message, parts_.adapter.names().request_id)},
+              {"pool", pool},
+              {"status", rpc::EnumNameJobStatus(reply.status)},
+              {"detail", reply.detail},
+              {"after_ms", milliseconds_since(begin)}});
     co_await from.answer(parts_.adapter.write_job_reply(rpc::JobCallT(), reply));
     co_return;
   }
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -54,6 +54,10 @@
   };
   set("age_ms", "time since the records were last known to be complete",
       static_cast<std::uint64_t>(now.records_age.count()));
+  for (auto const& [topic, age] : now.watch_ages) {
+    page.set("frostline_records_watch_age_ms", "time since the store answered this node's watch",
+             static_cast<double>(age.count()), {{"topic", topic}});
+  }
   set("polls_sent_total", "questions to other nodes", now.records.polls_sent);
   set("polls_failed_total", "questions without an answer", now.records.polls_failed);
   set("polls_not_sure_total", "answers of nodes that were not sure", now.records.polls_not_sure);
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -50,6 +50,8 @@
   relay::feed_figures records;
   std::uint64_t polls_answered = 0;
   milliseconds records_age{0};
+  /// Time since the store answered each watch of this node, by topic.
+  std::vector<std::pair<std::string, milliseconds>> watch_ages;
   std::vector<pool_readings> pools;
   /// Requests of tenants that servers began to run.
   std::uint64_t tenants_requests = 0;
--- a/src/kv/follower.cc
+++ b/src/kv/follower.cc
@@ -49,8 +49,10 @@
 }
 
 awaitable<bool> follower::list_once(std::uint64_t round) {
+  time_point const asked = boot_clock::now();
   auto answer = co_await store_.list(prefix_);
   if (round != round_ || !answer) co_return false;
+  answered_at_ = asked;
   // An answer from before what is known would take changes back.
   if (answer.value().store_revision < at_) co_return false;
   at_ = answer.value().store_revision;
@@ -65,15 +67,18 @@
 }
 
 awaitable<bool> follower::watch_once(std::uint64_t round) {
+  time_point const asked = boot_clock::now();
   auto answer = co_await store_.watch(prefix_, at_, options_.watch_wait);
   if (round != round_) co_return false;
   if (!answer || answer.value().compacted) {
     log_line(log_level::info, k_part, "Watch ended; reading the range again.",
              {{"prefix", prefix_},
               {"revision", at_},
+              {"waited_ms", milliseconds_since(asked)},
               {"cause", answer ? "compacted" : answer.error().message()}});
     co_return false;
   }
+  answered_at_ = boot_clock::now();
   for (watch_event const& event : answer.value().events) callbacks_.event(event);
   at_ = std::max(at_, answer.value().store_revision);
   if (callbacks_.complete_to) callbacks_.complete_to(at_);
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -43,6 +43,9 @@
   /// Whether the store has answered since the last start or resynchronization, and the last answer
   /// was not an error.
   bool is_current() const { return current_; }
+  /// When the call was sent that the store answered last; time_point::min(): none was. Changes that
+  /// came later may not be known here.
+  time_point answered_at() const { return answered_at_; }
 
  private:
   awaitable<void> follow_loop(std::shared_ptr<follower> self, std::uint64_t round);
@@ -57,6 +60,7 @@
   /// Grows with each resynchronization; a loop of an older round ends without a word.
   std::uint64_t round_ = 0;
   revision at_ = 0;
+  time_point answered_at_ = time_point::min();
   bool loaded_ = false;
   bool current_ = false;
 };
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -97,6 +97,11 @@
   bool has_successor(time_point now) const {
     return service_.asking().pick(options_.zone, now).has_value();
   }
+  /// How long ago the store last answered this node's own watch of a topic; nothing if others tell
+  /// it of changes.
+  std::optional<milliseconds> watch_age(topic one, time_point now) const {
+    return source_.watch_age(one, now);
+  }
   /// How long ago the records were last known to be complete, by the oldest topic.
   milliseconds age(time_point now) const;
 
--- a/src/relay/store_source.cc
+++ b/src/relay/store_source.cc
@@ -60,6 +60,11 @@
   return recent && slot(one) && slot(one)->is_current();
 }
 
+std::optional<milliseconds> store_source::watch_age(topic one, time_point now) const {
+  if (!slot(one) || slot(one)->answered_at() == time_point::min()) return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(now - slot(one)->answered_at());
+}
+
 void store_source::resynchronize(std::string_view cause) {
   if (!follows_any()) return;
   log_line(log_level::warning, k_part, "Reading all followed records again.", {{"cause", cause}});
--- a/src/relay/store_source.h
+++ b/src/relay/store_source.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/asio.h"
@@ -43,6 +44,9 @@
   void set_pause(topic one, milliseconds pause);
   /// Whether nothing of the topic is missing, as far as the store's last answer goes.
   bool is_current(topic one, time_point now) const;
+  /// How long ago the store last answered the watch of a topic; nothing if it is not followed, or
+  /// was never answered.
+  std::optional<milliseconds> watch_age(topic one, time_point now) const;
   /// When the store last answered: what was asked then. time_point::min(): never.
   time_point confirmed_at() const { return confirmed_at_; }
   /// Whether the store has not answered for k_longest_silence.
