Failing tests: silent connections, lives of a server, records of other writers

A watch that has gone silent is believed for 31 s. Change: connections of real processes go silent in the kernel (a filter on the socket drops what arrives), the stand-in of the store forgets watches, that of a server starts again under its identifier. Ruled out: silence between nodes alone; a change without silence is in force in time.

--- /dev/null
+++ b/tests/platform/server_records_test.cc
@@ -0,0 +1,168 @@
+/// @file Servers that start again under the identifier that they had, and records that other
+/// writers leave where servers' records and the configuration stand.
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform_cluster.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+TEST_GROUP(server_records_test) {
+  platform_cluster system{platform_options()};
+
+  void put(std::string const& key, std::string const& value) {
+    system.on_platform([&] {
+      system.store().put(key, value);
+      return 0;
+    });
+  }
+
+  bool all_say(std::string const& text) {
+    for (std::size_t node = 0; node < system.nodes(); ++node) {
+      if (system.log(node).find(text) == std::string::npos) return false;
+    }
+    return true;
+  }
+
+  bool anybody_says(std::string const& text) {
+    for (std::size_t node = 0; node < system.nodes(); ++node) {
+      if (system.log(node).find(text) != std::string::npos) return true;
+    }
+    return false;
+  }
+
+  static std::string in_force(std::uint64_t version) {
+    return "\"message\":\"config: Configuration in force.\",\"version\":\"" +
+           std::to_string(version) + "\"";
+  }
+
+  /// A change that all nodes hear of, after whatever was written before it.
+  void put_config_and_wait(std::uint64_t version) {
+    system.on_platform([&] {
+      system.put_config(version);
+      return 0;
+    });
+    platform_cluster::wait_until("the next version is in force",
+                                 [&] { return all_say(in_force(version)); });
+  }
+
+
+  void call_everywhere(std::string const& name) {
+    for (std::size_t node = 0; node < system.nodes(); ++node) {
+      for (int one = 0; one < 6; ++one) {
+        std::string const id = name + std::to_string(node) + "-" + std::to_string(one);
+        auto const answer = system.call(node, http::verb::get, "/calls/one", id);
+        CHECK(static_cast<bool>(answer));
+        LONGS_EQUAL(200, answer.value().result_int());
+      }
+    }
+  }
+
+  /// Ends the engine, which is back under its identifier.
+  void restart_engine() {
+    std::uint64_t const former = system.on_platform([&] {
+      system.engine(0).set_keeps_id(true);
+      system.engine(0).crash();
+      return system.engine(0).born();
+    });
+    platform_cluster::wait_until("the engine is back", [&] {
+      return system.on_platform([&] { return system.engine(0).born() != former; });
+    });
+  }
+};
+
+TEST(server_records_test, orders_to_a_new_life_expect_nothing_of_the_one_before) {
+  // Every second version: an engine goes on serving while others load the next one.
+  for (std::uint64_t version = 2; version < 4; ++version) {
+    system.on_platform([&] {
+      system.name_version(version);
+      return 0;
+    });
+    platform_cluster::wait_until("both engines have been ordered", [&] {
+      return system.on_platform([&] {
+        return system.engine(0).version() + system.engine(1).version() >= 2 * version - 1;
+      });
+    });
+  }
+  std::size_t const before = system.on_platform([&] { return system.engine(0).orders().size(); });
+  CHECK(before > 0);
+  restart_engine();
+  for (std::uint64_t version = 4; version < 7; ++version) {
+    system.on_platform([&] {
+      system.name_version(version);
+      return 0;
+    });
+    platform_cluster::wait_until("engines have been ordered", [&] {
+      return system.on_platform([&] {
+        return system.engine(0).version() + system.engine(1).version() >= 2 * version - 1;
+      });
+    });
+  }
+  CHECK(before < system.on_platform([&] { return system.engine(0).orders().size(); }));
+  LONGS_EQUAL(0, system.on_platform([&] { return system.engine(0).misjudged_orders(); }));
+}
+
+TEST(server_records_test, all_nodes_tell_the_lives_of_a_server_apart) {
+  restart_engine();
+  platform_cluster::wait_until("all know of the new life",
+                               [&] { return all_say("Server started again."); });
+}
+
+TEST(server_records_test, late_record_of_a_former_life_does_not_bring_it_back) {
+  std::string const former = system.on_platform([&] { return system.engine(0).record("draining"); });
+  restart_engine();
+  put("servers/" + system.engine(0).id(), former);
+  put_config_and_wait(2);
+  CHECK_FALSE(anybody_says("Server drains."));
+  // The new life's own word holds.
+  system.on_platform([&] {
+    system.announce(system.engine(0), "draining");
+    return 0;
+  });
+  platform_cluster::wait_until("all know of the drain", [&] { return all_say("Server drains."); });
+}
+
+TEST(server_records_test, records_of_other_writers_name_no_server) {
+  std::string const address = "\"address\":\"127.0.0.1:9\",\"zone\":\"a\",";
+  put("servers/foreign-1", std::string("\xff\x00\x01", 3));
+  put("servers/foreign-2", "[]");
+  put("servers/foreign-3",
+      "{\"service\":\"apps\"," + address + "\"slots\":\"many\",\"state\":\"ready\",\"sequence\":1}");
+  put("servers/foreign-4",
+      "{\"service\":\"apps\"," + address + "\"slots\":8,\"state\":\"asleep\",\"sequence\":1}");
+  put("servers/foreign-5", "{" + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":1}");
+  put("servers/foreign-6",
+      "{\"service\":\"apps\"," + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":-1}");
+  put("servers/foreign-7", "{\"service\":\"apps\"," + address +
+                               "\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"born\":\"today\"}");
+  put("servers/foreign-8",
+      "{\"service\":[\"apps\"]," + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":1}");
+  put_config_and_wait(2);
+  call_everywhere("call-");
+  // A node that lists them all at its start passes over them, too.
+  system.node(1).kill();
+  system.start_node(1);
+  platform_cluster::wait_until("the node is ready", [&] { return system.is_ready(1); });
+  call_everywhere("again-");
+  CHECK_FALSE(anybody_says("\"server\":\"foreign-"));
+}
+
+TEST(server_records_test, record_that_another_writer_has_spoiled_names_no_server_any_more) {
+  std::string const id = system.app(0).id();
+  put("servers/" + id, "spoiled");
+  platform_cluster::wait_until("all know", [&] {
+    return all_say("\"message\":\"directory: Server gone.\",\"server\":\"" + id);
+  });
+  call_everywhere("call-");
+}
+
+TEST(server_records_test, records_beside_the_configuration_are_not_taken_for_it) {
+  put("op/config-draft",
+      R"({"version":90,"routes":[],"services":[],"limits":{}})");
+  put("op/config.old", "not a configuration");
+  put_config_and_wait(2);
+  CHECK_FALSE(anybody_says(in_force(90)));
+  CHECK_FALSE(anybody_says("Configuration is malformed"));
+  call_everywhere("call-");
+}
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -1,15 +1,18 @@
 #include "platform_cluster.h"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <boost/filesystem.hpp>
 #include <boost/json.hpp>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 #include "base/encoding.h"
 #include "cluster.h"
 #include "http/json_fields.h"
+#include "silent_connections.h"
 
 namespace frostline::testing {
 namespace {
@@ -93,7 +96,7 @@
     announce(*made, "ready");
     made->on_version([this, made] { announce(*made, "ready"); });
     made->on_restart([this, made](std::string const& former) {
-      store_->remove("servers/" + former);
+      if (former != made->id()) store_->remove("servers/" + former);
       announce(*made, "ready");
     });
   }
@@ -122,6 +125,36 @@
   thread_.join();
 }
 
+std::vector<endpoint> platform_cluster::addresses_of(connected_part part) const {
+  bool const all = part == connected_part::all;
+  std::vector<endpoint> addresses;
+  if (all || part == connected_part::store) {
+    addresses.push_back(store_address_);
+    for (auto const& proxy : store_proxies_) addresses.push_back(proxy->listen());
+  }
+  if (all || part == connected_part::servers) {
+    for (auto const& one : engines_) addresses.push_back(one->address());
+    for (auto const& one : apps_) addresses.push_back(one->address());
+  }
+  if (all || part == connected_part::nodes) {
+    for (node_addresses const& one : addresses_) addresses.push_back(one.peers);
+  }
+  return addresses;
+}
+
+std::size_t platform_cluster::silence_connections(connected_part part) {
+  std::set<tcp::endpoint> ends;
+  for (endpoint const& one : addresses_of(part)) {
+    ends.emplace(asio::ip::make_address(one.address), one.port);
+  }
+  auto const chosen = [&](tcp::endpoint const& local, tcp::endpoint const& peer) {
+    return ends.contains(local) || ends.contains(peer);
+  };
+  std::size_t silenced = testing::silence_connections(::getpid(), chosen);
+  for (auto const& node : nodes_) silenced += testing::silence_connections(node->pid(), chosen);
+  return silenced;
+}
+
 void platform_cluster::set_crash_text(std::string const& text) {
   on_platform([&] {
     for (auto const& one : apps_) one->faults().crash_text = text;
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -52,6 +52,9 @@
   std::string scorer_body;
 };
 
+/// Whom connections of nodes lead to.
+enum class connected_part { store, servers, nodes, all };
+
 class platform_cluster {
  public:
   explicit platform_cluster(platform_options options);
@@ -77,6 +80,9 @@
   std::size_t nodes() const { return nodes_.size(); }
   /// The proxy between a node and the store; only with `proxied_store`.
   fault_proxy& store_proxy(std::size_t node) { return *store_proxies_.at(node); }
+  /// Connections to these that are open now go silent for good, at both ends and without a reset;
+  /// new ones work. @return how many ends.
+  std::size_t silence_connections(connected_part part);
   /// From now on a request whose body holds this text ends the server that runs it; empty: none.
   void set_crash_text(std::string const& text);
   void announce(server_standin const& server, std::string const& state);
@@ -145,6 +151,7 @@
   static constexpr char k_model[] = "model";
 
  private:
+  std::vector<endpoint> addresses_of(connected_part part) const;
   void write_settings(std::size_t index);
   /// Index of the node that a record of the store names.
   std::optional<std::size_t> find_named(std::string const& key);
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -1,5 +1,6 @@
 #include "server_standin.h"
 
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 
@@ -44,6 +45,7 @@
   body["state"] = state;
   body["cold_left_ms"] = 0;
   body["sequence"] = sequence_;
+  body["born"] = born_;
   if (!options_.model.empty()) {
     json::object model;
     model["name"] = options_.model;
@@ -55,6 +57,13 @@
   return json::serialize(body);
 }
 
+void server_standin::restart(std::string const& id) {
+  options_.id = id;
+  sequence_ = 0;
+  busy_ = false;
+  born_ = std::max(wall_clock_ms(), born_ + 1);
+}
+
 arrival server_standin::note(http::request const& message) {
   arrival one;
   one.at = boot_clock::now();
@@ -99,6 +108,7 @@
   body["models"] = std::move(models);
   body["busy"] = busy_;
   body["sequence"] = sequence_;
+  body["born"] = born_;
   return json_response(http::status::ok, body);
 }
 
@@ -128,8 +138,8 @@
 awaitable<void> server_standin::start_next_life(milliseconds pause) {
   co_await wait_for(pause);
   std::string const former = options_.id;
-  restart(former.substr(0, former.rfind('.') + 1) + std::to_string(crashes_ + 1));
-  busy_ = false;
+  std::string const next = former.substr(0, former.rfind('.') + 1) + std::to_string(crashes_ + 1);
+  restart(options_.keeps_id ? former : next);
   std::string const failure = server_.listen(options_.address);
   if (!failure.empty()) throw std::runtime_error(failure);
   down_ = false;
@@ -137,7 +147,9 @@
 }
 
 awaitable<void> server_standin::load(std::uint64_t version) {
+  std::uint64_t const life = born_;
   co_await wait_for(options_.load_time);
+  if (life != born_) co_return;
   version_ = version;
   busy_ = false;
   if (on_version_) on_version_();
@@ -165,6 +177,7 @@
   if (one.version == version_ && !busy_) {
     co_return http::make_response(http::status::ok, "", "text/plain");
   }
+  if (sequence_differs) ++misjudged_orders_;
   if (busy_ || sequence_differs) {
     co_return http::make_response(http::status::conflict, "", "text/plain");
   }
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -78,6 +78,8 @@
   std::uint32_t events = 5;
   milliseconds event_gap{5};
   milliseconds load_time{40};
+  /// A new life after a crash has the identifier of the one before.
+  bool keeps_id = false;
 };
 
 class server_standin {
@@ -86,11 +88,8 @@
 
   /// Its record in the store.
   std::string record(std::string const& state) const;
-  /// A new life at the same address.
-  void restart(std::string const& id) {
-    options_.id = id;
-    sequence_ = 0;
-  }
+  /// A new life at the same address: it knows nothing of the one before but its weights.
+  void restart(std::string const& id);
   /// Ends like a process that is killed. A new life begins at the same address after
   /// `down_time`.
   void crash();
@@ -101,11 +100,17 @@
   bool is_down() const { return down_; }
   std::uint32_t crashes() const { return crashes_; }
   std::string const& id() const { return options_.id; }
+  endpoint const& address() const { return options_.address; }
   std::string const& service() const { return options_.service; }
   server_faults& faults() { return faults_; }
   std::vector<arrival> const& arrivals() const { return arrivals_; }
   std::vector<order_arrival> const& orders() const { return orders_; }
   std::uint64_t version() const { return version_; }
+  /// Orders that were refused since they expected another count.
+  std::uint32_t misjudged_orders() const { return misjudged_orders_; }
+  void set_keeps_id(bool keeps) { options_.keeps_id = keeps; }
+  /// When this life began, Unix milliseconds.
+  std::uint64_t born() const { return born_; }
   /// Runs whose connection was closed before they ended.
   std::uint32_t abandoned() const { return abandoned_; }
   void on_version(std::function<void()> listener) { on_version_ = std::move(listener); }
@@ -137,6 +142,8 @@
   std::vector<order_arrival> orders_;
   std::uint64_t version_ = 1;
   std::uint64_t sequence_ = 0;
+  std::uint64_t born_ = wall_clock_ms();
+  std::uint32_t misjudged_orders_ = 0;
   bool busy_ = false;
   std::uint32_t abandoned_ = 0;
   std::function<void()> on_version_;
--- a/tests/platform_standin/store_standin.cc
+++ b/tests/platform_standin/store_standin.cc
@@ -96,6 +96,13 @@
   changed_.notify_all();
 }
 
+std::size_t store_standin::forget_watches() {
+  ++watch_generation_;
+  std::size_t waiting = 0;
+  for (auto const& [prefix, count] : waiting_watches_) waiting += count;
+  return waiting;
+}
+
 void store_standin::end_lease(std::uint64_t id) {
   leases_.erase(id);
   std::vector<std::string> gone;
@@ -175,6 +182,7 @@
   time_point const deadline =
       boot_clock::now() + milliseconds(to_number(query_value(target, "wait_ms")));
   std::uint64_t const cuts = cuts_;
+  std::uint64_t const generation = watch_generation_;
   json::array events;
   while (true) {
     if (after < forgotten_ || cuts != cuts_) co_return answer(410, {});
@@ -186,7 +194,10 @@
       events.push_back(std::move(event));
     }
     if (!events.empty() || boot_clock::now() >= deadline) break;
+    ++waiting_watches_[prefix];
     co_await changed_.wait_until(deadline);
+    --waiting_watches_[prefix];
+    if (generation != watch_generation_) co_await wait_for(k_silence);
   }
   if (!events.empty()) ++answered_watches_[prefix];
   json::object body;
--- a/tests/platform_standin/store_standin.h
+++ b/tests/platform_standin/store_standin.h
@@ -45,6 +45,11 @@
   void remove(std::string const& key);
   /// Drops the history: watches from before get 410, those that wait are cut.
   void compact();
+  /// Watches that wait now are never answered; their connections stay open, and everything that is
+  /// asked from now on is answered. @return how many watches.
+  std::size_t forget_watches();
+  /// Watches of exactly this prefix that wait now.
+  std::size_t waiting_watches(std::string const& prefix) { return waiting_watches_[prefix]; }
   /// Ends a lease and its items, as if it had run out.
   void expire_leases();
 
@@ -90,6 +95,9 @@
   std::uint64_t forgotten_ = 0;
   std::uint64_t next_lease_ = 1;
   std::uint64_t cuts_ = 0;
+  std::map<std::string, std::size_t> waiting_watches_;
+  /// Watches of an older generation are never answered.
+  std::uint64_t watch_generation_ = 0;
   std::uint64_t transactions_ = 0;
   std::map<std::string, std::uint64_t> answered_watches_;
   store_faults faults_;
