Dead watches and kept connections are found out before they are believed

A watch that had gone silent was waited for 31 s, and its relay called itself sure meanwhile; a pool of N dead kept connections cost N timeouts. Change: watches of what must be known promptly (configuration, servers, what operators ask for) wait 1.2 s and 0.8 s for the answer, the others 10 s; a watch without an answer has the node's others begun anew; a change that another node knows and the own watch has not told in 0.7 s has it read again; a timeout closes the kept connections beside it; the kernel probes connections that rest; what may be repeated goes once more on a new connection when the kept one acknowledges nothing. Only the configuration's own key is taken for it. Ruled out: the kernel's probes alone, which cost no call, see no answer that was lost on a sound connection.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <charconv>
 
+#include "http/silent_peer.h"
+
 namespace frostline::calls {
 namespace {
 
@@ -15,6 +17,10 @@
 /// A server closes a connection only after it has rested for longer than this.
 constexpr milliseconds k_just_used{400};
 constexpr milliseconds k_keep_margin{400};
+/// A kept connection on which a request is not acknowledged for that long has gone silent: two
+/// retransmissions on links of a few milliseconds. A call with a single attempt would wait for its
+/// whole deadline otherwise.
+constexpr milliseconds k_acknowledgement_patience{400};
 /// Larger bodies are watched for an answer that comes before they are sent.
 constexpr std::size_t k_large_body = 16 * 1024;
 
@@ -117,17 +123,37 @@
 
 exchange_failure exchange::classify(beast::error_code const& failure) {
   if (aborted_) return exchange_failure::aborted;
-  if (overdue_ || failure == beast::error::timeout) return exchange_failure::timed_out;
-  has_broken_ = true;
   bool const unread = connection_ && connection_->reused && !answer_begun_;
+  bool const unacknowledged = failure == asio::error::timed_out;
+  bool const late = overdue_ || failure == beast::error::timeout;
+  if (unread && (late || unacknowledged)) note_silence();
+  if (late) return exchange_failure::timed_out;
+  // Nothing shows that the server has ended.
+  if (unacknowledged) {
+    return unread ? exchange_failure::stale_connection : exchange_failure::timed_out;
+  }
+  has_broken_ = true;
   return unread ? exchange_failure::stale_connection : exchange_failure::broken;
 }
 
+void exchange::note_silence() {
+  has_met_silence_ = true;
+  pool_.forget(server_.id);
+}
+
+void exchange::bound_acknowledgement(bool bounded) {
+  if (connection_->bounds_acknowledgement == bounded) return;
+  connection_->bounds_acknowledgement = bounded;
+  milliseconds const patience = bounded ? k_acknowledgement_patience : milliseconds(0);
+  http::end_if_unacknowledged(connection_->stream.socket(), patience);
+}
+
 awaitable<exchange_failure> exchange::open(connection_choice choice, time_point deadline) {
   connection_ = pool_.take(server_.id, choice);
   rested_.reset();
   if (connection_) {
     rested_ = milliseconds(milliseconds_since(connection_->idle_since));
+    bound_acknowledgement(choice == connection_choice::kept);
     co_return exchange_failure::none;
   }
   connection_ = std::make_unique<connection_pool::connection>(pool_.context());
@@ -142,6 +168,7 @@
     co_return aborted_ ? exchange_failure::aborted : exchange_failure::not_connected;
   }
   connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
+  http::probe_when_idle(connection_->stream.socket());
   co_return exchange_failure::none;
 }
 
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -64,11 +64,16 @@
     /// How long it may rest: the server tells, or closes it, which is seen before it is used.
     milliseconds keep{20'000};
     bool reused = false;
+    /// What is sent has to be acknowledged soon, see `exchange::open`.
+    bool bounds_acknowledgement = false;
   };
 
   /// @return null if no kept connection fits.
   std::unique_ptr<connection> take(std::string const& server, connection_choice choice);
   void give_back(std::string const& server, std::unique_ptr<connection> one);
+  /// Closes the kept connections to a server: one of them gave no byte of an answer in time, and
+  /// those that went silent with it would cost a timeout each.
+  void forget(std::string const& server) { kept_.erase(server); }
   /// Closes connections of servers that are gone, and those that rested for long.
   void clean(directory::server_directory const& servers);
   /// Exchanges under way, for `end_overdue`.
@@ -114,6 +119,9 @@
   /// Something that lasts as long as the exchange.
   void hold(std::shared_ptr<void> one) { held_ = std::move(one); }
   bool is_aborted() const { return aborted_; }
+  /// Whether a kept connection of this exchange gave no byte of an answer in time: others may have
+  /// gone silent with it.
+  bool has_met_silence() const { return has_met_silence_; }
   /// Whether a connection of this exchange ended after bytes were sent, without a whole answer.
   bool has_broken() const { return has_broken_; }
   /// The request goes to the same server once more, on a new connection.
@@ -140,6 +148,10 @@
   awaitable<http::beast::error_code> write(http::request const& message);
   void close();
   exchange_failure classify(http::beast::error_code const& failure);
+  /// Ends a kept connection on which the server's machine acknowledges nothing, if the request may
+  /// be sent again.
+  void bound_acknowledgement(bool bounded);
+  void note_silence();
 
   connection_pool& pool_;
   header_names const& names_;
@@ -156,6 +168,7 @@
   bool aborted_ = false;
   bool resent_ = false;
   bool has_broken_ = false;
+  bool has_met_silence_ = false;
   std::optional<milliseconds> rested_;
   std::shared_ptr<void> held_;
 };
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -102,7 +102,7 @@
   one.message.set(parts_.names.expected_instance, with.server().id);
   bool const repeatable = one.by->is_repeatable();
   auto choice = repeatable ? connection_choice::kept : connection_choice::just_used;
-  if (one.is_trial) choice = connection_choice::fresh;
+  if (one.is_trial || one.has_met_silence) choice = connection_choice::fresh;
   time_point const deadline = attempt_deadline(one);
   exchange_failure failure = co_await with.send(one.message, choice, deadline);
   if (failure == exchange_failure::none) failure = co_await with.read_head(deadline);
@@ -143,6 +143,7 @@
   } else {
     parts_.selector.note_failure(with.server().id, boot_clock::now());
   }
+  one.has_met_silence = one.has_met_silence || with.has_met_silence();
   bool const ended =
       failure == exchange_failure::broken || failure == exchange_failure::stale_connection;
   if (ended) {
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -100,6 +100,9 @@
     std::optional<quarantine::fingerprint> identity;
     /// A server's connection broke under it.
     bool has_broken = false;
+    /// A kept connection gave no answer: further attempts use new ones, or each could meet a dead
+    /// one and the last would wait for the whole deadline.
+    bool has_met_silence = false;
     /// It ends servers, so no other one gets it.
     bool is_quarantined = false;
     /// When it may be tried again, as far as is known.
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -58,6 +58,8 @@
   void listen_to_records();
   milliseconds records_age() const { return feed_.age(boot_clock::now()); }
   relay::feed_options make_feed_options() const;
+  /// @param record whose key begins like the configuration's; another writer's is passed over.
+  void take_configuration_record(kv::key_value const& record);
   void take_configuration(std::string_view value);
   /// Takes up, or lays down, what only owners of a pool do.
   void note_ownership();
@@ -199,10 +201,10 @@
 void application::parts::listen_to_records() {
   kv::follower_callbacks on_configuration;
   on_configuration.snapshot = [this](kv::range_answer const& all) {
-    for (kv::key_value const& one : all.entries) take_configuration(one.value);
+    for (kv::key_value const& one : all.entries) take_configuration_record(one);
   };
   on_configuration.event = [this](kv::watch_event const& event) {
-    if (!event.deleted) take_configuration(event.entry.value);
+    if (!event.deleted) take_configuration_record(event.entry);
   };
   kv::follower_callbacks on_owners;
   on_owners.snapshot = [this](kv::range_answer const& all) {
@@ -240,6 +242,10 @@
   operator_requests_.set_owner(owner);
 }
 
+void application::parts::take_configuration_record(kv::key_value const& record) {
+  if (record.key == adapter_.keys().configuration) take_configuration(record.value);
+}
+
 void application::parts::take_configuration(std::string_view value) {
   std::string fault;
   auto parsed = adapter_.parse_configuration(value, fault);
--- a/src/gateway/operator_requests.cc
+++ b/src/gateway/operator_requests.cc
@@ -27,9 +27,9 @@
   callbacks.event = [this](kv::watch_event const& event) {
     if (!event.deleted) take(event.entry);
   };
-  follower_ =
-      std::make_shared<kv::follower>(context_, adapter_.store(), adapter_.keys().operators_prefix,
-                                     std::move(callbacks), kv::follower_options{k_pause});
+  follower_ = std::make_shared<kv::follower>(
+      context_, adapter_.store(), adapter_.keys().operators_prefix, std::move(callbacks),
+      kv::follower_options{k_pause, kv::k_prompt_watch_wait});
   follower_->start();
 }
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/silent_peer.h"
+
 namespace frostline::http {
 namespace {
 
@@ -8,7 +10,8 @@
 constexpr milliseconds k_connect_timeout{800};
 
 std::error_code classify(beast::error_code const& failure) {
-  if (failure == beast::error::timeout) return errc::deadline_exceeded;
+  bool const silent = failure == beast::error::timeout || failure == asio::error::timed_out;
+  if (silent) return errc::deadline_exceeded;
   if (failure == bhttp::error::partial_message) return errc::answer_truncated;
   if (failure == bhttp::error::body_limit) return errc::answer_too_large;
   return errc::exchange_failed;
@@ -43,6 +46,12 @@
   kept.push_back(std::move(stream));
 }
 
+std::error_code client::note_failure(endpoint const& where, beast::error_code const& failure) {
+  std::error_code const error = classify(failure);
+  if (error == errc::deadline_exceeded) pool_.erase(where);
+  return error;
+}
+
 awaitable<result<client::connection>> client::connect(endpoint const& where, milliseconds timeout) {
   auto stream = std::make_unique<beast::tcp_stream>(context_);
   stream->expires_after(std::min(timeout, k_connect_timeout));
@@ -54,6 +63,7 @@
   if (failure) co_return std::error_code(errc::connect_failed);
   beast::error_code ignored;
   stream->socket().set_option(tcp::no_delay(true), ignored);
+  probe_when_idle(stream->socket());
   co_return std::move(stream);
 }
 
@@ -73,14 +83,14 @@
   message.prepare_payload();
   auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
   traffic_.sent += written;
-  if (write_failure) co_return classify(write_failure);
+  if (write_failure) co_return note_failure(where, write_failure);
   bhttp::response_parser<bhttp::string_body> parser;
   parser.body_limit(answer_limit_);
   if (message.method() == verb::head) parser.skip(true);
   beast::flat_buffer buffer;
   auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, parser, k_as_tuple);
   traffic_.received += read;
-  if (read_failure) co_return classify(read_failure);
+  if (read_failure) co_return note_failure(where, read_failure);
   bool const clean = parser.get().keep_alive() && buffer.size() == 0;
   if (clean && use == connection_use::pooled) give_back(where, std::move(stream));
   co_return parser.release();
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,10 @@
   awaitable<result<connection>> connect(endpoint const& where, milliseconds timeout);
   connection take_pooled(endpoint const& where);
   void give_back(endpoint const& where, connection stream);
+  /// What an exchange failed of. One without an answer in time may have met a connection that has
+  /// gone silent, and those that rest beside it may have, too: they are closed, so that ten dead
+  /// connections cost one timeout and not ten.
+  std::error_code note_failure(endpoint const& where, beast::error_code const& failure);
 
   asio::io_context& context_;
   std::size_t answer_limit_;
--- /dev/null
+++ b/src/http/silent_peer.cc
@@ -0,0 +1,38 @@
+#include "http/silent_peer.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+namespace frostline::http {
+namespace {
+
+using seconds_until_probe =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;  // seconds
+using seconds_between_probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+using most_probes = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+using acknowledgement_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;  // milliseconds
+
+/// The smallest times that the kernel takes.
+constexpr int k_probe_seconds = 1;
+/// On a link that loses a packet in twenty on its way and back, a single lost probe would end one
+/// connection in twenty for each second that it rests; two in a row end one in four hundred.
+constexpr int k_probes = 2;
+
+}  // namespace
+
+void probe_when_idle(tcp::socket& socket) {
+  // Without the options a connection still works; its end is found out later.
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(seconds_until_probe(k_probe_seconds), ignored);
+  socket.set_option(seconds_between_probes(k_probe_seconds), ignored);
+  socket.set_option(most_probes(k_probes), ignored);
+}
+
+void end_if_unacknowledged(tcp::socket& socket, milliseconds patience) {
+  boost::system::error_code ignored;
+  socket.set_option(acknowledgement_timeout(static_cast<int>(patience.count())), ignored);
+}
+
+}  // namespace frostline::http
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -16,13 +16,24 @@
   std::function<void(watch_event const&)> event;
   /// After each answer: all changes up to this revision have been told. Not needed.
   std::function<void(revision)> complete_to = nullptr;
+  /// A watch got no answer in time; it is begun anew. Not needed.
+  std::function<void()> watch_silent = nullptr;
 };
 
+/// For records of which a change must be known within two to three seconds, counted from its
+/// acknowledgement or from the loss of a connection: with 0.8 s for the answer a dead watch is
+/// found out after 2 s. It costs 0.8 calls to the store a second for each watch.
+inline constexpr milliseconds k_prompt_watch_wait{1200};
+/// For other records. A tenth of the calls; dead connections, unlike lost answers, are found out by
+/// the kernel's probes in 3 s.
+inline constexpr milliseconds k_watch_wait{10'000};
+
 struct follower_options {
   /// Time between an answer and the next watch; changes meanwhile arrive together.
   milliseconds pause{0};
-  /// Longest time one watch waits at the store.
-  milliseconds watch_wait{29'000};
+  /// Longest time one watch waits at the store. A watch whose connection has gone silent, or whose
+  /// answer was lost, is found out after this and the margin of the store's client.
+  milliseconds watch_wait = k_watch_wait;
 };
 
 /// Held by a shared pointer: a watch that waits keeps it alive.
@@ -43,6 +54,8 @@
   /// Whether the store has answered since the last start or resynchronization, and the last answer
   /// was not an error.
   bool is_current() const { return current_; }
+  /// Up to which revision all changes have been told.
+  revision at() const { return at_; }
   /// When the call was sent that the store answered last; time_point::min(): none was. Changes that
   /// came later may not be known here.
   time_point answered_at() const { return answered_at_; }
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -32,6 +32,12 @@
   views.advance(told.topic, told.store_revision);
 }
 
+kv::revision newest_of(rpc::TopicChangesT const& told) {
+  kv::revision newest = 0;
+  for (auto const& change : told.changes) newest = std::max(newest, change->revision);
+  return newest;
+}
+
 /// Takes a reply over. @return what the other node was not sure of, as text; empty: nothing.
 std::string take_reply(rpc::PollReplyT const& reply, time_point asked, milliseconds longest_wait,
                        topic_views& views) {
@@ -78,8 +84,13 @@
   if (!reply) co_return poll_result{poll_outcome::failed, reply.error().detail};
   std::string doubts = take_reply(reply.value(), asked, request.wait, views);
   bool const whole = reply.value().topics.size() == request.topics.size();
-  if (whole && doubts.empty()) co_return poll_result{poll_outcome::sure, ""};
-  co_return poll_result{poll_outcome::not_sure, "not sure of " + doubts};
+  poll_result result{poll_outcome::not_sure, "not sure of " + doubts};
+  if (whole && doubts.empty()) result = poll_result{poll_outcome::sure, ""};
+  for (auto const& told : reply.value().topics) {
+    if (index_of(told->topic) >= k_topics.size()) continue;
+    result.newest_changes[index_of(told->topic)] = newest_of(*told);
+  }
+  co_return result;
 }
 
 }  // namespace frostline::relay
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -1,6 +1,7 @@
 /// @file One question to another node for what its views hold beyond this node's own.
 #pragma once
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,8 @@
   poll_outcome outcome = poll_outcome::failed;
   /// Why it failed, or why the other node was not sure.
   std::string cause;
+  /// Revision of the newest change that it told, by topic; 0: none.
+  std::array<kv::revision, k_topics.size()> newest_changes{};
 };
 
 struct poll_request {
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -127,6 +127,9 @@
       }
     }
   };
+  callbacks.watch_silent = [this] {
+    if (store_back_) store_back_();
+  };
   callbacks.contact_changed = [this] {
     if (!source_.is_silent()) {
       views_.note_store_back(boot_clock::now());
@@ -296,6 +299,10 @@
 
 void record_feed::note_result(endpoint const& peer, poll_result const& result) {
   time_point const now = boot_clock::now();
+  // An owner tells what engines load to nobody, and its own records of servers are newer.
+  for (topic const one : k_topics) {
+    source_.expect(one, result.newest_changes[index_of(one)]);
+  }
   bool const is_relay = is_relay_address(peer);
   answered_once_ = answered_once_ || result.outcome != poll_outcome::failed;
   if (result.outcome != poll_outcome::failed && is_relay) relay_answered_at_ = now;
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -68,8 +68,9 @@
 
   /// Who hears of a topic's changes; to be set before start.
   void listen(topic one, kv::follower_callbacks listener);
-  /// Runs when the store answers this node again after a silence: watches that others began before
-  /// may be dead without showing it. Only nodes that follow a topic at the store notice.
+  /// Runs when the store answers this node again after a silence, or a watch got no answer: watches
+  /// that others began before may be dead without showing it. Only nodes that follow a topic at the
+  /// store notice.
   void on_store_back(std::function<void()> listener) { store_back_ = std::move(listener); }
   void start();
   /// Registers what other nodes call.
--- a/src/relay/store_source.cc
+++ b/src/relay/store_source.cc
@@ -1,6 +1,7 @@
 #include "relay/store_source.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "base/jitter.h"
 #include "base/log.h"
@@ -14,6 +15,15 @@
 constexpr milliseconds k_contact_interval{500};
 constexpr milliseconds k_contact_timeout{300};
 constexpr milliseconds k_retry_pause{100};
+/// Relays hear of a change within some milliseconds of each other; a follower's longest pause
+/// between two watches is 0.4 s.
+constexpr milliseconds k_expected_time{700};
+
+/// What callers and engines may be sent, and what is refused, follows from these.
+constexpr milliseconds watch_wait_of(topic one) {
+  bool const prompt = one == topic::CONFIGURATION || one == topic::SERVERS;
+  return prompt ? kv::k_prompt_watch_wait : kv::k_watch_wait;
+}
 
 }  // namespace
 
@@ -37,9 +47,10 @@
   callbacks.snapshot = [this, one](kv::range_answer const& all) { callbacks_.snapshot(one, all); };
   callbacks.event = [this, one](kv::watch_event const& event) { callbacks_.event(one, event); };
   callbacks.complete_to = [this, one](kv::revision at) { callbacks_.complete_to(one, at); };
+  callbacks.watch_silent = [this, one] { note_silent_watch(one); };
+  kv::follower_options const options{pauses_[index_of(one)], watch_wait_of(one)};
   place = std::make_shared<kv::follower>(context_, store_, prefixes_[index_of(one)],
-                                         std::move(callbacks),
-                                         kv::follower_options{pauses_[index_of(one)]});
+                                         std::move(callbacks), options);
   place->start();
   wanted_.notify_all();
 }
@@ -65,6 +76,35 @@
   return std::chrono::duration_cast<milliseconds>(now - slot(one)->answered_at());
 }
 
+void store_source::note_silent_watch(topic one) {
+  // In an outage all watches fail; they begin anew when it is over.
+  if (silent_) return;
+  log_line(log_level::warning, k_part, "Watch got no answer; beginning the others anew.",
+           {{"topic", rpc::EnumNameRecordTopic(one)}});
+  for (topic const other : k_topics) {
+    if (other != one && slot(other)) slot(other)->resynchronize();
+  }
+  callbacks_.watch_silent();
+}
+
+void store_source::expect(topic one, kv::revision change) {
+  if (!slot(one) || slot(one)->at() >= change) return;
+  kv::revision& expected = expected_[index_of(one)];
+  bool const waiting = expected != 0;
+  expected = std::max(expected, change);
+  if (!waiting) spawn(context_, check_expected(one));
+}
+
+awaitable<void> store_source::check_expected(topic one) {
+  co_await wait_for(k_expected_time);
+  kv::revision const expected = std::exchange(expected_[index_of(one)], 0);
+  if (!slot(one) || slot(one)->at() >= expected || silent_) co_return;
+  log_line(
+      log_level::warning, k_part, "Watch has not told what others know; reading again.",
+      {{"topic", rpc::EnumNameRecordTopic(one)}, {"at", slot(one)->at()}, {"expected", expected}});
+  slot(one)->resynchronize();
+}
+
 void store_source::resynchronize(std::string_view cause) {
   if (!follows_any()) return;
   log_line(log_level::warning, k_part, "Reading all followed records again.", {{"cause", cause}});
--- a/src/relay/store_source.h
+++ b/src/relay/store_source.h
@@ -23,6 +23,8 @@
   std::function<void()> confirmed;
   /// The store answers again, or does not any more.
   std::function<void()> contact_changed;
+  /// A watch got no answer although the store answers; others may be as dead.
+  std::function<void()> watch_silent;
 };
 
 class store_source {
@@ -51,6 +53,9 @@
   time_point confirmed_at() const { return confirmed_at_; }
   /// Whether the store has not answered for k_longest_silence.
   bool is_silent() const { return silent_; }
+  /// Others know of a change of a topic up to this revision. If this node's own watch has not told
+  /// it soon, the watch's answer was lost, and the topic is read anew.
+  void expect(topic one, kv::revision change);
   /// Reads all followed topics anew: a watch may have died unseen.
   void resynchronize(std::string_view cause);
 
@@ -60,6 +65,8 @@
   /// Asks the store for a sign of life while a topic is followed.
   awaitable<void> contact_loop();
   void note_contact(bool answered, time_point asked);
+  void note_silent_watch(topic one);
+  awaitable<void> check_expected(topic one);
 
   asio::io_context& context_;
   kv::record_store& store_;
@@ -67,6 +74,8 @@
   source_callbacks callbacks_;
   std::array<std::shared_ptr<kv::follower>, k_topics.size()> followers_;
   std::array<milliseconds, k_topics.size()> pauses_{};
+  /// The newest change of a topic that others know of, while it is waited for; 0: none.
+  std::array<kv::revision, k_topics.size()> expected_{};
   async_condition wanted_;
   time_point confirmed_at_ = time_point::min();
   bool silent_ = false;
--- a/tests/platform/server_records_test.cc
+++ b/tests/platform/server_records_test.cc
@@ -47,7 +47,6 @@
                                  [&] { return all_say(in_force(version)); });
   }
 
-
   void call_everywhere(std::string const& name) {
     for (std::size_t node = 0; node < system.nodes(); ++node) {
       for (int one = 0; one < 6; ++one) {
@@ -110,7 +109,8 @@
 }
 
 TEST(server_records_test, late_record_of_a_former_life_does_not_bring_it_back) {
-  std::string const former = system.on_platform([&] { return system.engine(0).record("draining"); });
+  std::string const former =
+      system.on_platform([&] { return system.engine(0).record("draining"); });
   restart_engine();
   put("servers/" + system.engine(0).id(), former);
   put_config_and_wait(2);
@@ -127,15 +127,16 @@
   std::string const address = "\"address\":\"127.0.0.1:9\",\"zone\":\"a\",";
   put("servers/foreign-1", std::string("\xff\x00\x01", 3));
   put("servers/foreign-2", "[]");
-  put("servers/foreign-3",
-      "{\"service\":\"apps\"," + address + "\"slots\":\"many\",\"state\":\"ready\",\"sequence\":1}");
+  put("servers/foreign-3", "{\"service\":\"apps\"," + address +
+                               "\"slots\":\"many\",\"state\":\"ready\",\"sequence\":1}");
   put("servers/foreign-4",
       "{\"service\":\"apps\"," + address + "\"slots\":8,\"state\":\"asleep\",\"sequence\":1}");
   put("servers/foreign-5", "{" + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":1}");
   put("servers/foreign-6",
       "{\"service\":\"apps\"," + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":-1}");
-  put("servers/foreign-7", "{\"service\":\"apps\"," + address +
-                               "\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"born\":\"today\"}");
+  put("servers/foreign-7",
+      "{\"service\":\"apps\"," + address +
+          "\"slots\":8,\"state\":\"ready\",\"sequence\":1,\"born\":\"today\"}");
   put("servers/foreign-8",
       "{\"service\":[\"apps\"]," + address + "\"slots\":8,\"state\":\"ready\",\"sequence\":1}");
   put_config_and_wait(2);
@@ -158,8 +159,7 @@
 }
 
 TEST(server_records_test, records_beside_the_configuration_are_not_taken_for_it) {
-  put("op/config-draft",
-      R"({"version":90,"routes":[],"services":[],"limits":{}})");
+  put("op/config-draft", R"({"version":90,"routes":[],"services":[],"limits":{}})");
   put("op/config.old", "not a configuration");
   put_config_and_wait(2);
   CHECK_FALSE(anybody_says(in_force(90)));
--- a/tests/platform/silent_connections_test.cc
+++ b/tests/platform/silent_connections_test.cc
@@ -87,8 +87,8 @@
     on_platform([&] { system.put_config(3, route("added")); });
     platform_cluster::wait_until("version 3 is in force", [&] { return all_say(in_force(3)); });
     for (std::size_t node = 0; node < system.nodes(); ++node) {
-      auto const answer = system.call(node, http::verb::get, "/added/one",
-                                      "added-" + std::to_string(node));
+      auto const answer =
+          system.call(node, http::verb::get, "/added/one", "added-" + std::to_string(node));
       CHECK(static_cast<bool>(answer));
       LONGS_EQUAL(200, answer.value().result_int());
     }
@@ -125,9 +125,8 @@
     std::vector<milliseconds> times;
     for (std::size_t one = 0; one < count; ++one) {
       time_point const begin = boot_clock::now();
-      auto const answer =
-          system.call(node, http::verb::get, "/calls/one",
-                      "call-" + std::to_string(node) + "-" + std::to_string(one));
+      auto const answer = system.call(node, http::verb::get, "/calls/one",
+                                      "call-" + std::to_string(node) + "-" + std::to_string(one));
       CHECK(static_cast<bool>(answer));
       LONGS_EQUAL(200, answer.value().result_int());
       times.push_back(milliseconds(milliseconds_since(begin)));
@@ -143,7 +142,8 @@
   CHECK(boot_clock::now() - begin < k_in_touch);
 }
 
-TEST(silent_connections_test, change_is_in_force_in_time_after_connections_to_the_store_went_silent) {
+TEST(silent_connections_test,
+     change_is_in_force_in_time_after_connections_to_the_store_went_silent) {
   settle();
   time_point const begin = boot_clock::now();
   CHECK(system.silence_connections(connected_part::store) > 0);
@@ -151,7 +151,8 @@
   CHECK(boot_clock::now() - begin < k_in_touch);
 }
 
-TEST(silent_connections_test, change_is_in_force_in_time_though_waiting_watches_are_never_answered) {
+TEST(silent_connections_test,
+     change_is_in_force_in_time_though_waiting_watches_are_never_answered) {
   settle();
   time_point const begin = boot_clock::now();
   on_platform([&] { CHECK(system.store().forget_watches() > 0); });
@@ -175,7 +176,8 @@
   CHECK(boot_clock::now() - begin < k_in_touch);
 }
 
-TEST(silent_connections_test, server_that_leaves_gets_nothing_more_though_watches_are_never_answered) {
+TEST(silent_connections_test,
+     server_that_leaves_gets_nothing_more_though_watches_are_never_answered) {
   settle();
   time_point const begin = boot_clock::now();
   on_platform([&] {
@@ -194,8 +196,8 @@
     system.name_version(2);
   });
   platform_cluster::wait_until("an engine is ordered", [&] {
-    return system.on_platform([&] { return !system.engine(0).orders().empty() ||
-                                           !system.engine(1).orders().empty(); });
+    return system.on_platform(
+        [&] { return !system.engine(0).orders().empty() || !system.engine(1).orders().empty(); });
   });
   CHECK(boot_clock::now() - begin < k_in_touch);
 }
@@ -224,9 +226,8 @@
   time_point const begin = boot_clock::now();
   CHECK(system.silence_connections(connected_part::all) > 0);
   for (std::size_t node = 0; node < system.nodes(); ++node) {
-    platform_cluster::wait_until("the results are told", [&] {
-      return system.results_status(node, "job-1") == 200;
-    });
+    platform_cluster::wait_until("the results are told",
+                                 [&] { return system.results_status(node, "job-1") == 200; });
   }
   CHECK(boot_clock::now() - begin < k_in_touch);
 }
--- a/tests/support/silent_connections.h
+++ b/tests/support/silent_connections.h
@@ -12,7 +12,8 @@
 
 namespace frostline::testing {
 
-using connection_filter = std::function<bool(tcp::endpoint const& local, tcp::endpoint const& peer)>;
+using connection_filter =
+    std::function<bool(tcp::endpoint const& local, tcp::endpoint const& peer)>;
 
 /// Silences the end that `process` holds of each connection which is open now and for which
 /// `chosen` is true. @param process this one, or a child. @return how many connections.
