Lives of a server are told apart by when they began; records that can't be read name no server

Cause: a server may start again under its identifier with its counts anew, and other writers leave records among the servers' and the operators'. Change: a record has its life's start (born); a later life begins anew what is believed of the server, an earlier one's late record is passed over; the engines' own reports name their life. A record with a field missing or of another type names no server, also where a server was known; one line and a counter. Ruled out: telling lives apart by the order of the records' revisions, since the store may take a write of the former life late.

--- a/src/calls/server_selector.cc
+++ b/src/calls/server_selector.cc
@@ -79,6 +79,14 @@
   state.avoided_until = std::max(state.avoided_until, now + k_full_avoidance);
 }
 
+void server_selector::note_new_life(std::string const& server) {
+  auto const known = states_.find(server);
+  if (known == states_.end()) return;
+  known->second.failures_in_row = 0;
+  known->second.avoided_until = time_point::min();
+  known->second.swift_at = time_point::min();
+}
+
 void server_selector::clean(directory::server_directory const& servers) {
   std::erase_if(states_, [&](auto const& entry) {
     return entry.second.outstanding == 0 && entry.second.isolated == 0 &&
--- a/src/calls/server_selector.h
+++ b/src/calls/server_selector.h
@@ -44,6 +44,8 @@
   void note_abandoned(std::string const& server);
   /// Refused, not run: it is full.
   void note_full(std::string const& server, time_point now);
+  /// A server has started again: its failures were those of the life before.
+  void note_new_life(std::string const& server);
   /// Forgets servers that are gone.
   void clean(directory::server_directory const& servers);
   std::uint32_t outstanding(std::string const& server) const;
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -1,5 +1,7 @@
 #include "directory/server_directory.h"
 
+#include <set>
+
 #include "base/log.h"
 
 namespace frostline::directory {
@@ -9,7 +11,10 @@
 
 void log_change(server const& one, std::string_view sentence) {
   log_line(log_level::info, k_part, sentence,
-           {{"server", one.id}, {"service", one.service}, {"address", one.address.to_string()}});
+           {{"server", one.id},
+            {"service", one.service},
+            {"address", one.address.to_string()},
+            {"born", one.born}});
 }
 
 }  // namespace
@@ -21,25 +26,41 @@
   return same == right && left.models.empty() == right.models.empty();
 }
 
+bool server_directory::take(server one) {
+  auto const [place, fresh] = servers_.try_emplace(one.id);
+  server& known = place->second;
+  if (!fresh && one.born < known.born) {
+    log_line(log_level::info, k_part, "Record of a former life is passed over.",
+             {{"server", one.id}, {"born", one.born}, {"known", known.born}});
+    return false;
+  }
+  bool const new_life = !fresh && one.born > known.born;
+  bool const drains = one.state == server_state::draining && known.state == server_state::ready;
+  known = std::move(one);
+  if (fresh) log_change(known, "Server appeared.");
+  if (new_life) log_change(known, "Server started again.");
+  if (drains) log_change(known, "Server drains.");
+  if (new_life && new_life_) new_life_(known);
+  return true;
+}
+
 void server_directory::replace_all(std::vector<server> servers) {
-  std::map<std::string, server> fresh;
-  for (server& one : servers) fresh[one.id] = std::move(one);
-  for (auto const& [id, known] : servers_) {
-    if (!fresh.contains(id)) log_change(known, "Server gone.");
+  std::set<std::string> listed;
+  for (server& one : servers) {
+    listed.insert(one.id);
+    take(std::move(one));
   }
-  servers_ = std::move(fresh);
+  std::erase_if(servers_, [&](auto const& entry) {
+    bool const gone = !listed.contains(entry.first);
+    if (gone) log_change(entry.second, "Server gone.");
+    return gone;
+  });
   loaded_ = true;
   notify();
 }
 
 void server_directory::put(server one) {
-  server& known = servers_[one.id];
-  bool const drains = one.state == server_state::draining && known.state == server_state::ready;
-  bool const fresh = known.id.empty();
-  known = std::move(one);
-  if (fresh) log_change(known, "Server appeared.");
-  if (drains) log_change(known, "Server drains.");
-  notify();
+  if (take(std::move(one))) notify();
 }
 
 void server_directory::remove(std::string const& id) {
--- a/src/directory/server_directory.h
+++ b/src/directory/server_directory.h
@@ -12,13 +12,15 @@
 
 namespace frostline::directory {
 
-/// ready -> draining -> gone; ready -> gone. A server never comes back from draining: its next life
-/// has a new identifier.
+/// ready -> draining -> gone; ready -> gone. A life of a server never comes back from draining.
 enum class server_state { ready, draining };
 
-/// One life of a server; `id` is never used again.
+/// One life of a server. It may start again under its identifier, and then knows nothing of before.
 struct server {
   std::string id;
+  /// When this life began, Unix milliseconds by its own clock; 0: not told. A later life has a
+  /// higher number.
+  std::uint64_t born = 0;
   std::string service;
   endpoint address;
   std::string zone;
@@ -29,6 +31,8 @@
   /// Orders taken in this life, as far as discovery knows.
   std::uint64_t sequence = 0;
 
+  /// Tells lives apart, also those under one identifier.
+  std::string life() const { return born == 0 ? id : id + "/" + std::to_string(born); }
   bool operator==(server const&) const = default;
 };
 
@@ -38,6 +42,7 @@
 
 class server_directory {
  public:
+  /// Records of a former life of a server that is known are passed over: they were written late.
   void replace_all(std::vector<server> servers);
   void put(server one);
   void remove(std::string const& id);
@@ -48,13 +53,18 @@
   std::vector<server const*> ready_servers(std::string const& service) const;
   std::map<std::string, server> const& servers() const { return servers_; }
   void on_change(std::function<void()> listener) { listeners_.push_back(std::move(listener)); }
+  /// Runs when a server is known to have started again under its identifier.
+  void on_new_life(std::function<void(server const&)> listener) { new_life_ = std::move(listener); }
 
  private:
   void notify() const;
+  /// Takes one record over. @return false if it is of a former life.
+  bool take(server one);
 
   std::map<std::string, server> servers_;
   bool loaded_ = false;
   std::vector<std::function<void()>> listeners_;
+  std::function<void(server const&)> new_life_;
 };
 
 }  // namespace frostline::directory
--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -20,6 +20,15 @@
 
 }  // namespace
 
+void engine_board::begin_life(board_engine& one) {
+  one.versions.clear();
+  one.event_gap_ms = 0;
+  one.blocked_until = time_point::min();
+  one.failures_in_row = 0;
+  one.load = load_state::idle;
+  one.ordered_at = time_point{};
+}
+
 void engine_board::update(std::vector<directory::server const*> const& servers) {
   std::map<std::string, board_engine> next;
   for (directory::server const* server : servers) {
@@ -29,6 +38,7 @@
       next.emplace(server->id, std::move(one));
       continue;
     }
+    if (server->born > one.server.born) begin_life(one);
     one.server = *server;
     for (auto const& [model, version] : server->models) {
       std::uint64_t& held = one.versions[model];
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -81,6 +81,9 @@
                             time_point now);
 
  private:
+  /// An engine has started again: what was believed of it holds no more but its runs, which end by
+  /// themselves.
+  static void begin_life(board_engine& one);
   bool can_run(board_engine const& one, run_need const& need, time_point now) const;
   bool knows_gap(board_engine const& one, time_point now) const;
   /// Computes the typical gap anew if it is some time ago.
--- a/src/engines/engine_control.h
+++ b/src/engines/engine_control.h
@@ -45,6 +45,8 @@
 
 struct engine_report {
   bool busy = false;
+  /// When the life that answered began; 0: not told.
+  std::uint64_t born = 0;
   std::uint64_t sequence = 0;
   std::map<std::string, std::uint64_t> versions;
 };
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -82,10 +82,17 @@
   }
 }
 
-void weight_orders::take_report(std::string const& engine, engine_report const& report) {
-  board_engine* const one = board_.find(engine);
+weight_orders::engine_sequence& weight_orders::sequence_of(directory::server const& engine) {
+  engine_sequence& found = sequences_[engine.id];
+  // An engine's own report may be of a later life than its record.
+  if (found.born < engine.born) found = {false, 0, engine.born};
+  return found;
+}
+
+void weight_orders::take_report(directory::server const& engine, engine_report const& report) {
+  board_engine* const one = board_.find(engine.id);
   if (one == nullptr) return;
-  sequences_[engine] = {true, report.sequence};
+  sequences_[engine.id] = {true, report.sequence, std::max(report.born, engine.born)};
   for (auto const& [model, version] : report.versions) {
     std::uint64_t& held = one->versions[model];
     held = std::max(held, version);
@@ -101,15 +108,15 @@
     one->load = load_state::idle;
     co_return;
   }
-  take_report(engine.id, *report);
+  take_report(engine, *report);
   if (!report->busy) one->load = load_state::idle;
 }
 
 awaitable<bool> weight_orders::learn_sequence(directory::server engine) {
-  if (sequences_[engine.id].known) co_return true;
+  if (sequence_of(engine).known) co_return true;
   auto const report = co_await control_.report(engine);
   if (!report) co_return false;
-  take_report(engine.id, *report);
+  take_report(engine, *report);
   co_return true;
 }
 
@@ -129,7 +136,7 @@
   command.mode = authority_.mode_for(*one);
   command.holder = authority_.holder;
   command.fence = authority_.fence();
-  command.expected_sequence = sequences_[engine.id].value;
+  command.expected_sequence = sequence_of(engine).value;
   ++sent_;
   command_reply const reply = co_await control_.load(engine, command);
   log_line(log_level::info, k_part, "Order given.",
@@ -142,7 +149,7 @@
   one = board_.find(engine.id);
   if (one == nullptr) co_return;
   if (reply == command_reply::taken) {
-    ++sequences_[engine.id].value;
+    ++sequence_of(engine).value;
     co_return;
   }
   one->load = load_state::idle;
@@ -153,7 +160,7 @@
   // Whether an order without an answer was taken, the sequence tells: asked again, the same
   // expectation keeps it from being carried out twice.
   bool const changed = reply == command_reply::conflict || reply == command_reply::refused;
-  if (changed) sequences_[engine.id].known = false;
+  if (changed) sequence_of(engine).known = false;
   if (reply == command_reply::not_sent) board_.note_failure(engine.id, boot_clock::now());
   one->ordered_at = boot_clock::now() + k_refused_pause;
 }
--- a/src/engines/weight_orders.h
+++ b/src/engines/weight_orders.h
@@ -48,13 +48,17 @@
   struct engine_sequence {
     bool known = false;
     std::uint64_t value = 0;
+    /// The life that has taken them.
+    std::uint64_t born = 0;
   };
 
   awaitable<void> give(directory::server engine, planned_order order);
   awaitable<bool> learn_sequence(directory::server engine);
   void settle(time_point now);
   awaitable<void> look_into(directory::server engine);
-  void take_report(std::string const& engine, engine_report const& report);
+  /// What is known of an engine's count; nothing is, if it has started again since.
+  engine_sequence& sequence_of(directory::server const& engine);
+  void take_report(directory::server const& engine, engine_report const& report);
 
   asio::io_context& context_;
   engine_board& board_;
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -164,6 +164,10 @@
     note_progress();
     pools_.note_servers();
   });
+  servers_.on_new_life([this](directory::server const& one) {
+    connections_.forget(one.id);
+    selector_.note_new_life(one.id);
+  });
   listen_to_records();
   feed_.on_store_back([this] { operator_requests_.resynchronize(); });
   feed_.start();
@@ -294,6 +298,7 @@
   node_readings now;
   now.config_version = configuration_.table() ? configuration_.table()->all().version : 0;
   now.servers = servers_.servers().size();
+  now.malformed_servers = server_watch_.malformed();
   now.calls = forwarder_.figures();
   now.quarantine = quarantine_.figures();
   now.quarantine_records = quarantine_.records();
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -114,6 +114,8 @@
   page.set("frostline_config_version", "configuration in force",
            static_cast<double>(now.config_version));
   page.set("frostline_servers", "servers known", static_cast<double>(now.servers));
+  page.set("frostline_server_records_malformed_total", "servers' records that can't be read",
+           static_cast<double>(now.malformed_servers));
   page.set("frostline_calls_total", "requests", static_cast<double>(now.calls.requests));
   page.set("frostline_calls_answered_total", "requests with a server's answer",
            static_cast<double>(now.calls.answered));
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -41,6 +41,7 @@
 struct node_readings {
   std::uint64_t config_version = 0;
   std::size_t servers = 0;
+  std::uint64_t malformed_servers = 0;
   calls::call_figures calls;
   quarantine::quarantine_figures quarantine;
   std::size_t quarantine_records = 0;
--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -13,11 +13,6 @@
 /// So long before the time at which a server must get nothing more it gets nothing more.
 constexpr milliseconds k_leave_margin{250};
 
-void log_malformed(kv::key_value const& record) {
-  log_line(log_level::error, k_part, "Server's record is malformed; what was known of it stays.",
-           {{"key", record.key}, {"revision", record.mod_revision}});
-}
-
 }  // namespace
 
 time_point departure_time(time_point now, time_point store_back_at, milliseconds leave_time) {
@@ -41,6 +36,12 @@
   };
 }
 
+void server_watch::note_malformed(kv::key_value const& record) {
+  ++malformed_;
+  log_line(log_level::warning, k_part, "Record names no server: it can't be read.",
+           {{"key", record.key}, {"revision", record.mod_revision}});
+}
+
 void server_watch::take_all(kv::range_answer const& all) {
   std::vector<directory::server> servers;
   for (kv::key_value const& one : all.entries) {
@@ -48,7 +49,7 @@
     if (parsed) {
       servers.push_back(std::move(*parsed));
     } else {
-      log_malformed(one);
+      note_malformed(one);
     }
   }
   servers_.replace_all(std::move(servers));
@@ -61,7 +62,9 @@
   }
   auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
   if (!parsed) {
-    log_malformed(event.entry);
+    note_malformed(event.entry);
+    std::string const id = event.entry.key.substr(adapter_.keys().servers_prefix.size());
+    if (servers_.find(id) != nullptr) note_departure(id);
     return;
   }
   missing_.erase(parsed->id);
--- a/src/gateway/server_watch.h
+++ b/src/gateway/server_watch.h
@@ -35,6 +35,8 @@
 
   /// To be told of the servers' records.
   kv::follower_callbacks listener();
+  /// Records that were passed over since they can't be read.
+  std::uint64_t malformed() const { return malformed_; }
   /// Whether callers can treat two records of a server alike; a malformed one is like no other.
   relay::record_view::comparison alike() const;
 
@@ -42,6 +44,7 @@
   void take_all(kv::range_answer const& all);
   void take_one(kv::watch_event const& event);
 
+  void note_malformed(kv::key_value const& record);
   void note_departure(std::string const& id);
   awaitable<void> remove_at(std::string id, time_point when);
 
@@ -52,6 +55,7 @@
   std::function<time_point()> store_back_at_;
   /// Servers whose records went, and when they count as gone.
   std::map<std::string, time_point> missing_;
+  std::uint64_t malformed_ = 0;
 };
 
 }  // namespace frostline::gateway
--- a/src/http/json_fields.h
+++ b/src/http/json_fields.h
@@ -32,6 +32,17 @@
   return failure ? fallback : number;
 }
 
+/// A number that is there, whole and not negative; nothing otherwise.
+inline std::optional<std::uint64_t> json_whole(boost::json::object const& object,
+                                               std::string_view key) {
+  auto const* found = object.if_contains(key);
+  if (found == nullptr || !found->is_number()) return std::nullopt;
+  boost::system::error_code failure;
+  auto const number = found->to_number<std::uint64_t>(failure);
+  if (failure) return std::nullopt;
+  return number;
+}
+
 inline bool json_flag(boost::json::object const& object, std::string_view key,
                       bool fallback = false) {
   auto const* found = object.if_contains(key);
--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -28,15 +28,15 @@
 
 void crash_watch::note_broken(directory::server const& server, fingerprint const& request,
                               time_point sent_at) {
-  auto const [place, fresh] = broken_.try_emplace(server.id);
-  place->second.push_back({request, server.id, sent_at, boot_clock::now()});
+  auto const [place, fresh] = broken_.try_emplace(server.life());
+  place->second.push_back({request, server.life(), sent_at, boot_clock::now()});
   if (fresh) spawn(context_, examine(server));
 }
 
 awaitable<void> crash_watch::examine(directory::server server) {
   co_await wait_for(k_settle_time);
   server_condition const condition = co_await find_condition(server.address);
-  auto node = broken_.extract(server.id);
+  auto node = broken_.extract(server.life());
   std::vector<crash>& requests = node.mapped();
   log_line(log_level::info, k_part, "Server looked at after connections broke.",
            {{"server", server.id},
--- a/tests/platform/server_records_test.cc
+++ b/tests/platform/server_records_test.cc
@@ -166,3 +166,29 @@
   CHECK_FALSE(anybody_says("Configuration is malformed"));
   call_everywhere("call-");
 }
+
+TEST(server_records_test, request_that_ends_the_same_servers_again_and_again_is_kept_from_them) {
+  system.on_platform([&] {
+    for (std::size_t app = 0; app < system.apps(); ++app) system.app(app).set_keeps_id(true);
+    return 0;
+  });
+  system.set_crash_text("deadly");
+  auto const crashes = [&] {
+    return system.on_platform([&] { return system.app(0).crashes() + system.app(1).crashes(); });
+  };
+  std::uint64_t tries = 0;
+  auto const is_refused = [&] {
+    ++tries;
+    auto const answer = system.call(tries % system.nodes(), http::verb::get, "/calls/one",
+                                    "deadly-" + std::to_string(tries), "deadly");
+    return answer && answer.value().body().find("quarantined") != std::string::npos;
+  };
+  platform_cluster::wait_until("it is refused", is_refused);
+  std::uint32_t const before = crashes();
+  // Two lives of each server at least: fewer than three servers have ever been there.
+  CHECK(before >= 3);
+  platform_cluster::wait_until("all nodes refuse it",
+                               [&] { return is_refused() && is_refused() && is_refused(); });
+  CHECK(crashes() <= before + 3);
+  system.set_crash_text("");
+}
--- a/tests/unit/directory/server_directory_test.cc
+++ b/tests/unit/directory/server_directory_test.cc
@@ -34,3 +34,31 @@
   plain.models.clear();
   CHECK_FALSE(serve_alike(one, plain));
 }
+
+TEST(server_directory_test, later_life_replaces_the_one_before_and_never_the_other_way) {
+  server_directory all;
+  int lives = 0;
+  all.on_new_life([&](server const&) { ++lives; });
+  one.born = 5;
+  all.put(one);
+  server next = one;
+  next.born = 9;
+  next.sequence = 0;
+  all.put(next);
+  LONGS_EQUAL(1, lives);
+  one.state = server_state::draining;
+  all.put(one);
+  all.replace_all({one});
+  LONGS_EQUAL(9, all.find("e-1")->born);
+  CHECK(all.find("e-1")->state == server_state::ready);
+  // Once it is gone, nothing is late any more.
+  all.remove("e-1");
+  all.put(one);
+  LONGS_EQUAL(5, all.find("e-1")->born);
+}
+
+TEST(server_directory_test, another_life_is_not_alike) {
+  server next = one;
+  next.born = 1;
+  CHECK_FALSE(serve_alike(one, next));
+}
