A call under which two servers have ended is recorded before its third run; soak: silence, new lives, other writers' records

Cause: between a call's third crash and its record, 0.3 s, what nodes had seen stood in their memory alone. Change: a node under whose own runs two servers have ended one after the other writes the record before the third run, once, at most 16 at a time; it has effect like any other, unless that run is answered. Ruled out: the same for samples. One that only stood beside another's crashes is recorded then (crashing_request_test, samples_that_ran_beside_it_are_not_held_back failed): they run apart after two crashes, so that the third is one sample's alone.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -25,6 +25,9 @@
 DEFINE_uint32(engines, 3, "stand-ins of engines, 1 to 64");
 DEFINE_uint32(apps, 3, "stand-ins of application servers, 1 to 64");
 DEFINE_uint32(zones, 1, "zones of the gateways");
+DEFINE_bool(all_faults, true,
+            "with the faults that came after the first seeds of tests/soak-seeds.txt were kept; "
+            "without them a seed plays what it played then");
 
 namespace {
 
@@ -39,6 +42,7 @@
 constexpr int k_reads = 12;
 constexpr int k_calm_reads = 100;
 constexpr milliseconds k_order_gap{300};
+constexpr char k_added[] = "/added/";
 constexpr char k_first[] = "first";
 constexpr char k_second[] = "second";
 constexpr char k_first_key[] = "key-a";
@@ -66,8 +70,9 @@
       : random_(seed),
         system_(options()),
         deadly_(system_, k_first_key, seed),
-        faults_(system_, deadly_, {k_tenants, k_without_second_key},
-                [this] { wait_for_acceptance(); }) {
+        faults_(
+            system_, deadly_, {k_tenants, k_without_second_key}, [this] { wait_for_acceptance(); },
+            FLAGS_all_faults) {
     system_.on_platform([this] {
       for (std::size_t app = 0; app < FLAGS_apps; ++app) {
         system_.app(app).faults().work_time = k_work_time;
@@ -92,6 +97,7 @@
     finish_training();
     start_training(k_calm_reads);
     check_deadly_requests();
+    check_added_route();
     finish_training();
     working_ = false;
     caller.join();
@@ -163,6 +169,25 @@
     seen_.other_requests[k_first] = deadly_.sent();
   }
 
+  /// An acknowledged configuration is in force at all nodes in time, though all connections that
+  /// were open when it was acknowledged have gone silent.
+  void check_added_route() {
+    wait_for_recovery();
+    system_.silence_connections(connected_part::all);
+    time_point const in_force = boot_clock::now() + k_contact;
+    faults_.add_route(k_added);
+    while (boot_clock::now() < in_force) std::this_thread::yield();
+    for (std::size_t node = 0; node < FLAGS_nodes; ++node) {
+      auto const answer = system_.call(node, http::verb::get, std::string(k_added) + "x",
+                                       next_id("a"), "", k_recovery_patience, "");
+      unsigned const status = answer ? answer.value().result_int() : 0;
+      if (status == 200) continue;
+      added_route_broken_.push_back(
+          {"configuration in force", "node " + std::to_string(node) + " answers " +
+                                         std::to_string(status) + " for an added route"});
+    }
+  }
+
   bool is_served() {
     for (std::size_t node = 0; node < FLAGS_nodes; ++node) {
       // Without a key, so that they count as no tenant's requests.
@@ -307,6 +332,7 @@
     soak_counts counts;
     auto broken = check_soak(seen_, counts);
     broken.insert(broken.end(), budget_broken_.begin(), budget_broken_.end());
+    broken.insert(broken.end(), added_route_broken_.begin(), added_route_broken_.end());
     if (!recovered) broken.push_back({"recovery", "not served by all nodes within 12 s"});
     for (broken_promise const& one : broken) {
       std::cout << "BROKEN " << one.promise << ": " << one.detail << '\n';
@@ -338,6 +364,7 @@
   std::size_t caused_ = 0;
   soak_records seen_;
   std::vector<broken_promise> budget_broken_;
+  std::vector<broken_promise> added_route_broken_;
   deadly_requests deadly_;
   soak_faults faults_;
 };
--- a/rehearsal/soak_faults.cc
+++ b/rehearsal/soak_faults.cc
@@ -14,7 +14,7 @@
 }  // namespace
 
 soak_faults::soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants,
-                         std::function<void()> wait_for_acceptance)
+                         std::function<void()> wait_for_acceptance, bool all)
     : system_(system),
       deadly_(deadly),
       tenants_(std::move(tenants)),
@@ -24,6 +24,10 @@
   add_store_faults();
   add_server_faults();
   add_duty_faults();
+  if (!all) return;
+  add_silences();
+  add_new_lives();
+  add_foreign_records();
 }
 
 soak_fault const& soak_faults::find(std::string_view name) const {
@@ -302,6 +306,69 @@
   });
 }
 
+void soak_faults::add_silences() {
+  auto const add_silence = [this](std::string name, connected_part part) {
+    add(std::move(name), [this, part](bool on, std::size_t) {
+      if (on) system_.silence_connections(part);
+    });
+  };
+  add_silence("store_connections_silent", connected_part::store);
+  add_silence("server_connections_silent", connected_part::servers);
+  add_silence("node_connections_silent", connected_part::nodes);
+  add_silence("all_connections_silent", connected_part::all);
+  add("watches_forgotten", [this](bool on, std::size_t) {
+    if (!on) return;
+    system_.on_platform([this] { return system_.store().forget_watches(); });
+  });
+}
+
+void soak_faults::add_new_lives() {
+  add("engine_starts_again", [this](bool on, std::size_t target) {
+    system_.on_platform([&] {
+      server_standin& engine = system_.engine(target % system_.engines());
+      engine.set_keeps_id(true);
+      if (on) engine.crash();
+      return 0;
+    });
+  });
+  add("app_starts_again", [this](bool on, std::size_t target) {
+    system_.on_platform([&] {
+      server_standin& app = system_.app(target % system_.apps());
+      app.set_keeps_id(true);
+      if (on) app.crash();
+      return 0;
+    });
+  });
+}
+
+void soak_faults::add_foreign_records() {
+  add("foreign_records", [this](bool on, std::size_t) {
+    if (!on) return;
+    system_.on_platform([this] {
+      std::string const number = std::to_string(++foreign_records_);
+      store_standin& store = system_.store();
+      store.put("servers/foreign-" + number, std::string("\xff\x00\x01", 3));
+      store.put("servers/half-" + number,
+                R"({"service":"apps","address":"127.0.0.1:9","slots":8,"state":"ready"})");
+      store.put("op/config-" + number, R"({"version":1000000,"routes":[],"services":[]})");
+      store.put("op/version/other-" + number, "[]");
+      store.put("frostline/quarantine/other-" + number, "x");
+      store.put("frostline/relays/other-" + number, "x");
+      return 0;
+    });
+  });
+}
+
+void soak_faults::add_route(std::string const& prefix) {
+  system_.on_platform([&] {
+    system_.put_config(++config_version_,
+                       R"(,{"name":"added","host":"test.example","path_prefix":")" + prefix +
+                           R"(","kind":"safe","timeout_ms":2000,"target_latency_ms":150,)" +
+                           R"("priority":2,"service":"apps","max_attempts":3,"public":true})");
+    return 0;
+  });
+}
+
 std::uint64_t soak_faults::name_next() {
   return system_.on_platform([this] {
     system_.name_version(++version_);
--- a/rehearsal/soak_faults.h
+++ b/rehearsal/soak_faults.h
@@ -29,8 +29,10 @@
 class soak_faults {
  public:
   /// @param wait_for_acceptance returns right after a job was accepted, or after a while.
+  /// @param all also the faults that came after the first seeds were kept: with them a seed plays
+  /// other faults.
   soak_faults(platform_cluster& system, deadly_requests& deadly, soak_tenants tenants,
-              std::function<void()> wait_for_acceptance);
+              std::function<void()> wait_for_acceptance, bool all);
 
   std::vector<soak_fault> const& all() const { return faults_; }
   /// The fault of this name; there has to be one.
@@ -38,6 +40,8 @@
   /// Names the next version of the weights. @return its number.
   std::uint64_t name_next();
   std::uint64_t newest_version();
+  /// Puts a configuration in force that has this route besides, to the application servers.
+  void add_route(std::string const& prefix);
 
  private:
   void add(std::string name, std::function<void(bool, std::size_t)> apply);
@@ -46,6 +50,9 @@
   void add_store_faults();
   void add_server_faults();
   void add_duty_faults();
+  void add_silences();
+  void add_new_lives();
+  void add_foreign_records();
 
   void on_store(std::function<void(store_faults&)> change);
   void on_engine(std::size_t target, std::function<void(server_faults&)> change);
@@ -71,6 +78,7 @@
   std::size_t killed_holder_ = 0;
   std::size_t frozen_holder_ = 0;
   std::size_t suspended_owner_ = 0;
+  std::uint64_t foreign_records_ = 0;
 };
 
 }  // namespace frostline::testing
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -69,10 +69,19 @@
 }
 
 bool forwarder::is_suspect(journey& one) const {
-  if (one.has_broken || one.is_trial) return true;
+  if (one.broken_attempts > 0 || one.is_trial) return true;
   return parts_.quarantine.is_watching() && parts_.quarantine.crashes_seen(identify(one)) > 0;
 }
 
+awaitable<void> forwarder::record_suspicion(journey& one) {
+  bool const watching = parts_.quarantine.is_watching() || one.broken_attempts > 1;
+  if (!watching || one.is_trial) co_return;
+  // What this try has just met is perhaps still looked at.
+  bool const met_two = one.broken_attempts > 1;
+  if (!met_two && !parts_.quarantine.must_be_recorded(identify(one))) co_return;
+  co_await parts_.quarantine.record_before_next_run(identify(one));
+}
+
 awaitable<bool> forwarder::is_held_back(journey& one) {
   if (one.is_trial || !parts_.quarantine.is_watching()) co_return false;
   quarantine::fingerprint const& request = identify(one);
@@ -147,7 +156,7 @@
   bool const ended =
       failure == exchange_failure::broken || failure == exchange_failure::stale_connection;
   if (ended) {
-    one.has_broken = true;
+    ++one.broken_attempts;
     parts_.quarantine.note_broken(with.server(), identify(one), one.attempt_begun);
   }
   log_line(log_level::info, k_part, "Attempt failed.",
@@ -215,6 +224,7 @@
   while (one.attempts < one.by->max_attempts && may_try_again(one)) {
     if (one.from != nullptr && one.from->is_gone()) break;
     if (boot_clock::now() >= one.deadline) break;
+    co_await record_suspicion(one);
     if (co_await is_held_back(one)) break;
     auto const ready = parts_.servers.ready_servers(one.service);
     directory::server const* chosen = parts_.selector.pick(ready, one.tried, boot_clock::now());
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -98,8 +98,8 @@
     bool counted = false;
     /// Set when it is first needed.
     std::optional<quarantine::fingerprint> identity;
-    /// A server's connection broke under it.
-    bool has_broken = false;
+    /// How often a server's connection broke under it.
+    std::uint32_t broken_attempts = 0;
     /// A kept connection gave no answer: further attempts use new ones, or each could meet a dead
     /// one and the last would wait for the whole deadline.
     bool has_met_silence = false;
@@ -133,6 +133,8 @@
   bool may_try_again(journey const& one) const;
   /// Whether a request should run apart from others: servers may end under it.
   bool is_suspect(journey& one) const;
+  /// Has it recorded, before its next run, that servers have ended under a request.
+  awaitable<void> record_suspicion(journey& one);
   /// Whether a request must not go to a server now, since servers have ended under it.
   awaitable<bool> is_held_back(journey& one);
   time_point attempt_deadline(journey const& one) const;
--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -1,5 +1,7 @@
 #include "quarantine/crash_watch.h"
 
+#include <algorithm>
+
 #include "base/log.h"
 #include "http/message.h"
 
@@ -45,6 +47,18 @@
             {"requests", requests.size()},
             {"first", requests.front().request.to_string()}});
   if (condition == server_condition::ended) on_crash_(std::move(requests));
+  examined_.notify_all();
+}
+
+bool crash_watch::is_examined(fingerprint const& request) const {
+  return std::none_of(broken_.begin(), broken_.end(), [&](auto const& entry) {
+    return std::any_of(entry.second.begin(), entry.second.end(),
+                       [&](crash const& one) { return one.request == request; });
+  });
+}
+
+awaitable<void> crash_watch::wait_until_examined(fingerprint request) {
+  while (!is_examined(request)) co_await examined_.wait();
 }
 
 awaitable<crash_watch::server_condition> crash_watch::find_condition(endpoint address) {
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -24,6 +24,11 @@
 /// it lets the request through once in that time.
 constexpr milliseconds k_local_refusal{5'000};
 constexpr milliseconds k_write_timeout{400};
+/// Servers that end one after the other under runs of this node before the request is recorded.
+constexpr std::uint32_t k_recorded_crashes = 2;
+/// Records that are written before a run at the same time. A wide crash at 600 servers must not
+/// bring more writes than the store takes; the others run without.
+constexpr std::size_t k_most_early_writes = 16;
 /// Nodes take a record back at different times within that, well within the time to object.
 constexpr milliseconds k_take_back_spread{300};
 constexpr milliseconds k_write_retry{300};
@@ -110,6 +115,23 @@
   spawn(parts_.context, write_record(one.request));
 }
 
+bool service::must_be_recorded(fingerprint const& request) const {
+  suspicion const* const seen = seen_here_.find(request);
+  if (seen == nullptr || seen->in_turn < k_recorded_crashes) return false;
+  bool const settled = list_.find(request) != nullptr || recorded_early_.contains(request) ||
+                       writing_.size() >= k_most_early_writes;
+  return !settled && collected_.find(request) != nullptr;
+}
+
+awaitable<void> service::record_before_next_run(fingerprint request) {
+  co_await crash_watch_.wait_until_examined(request);
+  if (!must_be_recorded(request)) co_return;
+  recorded_early_.insert(request);
+  if (!writing_.insert(request).second) co_return;
+  co_await try_to_write(request);
+  writing_.erase(request);
+}
+
 std::size_t service::own_rank() const {
   auto const collectors = parts_.find_collectors();
   auto const place = std::find(collectors.begin(), collectors.end(), parts_.self);
@@ -277,6 +299,8 @@
   seen_here_.expire(now - k_memory);
   collected_.expire(now - k_memory);
   outbox_.expire(now - k_memory);
+  std::erase_if(recorded_early_,
+                [this](fingerprint const& request) { return seen_here_.find(request) == nullptr; });
 }
 
 awaitable<void> service::report_loop() {
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -81,6 +81,14 @@
   /// How many servers ended under a request, as this node has seen.
   std::size_t crashes_seen(fingerprint const& request) const;
 
+  /// Whether a request has to be recorded before it runs again here: two servers have ended under
+  /// it, one after the other, and the third run would be known to this node's memory alone. If all
+  /// nodes ended with it, the request would end three servers more, and what comes until the next
+  /// record is in force (9 in a soak).
+  bool must_be_recorded(fingerprint const& request) const;
+  /// Waits for what is still looked at, and writes the record if it has to be; tried once. It has
+  /// effect like any other, unless the next run is answered.
+  awaitable<void> record_before_next_run(fingerprint request);
   /// A request's connection to a server ended without a whole answer.
   void note_broken(directory::server const& server, fingerprint const& request,
                    time_point sent_at) {
@@ -132,6 +140,8 @@
   async_condition evidence_;
   /// Requests whose records are being written or taken back, or whose trial is being claimed.
   std::set<fingerprint> writing_;
+  /// Requests of which this node has tried to write a record before their next run.
+  std::set<fingerprint> recorded_early_;
   std::set<fingerprint> taking_back_;
   std::set<fingerprint> claiming_;
   std::set<endpoint> reporting_to_;
