--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -58,7 +58,9 @@
 }
 
 awaitable<void> crash_watch::wait_until_examined(fingerprint request) {
-  while (!is_examined(request)) co_await examined_.wait();
+  // Of a popular request new connections may break all the time.
+  time_point const limit = boot_clock::now() + k_settle_time + k_connect_timeout;
+  while (!is_examined(request) && boot_clock::now() < limit) co_await examined_.wait_until(limit);
 }
 
 awaitable<crash_watch::server_condition> crash_watch::find_condition(endpoint address) {
