--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -22,8 +22,8 @@
   /// A request's connection to a server ended without a whole answer. The server is looked at once
   /// for all its requests that break together.
   void note_broken(directory::server const& server, fingerprint const& request, time_point sent_at);
-  /// Returns once no server is looked at any more for this request, after 0.32 s at most: as long as
-  /// one look takes.
+  /// Returns once no server is looked at any more for this request, after 0.32 s at most: as long
+  /// as one look takes.
   awaitable<void> wait_until_examined(fingerprint request);
 
  private:
