--- a/tests/platform/silent_connections_test.cc
+++ b/tests/platform/silent_connections_test.cc
@@ -6,7 +6,7 @@
 /// and called itself sure of what it had heard for as long as the store answered other calls. So a
 /// dead watch was believed, for 31 s, by every node that asked that relay.
 ///
-/// What proved it: without silence the same change is in force in under a second, by the same code.
+/// What proved it: without silence the same change is in force in time, by the same code.
 
 #include <CppUTest/TestHarness.h>
 
