A suspicion of two crashes keeps nobody from servers

Cause: a call under which two servers have ended is recorded before its third run, so that the evidence outlasts the end of all nodes. That record had the effect of one of three crashes. Two more faults of the same record: it was never taken back when the third run ended no server without an answer (none left, timed out), and it counted as proof when other requests' crashes were explained.

Change: the record is marked as a suspicion. It has no effect at nodes that were there when it was written; it is withdrawn after 0.8 s unless collectors have proved it, and seeds their evidence. Only a node that finds one at its start refuses by it, 1.5 s later. No suspicion is recorded of a request whose crashes another one explains.

Compatibility: records of nodes before this have no mark and work as before.

--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -26,6 +26,7 @@
   record.trials = entry.trials;
   record.trial_node = trial_node;
   record.token = make_unique_token();
+  record.suspected = entry.is_suspicion;
   return rpc::encode(record);
 }
 
@@ -34,14 +35,24 @@
   auto const request = fingerprint::parse(std::string_view(record.key).substr(k_prefix.size()));
   auto const decoded = rpc::decode<rpc::QuarantineRecordT>(record.value);
   if (!request || !decoded) return std::nullopt;
-  return quarantine_entry{*request, record.mod_revision, decoded->servers, decoded->trials};
+  return quarantine_entry{*request, record.mod_revision, decoded->servers, decoded->trials,
+                          decoded->suspected};
 }
 
-bool quarantine_list::put(quarantine_entry entry, time_point now) {
+time_point quarantine_list::effect_time(bool is_suspicion, time_point now, first_sight seen) {
+  if (!is_suspicion) return now + k_objection_time;
+  return seen == first_sight::at_start ? now + k_suspicion_time : time_point::max();
+}
+
+bool quarantine_list::put(quarantine_entry entry, time_point now, first_sight seen) {
   auto const [place, fresh] = entries_.try_emplace(entry.request);
   known_entry& known = place->second;
   if (!fresh && entry.revision <= known.record.revision) return false;
   if (fresh) known.first_seen_at = now;
+  if (fresh) known.effective_at = time_point::max();
+  bool const decides_effect = fresh || known.record.is_suspicion != entry.is_suspicion;
+  time_point const effective_at = effect_time(entry.is_suspicion, now, seen);
+  if (decides_effect) known.effective_at = std::min(known.effective_at, effective_at);
   known.changed_at = now;
   known.record = std::move(entry);
   return true;
@@ -53,7 +64,7 @@
   auto const found = entries_.find(request);
   if (found == entries_.end()) return verdict::allowed;
   known_entry const& known = found->second;
-  if (now < known.first_seen_at + k_objection_time) return verdict::allowed;
+  if (now < known.effective_at) return verdict::allowed;
   auto const due = trial_time(known);
   return due && now >= *due ? verdict::trial : verdict::refused;
 }
@@ -78,6 +89,11 @@
   return found == entries_.end() ? nullptr : &found->second.record;
 }
 
+bool quarantine_list::is_proven(fingerprint const& request) const {
+  quarantine_entry const* const known = find(request);
+  return known != nullptr && !known->is_suspicion;
+}
+
 milliseconds quarantine_list::known_for(fingerprint const& request, time_point now) const {
   auto const found = entries_.find(request);
   if (found == entries_.end()) return milliseconds(0);
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -4,6 +4,10 @@
 /// A record takes effect a moment after this node has heard of it, so that a node at which the
 /// request is being answered can take the record back first. It goes when a trial is answered, or
 /// when an operator removes it.
+///
+/// A suspicion is a record that is written before the request has ended enough servers, so that
+/// what is known outlasts the end of all nodes. It has no effect at nodes that were there when it
+/// was written: a popular request that stood beside another's crashes was refused for it.
 #pragma once
 
 #include <cstdint>
@@ -29,14 +33,23 @@
   /// Lives of servers that ended under it.
   std::vector<std::string> servers;
   std::uint32_t trials = 0;
+  /// Written before the third run, which may yet be answered.
+  bool is_suspicion = false;
 };
 
+/// When this node came to know a record: with the first records that it got, or later.
+enum class first_sight { at_start, later };
+
 class quarantine_list {
  public:
   /// From a node's first sight of a record to its effect there. A node that answers the request
   /// hears of the record within some 150 ms and takes it back; with the way of the evidence (about
   /// 0.3 s) this leaves over a second of the three that are allowed.
   static constexpr milliseconds k_objection_time{700};
+  /// From the first sight of a suspicion to its effect at a node that found it at its start. The
+  /// node that wrote it withdraws it before (quarantine/service), if it has not ended with all
+  /// others. With the start of a process (0.5 to 1 s) this leaves half a second of three.
+  static constexpr milliseconds k_suspicion_time{1'500};
   /// From the record's last change to the next trial; each costs a server if the request is what it
   /// seems. The first comes soon, for a request that only stood beside others' crashes: mostly
   /// within the three seconds in which retries are not counted. Two, since three retries are
@@ -52,7 +65,7 @@
   static std::optional<quarantine_entry> decode(kv::key_value const& record);
 
   /// An older revision than the known one changes nothing. @return whether it is news.
-  bool put(quarantine_entry entry, time_point now);
+  bool put(quarantine_entry entry, time_point now, first_sight seen = first_sight::later);
   /// @return whether it was known.
   bool remove(fingerprint const& request);
 
@@ -60,6 +73,8 @@
   /// How long until the next trial is due; nothing if there is none any more, or no record.
   std::optional<milliseconds> time_to_trial(fingerprint const& request, time_point now) const;
   quarantine_entry const* find(fingerprint const& request) const;
+  /// Whether there is a record, and it is more than a suspicion.
+  bool is_proven(fingerprint const& request) const;
   /// How long this node has known of it.
   milliseconds known_for(fingerprint const& request, time_point now) const;
   /// The one that goes when there are too many; null if there are not.
@@ -70,11 +85,13 @@
  private:
   struct known_entry;
   static std::optional<time_point> trial_time(known_entry const& known);
+  static time_point effect_time(bool is_suspicion, time_point now, first_sight seen);
 
   struct known_entry {
     quarantine_entry record;
     time_point first_seen_at{};
     time_point changed_at{};
+    time_point effective_at{};
   };
 
   std::map<fingerprint, known_entry> entries_;
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -26,8 +26,12 @@
 constexpr milliseconds k_write_timeout{400};
 /// Servers that end one after the other under runs of this node before the request is recorded.
 constexpr std::uint32_t k_recorded_crashes = 2;
-/// Records that are written before a run at the same time. A wide crash at 600 servers must not
-/// bring more writes than the store takes; the others run without.
+/// A suspicion stands for that long after it was written. A server that ends under the third run
+/// mostly does so at once, and what collectors make of that is in the store 0.5 s later. It is gone
+/// before it has effect at a node that found it at its start, with two tries to remove it.
+constexpr milliseconds k_suspicion_hold{800};
+/// Suspicions that are written at the same time. A wide crash at 600 servers must not bring more
+/// writes than the store takes; the others run without.
 constexpr std::size_t k_most_early_writes = 16;
 /// Nodes take a record back at different times within that, well within the time to object.
 constexpr milliseconds k_take_back_spread{300};
@@ -64,7 +68,8 @@
 
 std::optional<milliseconds> service::time_to_next_try(fingerprint const& request,
                                                       time_point now) const {
-  if (list_.find(request) != nullptr) return list_.time_to_trial(request, now);
+  bool const listed = list_.check(request, now) != verdict::allowed;
+  if (listed) return list_.time_to_trial(request, now);
   return refuses_alone(request, now) ? std::optional(k_local_refusal) : std::nullopt;
 }
 
@@ -100,36 +105,51 @@
   evidence_.notify_all();
 }
 
+bool service::is_explained_by_others(fingerprint const& request) const {
+  return collected_.is_explained_by_others(
+      request, [this](fingerprint const& other) { return list_.is_proven(other); });
+}
+
 bool service::is_proven(fingerprint const& request) const {
   suspicion const* const known = collected_.find(request);
   if (known == nullptr || known->servers.size() < k_most_crashes) return false;
-  return !collected_.is_explained_by_others(
-      request, [this](fingerprint const& other) { return list_.find(other) != nullptr; });
+  return !is_explained_by_others(request);
 }
 
 void service::collect(crash const& one) {
   collected_.note(one);
-  bool const settled = list_.find(one.request) != nullptr || writing_.contains(one.request);
-  if (settled || !is_proven(one.request)) return;
-  writing_.insert(one.request);
-  spawn(parts_.context, write_record(one.request));
+  start_to_write(one.request);
+}
+
+void service::start_to_write(fingerprint const& request) {
+  bool const settled = list_.is_proven(request) || writing_.contains(request);
+  if (settled || !is_proven(request)) return;
+  writing_.insert(request);
+  spawn(parts_.context, write_record(request));
 }
 
 bool service::must_be_recorded(fingerprint const& request) const {
   suspicion const* const seen = seen_here_.find(request);
   if (seen == nullptr || seen->in_turn < k_recorded_crashes) return false;
   bool const settled = list_.find(request) != nullptr || recorded_early_.contains(request) ||
-                       writing_.size() >= k_most_early_writes;
-  return !settled && collected_.find(request) != nullptr;
+                       suspicions_being_written_ >= k_most_early_writes;
+  return !settled && collected_.find(request) != nullptr && !is_explained_by_others(request);
 }
 
 awaitable<void> service::record_before_next_run(fingerprint request) {
   co_await crash_watch_.wait_until_examined(request);
   if (!must_be_recorded(request)) co_return;
   recorded_early_.insert(request);
-  if (!writing_.insert(request).second) co_return;
-  co_await try_to_write(request);
-  writing_.erase(request);
+  ++suspicions_being_written_;
+  co_await try_to_write(request, true);
+  --suspicions_being_written_;
+  spawn(parts_.context, withdraw_suspicion(request));
+}
+
+awaitable<void> service::withdraw_suspicion(fingerprint request) {
+  co_await wait_for(k_suspicion_hold);
+  co_await remove_while(request, [](quarantine_entry const& one) { return one.is_suspicion; });
+  recorded_early_.erase(request);
 }
 
 std::size_t service::own_rank() const {
@@ -148,16 +168,19 @@
 
 awaitable<void> service::write_record(fingerprint request) {
   co_await wait_for(k_turn * static_cast<int>(own_rank() + 1));
-  while (is_proven(request) && list_.find(request) == nullptr && !leaves_it_to_collectors()) {
-    co_await try_to_write(request);
-    if (list_.find(request) == nullptr) co_await wait_for(with_jitter(k_write_retry));
+  while (is_proven(request) && !list_.is_proven(request) && !leaves_it_to_collectors()) {
+    co_await try_to_write(request, false);
+    if (!list_.is_proven(request)) co_await wait_for(with_jitter(k_write_retry));
   }
   writing_.erase(request);
 }
 
-awaitable<void> service::try_to_write(fingerprint request) {
+awaitable<void> service::try_to_write(fingerprint request, bool is_suspicion) {
   quarantine_entry entry;
+  quarantine_entry const* const known = list_.find(request);
+  if (known != nullptr) entry = *known;
   entry.request = request;
+  entry.is_suspicion = is_suspicion;
   entry.servers = collected_.find(request)->servers;
   kv::operation put;
   put.key = quarantine_list::key_of(request);
@@ -166,7 +189,8 @@
   bool const written = co_await apply(std::move(entry), std::move(put));
   if (!written) co_return;
   ++figures_.written;
-  log_line(log_level::warning, k_part, "Request put under quarantine.",
+  log_line(log_level::warning, k_part,
+           is_suspicion ? "Suspicion of a request recorded." : "Request put under quarantine.",
            {{"fingerprint", request.to_string()}, {"servers", servers}});
   quarantine_entry const* const surplus = list_.surplus();
   if (surplus != nullptr) start_to_take_back(surplus->request);
@@ -185,7 +209,7 @@
   }
   if (!outcome.value().succeeded) {
     auto const& read = outcome.value().read;
-    for (kv::key_value const& record : read) take(record);
+    for (kv::key_value const& record : read) take(record, first_sight::later);
     // Nobody tells the end of a record of which the feed has never heard.
     if (read.empty()) forget(entry.request, "the store has no such record");
     co_return false;
@@ -204,6 +228,7 @@
   if (known == nullptr || !claiming_.insert(request).second) co_return false;
   quarantine_entry entry = *known;
   ++entry.trials;
+  entry.is_suspicion = false;
   kv::operation put;
   put.key = quarantine_list::key_of(request);
   put.value = quarantine_list::encode(entry, parts_.node);
@@ -234,45 +259,62 @@
 awaitable<void> service::take_back(fingerprint request) {
   // Of many nodes that have answered it, most hear that one of them was faster.
   co_await wait_for(with_jitter(2 * k_take_back_spread) - k_take_back_spread);
+  bool const removed = co_await remove_while(request, [](quarantine_entry const&) { return true; });
+  if (removed) ++figures_.taken_back;
+  taking_back_.erase(request);
+}
+
+awaitable<bool> service::remove_while(fingerprint request,
+                                      std::function<bool(quarantine_entry const&)> condition) {
   quarantine_entry const* known = list_.find(request);
-  while (known != nullptr) {
+  while (known != nullptr && condition(*known)) {
     kv::operation remove;
     remove.kind = kv::operation_kind::remove;
     remove.key = quarantine_list::key_of(request);
-    bool const removed = co_await apply(*known, std::move(remove));
-    if (removed) {
-      ++figures_.taken_back;
-      break;
-    }
+    if (co_await apply(*known, std::move(remove))) co_return true;
     co_await wait_for(with_jitter(k_write_retry));
     known = list_.find(request);
   }
-  taking_back_.erase(request);
+  co_return false;
+}
+
+void service::log_record(quarantine_entry const& entry) const {
+  log_line(log_level::info, k_part,
+           entry.is_suspicion ? "Request is suspected." : "Request is under quarantine.",
+           {{"fingerprint", entry.request.to_string()},
+            {"servers", entry.servers.size()},
+            {"trials", entry.trials},
+            {"revision", entry.revision}});
 }
 
-void service::take(kv::key_value const& record) {
+void service::take(kv::key_value const& record, first_sight seen) {
   auto entry = quarantine_list::decode(record);
   if (!entry) {
     log_line(log_level::error, k_part, "Record is malformed; it has no effect.",
              {{"key", record.key}, {"revision", record.mod_revision}});
     return;
   }
-  fingerprint const request = entry->request;
-  std::size_t const servers = entry->servers.size();
-  std::uint32_t const trials = entry->trials;
-  if (!list_.put(std::move(*entry), boot_clock::now())) return;
-  log_line(log_level::info, k_part, "Request is under quarantine.",
-           {{"fingerprint", request.to_string()},
-            {"servers", servers},
-            {"trials", trials},
-            {"revision", record.mod_revision}});
-  if (answered_here_.has(request, boot_clock::now())) start_to_take_back(request);
+  time_point const now = boot_clock::now();
+  if (!list_.put(*entry, now, seen)) return;
+  log_record(*entry);
+  if (answered_here_.has(entry->request, now)) {
+    start_to_take_back(entry->request);
+    return;
+  }
+  if (!entry->is_suspicion) return;
+  // The node that saw them may be gone with its evidence: one more crash must be enough.
+  for (std::string const& server : entry->servers) collect({entry->request, server, now, now});
 }
 
 void service::forget(fingerprint const& request, std::string_view cause) {
-  seen_here_.clear(request);
-  collected_.clear(request);
-  outbox_.clear(request);
+  quarantine_entry const* const known = list_.find(request);
+  // A withdrawn suspicion was not disproved: what is known against the request stays known.
+  bool const withdrawn = known != nullptr && known->is_suspicion;
+  if (!withdrawn) {
+    seen_here_.clear(request);
+    collected_.clear(request);
+    outbox_.clear(request);
+  }
   if (!list_.remove(request)) return;
   log_line(log_level::info, k_part, "Quarantine ended.",
            {{"fingerprint", request.to_string()}, {"cause", cause}});
@@ -281,11 +323,13 @@
 kv::follower_callbacks service::listener() {
   kv::follower_callbacks callbacks;
   callbacks.snapshot = [this](kv::range_answer const& all) {
-    for (kv::key_value const& record : all.entries) take(record);
+    first_sight const seen = has_had_records_ ? first_sight::later : first_sight::at_start;
+    has_had_records_ = true;
+    for (kv::key_value const& record : all.entries) take(record, seen);
   };
   callbacks.event = [this](kv::watch_event const& event) {
     if (!event.deleted) {
-      take(event.entry);
+      take(event.entry, first_sight::later);
       return;
     }
     std::string_view const key = event.entry.key;
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -5,6 +5,10 @@
 /// collector writes a record to the record store, which the relays spread like any other. A node
 /// that knows the record refuses the request, except for a trial now and then; a server's answer to
 /// it, wherever it is seen, takes the record back.
+///
+/// A node under whose calls two servers have ended in turn records a suspicion before the third
+/// run, so that what is known outlasts the end of all nodes with that run. It withdraws it when the
+/// third run has proved nothing.
 #pragma once
 
 #include <cstdint>
@@ -86,8 +90,8 @@
   /// nodes ended with it, the request would end three servers more, and what comes until the next
   /// record is in force (9 in a soak).
   bool must_be_recorded(fingerprint const& request) const;
-  /// Waits for what is still looked at, and writes the record if it has to be; tried once. It has
-  /// effect like any other, unless the next run is answered.
+  /// Waits for what is still looked at, and records the suspicion if it has to be; tried once, and
+  /// withdrawn later unless it was proved.
   awaitable<void> record_before_next_run(fingerprint request);
   /// A request's connection to a server ended without a whole answer.
   void note_broken(directory::server const& server, fingerprint const& request,
@@ -104,16 +108,24 @@
   void note_crashes(std::vector<crash> const& crashes);
   /// Evidence of this node or another one.
   void collect(crash const& one);
+  bool is_explained_by_others(fingerprint const& request) const;
   /// Whether enough servers have ended under a request, and none of the others explains them.
   bool is_proven(fingerprint const& request) const;
   /// Whether a collector knows what this node knows, and this node is none.
   bool leaves_it_to_collectors() const;
   /// Whether this node has seen enough itself to refuse the request without a record.
   bool refuses_alone(fingerprint const& request, time_point now) const;
+  /// Starts to write the record if the evidence is enough.
+  void start_to_write(fingerprint const& request);
   /// Writes the record, after the collectors before this one have had time to.
   awaitable<void> write_record(fingerprint request);
-  awaitable<void> try_to_write(fingerprint request);
+  awaitable<void> try_to_write(fingerprint request, bool is_suspicion);
   awaitable<void> take_back(fingerprint request);
+  awaitable<void> withdraw_suspicion(fingerprint request);
+  /// Removes the record, however often that takes, as long as the condition holds.
+  /// @return whether it was removed here.
+  awaitable<bool> remove_while(fingerprint request,
+                               std::function<bool(quarantine_entry const&)> condition);
   /// Applies a change of one record. @return whether it took effect for certain.
   awaitable<bool> apply(quarantine_entry entry, kv::operation change);
   std::size_t own_rank() const;
@@ -122,7 +134,8 @@
   awaitable<void> report_to(endpoint collector);
   rpc::CrashReportReplyT take_report(rpc::CrashReportCallT const& call);
 
-  void take(kv::key_value const& record);
+  void take(kv::key_value const& record, first_sight seen);
+  void log_record(quarantine_entry const& entry) const;
   void start_to_take_back(fingerprint const& request);
   void forget(fingerprint const& request, std::string_view cause);
 
@@ -140,8 +153,10 @@
   async_condition evidence_;
   /// Requests whose records are being written or taken back, or whose trial is being claimed.
   std::set<fingerprint> writing_;
-  /// Requests of which this node has tried to write a record before their next run.
+  /// Requests of which this node has tried to record a suspicion.
   std::set<fingerprint> recorded_early_;
+  std::size_t suspicions_being_written_ = 0;
+  bool has_had_records_ = false;
   std::set<fingerprint> taking_back_;
   std::set<fingerprint> claiming_;
   std::set<endpoint> reporting_to_;
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -9607,6 +9607,7 @@
   uint32_t trials = 0;
   std::string trial_node{};
   std::string token{};
+  bool suspected = false;
 };
 
 /// A request that no server gets any more, but for trials. Stored in the record store, one record for each
@@ -9622,7 +9623,8 @@
     VT_SERVERS = 4,
     VT_TRIALS = 6,
     VT_TRIAL_NODE = 8,
-    VT_TOKEN = 10
+    VT_TOKEN = 10,
+    VT_SUSPECTED = 12
   };
   /// Lives of servers that ended under it.
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
@@ -9640,6 +9642,11 @@
   const flatbuffers::String *token() const {
     return GetPointer<const flatbuffers::String *>(VT_TOKEN);
   }
+  /// Written before the third run, while fewer servers than that have ended. Absent in records of
+  /// nodes that do not know of this: then it is a record like any other.
+  bool suspected() const {
+    return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVERS) &&
@@ -9650,6 +9657,7 @@
            verifier.VerifyString(trial_node()) &&
            VerifyOffset(verifier, VT_TOKEN) &&
            verifier.VerifyString(token()) &&
+           VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
            verifier.EndTable();
   }
   QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9673,6 +9681,9 @@
   void add_token(flatbuffers::Offset<flatbuffers::String> token) {
     fbb_.AddOffset(QuarantineRecord::VT_TOKEN, token);
   }
+  void add_suspected(bool suspected) {
+    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
+  }
   explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9689,12 +9700,14 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
     uint32_t trials = 0,
     flatbuffers::Offset<flatbuffers::String> trial_node = 0,
-    flatbuffers::Offset<flatbuffers::String> token = 0) {
+    flatbuffers::Offset<flatbuffers::String> token = 0,
+    bool suspected = false) {
   QuarantineRecordBuilder builder_(_fbb);
   builder_.add_token(token);
   builder_.add_trial_node(trial_node);
   builder_.add_trials(trials);
   builder_.add_servers(servers);
+  builder_.add_suspected(suspected);
   return builder_.Finish();
 }
 
@@ -9708,7 +9721,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
     uint32_t trials = 0,
     const char *trial_node = nullptr,
-    const char *token = nullptr) {
+    const char *token = nullptr,
+    bool suspected = false) {
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
   auto trial_node__ = trial_node ? _fbb.CreateString(trial_node) : 0;
   auto token__ = token ? _fbb.CreateString(token) : 0;
@@ -9717,7 +9731,8 @@
       servers__,
       trials,
       trial_node__,
-      token__);
+      token__,
+      suspected);
 }
 
 flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -13011,6 +13026,7 @@
   { auto _e = trials(); _o->trials = _e; }
   { auto _e = trial_node(); if (_e) _o->trial_node = _e->str(); }
   { auto _e = token(); if (_e) _o->token = _e->str(); }
+  { auto _e = suspected(); _o->suspected = _e; }
 }
 
 inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13025,12 +13041,14 @@
   auto _trials = _o->trials;
   auto _trial_node = _o->trial_node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->trial_node);
   auto _token = _o->token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->token);
+  auto _suspected = _o->suspected;
   return frostline::rpc::CreateQuarantineRecord(
       _fbb,
       _servers,
       _trials,
       _trial_node,
-      _token);
+      _token,
+      _suspected);
 }
 
 }  // namespace rpc
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -709,6 +709,9 @@
   trial_node:string;
   /// Unique for each write, so that a lost answer can be resolved.
   token:string;
+  /// Written before the third run, while fewer servers than that have ended. Absent in records of
+  /// nodes that do not know of this: then it is a record like any other.
+  suspected:bool;
 }
 rpc_service QuarantineService {
   Report(CrashReportCall):CrashReportReply;
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -18,6 +18,9 @@
   bool put(kv::revision revision, std::uint32_t trials, time_point now) {
     return list.put({request, revision, {"s1", "s2", "s3"}, trials}, now);
   }
+  void suspect(kv::revision revision, time_point now, first_sight seen) {
+    list.put({request, revision, {"s1", "s2"}, 0, true}, now, seen);
+  }
   bool is(verdict expected, time_point now) const { return list.check(request, now) == expected; }
 };
 
@@ -75,6 +78,43 @@
   LONGS_EQUAL(1, list.find(request)->trials);
 }
 
+TEST(quarantine_list_test, suspicion_has_no_effect_where_it_was_not_found_at_the_start) {
+  suspect(5, start, first_sight::later);
+  CHECK(is(verdict::allowed, start + seconds(1'000'000)));
+  CHECK(!list.is_proven(request));
+}
+
+TEST(quarantine_list_test, suspicion_found_at_the_start_takes_effect_and_its_trial_is_due) {
+  suspect(5, start, first_sight::at_start);
+  CHECK(is(verdict::allowed, start + quarantine_list::k_suspicion_time - milliseconds(1)));
+  CHECK(is(verdict::trial, start + quarantine_list::k_suspicion_time));
+}
+
+TEST(quarantine_list_test, proved_suspicion_takes_effect_after_the_time_to_object) {
+  suspect(5, start, first_sight::later);
+  time_point const proved = start + milliseconds(400);
+  put(6, 0, proved);
+  CHECK(list.is_proven(request));
+  CHECK(is(verdict::allowed, proved + quarantine_list::k_objection_time - milliseconds(1)));
+  CHECK(is(verdict::refused, proved + quarantine_list::k_objection_time));
+}
+
+TEST(quarantine_list_test, proof_does_not_end_the_effect_of_a_suspicion) {
+  suspect(5, start, first_sight::at_start);
+  time_point const in_effect = start + quarantine_list::k_suspicion_time;
+  put(6, 1, in_effect);
+  CHECK(is(verdict::refused, in_effect));
+}
+
+TEST(quarantine_list_test, suspicion_is_read_back_as_written) {
+  kv::key_value record;
+  record.key = quarantine_list::key_of(request);
+  record.value = quarantine_list::encode({request, 0, {"s1", "s2"}, 0, true}, "");
+  CHECK(quarantine_list::decode(record)->is_suspicion);
+  record.value = quarantine_list::encode({request, 0, {"s1", "s2"}, 0, false}, "");
+  CHECK(!quarantine_list::decode(record)->is_suspicion);
+}
+
 TEST(quarantine_list_test, removed_record_has_no_effect) {
   put(5, 0, start);
   CHECK(list.remove(request));
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -50,13 +50,42 @@
     return server;
   }
 
+  void see_server_end(std::string const& server, fingerprint const& under) {
+    std::size_t const before = collector.crashes_seen(under);
+    collector.note_broken(ended_server(server), under, boot_clock::now());
+    CHECK(run_until([&] { return collector.crashes_seen(under) > before; }));
+  }
+
   /// One after the other, under this node's own runs.
   void see_three_servers_end() {
-    for (char const* server : {"one", "two", "three"}) {
-      std::size_t const before = collector.crashes_seen(request);
-      collector.note_broken(ended_server(server), request, boot_clock::now());
-      CHECK(run_until([&] { return collector.crashes_seen(request) > before; }));
-    }
+    for (char const* server : {"one", "two", "three"}) see_server_end(server, request);
+  }
+
+  /// Two servers end, then the request is recorded before its next run.
+  void record_suspicion() {
+    for (char const* server : {"one", "two"}) see_server_end(server, request);
+    CHECK(collector.must_be_recorded(request));
+    spawn(context, collector.record_before_next_run(request));
+    CHECK(is_recorded_in_time());
+  }
+
+  bool is_gone_in_time() {
+    return run_until([&] { return store.list_now(quarantine_list::records_prefix()).empty(); });
+  }
+
+  bool is_proven_in_store() {
+    auto const records = store.list_now(quarantine_list::records_prefix());
+    if (records.size() != 1) return false;
+    auto const entry = quarantine_list::decode(records.front());
+    return entry && !entry->is_suspicion;
+  }
+
+  /// Another node records a suspicion and is gone.
+  void hear_of_suspicion() {
+    store.put_now(quarantine_list::key_of(request),
+                  quarantine_list::encode({request, 0, {"one", "two"}, 0, true}, ""));
+    auto const records = store.list_now(quarantine_list::records_prefix());
+    collector.listener().event({false, records.front()});
   }
 
   /// Another collector, which takes reports.
@@ -159,6 +188,42 @@
   CHECK(is_recorded_in_time());
 }
 
+TEST(quarantine_service_test, suspicion_refuses_nothing_and_is_withdrawn) {
+  record_suspicion();
+  time_point const now = boot_clock::now();
+  CHECK(collector.check(request, now + seconds(10)) == verdict::allowed);
+  CHECK(is_gone_in_time());
+  LONGS_EQUAL(2, collector.crashes_seen(request));
+  CHECK(collector.must_be_recorded(request));
+}
+
+TEST(quarantine_service_test, third_crash_proves_a_suspicion) {
+  record_suspicion();
+  see_server_end("three", request);
+  CHECK(run_until([&] { return is_proven_in_store(); }));
+  time_point const now = boot_clock::now();
+  CHECK(collector.check(request, now + quarantine_list::k_objection_time) == verdict::refused);
+}
+
+TEST(quarantine_service_test, third_crash_that_another_request_explains_proves_nothing) {
+  fingerprint const deadly = fingerprint::of({"", "host", "POST", "/", "deadly"});
+  record_suspicion();
+  for (char const* server : {"zero", "one", "two", "three"}) see_server_end(server, deadly);
+  see_server_end("three", request);
+  CHECK(run_until([&] { return collector.figures().written == 2; }));
+  CHECK(run_until([&] { return collector.records() == 1; }));
+  time_point const later = boot_clock::now() + seconds(1);
+  CHECK(collector.check(request, later) == verdict::allowed);
+  CHECK(collector.check(deadly, later) != verdict::allowed);
+}
+
+TEST(quarantine_service_test, one_more_crash_proves_a_suspicion_whose_writer_is_gone) {
+  hear_of_suspicion();
+  CHECK(collector.check(request, boot_clock::now() + seconds(10)) == verdict::allowed);
+  see_server_end("three", request);
+  CHECK(run_until([&] { return is_proven_in_store(); }));
+}
+
 TEST(quarantine_service_test, record_that_is_gone_unheard_of_is_not_taken_back_for_ever) {
   quarantine_entry entry;
   entry.request = request;
