Failing tests: a thawed owner sends what was ended while it was frozen

The holder was frozen for 7.3 s; at the thaw, in the same millisecond as 'Ownership lost', it began three runs of a job that another owner had ended 3 s before. An owner whose lease has lapsed goes on for 8 s, so that an outage of the store stops no runs; it does so too when the lease lapsed because it stood still itself, and others could go on.

--- /dev/null
+++ b/tests/platform/frozen_owner_test.cc
@@ -0,0 +1,110 @@
+/// @file An owner that was frozen for longer than its lease: others have gone on without it.
+
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include "platform_cluster.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+constexpr std::size_t k_items = 24;
+/// Within that time of an acknowledged end its items may still reach an engine.
+constexpr milliseconds k_cancel_time{3000};
+
+}  // namespace
+
+TEST_GROUP(frozen_owner_test) {
+  platform_cluster system{platform_options()};
+
+  void set_full(bool full) {
+    system.on_platform([&] {
+      for (server_standin* server : servers()) server->faults().full = full;
+      return 0;
+    });
+  }
+
+  std::vector<server_standin*> servers() {
+    std::vector<server_standin*> all;
+    for (std::size_t index = 0; index < system.engines(); ++index)
+      all.push_back(&system.engine(index));
+    for (std::size_t index = 0; index < system.apps(); ++index) all.push_back(&system.app(index));
+    return all;
+  }
+
+  /// Requests that have reached servers and whose identifiers begin so.
+  std::size_t arrivals_of(std::string const& prefix) {
+    return system.on_platform([&] {
+      std::size_t count = 0;
+      for (server_standin const* server : servers()) {
+        for (arrival const& one : server->arrivals()) {
+          if (one.request.starts_with(prefix)) ++count;
+        }
+      }
+      return count;
+    });
+  }
+
+  std::vector<test_item> make_items(std::string const& job, std::size_t count) {
+    std::vector<test_item> items;
+    for (std::size_t index = 0; index < count; ++index) {
+      items.push_back({job + "-" + std::to_string(index), "group"});
+    }
+    return items;
+  }
+
+  /// Freezes the owner until another one has ended the job and nothing of it may arrive any more.
+  /// @return its index.
+  std::size_t freeze_until_job_is_over() {
+    std::size_t const frozen = system.owner();
+    std::size_t const other = (frozen + 1) % system.nodes();
+    system.node(frozen).send_signal(SIGSTOP);
+    platform_cluster::wait_until("the job is ended by another owner",
+                                 [&] { return system.end_job(other, "job") == 200; });
+    time_point const over = boot_clock::now() + k_cancel_time;
+    platform_cluster::wait_until("nothing may arrive any more",
+                                 [&] { return boot_clock::now() > over; });
+    return frozen;
+  }
+
+  /// Returns when the thawed node has heard of its successor, and has served since.
+  void thaw(std::size_t frozen) {
+    system.node(frozen).send_signal(SIGCONT);
+    platform_cluster::wait_until("the owner knows that it is none any more", [&] {
+      return system.log(frozen).find("Ownership lost") != std::string::npos;
+    });
+    LONGS_EQUAL(202, system.submit(frozen, "next", make_items("next", 8)));
+    system.wait_for_results(frozen, "next", 8);
+  }
+};
+
+TEST(frozen_owner_test, job_that_was_ended_meanwhile_sends_no_sample_after_the_thaw) {
+  set_full(true);
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", k_items)));
+  platform_cluster::wait_until("engines have refused runs",
+                               [&] { return arrivals_of("job-") > 4; });
+  std::size_t const frozen = freeze_until_job_is_over();
+  std::size_t const before = arrivals_of("job-");
+  set_full(false);
+  thaw(frozen);
+  LONGS_EQUAL(before, arrivals_of("job-"));
+}
+
+TEST(frozen_owner_test, job_that_was_ended_meanwhile_asks_no_scorer_after_the_thaw) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().full = true;
+    }
+    return 0;
+  });
+  LONGS_EQUAL(202, system.submit(0, "job", make_items("job", k_items)));
+  platform_cluster::wait_until("scorers have refused calls",
+                               [&] { return arrivals_of("score-job-") > 4; });
+  std::size_t const frozen = freeze_until_job_is_over();
+  std::size_t const before = arrivals_of("score-job-");
+  set_full(false);
+  thaw(frozen);
+  LONGS_EQUAL(before, arrivals_of("score-job-"));
+}
