An owner that stood still listens before it begins runs

Cause: an owner whose lease has lapsed begins runs for 8 s more, in case only the store is gone. A frozen owner's lease lapses since it stood still itself; in the millisecond of its thaw it sent what a successor's clients had ended.

Change: run_permission (pure, in a file of its own) decides. An outage of the store alone stops nothing, as before; neither does a pause with a valid lease.

Ruled out: no grace without a lease at all (an outage of the store would stop all runs), and no grace after a thaw at all (an owner that is frozen in an outage would stop its pool until the store is back).

--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -12,8 +12,6 @@
 constexpr milliseconds k_tick{100};
 constexpr milliseconds k_least_pause{4};
 constexpr milliseconds k_orders_interval{40};
-/// An owner whose lease has lapsed begins runs for that long, unless it hears of another owner.
-constexpr milliseconds k_lapsed_work{8000};
 constexpr milliseconds k_load_pause{100};
 /// Checkpoints are this far apart and hold runs of at least this age: most runs are shorter.
 constexpr milliseconds k_checkpoint_interval{1000};
@@ -45,7 +43,7 @@
       log_(parts_.context, parts_.store, parts_.limits, parts_.lease.resource()),
       runner_(runner_parts{parts_.context, parts_.configuration, parts_.servers, parts_.connections,
                            parts_.forwarder, parts_.names, board_, parts_.quarantine, table_,
-                           [this] { notify(); }}),
+                           [this] { return may_send_again(); }, [this] { notify(); }}),
       progress_(parts_.context, parts_.transport, parts_.lease.resource(), parts_.zone),
       work_(parts_.context),
       loaded_(parts_.context),
@@ -216,15 +214,16 @@
     co_await wait_for(k_least_pause);
     if (!work_pending_) co_await work_.wait_until(boot_clock::now() + k_tick);
     work_pending_ = false;
+    time_point const now = boot_clock::now();
+    permission_.note_turn(now, parts_.lease.holds(now));
     bool const seen = state_ == owner_state::suspended && parts_.lease.owner() &&
                       parts_.lease.owner()->node != parts_.node;
     bool const told = newer_epoch_ > parts_.lease.epoch() && state_ != owner_state::standby &&
-                      !parts_.lease.holds(boot_clock::now());
+                      !parts_.lease.holds(now);
     if (told) lost();
     if (seen || told) drop_everything();
     offer_replica();
-    parts_.lease.set_preferred(state_ == owner_state::standby &&
-                               replica_.is_fresh(boot_clock::now()));
+    parts_.lease.set_preferred(state_ == owner_state::standby && replica_.is_fresh(now));
     if (state_ == owner_state::active || state_ == owner_state::suspended) advance();
   }
 }
@@ -235,7 +234,8 @@
   refresh_terms();
   drop_unrecorded(now);
   table_.expire(now);
-  if (may_start_runs(now)) runner_.advance(now);
+  bool const may_begin = permission_.may_begin_runs(now, parts_.lease.holds(now));
+  if (may_begin) runner_.advance(now);
   progress_.advance(table_, parts_.lease.epoch(), now);
   if (state_ != owner_state::active) return;
   if (now - orders_planned_at_ >= k_orders_interval) {
@@ -350,9 +350,9 @@
   return state_ == owner_state::active && parts_.lease.holds(boot_clock::now());
 }
 
-bool pool_owner::may_start_runs(time_point now) {
-  if (parts_.lease.holds(now)) held_at_ = now;
-  return now - held_at_ < k_lapsed_work;
+bool pool_owner::may_send_again() const {
+  time_point const now = boot_clock::now();
+  return !permission_.may_be_succeeded(now, parts_.lease.holds(now));
 }
 
 bool pool_owner::can_read() const {
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -19,6 +19,7 @@
 #include "jobs/progress_replica.h"
 #include "jobs/read_budget.h"
 #include "jobs/record_log.h"
+#include "jobs/run_permission.h"
 #include "jobs/sample_runner.h"
 #include "kv/record_store.h"
 #include "ownership/owner_lease.h"
@@ -141,9 +142,8 @@
   bool can_read() const;
   /// Whether what this node does not know does not exist: it holds the lease now.
   bool is_certain() const;
-  /// Whether runs may begin: with the lease, or for a while after it in case only the store is
-  /// gone.
-  bool may_start_runs(time_point now);
+  /// Whether what is under way may be sent to a server once more.
+  bool may_send_again() const;
 
   owner_parts parts_;
   owner_state state_ = owner_state::standby;
@@ -174,8 +174,7 @@
   bool servers_changed_ = true;
   time_point orders_planned_at_{};
   time_point checkpoint_at_{};
-  /// When this node last held the lease.
-  time_point held_at_{};
+  run_permission permission_{boot_clock::now()};
   /// Newest epoch of another owner that a replica told of.
   std::uint64_t newer_epoch_ = 0;
 };
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -248,7 +248,8 @@
   auto failure = co_await with.send(message, choice, boot_clock::now() + k_send_timeout);
   time_point const first = boot_clock::now() + k_first_event_timeout;
   if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
-  if (failure == calls::exchange_failure::stale_connection) {
+  bool const is_stale = failure == calls::exchange_failure::stale_connection;
+  if (is_stale && parts_.may_send_again()) {
     choice = calls::connection_choice::fresh;
     failure = co_await with.send(message, choice, boot_clock::now() + k_send_timeout);
     if (failure == calls::exchange_failure::none) failure = co_await with.read_head(first);
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -29,6 +29,8 @@
   engines::engine_board& board;
   quarantine::service& quarantine;
   job_table& table;
+  /// Whether this process has not stood still so long that another owner may have ended the job.
+  std::function<bool()> may_send_again;
   /// Something changed that the owner may act on.
   std::function<void()> notify;
 };
@@ -119,7 +121,8 @@
   std::map<run_id, run_key> keys_;
   run_id next_run_ = 1;
   sample_scorer scorer_{scorer_parts{parts_.context, parts_.configuration, parts_.servers,
-                                     parts_.forwarder, parts_.names, parts_.table, parts_.notify}};
+                                     parts_.forwarder, parts_.names, parts_.table,
+                                     parts_.may_send_again, parts_.notify}};
   calls::share_picker shares_;
   /// Requests that this node may send once.
   std::set<quarantine::fingerprint> trials_;
--- a/src/jobs/sample_scorer.cc
+++ b/src/jobs/sample_scorer.cc
@@ -81,6 +81,7 @@
                                                                  std::uint32_t index) {
   sample const* one = waiting_sample(job, index);
   if (one == nullptr) co_return scoring_step::over;
+  if (!parts_.may_send_again()) co_return scoring_step::again;
   rpc::ScorerCallT const& call = *one->spec->scorer;
   auto const table = parts_.configuration.table();
   calls::route const* by = table ? table->match(call.host, call.path) : nullptr;
--- a/src/jobs/sample_scorer.h
+++ b/src/jobs/sample_scorer.h
@@ -23,6 +23,8 @@
   calls::forwarder& forwarder;
   calls::header_names const& names;
   job_table& table;
+  /// Whether this process has not stood still so long that another owner may have ended the job.
+  std::function<bool()> may_send_again;
   /// Something changed that the owner may act on.
   std::function<void()> notify;
 };
