Failing test: a refused claim makes a node forget an owner of whom it was told

Its claim lost the race at the start, and the follower had told of the winner before the refusal came. The refusal starts the 1.5 s in which the follower must tell; it has told already, so the node forgets the owner, asks again, is refused again.

The test fails on this commit: unit.owner_lease_test.

--- a/tests/support/memory_record_store.cc
+++ b/tests/support/memory_record_store.cc
@@ -1,6 +1,7 @@
 #include "memory_record_store.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace frostline::testing {
 namespace {
@@ -113,6 +114,7 @@
     co_return std::error_code(kv::errc::outcome_unknown);
   }
   kv::transaction_answer answer = apply_now(change);
+  if (before_answer_) std::exchange(before_answer_, nullptr)();
   if (lost_answers_ > 0) {
     --lost_answers_;
     co_return std::error_code(kv::errc::outcome_unknown);
--- a/tests/support/memory_record_store.h
+++ b/tests/support/memory_record_store.h
@@ -1,6 +1,7 @@
 /// @file A record store in memory for unit tests, with lost answers and late writes.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -36,6 +37,8 @@
   /// The next transaction has no answer and takes effect with apply_delayed, if it still may.
   void delay_next_write() { delay_next_ = true; }
   void apply_delayed();
+  /// Runs once, between the next transaction and its answer.
+  void before_next_answer(std::function<void()> action) { before_answer_ = std::move(action); }
   /// Every lease runs out.
   void expire_leases();
   /// Watches from before now get no history.
@@ -58,6 +61,7 @@
   std::uint32_t lost_answers_ = 0;
   std::uint32_t lost_renewals_ = 0;
   bool delay_next_ = false;
+  std::function<void()> before_answer_;
   bool down_ = false;
   std::uint64_t watches_ = 0;
   std::optional<kv::transaction> delayed_;
--- a/tests/unit/ownership/owner_lease_test.cc
+++ b/tests/unit/ownership/owner_lease_test.cc
@@ -115,6 +115,17 @@
   LONGS_EQUAL(1, store.writes_of(owner_lease::key_of("pool")));
 }
 
+TEST(owner_lease_test, owner_that_the_follower_told_of_before_the_refusal_stays_known) {
+  put_owner("other", "t");
+  one.start();
+  one.note_record(nullptr);
+  store.before_next_answer([&] { tell(one); });
+  run_until([&] { return one.owner().has_value(); });
+  time_point const limit = boot_clock::now() + seconds(4);
+  run_until([&] { return !one.owner() || boot_clock::now() > limit; });
+  CHECK(one.owner().has_value());
+}
+
 TEST(owner_lease_test, record_of_the_own_former_process_is_replaced_at_once_and_orders_go_on) {
   put_owner("one", "former");
   put_orderer("one");
