An owner of whom the follower told before the refusal is not forgotten

Change: owner_lease remembers the revision of which the follower told last; a refused claim that shows the same one does not start the wait for it.

--- a/src/ownership/owner_lease.cc
+++ b/src/ownership/owner_lease.cc
@@ -74,6 +74,7 @@
 
 void owner_lease::note_record(kv::key_value const* record) {
   shown_by_claim_at_.reset();
+  heard_revision_ = record == nullptr ? 0 : record->mod_revision;
   adopt(record);
 }
 
@@ -116,7 +117,9 @@
     if (one.key == orderer_key_of(resource_)) note_orderer(one);
     if (one.key != key_of(resource_)) continue;
     adopt(&one);
-    shown_by_claim_at_ = boot_clock::now();
+    // The follower may have told of it before the refusal came, and does not tell twice.
+    bool const heard = one.mod_revision == heard_revision_;
+    if (!heard) shown_by_claim_at_ = boot_clock::now();
   }
 }
 
--- a/src/ownership/owner_lease.h
+++ b/src/ownership/owner_lease.h
@@ -138,6 +138,8 @@
   /// When a refused claim showed the owner, until a follower tells of it. A record that is gone
   /// before the follower has heard of it is nothing that it would tell the end of.
   std::optional<time_point> shown_by_claim_at_;
+  /// Revision of the owner's record of which the follower told last; 0: there was none.
+  kv::revision heard_revision_ = 0;
   /// Revision of the owner's record.
   kv::revision record_revision_ = 0;
   /// Node that owned the resource last, as far as is known.
