--- /dev/null
+++ b/tests/platform/progress_copies_test.cc
@@ -0,0 +1,89 @@
+/// @file What an owner has done and not stored outlasts its loss together with another machine's.
+
+#include <CppUTest/TestHarness.h>
+#include <signal.h>
+
+#include "platform_cluster.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+constexpr std::size_t k_items = 24;
+/// Reports of progress are 0.25 s apart.
+constexpr milliseconds k_reported{800};
+
+}  // namespace
+
+TEST_GROUP(progress_copies_test){
+    static std::vector<test_item> make_items(){std::vector<test_item> items;
+for (std::size_t index = 0; index < k_items; ++index) {
+  items.push_back({"job-" + std::to_string(index), "group"});
+}
+return items;
+}
+
+static void set_full(platform_cluster& system, bool full) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      system.engine(index).faults().full = full;
+    }
+    return 0;
+  });
+}
+
+static void set_store_silent(platform_cluster& system, bool silent) {
+  system.on_platform([&] {
+    system.store().faults().silent = silent;
+    return 0;
+  });
+}
+
+static std::size_t runs_of(platform_cluster& system, std::string const& prefix) {
+  return system.on_platform([&] {
+    std::size_t count = 0;
+    auto const take = [&](server_standin const& server) {
+      for (arrival const& one : server.arrivals()) {
+        if (one.ran && one.request.starts_with(prefix)) ++count;
+      }
+    };
+    for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
+    for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
+    return count;
+  });
+}
+
+/// Has a job done while the store is out, then freezes the owner and another node, and waits
+/// until the third has listed all of it.
+/// @return how often samples have run.
+static std::size_t runs_with_two_frozen(std::size_t distance) {
+  platform_cluster system{platform_options()};
+  set_full(system, true);
+  LONGS_EQUAL(202, system.submit(0, "job", make_items()));
+  std::size_t const owner = system.owner();
+  std::size_t const second = (owner + distance) % system.nodes();
+  std::size_t const left = system.nodes() - owner - second;
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    CHECK(system.results(node, "job").has_value());
+  }
+  set_store_silent(system, true);
+  set_full(system, false);
+  platform_cluster::wait_until("all samples are scored",
+                               [&] { return runs_of(system, "score-job-") >= k_items; });
+  time_point const reported = boot_clock::now() + k_reported;
+  platform_cluster::wait_until("progress is reported",
+                               [&] { return boot_clock::now() > reported; });
+  system.node(owner).send_signal(SIGSTOP);
+  system.node(second).send_signal(SIGSTOP);
+  set_store_silent(system, false);
+  system.wait_for_results(left, "job", k_items);
+  return runs_of(system, "job-");
+}
+}
+;
+
+TEST(progress_copies_test, nothing_runs_again_after_the_loss_of_the_owner_and_either_other_node) {
+  LONGS_EQUAL(k_items, runs_with_two_frozen(1));
+  LONGS_EQUAL(k_items, runs_with_two_frozen(2));
+}
