An owner's progress is copied to two nodes

Cause: the one copy was lost together with the owner (two machines that froze in an outage of the store): up to 149 samples of 160 ran again.

Change: progress_sender sends each report to the two best nodes. One that fails is replaced as before; then the next report is whole for both. A log line names the nodes whenever they change.

--- a/src/jobs/progress_replica.cc
+++ b/src/jobs/progress_replica.cc
@@ -97,7 +97,7 @@
 
 void progress_sender::begin_term() {
   whole_ = true;
-  replica_.reset();
+  replicas_.clear();
 }
 
 bool progress_sender::is_better(endpoint const& left, endpoint const& right) const {
@@ -108,26 +108,45 @@
   }
   if (first.started_at > second.started_at + k_much_younger) return true;
   if (second.started_at > first.started_at + k_much_younger) return false;
-  if (replica_ && (left == *replica_ || right == *replica_)) return left == *replica_;
+  bool const left_is_present = replicas_.contains(left);
+  if (left_is_present != replicas_.contains(right)) return left_is_present;
   return first.zone == zone_ && second.zone != zone_;
 }
 
-std::optional<endpoint> progress_sender::choose(time_point now) {
-  std::erase_if(peers_, [&](auto const& entry) {
-    return now - entry.second.heard_at > k_peer_memory && entry.first != replica_;
-  });
+std::optional<endpoint> progress_sender::choose_one(std::set<endpoint> const& taken,
+                                                    time_point now) const {
   std::optional<endpoint> best;
   for (auto const& [where, one] : peers_) {
-    if (one.avoided_until > now) continue;
+    if (one.avoided_until > now || taken.contains(where)) continue;
     if (!best || is_better(where, *best)) best = where;
   }
-  if (best != replica_) whole_ = true;
-  replica_ = best;
   return best;
 }
 
-std::optional<rpc::ProgressReportT> progress_sender::make_report(job_table& table,
-                                                                 std::uint64_t epoch) {
+void progress_sender::choose_replicas(time_point now) {
+  std::erase_if(peers_, [&](auto const& entry) {
+    return now - entry.second.heard_at > k_peer_memory && !replicas_.contains(entry.first);
+  });
+  std::set<endpoint> chosen;
+  while (chosen.size() < k_copies) {
+    auto const next = choose_one(chosen, now);
+    if (!next) break;
+    chosen.insert(*next);
+  }
+  if (chosen == replicas_) return;
+  whole_ = true;
+  replicas_ = std::move(chosen);
+  log_replicas();
+}
+
+void progress_sender::log_replicas() const {
+  std::string names;
+  for (endpoint const& one : replicas_) names += (names.empty() ? "" : ",") + one.to_string();
+  log_line(log_level::info, k_part, "Nodes that hold a copy of the progress change.",
+           {{"pool", pool_}, {"replicas", names}, {"known_peers", peers_.size()}});
+}
+
+rpc::ProgressReportT progress_sender::make_report(job_table& table, std::uint64_t epoch) {
   if (whole_) table.forget_replicated();
   whole_ = false;
   rpc::ProgressReportT report;
@@ -143,31 +162,37 @@
 }
 
 void progress_sender::advance(job_table& table, std::uint64_t epoch, time_point now) {
-  if (sending_ || now - sent_at_ < k_report_interval) return;
-  auto const where = choose(now);
-  if (!where) return;
+  if (unanswered_ > 0 || now - sent_at_ < k_report_interval) return;
+  choose_replicas(now);
+  if (replicas_.empty()) return;
   auto report = make_report(table, epoch);
-  bool const idle = report->entries.empty();
+  bool const idle = report.entries.empty();
   if (idle && now - sent_at_ < k_idle_interval) return;
   sent_at_ = now;
-  sending_ = true;
-  spawn(context_, send(*where, std::move(*report)));
+  send_to_all(std::move(report));
 }
 
 awaitable<void> progress_sender::finish(job_table& table, std::uint64_t epoch) {
-  while (sending_) co_await wait_for(milliseconds(5));
-  auto const where = choose(boot_clock::now());
-  if (!where) co_return;
-  auto report = make_report(table, epoch);
-  sending_ = true;
-  co_await send(*where, std::move(*report));
+  while (unanswered_ > 0) co_await wait_for(milliseconds(5));
+  choose_replicas(boot_clock::now());
+  if (replicas_.empty()) co_return;
+  send_to_all(make_report(table, epoch));
+  while (unanswered_ > 0) co_await wait_for(milliseconds(5));
+}
+
+void progress_sender::send_to_all(rpc::ProgressReportT report) {
+  auto const shared = std::make_shared<rpc::ProgressReportT const>(std::move(report));
+  // One that fails is no replica any more, perhaps at once.
+  std::set<endpoint> const all = replicas_;
+  unanswered_ = all.size();
+  for (endpoint const& where : all) spawn(context_, send(where, shared));
 }
 
-awaitable<void> progress_sender::send(endpoint where, rpc::ProgressReportT report) {
+awaitable<void> progress_sender::send(endpoint where, shared_report report) {
   auto const reply = co_await rpc::call<rpc::ProgressReportT, rpc::ProgressReplyT>(
-      transport_, where, "JobService", "Replicate", report, k_report_timeout);
-  sending_ = false;
-  bool const overtaken = reply && reply.value().known_epoch > report.epoch;
+      transport_, where, "JobService", "Replicate", *report, k_report_timeout);
+  --unanswered_;
+  bool const overtaken = reply && reply.value().known_epoch > report->epoch;
   if (overtaken && on_newer_owner_) on_newer_owner_(reply.value().known_epoch);
   bool const taken = reply && reply.value().taken;
   if (taken) co_return;
@@ -177,7 +202,7 @@
            {{"pool", pool_}, {"replica", where.to_string()}, {"error", reply.error().detail}});
   auto const found = peers_.find(where);
   if (found != peers_.end()) found->second.avoided_until = boot_clock::now() + k_avoid_time;
-  if (replica_ == where) replica_.reset();
+  replicas_.erase(where);
 }
 
 }  // namespace frostline::jobs
--- a/src/jobs/progress_replica.h
+++ b/src/jobs/progress_replica.h
@@ -1,10 +1,12 @@
-/// @file A copy of an owner's unfinished and unstored work on another node, so that whoever follows
+/// @file Copies of an owner's unfinished and unstored work on other nodes, so that whoever follows
 /// the owner goes on instead of beginning anew.
 #pragma once
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,9 +48,14 @@
   time_point heard_at_{};
 };
 
-/// Sends the owner's progress to one other node, one report at a time.
+/// Sends the owner's progress to a few other nodes, one report at a time.
 class progress_sender {
  public:
+  /// Nodes that hold a copy. With one, an owner that was lost together with it, as when two
+  /// machines froze in an outage of the store, took up to 149 samples of 160 along that were done
+  /// and could not be stored.
+  static constexpr std::size_t k_copies = 2;
+
   progress_sender(asio::io_context& context, http::client& transport, std::string pool,
                   std::string zone)
       : context_(context), transport_(transport), pool_(std::move(pool)), zone_(std::move(zone)) {}
@@ -79,12 +86,19 @@
     time_point avoided_until = time_point::min();
   };
 
-  /// The node to send to. The strongest come first, since it will be asked to follow. Of these, a
-  /// process that is much younger than the others comes first: where nodes are restarted in turn,
-  /// it is the last to go. Then the present one, one of the own zone, any.
-  std::optional<endpoint> choose(time_point now);
-  std::optional<rpc::ProgressReportT> make_report(job_table& table, std::uint64_t epoch);
-  awaitable<void> send(endpoint where, rpc::ProgressReportT report);
+  using shared_report = std::shared_ptr<rpc::ProgressReportT const>;
+
+  /// Chooses the nodes to send to. The strongest come first, since they will be asked to follow. Of
+  /// these, a process that is much younger than the others comes first: where nodes are restarted
+  /// in turn, it is the last to go. Then the present ones, those of the own zone, any.
+  void choose_replicas(time_point now);
+  /// The best of those that are not taken.
+  std::optional<endpoint> choose_one(std::set<endpoint> const& taken, time_point now) const;
+  rpc::ProgressReportT make_report(job_table& table, std::uint64_t epoch);
+  /// Sends one report to all replicas.
+  void send_to_all(rpc::ProgressReportT report);
+  awaitable<void> send(endpoint where, shared_report report);
+  void log_replicas() const;
 
   asio::io_context& context_;
   http::client& transport_;
@@ -94,8 +108,9 @@
   /// Whether `left` follows this node better than `right`.
   bool is_better(endpoint const& left, endpoint const& right) const;
 
-  std::optional<endpoint> replica_;
-  bool sending_ = false;
+  std::set<endpoint> replicas_;
+  /// Replicas that have not answered the report that is under way.
+  std::size_t unanswered_ = 0;
   /// The next report must be whole.
   bool whole_ = true;
   time_point sent_at_{};
