relay_test counts once no node follows the store directly; one home for what tests count

Cause of the red line: traced in the failed run's logs. node-2 asked for a relay before there was one, followed the store directly from 45.767 and stopped at 46.679, when a relay answered it; the configuration whose watches are counted came at 46.46. That is how a start goes; the test counts the settled state and did not wait for it.

Change: settle() waits until all nodes serve and none that is no relay follows the store. What is counted, and what it must be, stays. progress_copies_test waits until the owner names two replicas, instead of for a time alone; early_record_test asserts that there was a record whose going it waits for. Counts of arrivals, runs and records, and faults of all servers, stood in several tests and have one home (cluster_queries).

Ruled out: a node that follows directly for ever (it logs its change of role).

--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -9,8 +9,8 @@
 #include <set>
 #include <thread>
 
+#include "cluster_queries.h"
 #include "http/json_fields.h"
-#include "platform_cluster.h"
 
 using namespace frostline;
 using namespace frostline::testing;
@@ -65,14 +65,7 @@
   void setup() override { system.set_crash_text(k_deadly); }
 
   /// Requests that the store says are kept from servers.
-  std::size_t quarantine_records() {
-    return system.on_platform([&] {
-      auto const& items = system.store().items();
-      return static_cast<std::size_t>(std::count_if(
-          items.begin(), items.end(),
-          [](auto const& one) { return one.first.starts_with("frostline/quarantine/"); }));
-    });
-  }
+  std::size_t quarantine_records() { return count_records(system, k_quarantine_records); }
 
   std::vector<arrival> app_arrivals() {
     return system.on_platform([&] {
--- a/tests/platform/early_record_test.cc
+++ b/tests/platform/early_record_test.cc
@@ -3,7 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
-#include "platform_cluster.h"
+#include "cluster_queries.h"
 
 using namespace frostline;
 using namespace frostline::testing;
@@ -45,16 +45,6 @@
     LONGS_EQUAL(
         2, system.on_platform([&] { return system.app(2).crashes() + system.app(3).crashes(); }));
   }
-
-  std::size_t records() {
-    return system.on_platform([&] {
-      std::size_t count = 0;
-      for (auto const& [key, item] : system.store().items()) {
-        if (key.starts_with("frostline/quarantine/")) ++count;
-      }
-      return count;
-    });
-  }
 };
 
 TEST(early_record_test, request_under_which_two_servers_ended_is_served_at_every_node) {
@@ -72,5 +62,7 @@
 
 TEST(early_record_test, record_of_two_crashes_goes_when_its_third_run_has_ended_no_server) {
   end_two_servers();
-  platform_cluster::wait_until("the record is gone", [&] { return records() == 0; });
+  CHECK(system.log(0).find("Suspicion of a request recorded.") != std::string::npos);
+  platform_cluster::wait_until("the record is gone",
+                               [&] { return count_records(system, k_quarantine_records) == 0; });
 }
--- a/tests/platform/frozen_owner_test.cc
+++ b/tests/platform/frozen_owner_test.cc
@@ -3,7 +3,7 @@
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
 
-#include "platform_cluster.h"
+#include "cluster_queries.h"
 
 using namespace frostline;
 using namespace frostline::testing;
@@ -19,34 +19,6 @@
 TEST_GROUP(frozen_owner_test) {
   platform_cluster system{platform_options()};
 
-  void set_full(bool full) {
-    system.on_platform([&] {
-      for (server_standin* server : servers()) server->faults().full = full;
-      return 0;
-    });
-  }
-
-  std::vector<server_standin*> servers() {
-    std::vector<server_standin*> all;
-    for (std::size_t index = 0; index < system.engines(); ++index)
-      all.push_back(&system.engine(index));
-    for (std::size_t index = 0; index < system.apps(); ++index) all.push_back(&system.app(index));
-    return all;
-  }
-
-  /// Requests that have reached servers and whose identifiers begin so.
-  std::size_t arrivals_of(std::string const& prefix) {
-    return system.on_platform([&] {
-      std::size_t count = 0;
-      for (server_standin const* server : servers()) {
-        for (arrival const& one : server->arrivals()) {
-          if (one.request.starts_with(prefix)) ++count;
-        }
-      }
-      return count;
-    });
-  }
-
   std::vector<test_item> make_items(std::string const& job, std::size_t count) {
     std::vector<test_item> items;
     for (std::size_t index = 0; index < count; ++index) {
@@ -81,30 +53,25 @@
 };
 
 TEST(frozen_owner_test, job_that_was_ended_meanwhile_sends_no_sample_after_the_thaw) {
-  set_full(true);
+  set_engines_full(system, true);
   LONGS_EQUAL(202, system.submit(0, "job", make_items("job", k_items)));
   platform_cluster::wait_until("engines have refused runs",
-                               [&] { return arrivals_of("job-") > 4; });
+                               [&] { return count_arrivals(system, "job-") > 4; });
   std::size_t const frozen = freeze_until_job_is_over();
-  std::size_t const before = arrivals_of("job-");
-  set_full(false);
+  std::size_t const before = count_arrivals(system, "job-");
+  set_engines_full(system, false);
   thaw(frozen);
-  LONGS_EQUAL(before, arrivals_of("job-"));
+  LONGS_EQUAL(before, count_arrivals(system, "job-"));
 }
 
 TEST(frozen_owner_test, job_that_was_ended_meanwhile_asks_no_scorer_after_the_thaw) {
-  system.on_platform([&] {
-    for (std::size_t index = 0; index < system.apps(); ++index) {
-      system.app(index).faults().full = true;
-    }
-    return 0;
-  });
+  set_apps_full(system, true);
   LONGS_EQUAL(202, system.submit(0, "job", make_items("job", k_items)));
   platform_cluster::wait_until("scorers have refused calls",
-                               [&] { return arrivals_of("score-job-") > 4; });
+                               [&] { return count_arrivals(system, "score-job-") > 4; });
   std::size_t const frozen = freeze_until_job_is_over();
-  std::size_t const before = arrivals_of("score-job-");
-  set_full(false);
+  std::size_t const before = count_arrivals(system, "score-job-");
+  set_apps_full(system, false);
   thaw(frozen);
-  LONGS_EQUAL(before, arrivals_of("score-job-"));
+  LONGS_EQUAL(before, count_arrivals(system, "score-job-"));
 }
--- a/tests/platform/progress_copies_test.cc
+++ b/tests/platform/progress_copies_test.cc
@@ -3,7 +3,7 @@
 #include <CppUTest/TestHarness.h>
 #include <signal.h>
 
-#include "platform_cluster.h"
+#include "cluster_queries.h"
 
 using namespace frostline;
 using namespace frostline::testing;
@@ -14,52 +14,30 @@
 /// Reports of progress are 0.25 s apart.
 constexpr milliseconds k_reported{800};
 
-}  // namespace
-
-TEST_GROUP(progress_copies_test){
-    static std::vector<test_item> make_items(){std::vector<test_item> items;
-for (std::size_t index = 0; index < k_items; ++index) {
-  items.push_back({"job-" + std::to_string(index), "group"});
-}
-return items;
-}
-
-static void set_full(platform_cluster& system, bool full) {
-  system.on_platform([&] {
-    for (std::size_t index = 0; index < system.engines(); ++index) {
-      system.engine(index).faults().full = full;
-    }
-    return 0;
-  });
-}
-
-static void set_store_silent(platform_cluster& system, bool silent) {
-  system.on_platform([&] {
-    system.store().faults().silent = silent;
-    return 0;
-  });
+std::vector<test_item> make_items() {
+  std::vector<test_item> items;
+  for (std::size_t index = 0; index < k_items; ++index) {
+    items.push_back({"job-" + std::to_string(index), "group"});
+  }
+  return items;
 }
 
-static std::size_t runs_of(platform_cluster& system, std::string const& prefix) {
-  return system.on_platform([&] {
-    std::size_t count = 0;
-    auto const take = [&](server_standin const& server) {
-      for (arrival const& one : server.arrivals()) {
-        if (one.ran && one.request.starts_with(prefix)) ++count;
-      }
-    };
-    for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
-    for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
-    return count;
-  });
+/// Whether the owner says that it reports to two nodes.
+bool has_two_copies(platform_cluster& system, std::size_t owner) {
+  std::string const log = system.log(owner);
+  std::size_t const last = log.rfind("Nodes that hold a copy of the progress change.");
+  if (last == std::string::npos) return false;
+  std::string const line = log.substr(last, log.find('\n', last) - last);
+  std::size_t const names = line.find("\"replicas\":\"");
+  return line.substr(names, line.find("\",", names) - names).find(',') != std::string::npos;
 }
 
 /// Has a job done while the store is out, then freezes the owner and another node, and waits
 /// until the third has listed all of it.
 /// @return how often samples have run.
-static std::size_t runs_with_two_frozen(std::size_t distance) {
+std::size_t runs_with_two_frozen(std::size_t distance) {
   platform_cluster system{platform_options()};
-  set_full(system, true);
+  set_engines_full(system, true);
   LONGS_EQUAL(202, system.submit(0, "job", make_items()));
   std::size_t const owner = system.owner();
   std::size_t const second = (owner + distance) % system.nodes();
@@ -68,9 +46,11 @@
     CHECK(system.results(node, "job").has_value());
   }
   set_store_silent(system, true);
-  set_full(system, false);
+  set_engines_full(system, false);
   platform_cluster::wait_until("all samples are scored",
-                               [&] { return runs_of(system, "score-job-") >= k_items; });
+                               [&] { return count_runs(system, "score-job-") >= k_items; });
+  platform_cluster::wait_until("two nodes hold copies",
+                               [&] { return has_two_copies(system, owner); });
   time_point const reported = boot_clock::now() + k_reported;
   platform_cluster::wait_until("progress is reported",
                                [&] { return boot_clock::now() > reported; });
@@ -78,10 +58,12 @@
   system.node(second).send_signal(SIGSTOP);
   set_store_silent(system, false);
   system.wait_for_results(left, "job", k_items);
-  return runs_of(system, "job-");
-}
+  return count_runs(system, "job-");
 }
-;
+
+}  // namespace
+
+TEST_GROUP(progress_copies_test){};
 
 TEST(progress_copies_test, nothing_runs_again_after_the_loss_of_the_owner_and_either_other_node) {
   LONGS_EQUAL(k_items, runs_with_two_frozen(1));
--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -64,11 +64,32 @@
            std::to_string(version) + "\"";
   }
 
-  /// Waits until each zone has a relay and what was followed before has ended with a change.
+  /// Whether a node follows the store itself though it is no relay, as it does until one answers
+  /// it.
+  bool follows_directly(std::size_t node) {
+    std::string const log = system.log(node);
+    std::size_t const last = log.rfind("relay: Role in passing records on changes.");
+    if (last == std::string::npos) return false;
+    std::string const line = log.substr(last, log.find('\n', last) - last);
+    return line.find("\"role\":\"direct\"") != std::string::npos;
+  }
+
+  bool any_follows_directly() {
+    for (std::size_t node = 0; node < system.nodes(); ++node) {
+      if (follows_directly(node)) return true;
+    }
+    return false;
+  }
+
+  /// Waits until each zone has a relay, all other nodes are served by one, and what was followed
+  /// before has ended with a change.
   void settle() {
     system.relay(0);
     system.relay(1);
     system.owner();
+    platform_cluster::wait_until("all nodes serve", [&] { return all_say("gateway: Serving."); });
+    platform_cluster::wait_until("no node follows the store that is no relay",
+                                 [&] { return !any_follows_directly(); });
     put_config(2);
     platform_cluster::wait_until("version 2 is in force", [&] { return all_say(in_force(2)); });
     drain(0);
--- /dev/null
+++ b/tests/platform_standin/cluster_queries.cc
@@ -0,0 +1,75 @@
+#include "cluster_queries.h"
+
+#include <algorithm>
+
+namespace frostline::testing {
+namespace {
+
+/// Of one server; on the stand-ins' thread.
+std::size_t count_at(server_standin const& server, std::string const& prefix, bool only_runs) {
+  std::size_t count = 0;
+  for (arrival const& one : server.arrivals()) {
+    bool const counts = one.ran || !only_runs;
+    if (counts && one.request.starts_with(prefix)) ++count;
+  }
+  return count;
+}
+
+std::size_t count_at_all(platform_cluster& system, std::string const& prefix, bool only_runs) {
+  return system.on_platform([&] {
+    std::size_t count = 0;
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      count += count_at(system.engine(index), prefix, only_runs);
+    }
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      count += count_at(system.app(index), prefix, only_runs);
+    }
+    return count;
+  });
+}
+
+}  // namespace
+
+std::size_t count_arrivals(platform_cluster& system, std::string const& prefix) {
+  return count_at_all(system, prefix, false);
+}
+
+std::size_t count_runs(platform_cluster& system, std::string const& prefix) {
+  return count_at_all(system, prefix, true);
+}
+
+std::size_t count_records(platform_cluster& system, std::string const& prefix) {
+  return system.on_platform([&] {
+    auto const& items = system.store().items();
+    auto const count = std::count_if(
+        items.begin(), items.end(), [&](auto const& one) { return one.first.starts_with(prefix); });
+    return static_cast<std::size_t>(count);
+  });
+}
+
+void set_engines_full(platform_cluster& system, bool full) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      system.engine(index).faults().full = full;
+    }
+    return 0;
+  });
+}
+
+void set_apps_full(platform_cluster& system, bool full) {
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.apps(); ++index) {
+      system.app(index).faults().full = full;
+    }
+    return 0;
+  });
+}
+
+void set_store_silent(platform_cluster& system, bool silent) {
+  system.on_platform([&] {
+    system.store().faults().silent = silent;
+    return 0;
+  });
+}
+
+}  // namespace frostline::testing
