--- a/src/jobs/progress_replica.h
+++ b/src/jobs/progress_replica.h
@@ -54,8 +54,9 @@
   /// Nodes that hold a copy while the store takes what is done: then little is lost with both.
   static constexpr std::size_t k_copies = 1;
   /// While it does not: an owner that froze in an outage together with the only copy took 149
-  /// samples of 160 along that were done. Two copies at all times cost 0.002 of the worth of days
-  /// on which nothing of the kind happens (three deployments, six plays a day).
+  /// samples of 160 along that were done. Two copies at all times cost 0.002 to 0.003 of the worth
+  /// of days on which nothing of the kind happens (six plays a day of one deployment; within the
+  /// noise of two others).
   static constexpr std::size_t k_copies_in_outage = 2;
 
   progress_sender(asio::io_context& context, http::client& transport, std::string pool,
