A server is looked at after a run there was given up

Cause: evidence of a crash came only from a connection that broke under a run. A run that this side gives up (its caller has left, its deadline or the attempt's share of it has passed, no first event came, the job has ended, it moves) closes its connection first; whatever happens to the server then is seen by nobody.

Change: crash_watch::note_given_up. A server may go on with such a run for half a second (the users' pages); for that long it is looked at each 170 ms, less than any server takes to start again, so that its end can't fall between two looks. A look at a server to which this node keeps a connection that is older than the run's end costs nothing: a process that ends closes all of them. Else a connection is opened, and kept for the next request. Calls, streams, scorers' calls and samples all report there.

Why it holds: every way out of a run that is neither an answer nor a break goes through forwarder::note_failure, note_abandoned or sample_runner::note_end_of_run.

Ruled out: keeping the cut connection open to read its end (the server would go on working for nobody, which the users' pages limit); looking only at requests that have evidence already (misses the first two crashes, and every crash of a request whose callers always leave).

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -85,6 +85,22 @@
   kept.push_back(std::move(one));
 }
 
+void connection_pool::keep(std::string const& server, http::beast::tcp_stream stream) {
+  auto one = std::make_unique<connection>(std::move(stream));
+  one->opened_at = boot_clock::now();
+  note_opened();
+  http::probe_when_idle(one->stream.socket());
+  give_back(server, std::move(one));
+}
+
+bool connection_pool::has_open(std::string const& server, time_point made_before) const {
+  auto const found = kept_.find(server);
+  if (found == kept_.end()) return false;
+  return std::any_of(found->second.begin(), found->second.end(), [&](auto const& one) {
+    return one->opened_at <= made_before && http::is_quiet(one->stream.socket());
+  });
+}
+
 void connection_pool::forget(std::string const& server, time_point unused_since) {
   auto const found = kept_.find(server);
   if (found == kept_.end()) return;
@@ -167,6 +183,7 @@
   if (failure) {
     co_return aborted_ ? exchange_failure::aborted : exchange_failure::not_connected;
   }
+  connection_->opened_at = opened_at_;
   connection_->stream.socket().set_option(tcp::no_delay(true), ignored);
   http::probe_when_idle(connection_->stream.socket());
   co_return exchange_failure::none;
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -58,8 +58,10 @@
 
   struct connection {
     explicit connection(asio::io_context& context) : stream(context) {}
+    explicit connection(http::beast::tcp_stream opened) : stream(std::move(opened)) {}
     http::beast::tcp_stream stream;
     http::beast::flat_buffer buffer;
+    time_point opened_at{};
     time_point idle_since{};
     /// How long it may rest: the server tells, or closes it, which is seen before it is used.
     milliseconds keep{20'000};
@@ -71,6 +73,11 @@
   /// @return null if no kept connection fits.
   std::unique_ptr<connection> take(std::string const& server, connection_choice choice);
   void give_back(std::string const& server, std::unique_ptr<connection> one);
+  /// Keeps a connection that was opened for no request.
+  void keep(std::string const& server, http::beast::tcp_stream stream);
+  /// Whether a kept connection is open that was made at `made_before` or earlier. It shows that the
+  /// server's process has not ended since.
+  bool has_open(std::string const& server, time_point made_before) const;
   /// Closes the kept connections to a server that have not been used since: one of them gave no
   /// byte of an answer in time, and those that went silent with it would cost a timeout each.
   void forget(std::string const& server, time_point unused_since);
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -148,10 +148,13 @@
     one.may_have_run = true;
   }
   if (failure == exchange_failure::aborted) {
-    parts_.selector.note_abandoned(with.server().id);
+    note_abandoned(one, with);
   } else {
     parts_.selector.note_failure(with.server().id, boot_clock::now());
   }
+  if (failure == exchange_failure::timed_out) {
+    parts_.quarantine.note_given_up(with.server(), identify(one), one.attempt_begun);
+  }
   one.has_met_silence = one.has_met_silence || with.has_met_silence();
   bool const ended =
       failure == exchange_failure::broken || failure == exchange_failure::stale_connection;
@@ -173,6 +176,11 @@
             {"config", one.table->all().version}});
 }
 
+void forwarder::note_abandoned(journey& one, exchange const& with) {
+  parts_.selector.note_abandoned(with.server().id);
+  parts_.quarantine.note_given_up(with.server(), identify(one), one.attempt_begun);
+}
+
 void forwarder::clear_suspicion(journey& one, exchange const& with) {
   // A server's own 5xx may come without a run, as at the end of its deadline in a queue.
   bool const ran = with.head().result_int() < 500;
@@ -403,7 +411,7 @@
     head.erase(http::field::content_length);
     begun = true;
     if (!co_await one.from->begin(std::move(head))) {
-      parts_.selector.note_abandoned(with.server().id);
+      note_abandoned(one, with);
       co_return true;
     }
   }
@@ -424,7 +432,7 @@
     }
     if (whole_events.empty()) continue;
     if (!co_await one.from->send(std::move(whole_events))) {
-      parts_.selector.note_abandoned(with.server().id);
+      note_abandoned(one, with);
       co_return true;
     }
   }
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -83,7 +83,14 @@
   quarantine::service quarantine_{quarantine::service_parts{
       context_, adapter_.store(), transport_, settings_.id, settings_.peers,
       [this] { return feed_.relay_addresses(k_collectors); },
-      [this] { return feed_.age(boot_clock::now()) < k_current_age; }}};
+      [this] { return feed_.age(boot_clock::now()) < k_current_age; },
+      quarantine::resting_connections{
+          [this](directory::server const& one, time_point made_before) {
+            return connections_.has_open(one.id, made_before);
+          },
+          [this](directory::server const& one, http::beast::tcp_stream stream) {
+            connections_.keep(one.id, std::move(stream));
+          }}}};
   calls::forwarder forwarder_{calls::forwarder_parts{context_, servers_, connections_, selector_,
                                                      adapter_.names(), runs_, quarantine_,
                                                      [this] { return records_age(); }}};
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -174,21 +174,56 @@
 
 void sample_runner::abort_runs(std::string const& job) {
   for (auto& [id, open] : runs_) {
-    if (job.empty() || keys_[id].job == job) open.exchange->abort();
+    if (job.empty() || keys_[id].job == job) abort(id, open);
   }
 }
 
 void sample_runner::abort_run(std::string const& job, std::uint32_t index) {
   for (auto& [id, open] : runs_) {
-    if (keys_[id].job == job && keys_[id].index == index) open.exchange->abort();
+    if (keys_[id].job == job && keys_[id].index == index) abort(id, open);
   }
 }
 
-void sample_runner::note_broken_run(run_key const& key, directory::server const& engine,
-                                    time_point sent_at) {
+void sample_runner::note_end_of_run(run_id id, run_key const& key, directory::server const& engine,
+                                    run_end end, bool has_broken) {
+  bool const broken = end == run_end::broken && has_broken;
+  bool const given_up = !broken && is_given_up(end);
+  if (!broken && !given_up) return;
+  open_run const& open = runs_.at(id);
   job* const owner = parts_.table.find(key.job);
-  if (owner == nullptr) return;
-  parts_.quarantine.note_broken(engine, identify(*owner, key.index), sent_at);
+  std::optional<quarantine::fingerprint> request = open.request;
+  if (!request && owner != nullptr) request = identify(*owner, key.index);
+  if (!request) return;
+  if (broken) {
+    parts_.quarantine.note_broken(engine, *request, open.sent_at);
+  } else {
+    parts_.quarantine.note_given_up(engine, *request, open.sent_at);
+  }
+}
+
+bool sample_runner::is_given_up(run_end end) {
+  switch (end) {
+    case run_end::broken:
+    case run_end::unusable:
+    case run_end::old_version:
+    case run_end::moved:
+    case run_end::unwanted:
+      return true;
+    case run_end::completed:
+    case run_end::refused:
+    case run_end::failed:
+    case run_end::impossible:
+      return false;
+  }
+  return false;
+}
+
+void sample_runner::abort(run_id id, open_run& open) {
+  run_key const& key = keys_[id];
+  // The job may be gone when the run has ended.
+  job* const owner = parts_.table.find(key.job);
+  if (owner != nullptr) open.request = identify(*owner, key.index);
+  open.exchange->abort();
 }
 
 milliseconds sample_runner::pause_after_break(job& owner, std::uint32_t index) const {
@@ -231,7 +266,7 @@
   run_end end = co_await drive(key, with);
   if (end == run_end::broken && runs_[id].moving) end = run_end::moved;
   if (end == run_end::completed) with.finish();
-  if (end == run_end::broken && with.has_broken()) note_broken_run(key, engine, open.sent_at);
+  note_end_of_run(id, key, engine, end, with.has_broken());
   runs_.erase(id);
   keys_.erase(id);
   if (isolated) isolating_engines_.erase(engine.id);
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -88,6 +88,8 @@
     bool single_version = false;
     std::string engine;
     time_point sent_at{};
+    /// Set when the run is given up because its sample is not wanted any more.
+    std::optional<quarantine::fingerprint> request;
   };
   using run_id = std::uint64_t;
 
@@ -101,8 +103,12 @@
   /// @param isolated whether must_be_isolated held.
   void start(job& owner, std::uint32_t index, engines::board_engine const& engine, bool isolated);
   void move_slow_runs(time_point now);
-  /// A run's connection ended, and maybe its engine with it.
-  void note_broken_run(run_key const& key, directory::server const& engine, time_point sent_at);
+  /// Has the engine looked at if it may have ended under the run, or may yet.
+  void note_end_of_run(run_id id, run_key const& key, directory::server const& engine, run_end end,
+                       bool has_broken);
+  /// Whether this side closed the run's connection while the engine may have been at work.
+  static bool is_given_up(run_end end);
+  void abort(run_id id, open_run& open);
   milliseconds pause_after_break(job& owner, std::uint32_t index) const;
   awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
                       std::string group, bool isolated);
--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "base/log.h"
-#include "http/message.h"
 
 namespace frostline::quarantine {
 namespace {
@@ -11,6 +10,14 @@
 constexpr std::string_view k_part = "quarantine";
 /// A process that ends closes its connections one after the other, its listener among them.
 constexpr milliseconds k_settle_time{20};
+/// A server may go on for half a second with a run whose connection was closed; the users' pages
+/// leave it that long.
+constexpr milliseconds k_given_up_time{500};
+/// Between two looks at a server where runs were given up. Shorter than a server takes to start
+/// again (0.3 s in the tests, 2.6 s and more on the users' machines), so that its end is seen.
+constexpr milliseconds k_look_interval{170};
+/// Runs that are remembered for each server while it is looked at; a server has tens of places.
+constexpr std::size_t k_most_given_up = 256;
 /// As long as a request's own connection may take (calls/exchange).
 constexpr milliseconds k_connect_timeout{300};
 
@@ -37,7 +44,7 @@
 
 awaitable<void> crash_watch::examine(directory::server server) {
   co_await wait_for(k_settle_time);
-  server_condition const condition = co_await find_condition(server.address);
+  server_condition const condition = co_await find_condition(server);
   auto node = broken_.extract(server.life());
   std::vector<crash>& requests = node.mapped();
   log_line(log_level::info, k_part, "Server looked at after connections broke.",
@@ -50,6 +57,46 @@
   examined_.notify_all();
 }
 
+void crash_watch::note_given_up(directory::server const& server, fingerprint const& request,
+                                time_point sent_at) {
+  auto const [place, fresh] = given_up_.try_emplace(server.life());
+  std::vector<crash>& runs = place->second;
+  if (runs.size() < k_most_given_up) {
+    runs.push_back({request, server.life(), sent_at, boot_clock::now()});
+  }
+  if (fresh) spawn(context_, follow_given_up(server));
+}
+
+awaitable<void> crash_watch::follow_given_up(directory::server server) {
+  std::string const life = server.life();
+  time_point seen_alive = boot_clock::now();
+  while (!given_up_.at(life).empty()) {
+    co_await wait_for(k_look_interval);
+    time_point const begin = boot_clock::now();
+    bool const open = connections_.has_open && connections_.has_open(server, seen_alive);
+    auto const condition = open ? server_condition::lives : co_await find_condition(server);
+    if (condition == server_condition::ended) {
+      std::vector<crash> requests = extract_given_up(life);
+      log_line(log_level::info, k_part, "Server ended after runs there were given up.",
+               {{"server", server.id},
+                {"service", server.service},
+                {"requests", requests.size()},
+                {"first", requests.front().request.to_string()}});
+      on_crash_(std::move(requests));
+      co_return;
+    }
+    if (condition == server_condition::lives) seen_alive = begin;
+    std::erase_if(given_up_.at(life),
+                  [&](crash const& one) { return one.ended_at + k_given_up_time <= begin; });
+  }
+  given_up_.erase(life);
+}
+
+std::vector<crash> crash_watch::extract_given_up(std::string const& life) {
+  auto node = given_up_.extract(life);
+  return node.empty() ? std::vector<crash>() : std::move(node.mapped());
+}
+
 bool crash_watch::is_examined(fingerprint const& request) const {
   return std::none_of(broken_.begin(), broken_.end(), [&](auto const& entry) {
     return std::any_of(entry.second.begin(), entry.second.end(),
@@ -63,13 +110,18 @@
   while (!is_examined(request) && boot_clock::now() < limit) co_await examined_.wait_until(limit);
 }
 
-awaitable<crash_watch::server_condition> crash_watch::find_condition(endpoint address) {
+awaitable<crash_watch::server_condition> crash_watch::find_condition(directory::server server) {
   http::beast::tcp_stream stream(context_);
   stream.expires_after(k_connect_timeout);
   http::beast::error_code malformed;
-  tcp::endpoint const remote(asio::ip::make_address(address.address, malformed), address.port);
+  tcp::endpoint const remote(asio::ip::make_address(server.address.address, malformed),
+                             server.address.port);
+  ++connections_opened_;
   auto [failure] = co_await stream.async_connect(remote, k_as_tuple);
-  if (!failure) co_return server_condition::lives;
+  if (!failure) {
+    if (connections_.keep) connections_.keep(server, std::move(stream));
+    co_return server_condition::lives;
+  }
   // A server that is cut off, or a node that is, shows nothing of its end.
   bool const refused = failure == asio::error::connection_refused;
   co_return refused ? server_condition::ended : server_condition::unknown;
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -9,36 +9,64 @@
 
 #include "base/asio.h"
 #include "directory/server_directory.h"
+#include "http/message.h"
 #include "quarantine/suspect_table.h"
 
 namespace frostline::quarantine {
 
+/// Connections to servers that rest at this node; without them each look opens one.
+struct resting_connections {
+  /// Whether one to this server is open that was made at `made_before` or earlier: a process that
+  /// ends closes all that it has.
+  std::function<bool(directory::server const&, time_point made_before)> has_open;
+  /// Takes over a connection that a look has opened, for the next request or look.
+  std::function<void(directory::server const&, http::beast::tcp_stream)> keep;
+};
+
 class crash_watch {
  public:
   /// @param on_crash hears of all requests of this node under which a server has ended.
-  crash_watch(asio::io_context& context, std::function<void(std::vector<crash>)> on_crash)
-      : context_(context), on_crash_(std::move(on_crash)), examined_(context) {}
+  crash_watch(asio::io_context& context, resting_connections connections,
+              std::function<void(std::vector<crash>)> on_crash)
+      : context_(context),
+        connections_(std::move(connections)),
+        on_crash_(std::move(on_crash)),
+        examined_(context) {}
 
   /// A request's connection to a server ended without a whole answer. The server is looked at once
   /// for all its requests that break together.
   void note_broken(directory::server const& server, fingerprint const& request, time_point sent_at);
-  /// Returns once no server is looked at any more for this request, after 0.32 s at most: as long
-  /// as one look takes.
+  /// This side gave up a run at which a server may still be at work: its caller has left, or its
+  /// time is over. The connection that would tell of the server's end is closed, so the server is
+  /// looked at several times, for as long as it may go on with the run.
+  void note_given_up(directory::server const& server, fingerprint const& request,
+                     time_point sent_at);
+  /// Returns once no server is looked at any more for this request after a connection broke, after
+  /// 0.32 s at most: as long as one look takes.
   awaitable<void> wait_until_examined(fingerprint request);
+  /// Connections that looks have opened.
+  std::uint64_t connections_opened() const { return connections_opened_; }
 
  private:
-  bool is_examined(fingerprint const& request) const;
   enum class server_condition { ended, lives, unknown };
 
+  bool is_examined(fingerprint const& request) const;
   awaitable<void> examine(directory::server server);
-  awaitable<server_condition> find_condition(endpoint address);
+  /// Looks at a server until no run that was given up there can end it any more.
+  awaitable<void> follow_given_up(directory::server server);
+  /// Takes the runs that were given up on this life of a server.
+  std::vector<crash> extract_given_up(std::string const& life);
+  awaitable<server_condition> find_condition(directory::server server);
   static std::string_view to_text(server_condition condition);
 
   asio::io_context& context_;
+  resting_connections connections_;
   std::function<void(std::vector<crash>)> on_crash_;
   /// By the server's life, while it is looked at.
   std::map<std::string, std::vector<crash>> broken_;
+  std::map<std::string, std::vector<crash>> given_up_;
   async_condition examined_;
+  std::uint64_t connections_opened_ = 0;
 };
 
 }  // namespace frostline::quarantine
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -46,7 +46,8 @@
 service::service(service_parts parts)
     : parts_(std::move(parts)),
       incarnation_(make_unique_token()),
-      crash_watch_(parts_.context, [this](std::vector<crash> crashes) { note_crashes(crashes); }),
+      crash_watch_(parts_.context, parts_.connections,
+                   [this](std::vector<crash> crashes) { note_crashes(crashes); }),
       evidence_(parts_.context) {}
 
 verdict service::check(fingerprint const& request, time_point now) const {
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -47,6 +47,7 @@
   std::function<std::vector<endpoint>()> find_collectors;
   /// Whether changes of the store's records come to this node without delay.
   std::function<bool()> are_records_current;
+  resting_connections connections = {};
 };
 
 /// What the service counts, since the process began.
@@ -98,10 +99,16 @@
                    time_point sent_at) {
     crash_watch_.note_broken(server, request, sent_at);
   }
+  /// This side gave up a request's run while the server may still be at work on it.
+  void note_given_up(directory::server const& server, fingerprint const& request,
+                     time_point sent_at) {
+    crash_watch_.note_given_up(server, request, sent_at);
+  }
   /// A server answered the request.
   void note_answer(fingerprint const& request);
 
   quarantine_figures const& figures() const { return figures_; }
+
   std::size_t records() const { return list_.size(); }
 
  private:
--- a/tests/platform/cut_runs_test.cc
+++ b/tests/platform/cut_runs_test.cc
@@ -12,6 +12,9 @@
 /// 20 ms later; two of four crashes were known), and these tests, whose callers leave 40 ms after
 /// a call at servers that end 60 ms after it: before the mend no node wrote "Server ended under a
 /// request" in any of them.
+///
+/// Since: a server at which a run was given up is looked at until it can't be at work on it any
+/// more (quarantine/crash_watch).
 
 #include <CppUTest/TestHarness.h>
 
