Servers that were back before they were looked at count as ended once the directory tells

Cause: a look at an address tells whether somebody listens, not whether it is the life that had the run. The logs of the failing test show it: condition 'lives' for app-3.1, app-3.2 and app-4.1, each of which had ended.

Change: undecided_runs. A run that ended without an answer at a server at whose address somebody listens stays undecided for 5 s; if the directory tells in that time that another life has taken the place (the same identifier born later, or the same address in the same service), the server ended under it. It is decided at once where the directory knew first, as after a long sleep. A connection to the server that is older than the run's end and still open shows that it lives; a server that said it drains is stopped on purpose: neither counts.

Why it holds: a life never comes back, so its replacement proves its end, however late it is heard of.

It costs no call and no connection.

--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -1,5 +1,6 @@
 #include "directory/server_directory.h"
 
+#include <algorithm>
 #include <set>
 
 #include "base/log.h"
@@ -76,6 +77,21 @@
   return found == servers_.end() ? nullptr : &found->second;
 }
 
+bool server_directory::is_replaced(server const& former) const {
+  server const* const same = find(former.id);
+  if (same != nullptr && same->born > former.born) return true;
+  return std::any_of(servers_.begin(), servers_.end(), [&](auto const& entry) {
+    server const& one = entry.second;
+    bool const in_its_place = one.service == former.service && one.address == former.address;
+    return in_its_place && one.id != former.id;
+  });
+}
+
+bool server_directory::is_leaving(server const& one) const {
+  server const* const known = find(one.id);
+  return known != nullptr && known->born == one.born && known->state == server_state::draining;
+}
+
 std::vector<server const*> server_directory::ready_servers(std::string const& service) const {
   std::vector<server const*> ready;
   for (auto const& [id, one] : servers_) {
--- a/src/directory/server_directory.h
+++ b/src/directory/server_directory.h
@@ -49,6 +49,11 @@
 
   bool is_loaded() const { return loaded_; }
   server const* find(std::string const& id) const;
+  /// Whether a later life is known under this one's identifier, or at its address in its service:
+  /// then this one is over.
+  bool is_replaced(server const& former) const;
+  /// Whether this life has said that it is about to end.
+  bool is_leaving(server const& one) const;
   /// Servers of a service that may get new work.
   std::vector<server const*> ready_servers(std::string const& service) const;
   std::map<std::string, server> const& servers() const { return servers_; }
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -84,13 +84,14 @@
       context_, adapter_.store(), transport_, settings_.id, settings_.peers,
       [this] { return feed_.relay_addresses(k_collectors); },
       [this] { return feed_.age(boot_clock::now()) < k_current_age; },
-      quarantine::resting_connections{
+      quarantine::server_knowledge{
           [this](directory::server const& one, time_point made_before) {
             return connections_.has_open(one.id, made_before);
           },
           [this](directory::server const& one, http::beast::tcp_stream stream) {
             connections_.keep(one.id, std::move(stream));
-          }}}};
+          },
+          &servers_}}};
   calls::forwarder forwarder_{calls::forwarder_parts{context_, servers_, connections_, selector_,
                                                      adapter_.names(), runs_, quarantine_,
                                                      [this] { return records_age(); }}};
@@ -170,6 +171,7 @@
   servers_.on_change([this] {
     note_progress();
     pools_.note_servers();
+    quarantine_.note_servers_changed();
   });
   servers_.on_new_life([this](directory::server const& one) {
     connections_.forget(one.id);
--- a/src/quarantine/crash_watch.cc
+++ b/src/quarantine/crash_watch.cc
@@ -53,7 +53,11 @@
             {"condition", to_text(condition)},
             {"requests", requests.size()},
             {"first", requests.front().request.to_string()}});
-  if (condition == server_condition::ended) on_crash_(std::move(requests));
+  if (condition == server_condition::ended) {
+    on_crash_(std::move(requests));
+  } else {
+    for (crash const& one : requests) leave_undecided(server, one);
+  }
   examined_.notify_all();
 }
 
@@ -73,7 +77,7 @@
   while (!given_up_.at(life).empty()) {
     co_await wait_for(k_look_interval);
     time_point const begin = boot_clock::now();
-    bool const open = connections_.has_open && connections_.has_open(server, seen_alive);
+    bool const open = has_open_connection(server, seen_alive);
     auto const condition = open ? server_condition::lives : co_await find_condition(server);
     if (condition == server_condition::ended) {
       std::vector<crash> requests = extract_given_up(life);
@@ -86,12 +90,41 @@
       co_return;
     }
     if (condition == server_condition::lives) seen_alive = begin;
-    std::erase_if(given_up_.at(life),
-                  [&](crash const& one) { return one.ended_at + k_given_up_time <= begin; });
+    std::erase_if(given_up_.at(life), [&](crash const& one) {
+      bool const over = one.ended_at + k_given_up_time <= begin;
+      if (over) leave_undecided(server, one);
+      return over;
+    });
   }
   given_up_.erase(life);
 }
 
+bool crash_watch::has_open_connection(directory::server const& server,
+                                      time_point made_before) const {
+  return known_.has_open_connection && known_.has_open_connection(server, made_before);
+}
+
+void crash_watch::leave_undecided(directory::server const& server, crash const& run) {
+  if (known_.directory == nullptr || has_open_connection(server, run.ended_at)) return;
+  undecided_.add(server, run);
+  // The directory may have heard of the next life before this node woke to see the run's end.
+  note_directory_change();
+}
+
+void crash_watch::note_directory_change() {
+  if (undecided_.empty()) return;
+  undecided_.drop_planned(
+      [this](directory::server const& one) { return known_.directory->is_leaving(one); });
+  std::vector<crash> crashes = undecided_.extract_replaced(
+      [this](directory::server const& one) { return known_.directory->is_replaced(one); });
+  if (crashes.empty()) return;
+  log_line(log_level::info, k_part, "Servers have been replaced since their runs ended.",
+           {{"server", crashes.front().server},
+            {"requests", crashes.size()},
+            {"first", crashes.front().request.to_string()}});
+  on_crash_(std::move(crashes));
+}
+
 std::vector<crash> crash_watch::extract_given_up(std::string const& life) {
   auto node = given_up_.extract(life);
   return node.empty() ? std::vector<crash>() : std::move(node.mapped());
@@ -119,7 +152,7 @@
   ++connections_opened_;
   auto [failure] = co_await stream.async_connect(remote, k_as_tuple);
   if (!failure) {
-    if (connections_.keep) connections_.keep(server, std::move(stream));
+    if (known_.keep_connection) known_.keep_connection(server, std::move(stream));
     co_return server_condition::lives;
   }
   // A server that is cut off, or a node that is, shows nothing of its end.
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -11,25 +11,28 @@
 #include "directory/server_directory.h"
 #include "http/message.h"
 #include "quarantine/suspect_table.h"
+#include "quarantine/undecided_runs.h"
 
 namespace frostline::quarantine {
 
-/// Connections to servers that rest at this node; without them each look opens one.
-struct resting_connections {
-  /// Whether one to this server is open that was made at `made_before` or earlier: a process that
-  /// ends closes all that it has.
-  std::function<bool(directory::server const&, time_point made_before)> has_open;
+/// What this node knows of servers without looking at them. None of it has to be given.
+struct server_knowledge {
+  /// Whether a connection to this server rests here that was made at `made_before` or earlier: a
+  /// process that ends closes all that it has. Without it each look opens a connection.
+  std::function<bool(directory::server const&, time_point made_before)> has_open_connection;
   /// Takes over a connection that a look has opened, for the next request or look.
-  std::function<void(directory::server const&, http::beast::tcp_stream)> keep;
+  std::function<void(directory::server const&, http::beast::tcp_stream)> keep_connection;
+  /// Tells lives of servers apart.
+  directory::server_directory const* directory = nullptr;
 };
 
 class crash_watch {
  public:
   /// @param on_crash hears of all requests of this node under which a server has ended.
-  crash_watch(asio::io_context& context, resting_connections connections,
+  crash_watch(asio::io_context& context, server_knowledge known,
               std::function<void(std::vector<crash>)> on_crash)
       : context_(context),
-        connections_(std::move(connections)),
+        known_(std::move(known)),
         on_crash_(std::move(on_crash)),
         examined_(context) {}
 
@@ -44,6 +47,10 @@
   /// Returns once no server is looked at any more for this request after a connection broke, after
   /// 0.32 s at most: as long as one look takes.
   awaitable<void> wait_until_examined(fingerprint request);
+  /// The directory has changed: it may tell of servers that were replaced since they were looked
+  /// at.
+  void note_directory_change();
+  void clean(time_point now) { undecided_.expire(now); }
   /// Connections that looks have opened.
   std::uint64_t connections_opened() const { return connections_opened_; }
 
@@ -57,14 +64,19 @@
   /// Takes the runs that were given up on this life of a server.
   std::vector<crash> extract_given_up(std::string const& life);
   awaitable<server_condition> find_condition(directory::server server);
+  bool has_open_connection(directory::server const& server, time_point made_before) const;
+  /// Somebody listens at the server's address, or nobody answers: whether the server that had the
+  /// run has ended is left to the directory, unless a connection shows that it lives.
+  void leave_undecided(directory::server const& server, crash const& run);
   static std::string_view to_text(server_condition condition);
 
   asio::io_context& context_;
-  resting_connections connections_;
+  server_knowledge known_;
   std::function<void(std::vector<crash>)> on_crash_;
   /// By the server's life, while it is looked at.
   std::map<std::string, std::vector<crash>> broken_;
   std::map<std::string, std::vector<crash>> given_up_;
+  undecided_runs undecided_;
   async_condition examined_;
   std::uint64_t connections_opened_ = 0;
 };
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -46,7 +46,7 @@
 service::service(service_parts parts)
     : parts_(std::move(parts)),
       incarnation_(make_unique_token()),
-      crash_watch_(parts_.context, parts_.connections,
+      crash_watch_(parts_.context, parts_.servers,
                    [this](std::vector<crash> crashes) { note_crashes(crashes); }),
       evidence_(parts_.context) {}
 
@@ -341,6 +341,7 @@
 }
 
 void service::clean(time_point now) {
+  crash_watch_.clean(now);
   seen_here_.expire(now - k_memory);
   collected_.expire(now - k_memory);
   outbox_.expire(now - k_memory);
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -47,7 +47,7 @@
   std::function<std::vector<endpoint>()> find_collectors;
   /// Whether changes of the store's records come to this node without delay.
   std::function<bool()> are_records_current;
-  resting_connections connections = {};
+  server_knowledge servers = {};
 };
 
 /// What the service counts, since the process began.
@@ -104,6 +104,7 @@
                      time_point sent_at) {
     crash_watch_.note_given_up(server, request, sent_at);
   }
+  void note_servers_changed() { crash_watch_.note_directory_change(); }
   /// A server answered the request.
   void note_answer(fingerprint const& request);
 
--- /dev/null
+++ b/src/quarantine/undecided_runs.cc
@@ -0,0 +1,32 @@
+#include "quarantine/undecided_runs.h"
+
+#include <utility>
+
+namespace frostline::quarantine {
+
+void undecided_runs::add(directory::server const& server, crash run) {
+  runs_.push_back({server, std::move(run)});
+  if (runs_.size() > k_most) runs_.pop_front();
+}
+
+std::vector<crash> undecided_runs::extract_replaced(
+    std::function<bool(directory::server const&)> const& is_replaced) {
+  std::vector<crash> found;
+  std::erase_if(runs_, [&](undecided_run const& one) {
+    if (!is_replaced(one.server)) return false;
+    found.push_back(one.run);
+    return true;
+  });
+  return found;
+}
+
+void undecided_runs::drop_planned(std::function<bool(directory::server const&)> const& is_leaving) {
+  std::erase_if(runs_, [&](undecided_run const& one) { return is_leaving(one.server); });
+}
+
+void undecided_runs::expire(time_point now) {
+  std::erase_if(runs_,
+                [&](undecided_run const& one) { return one.run.ended_at + k_memory <= now; });
+}
+
+}  // namespace frostline::quarantine
--- a/tests/unit/directory/server_directory_test.cc
+++ b/tests/unit/directory/server_directory_test.cc
@@ -62,3 +62,40 @@
   next.born = 1;
   CHECK_FALSE(serve_alike(one, next));
 }
+
+TEST(server_directory_test, life_is_replaced_by_a_later_one_under_its_identifier) {
+  server_directory all;
+  all.put(one);
+  CHECK_FALSE(all.is_replaced(one));
+  server next = one;
+  next.born = one.born + 1;
+  all.put(next);
+  CHECK(all.is_replaced(one));
+  CHECK_FALSE(all.is_replaced(next));
+}
+
+TEST(server_directory_test, life_is_replaced_by_another_one_at_its_address_in_its_service) {
+  server_directory all;
+  all.put(one);
+  server next = one;
+  next.id = "e-2";
+  next.service = "others";
+  all.put(next);
+  CHECK_FALSE(all.is_replaced(one));
+  next.service = one.service;
+  all.put(next);
+  CHECK(all.is_replaced(one));
+}
+
+TEST(server_directory_test, life_that_drains_is_leaving_and_the_next_one_is_not) {
+  server_directory all;
+  all.put(one);
+  CHECK_FALSE(all.is_leaving(one));
+  server leaving = one;
+  leaving.state = server_state::draining;
+  all.put(leaving);
+  CHECK(all.is_leaving(one));
+  server next = one;
+  next.born = one.born + 1;
+  CHECK_FALSE(all.is_leaving(next));
+}
--- a/tests/unit/quarantine/crash_watch_test.cc
+++ b/tests/unit/quarantine/crash_watch_test.cc
@@ -25,13 +25,14 @@
   std::string address = own_loopback_address();
   tcp::acceptor listener{context};
   directory::server server;
+  directory::server_directory directory;
   std::vector<crash> seen;
   bool has_resting = false;
   std::size_t kept = 0;
   crash_watch watch{
       context,
       {[this](directory::server const&, time_point) { return has_resting; },
-       [this](directory::server const&, http::beast::tcp_stream) { ++kept; }},
+       [this](directory::server const&, http::beast::tcp_stream) { ++kept; }, &directory},
       [this](std::vector<crash> found) { seen.insert(seen.end(), found.begin(), found.end()); }};
   fingerprint const request = fingerprint::of({"", "host", "POST", "/", "body"});
 
@@ -45,6 +46,14 @@
     listener.listen();
   }
 
+  /// The server starts again under its identifier.
+  void replace_server() {
+    directory::server next = server;
+    next.born = server.born + 1;
+    directory.put(next);
+    watch.note_directory_change();
+  }
+
   void run_for(milliseconds duration) {
     context.restart();
     context.run_for(duration);
@@ -104,3 +113,46 @@
   watch.note_given_up(server, request, boot_clock::now());
   CHECK(run_until([&] { return !seen.empty(); }));
 }
+
+TEST(crash_watch_test, server_that_was_back_before_the_look_is_evidence_once_the_directory_tells) {
+  watch.note_broken(server, request, boot_clock::now());
+  CHECK(run_until([&] { return kept == 1; }));
+  CHECK(seen.empty());
+  replace_server();
+  LONGS_EQUAL(1, seen.size());
+  replace_server();
+  LONGS_EQUAL(1, seen.size());
+}
+
+TEST(crash_watch_test, server_that_the_directory_knew_to_be_replaced_is_evidence_at_the_look) {
+  replace_server();
+  watch.note_broken(server, request, boot_clock::now());
+  CHECK(run_until([&] { return !seen.empty(); }));
+}
+
+TEST(crash_watch_test, server_that_a_resting_connection_shows_alive_is_none) {
+  has_resting = true;
+  watch.note_broken(server, request, boot_clock::now());
+  CHECK(run_until([&] { return kept == 1; }));
+  replace_server();
+  CHECK(seen.empty());
+}
+
+TEST(crash_watch_test, server_that_is_replaced_much_later_is_none) {
+  watch.note_broken(server, request, boot_clock::now());
+  CHECK(run_until([&] { return kept == 1; }));
+  watch.clean(boot_clock::now() + undecided_runs::k_memory);
+  replace_server();
+  CHECK(seen.empty());
+}
+
+TEST(crash_watch_test, server_that_left_as_planned_is_none) {
+  watch.note_broken(server, request, boot_clock::now());
+  CHECK(run_until([&] { return kept == 1; }));
+  directory::server leaving = server;
+  leaving.state = directory::server_state::draining;
+  directory.put(leaving);
+  watch.note_directory_change();
+  replace_server();
+  CHECK(seen.empty());
+}
