Evidence of two crashes is kept in the store, whoever saw them

Cause: evidence lives in the memory of the node that saw it and of the collectors. The one thing that was stored before a third run, the suspicion, needs two crashes in one node's sight, is for calls only, and is withdrawn after 0.8 s.

Change: evidence_keeper. Once two servers have ended under a request, each collector (three at most) keeps it in one record of its own, frostline/quarantine-evidence/NODE, which comes to all nodes by the topic that they follow already. The first collector looks at what it found at its start: if no writer of it answers with the incarnation that stands in it, nobody remembers, a third server may have ended with those who knew, and the request is put under quarantine; its first trial clears it if it only stood beside.

Why it holds: from the second crash on, the knowledge is in the store before the next run of a sample and some 0.1 s after it for calls, whoever dies; what the dead may have known beyond it is assumed.

Cost: nothing while no two servers end under one request. A wide crash, one server's end for each of 4,800 requests, writes nothing.

Ruled out: a record for each request from its first crash on (4,800 writes in a wide crash); keeping the suspicion for longer (early_record_test; it would refuse at nodes that start in a roll); asking all nodes what they remember instead of the writers (250 calls).

Left: crashes of which only one was known 0.1 s before all nodes end.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -85,7 +85,11 @@
 awaitable<bool> forwarder::is_held_back(journey& one) {
   if (one.is_trial || !parts_.quarantine.is_watching()) co_return false;
   quarantine::fingerprint const& request = identify(one);
-  quarantine::verdict const verdict = parts_.quarantine.check(request, boot_clock::now());
+  time_point const now = boot_clock::now();
+  quarantine::verdict const verdict = parts_.quarantine.check(request, now);
+  bool const waits = one.from == nullptr && parts_.quarantine.should_wait(request, now);
+  if (waits) one.is_quarantined = true;
+  if (waits) co_return true;
   if (verdict == quarantine::verdict::allowed) co_return false;
   // Only a request that has not run yet is fit for a trial: its answer tells what came of it.
   bool const fit = verdict == quarantine::verdict::trial && one.attempts == 0;
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -202,8 +202,7 @@
   options.prefixes[relay::index_of(relay::topic::OWNERS)] = ownership::owner_lease::owners_prefix();
   options.prefixes[relay::index_of(relay::topic::RELAYS)] = relay::zone_relays::records_prefix();
   options.prefixes[relay::index_of(relay::topic::SERVERS)] = adapter_.keys().servers_prefix;
-  options.prefixes[relay::index_of(relay::topic::QUARANTINE)] =
-      quarantine::quarantine_list::records_prefix();
+  options.prefixes[relay::index_of(relay::topic::QUARANTINE)] = quarantine::records_of_quarantine();
   options.servers_alike = server_watch_.alike();
   options.processor_share = settings_.processor_share;
   options.claim_handicap =
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -79,6 +79,10 @@
   sample& one = owner.samples[index];
   quarantine::fingerprint const& request = identify(owner, index);
   if (trials_.erase(request) > 0) return true;
+  if (parts_.quarantine.should_wait(request, now)) {
+    one.not_before = now + k_suspect_pause;
+    return false;
+  }
   quarantine::verdict const verdict = parts_.quarantine.check(request, now);
   if (verdict == quarantine::verdict::allowed) return true;
   one.not_before = now + k_held_back_pause;
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -48,6 +48,8 @@
       incarnation_(make_unique_token()),
       crash_watch_(parts_.context, parts_.servers,
                    [this](std::vector<crash> crashes) { note_crashes(crashes); }),
+      keeper_({parts_.context, parts_.store, parts_.node, parts_.self, incarnation_,
+               [this] { return select_evidence(); }}),
       evidence_(parts_.context) {}
 
 verdict service::check(fingerprint const& request, time_point now) const {
@@ -118,7 +120,7 @@
 }
 
 void service::collect(crash const& one) {
-  collected_.note(one);
+  keep_evidence(collected_.note(one));
   start_to_write(one.request);
 }
 
@@ -289,6 +291,10 @@
 }
 
 void service::take(kv::key_value const& record, first_sight seen) {
+  if (record.key.starts_with(evidence_record::records_prefix())) {
+    take_evidence(record, seen);
+    return;
+  }
   auto entry = quarantine_list::decode(record);
   if (!entry) {
     log_line(log_level::error, k_part, "Record is malformed; it has no effect.",
@@ -334,6 +340,7 @@
       return;
     }
     std::string_view const key = event.entry.key;
+    if (!key.starts_with(quarantine_list::records_prefix())) return;
     auto const request = fingerprint::parse(key.substr(quarantine_list::records_prefix().size()));
     if (request) forget(*request, "the record is gone");
   };
@@ -345,6 +352,8 @@
   seen_here_.expire(now - k_memory);
   collected_.expire(now - k_memory);
   outbox_.expire(now - k_memory);
+  keeper_.refresh();
+  judge_in_time(now);
   std::erase_if(recorded_early_,
                 [this](fingerprint const& request) { return seen_here_.find(request) == nullptr; });
 }
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -9,10 +9,15 @@
 /// A node under whose calls two servers have ended in turn records a suspicion before the third
 /// run, so that what is known outlasts the end of all nodes with that run. It withdraws it when the
 /// third run has proved nothing.
+///
+/// Of requests under which two servers have ended, whoever saw or collected it, collectors keep
+/// evidence in the store. Nodes that find it at their start, with nobody left who remembers it, put
+/// them under quarantine: a third server may have ended with those who knew.
 #pragma once
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -25,6 +30,8 @@
 #include "kv/follower.h"
 #include "kv/record_store.h"
 #include "quarantine/crash_watch.h"
+#include "quarantine/evidence_keeper.h"
+#include "quarantine/evidence_record.h"
 #include "quarantine/quarantine_list.h"
 #include "quarantine/recent_answers.h"
 #include "quarantine/report_outbox.h"
@@ -74,9 +81,14 @@
   void clean(time_point now);
 
   /// Whether any request has to be looked at; mostly none, which saves their fingerprints.
-  bool is_watching() const { return !seen_here_.empty() || !list_.empty(); }
+  bool is_watching() const { return !seen_here_.empty() || !list_.empty() || !former_.empty(); }
   /// Whether a request may be sent to a server now. With `trial`, only if `claim_trial` succeeds.
   verdict check(fingerprint const& request, time_point now) const;
+  /// Whether work that no caller waits for, as of a sample, should leave its next run for a moment:
+  /// what is known of it is being stored, or three servers have ended under it here and the record
+  /// is to come (four of nine engines were lost to one sample in that time), or it ended servers
+  /// under nodes that are gone and is being judged.
+  bool should_wait(fingerprint const& request, time_point now);
   /// When a request that is refused now may be tried again; nothing if that is not known.
   std::optional<milliseconds> time_to_next_try(fingerprint const& request, time_point now) const;
   /// Asks for the right to send a request once, among all nodes.
@@ -142,6 +154,20 @@
   rpc::CrashReportReplyT take_report(rpc::CrashReportCallT const& call);
 
   void take(kv::key_value const& record, first_sight seen);
+  void take_evidence(kv::key_value const& record, first_sight seen);
+  std::vector<kept_evidence> select_evidence() const;
+  std::size_t least_kept_crashes() const;
+  /// Has evidence stored, at collectors, that is enough to be.
+  void keep_evidence(suspicion const& known);
+  bool is_collector() const { return own_rank() < parts_.find_collectors().size(); }
+  /// Has the first collector judge what was found at the start.
+  void judge_in_time(time_point now);
+  /// Puts requests under quarantine of which nobody remembers what the store tells.
+  awaitable<void> judge_former_evidence();
+  /// Whether the process that wrote the record is there.
+  awaitable<bool> is_remembered(evidence_record const& record);
+  /// Removes records whose writers are gone; what they hold is kept by this node.
+  awaitable<void> remove_former_records();
   void log_record(quarantine_entry const& entry) const;
   void start_to_take_back(fingerprint const& request);
   void forget(fingerprint const& request, std::string_view cause);
@@ -157,6 +183,20 @@
   /// While there is something to look at.
   recent_answers answered_here_;
   report_outbox outbox_;
+  evidence_keeper keeper_;
+  /// Revisions of the evidence of others that was taken over.
+  std::map<std::string, kv::revision> evidence_taken_;
+  struct former_record {
+    std::string key;
+    kv::revision revision = 0;
+    evidence_record what;
+  };
+  /// Evidence that the store held when this node started, until it is judged.
+  std::vector<former_record> found_at_start_;
+  /// Requests in it, and until when they wait to be judged.
+  std::set<fingerprint> former_;
+  time_point former_until_ = time_point::min();
+  bool judging_ = false;
   async_condition evidence_;
   /// Requests whose records are being written or taken back, or whose trial is being claimed.
   std::set<fingerprint> writing_;
--- a/src/quarantine/suspect_table.cc
+++ b/src/quarantine/suspect_table.cc
@@ -54,6 +54,16 @@
   return open.empty();
 }
 
+std::vector<fingerprint> suspect_table::heaviest(std::size_t least_servers,
+                                                 std::size_t most) const {
+  std::vector<fingerprint> found;
+  for (auto place = ranks_.rbegin(); place != ranks_.rend() && found.size() < most; ++place) {
+    if (std::get<std::size_t>(*place) < least_servers) break;
+    found.push_back(std::get<fingerprint>(*place));
+  }
+  return found;
+}
+
 suspicion const* suspect_table::find(fingerprint const& request) const {
   auto const found = entries_.find(request);
   return found == entries_.end() ? nullptr : &found->second.known;
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -66,6 +66,8 @@
   void expire(time_point before);
   /// Null if nothing is known against it.
   suspicion const* find(fingerprint const& request) const;
+  /// Requests under which at least so many servers have ended, those with most of them first.
+  std::vector<fingerprint> heaviest(std::size_t least_servers, std::size_t most) const;
   /// Whether each server that ended under this request also ended under one with more to be held
   /// against it: then that one explains them all. A request that ends its servers takes others
   /// along, and their retries with some bad luck three times.
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -312,6 +312,14 @@
 struct QuarantineRecordBuilder;
 struct QuarantineRecordT;
 
+struct KeptEvidence;
+struct KeptEvidenceBuilder;
+struct KeptEvidenceT;
+
+struct CrashEvidenceRecord;
+struct CrashEvidenceRecordBuilder;
+struct CrashEvidenceRecordT;
+
 enum class ChangeOutcome : int8_t {
   ACCEPTED = 0,
   CONFLICT = 1,
@@ -9737,6 +9745,225 @@
 
 flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct KeptEvidenceT : public flatbuffers::NativeTable {
+  typedef KeptEvidence TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.KeptEvidenceT";
+  }
+  std::string fingerprint{};
+  std::vector<std::string> servers{};
+};
+
+/// A request under which servers ended, as one node knows it.
+struct KeptEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KeptEvidenceT NativeTableType;
+  typedef KeptEvidenceBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.KeptEvidence";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FINGERPRINT = 4,
+    VT_SERVERS = 6
+  };
+  /// As in CrashEvidence.
+  const flatbuffers::String *fingerprint() const {
+    return GetPointer<const flatbuffers::String *>(VT_FINGERPRINT);
+  }
+  /// Lives of the servers.
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_FINGERPRINT) &&
+           verifier.VerifyString(fingerprint()) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
+           verifier.EndTable();
+  }
+  KeptEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(KeptEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<KeptEvidence> Pack(flatbuffers::FlatBufferBuilder &_fbb, const KeptEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct KeptEvidenceBuilder {
+  typedef KeptEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_fingerprint(flatbuffers::Offset<flatbuffers::String> fingerprint) {
+    fbb_.AddOffset(KeptEvidence::VT_FINGERPRINT, fingerprint);
+  }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(KeptEvidence::VT_SERVERS, servers);
+  }
+  explicit KeptEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KeptEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KeptEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KeptEvidence> CreateKeptEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> fingerprint = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0) {
+  KeptEvidenceBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  builder_.add_fingerprint(fingerprint);
+  return builder_.Finish();
+}
+
+struct KeptEvidence::Traits {
+  using type = KeptEvidence;
+  static auto constexpr Create = CreateKeptEvidence;
+};
+
+inline flatbuffers::Offset<KeptEvidence> CreateKeptEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *fingerprint = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr) {
+  auto fingerprint__ = fingerprint ? _fbb.CreateString(fingerprint) : 0;
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
+  return frostline::rpc::CreateKeptEvidence(
+      _fbb,
+      fingerprint__,
+      servers__);
+}
+
+flatbuffers::Offset<KeptEvidence> CreateKeptEvidence(flatbuffers::FlatBufferBuilder &_fbb, const KeptEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CrashEvidenceRecordT : public flatbuffers::NativeTable {
+  typedef CrashEvidenceRecord TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashEvidenceRecordT";
+  }
+  std::string address{};
+  std::string incarnation{};
+  std::vector<std::unique_ptr<frostline::rpc::KeptEvidenceT>> requests{};
+  uint64_t written_at_ms = 0;
+  CrashEvidenceRecordT() = default;
+  CrashEvidenceRecordT(const CrashEvidenceRecordT &o);
+  CrashEvidenceRecordT(CrashEvidenceRecordT&&) FLATBUFFERS_NOEXCEPT = default;
+  CrashEvidenceRecordT &operator=(CrashEvidenceRecordT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// What a node keeps in the record store of the crashes that it knows of, so that they outlast it. One record a node.
+struct CrashEvidenceRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CrashEvidenceRecordT NativeTableType;
+  typedef CrashEvidenceRecordBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.CrashEvidenceRecord";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ADDRESS = 4,
+    VT_INCARNATION = 6,
+    VT_REQUESTS = 8,
+    VT_WRITTEN_AT_MS = 10
+  };
+  /// Where the node takes reports.
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  /// As in CrashReportReply: while the node answers with it, it still knows what stands here.
+  const flatbuffers::String *incarnation() const {
+    return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::KeptEvidence>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::KeptEvidence>> *>(VT_REQUESTS);
+  }
+  /// Unix milliseconds of the write, by the writer's clock.
+  uint64_t written_at_ms() const {
+    return GetField<uint64_t>(VT_WRITTEN_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_INCARNATION) &&
+           verifier.VerifyString(incarnation()) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
+           VerifyField<uint64_t>(verifier, VT_WRITTEN_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+  CrashEvidenceRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CrashEvidenceRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CrashEvidenceRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CrashEvidenceRecordBuilder {
+  typedef CrashEvidenceRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(CrashEvidenceRecord::VT_ADDRESS, address);
+  }
+  void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
+    fbb_.AddOffset(CrashEvidenceRecord::VT_INCARNATION, incarnation);
+  }
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::KeptEvidence>>> requests) {
+    fbb_.AddOffset(CrashEvidenceRecord::VT_REQUESTS, requests);
+  }
+  void add_written_at_ms(uint64_t written_at_ms) {
+    fbb_.AddElement<uint64_t>(CrashEvidenceRecord::VT_WRITTEN_AT_MS, written_at_ms, 0);
+  }
+  explicit CrashEvidenceRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CrashEvidenceRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CrashEvidenceRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CrashEvidenceRecord> CreateCrashEvidenceRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::KeptEvidence>>> requests = 0,
+    uint64_t written_at_ms = 0) {
+  CrashEvidenceRecordBuilder builder_(_fbb);
+  builder_.add_written_at_ms(written_at_ms);
+  builder_.add_requests(requests);
+  builder_.add_incarnation(incarnation);
+  builder_.add_address(address);
+  return builder_.Finish();
+}
+
+struct CrashEvidenceRecord::Traits {
+  using type = CrashEvidenceRecord;
+  static auto constexpr Create = CreateCrashEvidenceRecord;
+};
+
+inline flatbuffers::Offset<CrashEvidenceRecord> CreateCrashEvidenceRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *address = nullptr,
+    const char *incarnation = nullptr,
+    const std::vector<flatbuffers::Offset<frostline::rpc::KeptEvidence>> *requests = nullptr,
+    uint64_t written_at_ms = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::KeptEvidence>>(*requests) : 0;
+  return frostline::rpc::CreateCrashEvidenceRecord(
+      _fbb,
+      address__,
+      incarnation__,
+      requests__,
+      written_at_ms);
+}
+
+flatbuffers::Offset<CrashEvidenceRecord> CreateCrashEvidenceRecord(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 inline TaskRecordT *TaskRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TaskRecordT>();
   UnPackTo(_o.get(), _resolver);
@@ -13051,6 +13278,86 @@
       _suspected);
 }
 
+inline KeptEvidenceT *KeptEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<KeptEvidenceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void KeptEvidence::UnPackTo(KeptEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = fingerprint(); if (_e) _o->fingerprint = _e->str(); }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<KeptEvidence> KeptEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const KeptEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateKeptEvidence(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<KeptEvidence> CreateKeptEvidence(flatbuffers::FlatBufferBuilder &_fbb, const KeptEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const KeptEvidenceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _fingerprint = _o->fingerprint.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->fingerprint);
+  auto _servers = _fbb.CreateVectorOfStrings(_o->servers);
+  return frostline::rpc::CreateKeptEvidence(
+      _fbb,
+      _fingerprint,
+      _servers);
+}
+
+inline CrashEvidenceRecordT::CrashEvidenceRecordT(const CrashEvidenceRecordT &o)
+      : address(o.address),
+        incarnation(o.incarnation),
+        written_at_ms(o.written_at_ms) {
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new frostline::rpc::KeptEvidenceT(*requests_) : nullptr); }
+}
+
+inline CrashEvidenceRecordT &CrashEvidenceRecordT::operator=(CrashEvidenceRecordT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(address, o.address);
+  std::swap(incarnation, o.incarnation);
+  std::swap(requests, o.requests);
+  std::swap(written_at_ms, o.written_at_ms);
+  return *this;
+}
+
+inline CrashEvidenceRecordT *CrashEvidenceRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CrashEvidenceRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CrashEvidenceRecord::UnPackTo(CrashEvidenceRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<frostline::rpc::KeptEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = written_at_ms(); _o->written_at_ms = _e; }
+}
+
+inline flatbuffers::Offset<CrashEvidenceRecord> CrashEvidenceRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCrashEvidenceRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CrashEvidenceRecord> CreateCrashEvidenceRecord(flatbuffers::FlatBufferBuilder &_fbb, const CrashEvidenceRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashEvidenceRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->address);
+  auto _incarnation = _o->incarnation.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->incarnation);
+  auto _requests = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::KeptEvidence>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateKeptEvidence(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va );
+  auto _written_at_ms = _o->written_at_ms;
+  return frostline::rpc::CreateCrashEvidenceRecord(
+      _fbb,
+      _address,
+      _incarnation,
+      _requests,
+      _written_at_ms);
+}
+
 }  // namespace rpc
 }  // namespace frostline
 
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -713,6 +713,23 @@
   /// nodes that do not know of this: then it is a record like any other.
   suspected:bool;
 }
+/// A request under which servers ended, as one node knows it.
+table KeptEvidence {
+  /// As in CrashEvidence.
+  fingerprint:string;
+  /// Lives of the servers.
+  servers:[string];
+}
+/// What a node keeps in the record store of the crashes that it knows of, so that they outlast it. One record a node.
+table CrashEvidenceRecord {
+  /// Where the node takes reports.
+  address:string;
+  /// As in CrashReportReply: while the node answers with it, it still knows what stands here.
+  incarnation:string;
+  requests:[KeptEvidence];
+  /// Unix milliseconds of the write, by the writer's clock.
+  written_at_ms:uint64;
+}
 rpc_service QuarantineService {
   Report(CrashReportCall):CrashReportReply;
 }
--- a/tests/platform/lost_crash_records_test.cc
+++ b/tests/platform/lost_crash_records_test.cc
@@ -10,6 +10,10 @@
 ///
 /// What showed it: soak seeds 215 and 231 (9 late crashes each), and these tests: before the mend
 /// more than three servers end again, and no node writes a record before that.
+///
+/// Since: from the second crash on, whoever saw it, evidence is kept in the store; nodes that find
+/// it at their start, with nobody left who remembers it, put the request under quarantine
+/// (quarantine/service_evidence).
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -130,6 +130,27 @@
     LONGS_EQUAL(200, status);
   }
 
+  /// The store holds evidence of a process that ran before this node started.
+  void find_evidence_at_start(endpoint const& writer, std::string const& incarnation) {
+    evidence_record record{writer, incarnation, {{request, {"one", "two"}}}, wall_clock_ms()};
+    store.put_now(evidence_record::key_of("former"), record.encode());
+    kv::range_answer all;
+    all.entries = store.list_now(records_of_quarantine());
+    collector.listener().snapshot(all);
+  }
+
+  /// Time passes as in the node, which cleans four times a second.
+  bool is_recorded_after_cleaning() {
+    return run_until([&] {
+      collector.clean(boot_clock::now());
+      return !store.list_now(quarantine_list::records_prefix()).empty();
+    });
+  }
+
+  std::size_t evidence_records() {
+    return store.list_now(evidence_record::records_prefix()).size();
+  }
+
   bool is_recorded_in_time() {
     return run_until([&] { return !store.list_now(quarantine_list::records_prefix()).empty(); });
   }
@@ -236,3 +257,60 @@
   collector.note_answer(request);
   CHECK(run_until([&] { return collector.records() == 0; }));
 }
+
+TEST(quarantine_service_test, collector_keeps_evidence_of_two_crashes_until_there_is_an_answer) {
+  report("one");
+  CHECK_FALSE(run_until([&] { return evidence_records() > 0; }));
+  report("two");
+  CHECK(run_until([&] { return evidence_records() == 1; }));
+  collector.note_answer(request);
+  collector.clean(boot_clock::now());
+  CHECK(run_until([&] { return evidence_records() == 0; }));
+}
+
+TEST(quarantine_service_test, evidence_that_nobody_remembers_puts_a_request_under_quarantine) {
+  find_evidence_at_start(self, "former life");
+  CHECK(collector.should_wait(request, boot_clock::now()));
+  CHECK(is_recorded_after_cleaning());
+  CHECK(collector.should_wait(request, boot_clock::now()));
+  time_point const later = boot_clock::now() + quarantine_list::k_objection_time;
+  CHECK(collector.check(request, later) == verdict::refused);
+  CHECK_FALSE(collector.should_wait(request, later));
+}
+
+TEST(quarantine_service_test, evidence_whose_writer_lives_condemns_nothing) {
+  collectors = {self, listening()};
+  find_evidence_at_start(collectors.back(), "other");
+  CHECK_FALSE(is_recorded_after_cleaning());
+  CHECK(collector.check(request, boot_clock::now() + seconds(10)) == verdict::allowed);
+  // What it tells counts all the same.
+  report("three");
+  CHECK(is_recorded_in_time());
+}
+
+TEST(quarantine_service_test, record_of_a_writer_that_is_gone_is_removed_once_it_is_judged) {
+  collectors = {self};
+  find_evidence_at_start(free_endpoint(address), "gone");
+  CHECK(is_recorded_after_cleaning());
+  CHECK(run_until([&] { return store.revision_of(evidence_record::key_of("former")) == 0; }));
+}
+
+TEST(quarantine_service_test, sample_waits_until_what_is_known_of_it_is_stored) {
+  see_server_end("one", request);
+  CHECK_FALSE(collector.should_wait(request, boot_clock::now()));
+  store.set_down(true);
+  see_server_end("two", request);
+  CHECK(collector.should_wait(request, boot_clock::now()));
+  // Not for ever: the store may be out for seconds.
+  CHECK_FALSE(collector.should_wait(request, boot_clock::now() + seconds(1)));
+  store.set_down(false);
+  CHECK(run_until([&] { return !collector.should_wait(request, boot_clock::now()); }));
+}
+
+TEST(quarantine_service_test, sample_waits_for_its_record_after_three_crashes) {
+  see_three_servers_end();
+  CHECK(collector.should_wait(request, boot_clock::now()));
+  CHECK_FALSE(collector.should_wait(request, boot_clock::now() + seconds(3)));
+  collector.note_answer(request);
+  CHECK_FALSE(collector.should_wait(request, boot_clock::now()));
+}
