Streams of the forwarder and the fields of messages stand in files of their own

Change: run_stream and pump in forwarder_streams.cc; strip_hop_by_hop and has_events, no template any more, in message_fields. No behaviour changes.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -4,6 +4,7 @@
 
 #include "base/log.h"
 #include "calls/access.h"
+#include "calls/message_fields.h"
 
 namespace frostline::calls {
 namespace {
@@ -16,30 +17,7 @@
 constexpr milliseconds k_answer_margin{15};
 /// Shortest time that an attempt gets before another server is asked.
 constexpr milliseconds k_shortest_attempt{250};
-/// Silence of an event stream after which it counts as dead.
-constexpr milliseconds k_stream_silence{1800};
 constexpr std::size_t k_longest_answer = 64 * 1024 * 1024;
-constexpr std::string_view k_event_stream = "text/event-stream";
-
-/// Headers that belong to one connection (RFC 9110, 7.6.1).
-constexpr http::field k_hop_by_hop[] = {
-    http::field::connection,        http::field::keep_alive,
-    http::field::proxy_connection,  http::field::te,
-    http::field::upgrade,           http::field::trailer,
-    http::field::transfer_encoding, http::field::expect,
-};
-
-template <class Message>
-void strip_hop_by_hop(Message& message) {
-  // Headers that Connection names concern this connection only, too.
-  std::string const named(message[http::field::connection]);
-  for (auto const& token : http::bhttp::token_list(named)) message.erase(token);
-  for (http::field name : k_hop_by_hop) message.erase(name);
-}
-
-bool has_events(http::response const& head) {
-  return http::header(head, "Content-Type").starts_with(k_event_stream);
-}
 
 }  // namespace
 
@@ -380,76 +358,6 @@
   co_await one.from->answer(std::move(refusal));
 }
 
-awaitable<void> forwarder::run_stream(journey& one) {
-  event_splitter splitter(parts_.names.versions);
-  bool begun = false;
-  while (auto with = co_await next_exchange(one)) {
-    if (!begun && !has_events(with->head())) {
-      http::response whole;
-      if (!co_await read_whole(one, *with, whole)) break;
-      one.from->on_gone(nullptr);
-      strip_hop_by_hop(whole);
-      whole.erase(http::field::content_length);
-      co_await one.from->answer(std::move(whole));
-      co_return;
-    }
-    if (begun && !has_events(with->head())) {
-      parts_.selector.note_answer(with->server().id);
-      break;
-    }
-    bool const over = co_await pump(one, *with, splitter, begun);
-    one.from->on_gone(nullptr);
-    if (over) co_return;
-    splitter.reset();
-  }
-  // Once the answer has begun, only the missing end tells the caller that it is cut.
-  if (!begun) co_await answer_give_up(one);
-}
-
-awaitable<bool> forwarder::pump(journey& one, exchange& with, event_splitter& splitter,
-                                bool& begun) {
-  if (!begun) {
-    http::response head;
-    head.base() = with.head().base();
-    strip_hop_by_hop(head);
-    head.erase(http::field::content_length);
-    begun = true;
-    if (!co_await one.from->begin(std::move(head))) {
-      note_abandoned(one, with);
-      co_return true;
-    }
-  }
-  std::string piece;
-  while (true) {
-    if (with.is_whole() && with.head().body().empty()) break;
-    time_point const silent = boot_clock::now() + k_stream_silence;
-    exchange_failure const failure = co_await with.read_piece(piece, silent);
-    if (failure != exchange_failure::none) {
-      note_failure(one, with, failure);
-      // Only whole events were passed on, so the next server may go on after the last of them.
-      co_return one.from->is_gone() || !one.by->resumable;
-    }
-    std::string whole_events;
-    for (stream_event const& event : splitter.feed(piece)) {
-      if (event.id) one.message.set(parts_.names.last_event_id, std::to_string(*event.id));
-      whole_events += event.raw;
-    }
-    if (whole_events.empty()) continue;
-    if (!co_await one.from->send(std::move(whole_events))) {
-      note_abandoned(one, with);
-      co_return true;
-    }
-  }
-  if (!splitter.is_between_events()) co_return !one.by->resumable;
-  clear_suspicion(one, with);
-  parts_.selector.note_answer(with.server().id);
-  with.finish();
-  ++figures_.answered;
-  log_outcome(one, 200, "Streamed.");
-  co_await one.from->end();
-  co_return true;
-}
-
 void forwarder::log_outcome(journey& one, unsigned status, std::string_view sentence) {
   bool const given_up = one.reason != give_up_reason::none;
   log_line(log_level::info, k_part, sentence,
