--- a/rehearsal/deadly_requests.cc
+++ b/rehearsal/deadly_requests.cc
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr char k_text[] = "deadly";
-constexpr milliseconds k_patience{800};
 /// Between two tries: some of them come while servers are back.
 constexpr milliseconds k_pause{40};
 constexpr std::size_t k_crashes_allowed = 3;
@@ -42,8 +41,9 @@
 
 }  // namespace
 
-deadly_requests::deadly_requests(platform_cluster& system, std::string key, std::uint64_t seed)
-    : system_(system), key_(std::move(key)) {
+deadly_requests::deadly_requests(platform_cluster& system, std::string key, std::uint64_t seed,
+                                 milliseconds patience)
+    : system_(system), key_(std::move(key)), patience_(patience) {
   system_.set_crash_text(k_text);
   sender_ = std::thread([this, seed] { send_loop(seed); });
 }
@@ -65,7 +65,7 @@
   std::string const path = call % 2 == 0 ? "/calls/x" : "/once/x";
   // What it is answered is judged by what reaches the servers.
   static_cast<void>(
-      system_.call(node, http::verb::post, path, id, mark_of_call(call), k_patience, key_));
+      system_.call(node, http::verb::post, path, id, mark_of_call(call), patience_, key_));
 }
 
 void deadly_requests::send_loop(std::uint64_t seed) {
--- a/rehearsal/deadly_requests.h
+++ b/rehearsal/deadly_requests.h
@@ -19,7 +19,9 @@
 class deadly_requests {
  public:
   /// @param key of the tenant whose requests they are.
-  deadly_requests(platform_cluster& system, std::string key, std::uint64_t seed);
+  /// @param patience of the calls' callers.
+  deadly_requests(platform_cluster& system, std::string key, std::uint64_t seed,
+                  milliseconds patience);
   ~deadly_requests();
 
   /// Begins another call, which is sent to all nodes again and again while it is switched on.
@@ -57,6 +59,7 @@
 
   platform_cluster& system_;
   std::string key_;
+  milliseconds patience_;
   std::atomic<bool> on_ = false;
   std::atomic<bool> ended_ = false;
   std::atomic<std::size_t> calls_ = 0;
--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -25,6 +25,10 @@
 DEFINE_uint32(engines, 3, "stand-ins of engines, 1 to 64");
 DEFINE_uint32(apps, 3, "stand-ins of application servers, 1 to 64");
 DEFINE_uint32(zones, 1, "zones of the gateways");
+DEFINE_uint32(
+    deadly_patience_ms, 800,
+    "how long callers wait whose calls end servers; below crash_after_ms they leave first");
+DEFINE_uint32(crash_after_ms, 20, "from the arrival of a request that ends its server to that end");
 DEFINE_bool(all_faults, true,
             "with the faults that came after the first seeds of tests/soak-seeds.txt were kept; "
             "without them a seed plays what it played then");
@@ -69,13 +73,17 @@
   explicit soak(std::uint64_t seed)
       : random_(seed),
         system_(options()),
-        deadly_(system_, k_first_key, seed),
+        deadly_(system_, k_first_key, seed, milliseconds(FLAGS_deadly_patience_ms)),
         faults_(
             system_, deadly_, {k_tenants, k_without_second_key}, [this] { wait_for_acceptance(); },
             FLAGS_all_faults) {
     system_.on_platform([this] {
       for (std::size_t app = 0; app < FLAGS_apps; ++app) {
         system_.app(app).faults().work_time = k_work_time;
+        system_.app(app).faults().crash_after = milliseconds(FLAGS_crash_after_ms);
+      }
+      for (std::size_t engine = 0; engine < FLAGS_engines; ++engine) {
+        system_.engine(engine).faults().crash_after = milliseconds(FLAGS_crash_after_ms);
       }
       return 0;
     });
