--- a/tests/platform/suspended_crash_test.cc
+++ b/tests/platform/suspended_crash_test.cc
@@ -13,8 +13,8 @@
 /// these tests: before the mend the nodes write "Server looked at after connections broke." with
 /// condition "lives" and no "Server ended under a request." for the first three crashes.
 ///
-/// Since: such a run stays undecided until the directory tells, within 5 s, that another life has
-/// taken the server's place (quarantine/undecided_runs).
+/// Since: such a run stays undecided until the directory tells, soon after the look, that another
+/// life has taken the server's place (quarantine/undecided_runs).
 
 #include <CppUTest/TestHarness.h>
 
