--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -86,7 +86,7 @@
   verdict check(fingerprint const& request, time_point now) const;
   /// Whether work that no caller waits for, as of a sample, should leave its next run for a moment:
   /// what is known of it is being stored, or three servers have ended under it here and the record
-  /// is to come (four of nine engines were lost to one sample in that time), or it ended servers
+  /// is to come (one sample ended six engines where three would have done), or it ended servers
   /// under nodes that are gone and is being judged.
   bool should_wait(fingerprint const& request, time_point now);
   /// When a request that is refused now may be tried again; nothing if that is not known.
