--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -11,8 +11,23 @@
 
 }  // namespace
 
+std::set<std::string> services_of_calls(configuration const& all) {
+  std::set<std::string> services;
+  for (auto const& [name, one] : all.services) {
+    if (!one.engines) services.insert(name);
+  }
+  for (route const& one : all.routes) {
+    if (one.kind == route_kind::job) continue;
+    for (service_share const& share : one.shares) services.insert(share.service);
+  }
+  return services;
+}
+
 route_table::route_table(configuration all, time_point in_force_since)
-    : all_(std::move(all)), in_force_since_(in_force_since), tenants_(all_.tenants) {
+    : all_(std::move(all)),
+      in_force_since_(in_force_since),
+      tenants_(all_.tenants),
+      services_of_calls_(calls::services_of_calls(all_)) {
   for (route const& one : all_.routes) by_host_[one.host].push_back(&one);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](route const* left, route const* right) {
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -92,6 +93,10 @@
   std::vector<tenant> tenants;
 };
 
+/// Services whose servers this node's callers may reach: all but those of engines that only jobs
+/// are run by.
+std::set<std::string> services_of_calls(configuration const& all);
+
 /// Immutable; requests hold on to the table that they began with.
 class route_table {
  public:
@@ -104,6 +109,7 @@
   time_point in_force_since() const { return in_force_since_; }
   service const* find_service(std::string const& name) const;
   tenant_index const& tenants() const { return tenants_; }
+  std::set<std::string> const& services_of_calls() const { return services_of_calls_; }
   /// Whether jobs can be handed in at this host without a key.
   bool has_public_job_route(std::string_view host) const;
 
@@ -113,6 +119,7 @@
   /// By host, longest prefix first.
   std::map<std::string, std::vector<route const*>, std::less<>> by_host_;
   tenant_index tenants_;
+  std::set<std::string> services_of_calls_;
 };
 
 /// Spreads the requests of a route over its services so that each part gets its share at any
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <set>
 
+#include "base/encoding.h"
 #include "base/log.h"
 
 namespace frostline::directory {
@@ -20,11 +21,18 @@
 
 }  // namespace
 
-bool serve_alike(server const& left, server const& right) {
-  server same = left;
-  same.models = right.models;
-  same.sequence = right.sequence;
-  return same == right && left.models.empty() == right.models.empty();
+std::uint64_t digest_for_callers(server const& one) {
+  std::string text;
+  auto const add = [&text](std::string_view part) { text.append(part).push_back('\0'); };
+  add(one.id);
+  add(std::to_string(one.born));
+  add(one.service);
+  add(one.address.to_string());
+  add(one.zone);
+  add(std::to_string(one.slots));
+  add(one.state == server_state::ready ? "ready" : "draining");
+  add(one.models.empty() ? "" : "models");
+  return hash_bytes(text);
 }
 
 bool server_directory::take(server one) {
@@ -38,7 +46,6 @@
   bool const new_life = !fresh && one.born > known.born;
   bool const drains = one.state == server_state::draining && known.state == server_state::ready;
   known = std::move(one);
-  if (fresh) log_change(known, "Server appeared.");
   if (new_life) log_change(known, "Server started again.");
   if (drains) log_change(known, "Server drains.");
   if (new_life && new_life_) new_life_(known);
@@ -57,11 +64,32 @@
     return gone;
   });
   loaded_ = true;
+  log_size();
   notify();
 }
 
 void server_directory::put(server one) {
-  if (take(std::move(one))) notify();
+  bool const fresh = !servers_.contains(one.id);
+  std::string const id = one.id;
+  if (!take(std::move(one))) return;
+  if (fresh) log_change(servers_.at(id), "Server appeared.");
+  notify();
+}
+
+void server_directory::put_all(std::vector<server> servers) {
+  for (server& one : servers) take(std::move(one));
+  log_size();
+  notify();
+}
+
+void server_directory::forget(std::vector<std::string> const& ids) {
+  for (std::string const& id : ids) servers_.erase(id);
+  log_size();
+  notify();
+}
+
+void server_directory::log_size() const {
+  log_line(log_level::info, k_part, "Servers known.", {{"servers", servers_.size()}});
 }
 
 void server_directory::remove(std::string const& id) {
--- a/src/directory/server_directory.h
+++ b/src/directory/server_directory.h
@@ -36,16 +36,20 @@
   bool operator==(server const&) const = default;
 };
 
-/// Whether callers can treat both alike: versions of weights and counts of orders, which matter to
-/// the owner of a pool alone, are left out.
-bool serve_alike(server const& left, server const& right);
+/// Equal for servers that callers can treat alike: versions of weights and counts of orders, which
+/// matter to the owner of a pool alone, are left out.
+std::uint64_t digest_for_callers(server const& one);
 
 class server_directory {
  public:
   /// Records of a former life of a server that is known are passed over: they were written late.
   void replace_all(std::vector<server> servers);
   void put(server one);
+  /// Listeners run once for all of them.
+  void put_all(std::vector<server> servers);
   void remove(std::string const& id);
+  /// Servers that this node does not follow any more, whether they still serve or not.
+  void forget(std::vector<std::string> const& ids);
 
   bool is_loaded() const { return loaded_; }
   server const* find(std::string const& id) const;
@@ -63,6 +67,7 @@
 
  private:
   void notify() const;
+  void log_size() const;
   /// Takes one record over. @return false if it is of a former life.
   bool take(server one);
 
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -203,7 +203,11 @@
   options.prefixes[relay::index_of(relay::topic::RELAYS)] = relay::zone_relays::records_prefix();
   options.prefixes[relay::index_of(relay::topic::SERVERS)] = adapter_.keys().servers_prefix;
   options.prefixes[relay::index_of(relay::topic::QUARANTINE)] = quarantine::records_of_quarantine();
-  options.servers_alike = server_watch_.alike();
+  options.servers_traits = server_watch_.traits();
+  options.wanted_servers = [this]() -> std::optional<std::set<std::string>> {
+    if (!configuration_.table()) return std::nullopt;
+    return configuration_.table()->services_of_calls();
+  };
   options.processor_share = settings_.processor_share;
   options.claim_handicap =
       ownership::handicap_of(settings_.processor_share) * k_relay_handicap_factor;
@@ -249,9 +253,8 @@
 }
 
 void application::parts::note_ownership() {
-  bool const owner = pools_.owns_any();
-  feed_.set_owner(owner);
-  operator_requests_.set_owner(owner);
+  feed_.set_owner(pools_.needs_engines());
+  operator_requests_.set_owner(pools_.owns_any());
 }
 
 void application::parts::take_configuration_record(kv::key_value const& record) {
@@ -269,6 +272,7 @@
   if (!configuration_.offer(std::move(*parsed))) return;
   ingress_->set_limits(configuration_.table()->all().limits);
   pools_.ensure(configuration_.table()->all());
+  feed_.note_wanted_servers();
   note_progress();
 }
 
@@ -319,7 +323,12 @@
   }
   now.role = feed_.role();
   now.records = feed_.figures();
-  now.polls_answered = feed_.polls_answered();
+  now.polls_answered = feed_.answers().answered();
+  now.whole_answers = feed_.answers().whole_answers();
+  now.whole_records = feed_.answers().whole_records();
+  for (relay::topic const one : relay::k_topics) {
+    now.records_held.emplace_back(rpc::EnumNameRecordTopic(one), feed_.view(one).records().size());
+  }
   now.records_age = feed_.age(boot_clock::now());
   for (relay::topic const one : relay::k_topics) {
     auto const watch_age = feed_.watch_age(one, boot_clock::now());
--- a/src/gateway/pools.cc
+++ b/src/gateway/pools.cc
@@ -70,6 +70,13 @@
   });
 }
 
+bool pools::needs_engines() const {
+  return std::any_of(all_.begin(), all_.end(), [](auto const& entry) {
+    bool const owned = entry.second.lease->state() == ownership::lease_state::owner;
+    return owned || entry.second.owner->state() != jobs::owner_state::standby;
+  });
+}
+
 std::optional<endpoint> pools::other_owner() const {
   for (auto const& [name, one] : all_) {
     auto const& owner = one.lease->owner();
--- a/src/gateway/pools.h
+++ b/src/gateway/pools.h
@@ -42,6 +42,8 @@
   void take_owner(std::string const& key, kv::key_value const* record);
 
   bool owns_any() const;
+  /// Whether this node owns a pool, or goes on with the runs of one that it owned.
+  bool needs_engines() const;
   /// Where another node that owns a pool can be reached.
   std::optional<endpoint> other_owner() const;
 
--- a/src/gateway/server_watch.cc
+++ b/src/gateway/server_watch.cc
@@ -1,7 +1,9 @@
 #include "gateway/server_watch.h"
 
 #include <algorithm>
+#include <set>
 
+#include "base/encoding.h"
 #include "base/log.h"
 
 namespace frostline::gateway {
@@ -25,17 +27,26 @@
   kv::follower_callbacks callbacks;
   callbacks.snapshot = [this](kv::range_answer const& all) { take_all(all); };
   callbacks.event = [this](kv::watch_event const& event) { take_one(event); };
+  callbacks.dropped = [this](std::vector<std::string> const& keys) { forget(keys); };
   return callbacks;
 }
 
-relay::record_view::comparison server_watch::alike() const {
-  return [this](kv::key_value const& known, kv::key_value const& fresh) {
-    auto const before = adapter_.parse_server(known.key, known.value);
-    auto const after = adapter_.parse_server(fresh.key, fresh.value);
-    return before && after && directory::serve_alike(*before, *after);
+relay::trait_reader server_watch::traits() const {
+  return [this](kv::key_value const& record) -> std::optional<relay::record_traits> {
+    auto const one = adapter_.parse_server(record.key, record.value);
+    if (!one) return std::nullopt;
+    relay::record_traits traits;
+    traits.group = one->service;
+    traits.place = hash_bytes(one->address.to_string());
+    traits.digest = directory::digest_for_callers(*one);
+    return traits;
   };
 }
 
+std::string server_watch::id_of(std::string const& key) const {
+  return key.substr(adapter_.keys().servers_prefix.size());
+}
+
 void server_watch::note_malformed(kv::key_value const& record) {
   ++malformed_;
   log_line(log_level::warning, k_part, "Record names no server: it can't be read.",
@@ -52,18 +63,37 @@
       note_malformed(one);
     }
   }
-  servers_.replace_all(std::move(servers));
+  if (!servers_.is_loaded()) {
+    servers_.replace_all(std::move(servers));
+    return;
+  }
+  std::set<std::string> listed;
+  for (directory::server const& one : servers) listed.insert(one.id);
+  std::vector<std::string> departed;
+  for (auto const& [id, one] : servers_.servers()) {
+    if (!listed.contains(id) && !missing_.contains(id)) departed.push_back(id);
+  }
+  std::erase_if(missing_, [&](auto const& one) { return listed.contains(one.first); });
+  servers_.put_all(std::move(servers));
+  for (std::string const& id : departed) note_departure(id);
+}
+
+void server_watch::forget(std::vector<std::string> const& keys) {
+  std::vector<std::string> ids;
+  for (std::string const& key : keys) ids.push_back(id_of(key));
+  for (std::string const& id : ids) missing_.erase(id);
+  servers_.forget(ids);
 }
 
 void server_watch::take_one(kv::watch_event const& event) {
   if (event.deleted) {
-    note_departure(event.entry.key.substr(adapter_.keys().servers_prefix.size()));
+    note_departure(id_of(event.entry.key));
     return;
   }
   auto parsed = adapter_.parse_server(event.entry.key, event.entry.value);
   if (!parsed) {
     note_malformed(event.entry);
-    std::string const id = event.entry.key.substr(adapter_.keys().servers_prefix.size());
+    std::string const id = id_of(event.entry.key);
     if (servers_.find(id) != nullptr) note_departure(id);
     return;
   }
--- a/src/gateway/server_watch.h
+++ b/src/gateway/server_watch.h
@@ -37,12 +37,16 @@
   kv::follower_callbacks listener();
   /// Records that were passed over since they can't be read.
   std::uint64_t malformed() const { return malformed_; }
-  /// Whether callers can treat two records of a server alike; a malformed one is like no other.
-  relay::record_view::comparison alike() const;
+  /// Whom a server's record concerns: who calls its service. Records that differ only in what the
+  /// owner of a pool alone needs have one digest.
+  relay::trait_reader traits() const;
 
  private:
   void take_all(kv::range_answer const& all);
   void take_one(kv::watch_event const& event);
+  /// Servers that this node does not follow any more.
+  void forget(std::vector<std::string> const& keys);
+  std::string id_of(std::string const& key) const;
 
   void note_malformed(kv::key_value const& record);
   void note_departure(std::string const& id);
--- a/src/kv/follower.h
+++ b/src/kv/follower.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "kv/record_store.h"
 
@@ -18,6 +19,9 @@
   std::function<void(revision)> complete_to = nullptr;
   /// A watch got no answer in time; it is begun anew. Not needed.
   std::function<void()> watch_silent = nullptr;
+  /// Records that are not followed any more, by key; whether they still stand is not known. Only
+  /// told by views that hold a part of their records. Not needed.
+  std::function<void(std::vector<std::string> const&)> dropped = nullptr;
 };
 
 /// For records of which a change must be known within two to three seconds, counted from its
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "relay/part_codec.h"
 #include "rpc/client.h"
 
 namespace frostline::relay {
@@ -20,16 +21,34 @@
   return event;
 }
 
-void take_changes(rpc::TopicChangesT const& told, topic_views& views) {
+/// @param node this node, whose parts of the records were asked for.
+void take_changes(rpc::TopicChangesT const& told, std::string const& node, topic_views& views) {
+  record_selection const selected =
+      told.selected ? record_selection(node, read_parts(told.parts)) : record_selection();
   if (told.whole) {
     kv::range_answer all;
     all.store_revision = told.store_revision;
     for (auto const& change : told.changes) all.entries.push_back(read_change(*change).entry);
-    views.take_snapshot(told.topic, all);
+    views.take_snapshot(told.topic, all, selected);
     return;
   }
   for (auto const& change : told.changes) views.take_event(told.topic, read_change(*change));
-  views.advance(told.topic, told.store_revision);
+  // Changes of what else this view holds were not told.
+  if (selected.covers(views.view(told.topic).held())) {
+    views.advance(told.topic, told.store_revision);
+  }
+}
+
+std::unique_ptr<rpc::TopicPositionT> write_position(topic one, poll_request const& request,
+                                                    record_view const& view) {
+  auto position = std::make_unique<rpc::TopicPositionT>();
+  position->topic = one;
+  record_selection const wanted = one == topic::SERVERS ? request.servers : record_selection();
+  position->after = view.held().covers(wanted) ? view.at() : 0;
+  position->selected = !wanted.is_everything();
+  position->parts = write_parts(wanted.parts());
+  position->exact = request.exact_parts;
+  return position;
 }
 
 kv::revision newest_of(rpc::TopicChangesT const& told) {
@@ -39,8 +58,8 @@
 }
 
 /// Takes a reply over. @return what the other node was not sure of, as text; empty: nothing.
-std::string take_reply(rpc::PollReplyT const& reply, time_point asked, milliseconds longest_wait,
-                       topic_views& views) {
+std::string take_reply(rpc::PollReplyT const& reply, std::string const& node, time_point asked,
+                       milliseconds longest_wait, topic_views& views) {
   milliseconds const waited = std::min(milliseconds(reply.waited_ms), longest_wait);
   // Before the changes, since it says what a change means.
   auto const back = std::min(milliseconds(reply.store_back_ms_ago), k_longest_age);
@@ -48,7 +67,7 @@
   std::string doubts;
   for (auto const& told : reply.topics) {
     if (index_of(told->topic) >= k_topics.size()) continue;
-    take_changes(*told, views);
+    take_changes(*told, node, views);
     // The time on the way there is not known; the answer is at least as new as this.
     auto const age = std::min(milliseconds(told->confirmed_ms_ago), k_longest_age);
     views.confirm(told->topic, asked + waited - age);
@@ -64,7 +83,7 @@
 awaitable<poll_result> poll_peer(http::client& transport, endpoint peer, poll_request request,
                                  topic_views& views) {
   rpc::PollCallT call;
-  call.node = std::move(request.node);
+  call.node = request.node;
   call.address = request.self.to_string();
   call.zone = std::move(request.zone);
   call.processor_share = request.processor_share;
@@ -72,17 +91,14 @@
   call.leaving = request.leaving;
   call.wait_ms = static_cast<std::uint64_t>(request.wait.count());
   for (topic const one : request.topics) {
-    auto position = std::make_unique<rpc::TopicPositionT>();
-    position->topic = one;
-    position->after = views.view(one).at();
-    call.positions.push_back(std::move(position));
+    call.positions.push_back(write_position(one, request, views.view(one)));
   }
   time_point const asked = boot_clock::now();
   auto reply = co_await rpc::call<rpc::PollCallT, rpc::PollReplyT>(
       transport, std::move(peer), "RelayService", "Poll", call,
       request.wait + request.answer_margin);
   if (!reply) co_return poll_result{poll_outcome::failed, reply.error().detail};
-  std::string doubts = take_reply(reply.value(), asked, request.wait, views);
+  std::string doubts = take_reply(reply.value(), request.node, asked, request.wait, views);
   bool const whole = reply.value().topics.size() == request.topics.size();
   poll_result result{poll_outcome::not_sure, "not sure of " + doubts};
   if (whole && doubts.empty()) result = poll_result{poll_outcome::sure, ""};
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -36,6 +36,10 @@
   /// This node stops.
   bool leaving = false;
   std::vector<topic> topics;
+  /// Servers' records that are asked for; all by default.
+  record_selection servers;
+  /// The parts of `servers` stay as they are; else the other node fits them to the groups' sizes.
+  bool exact_parts = false;
   /// How long the other node may wait for a change.
   milliseconds wait{0};
   /// Beyond that, a node that does not answer counts as failed.
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "relay/part_codec.h"
+
 namespace frostline::relay {
 namespace {
 
@@ -31,9 +33,36 @@
 
 }  // namespace
 
+poll_service::question poll_service::read_question(rpc::TopicPositionT const& position,
+                                                   std::string const& node) const {
+  record_view const& view = views_.view(position.topic);
+  question one;
+  one.about = position.topic;
+  one.after = position.after;
+  if (position.selected) {
+    group_parts const asked = read_parts(position.parts);
+    group_parts fitted;
+    for (auto const& [group, one_in] : asked) {
+      std::uint32_t const kept = std::max(one_in, k_whole_group);
+      fitted[group] = position.exact ? kept : suitable_part(one_in, view.group_size(group));
+    }
+    // What the asking node holds is another part of the records.
+    if (asked != fitted) one.after = 0;
+    one.wanted = record_selection(node, std::move(fitted));
+  }
+  one.covered = view.held().covers(one.wanted);
+  return one;
+}
+
+bool poll_service::can_wait(question const& one) const {
+  record_view const& view = views_.view(one.about);
+  if (!view.is_loaded() && one.after == 0) return true;
+  return is_sure_(one.about) && one.covered && !view.has_news(one.after, one.wanted);
+}
+
 bool poll_service::can_wait(rpc::PollCallT const& call) const {
-  return std::all_of(call.positions.begin(), call.positions.end(), [this](auto const& position) {
-    return is_sure_(position->topic) && !views_.view(position->topic).has_news(position->after);
+  return std::all_of(call.positions.begin(), call.positions.end(), [&](auto const& position) {
+    return can_wait(read_question(*position, call.node));
   });
 }
 
@@ -60,18 +89,24 @@
   if (newer) on_newer_(*asking);
 }
 
-rpc::TopicChangesT poll_service::write_changes(rpc::TopicPositionT const& position) const {
+rpc::TopicChangesT poll_service::write_changes(question const& one) {
   rpc::TopicChangesT told;
-  told.topic = position.topic;
-  told.sure = is_sure_(position.topic);
-  record_delta const delta = views_.view(position.topic).since(position.after);
+  told.topic = one.about;
+  told.confirmed_ms_ago = milliseconds_since(views_.confirmed_at(one.about), boot_clock::now());
+  if (!one.covered) return told;
+  told.sure = is_sure_(one.about);
+  record_delta const delta = views_.view(one.about).since(one.after, one.wanted);
   told.whole = delta.whole;
   told.store_revision = delta.at;
-  told.confirmed_ms_ago =
-      milliseconds_since(views_.confirmed_at(position.topic), boot_clock::now());
+  told.selected = !one.wanted.is_everything();
+  told.parts = write_parts(one.wanted.parts());
   for (kv::watch_event const& change : delta.changes) {
     told.changes.push_back(write_change(change));
   }
+  if (delta.whole) {
+    ++whole_answers_;
+    whole_records_ += delta.changes.size();
+  }
   return told;
 }
 
@@ -86,7 +121,8 @@
   reply.waited_ms = milliseconds_since(begin, boot_clock::now());
   reply.store_back_ms_ago = milliseconds_since(views_.store_back_at(), boot_clock::now());
   for (auto const& position : call.positions) {
-    reply.topics.push_back(std::make_unique<rpc::TopicChangesT>(write_changes(*position)));
+    reply.topics.push_back(std::make_unique<rpc::TopicChangesT>(
+        write_changes(read_question(*position, call.node))));
   }
   ++answered_;
   co_return reply;
--- a/src/relay/poll_service.h
+++ b/src/relay/poll_service.h
@@ -23,7 +23,8 @@
                std::function<bool(topic)> is_sure)
       : views_(views), is_sure_(std::move(is_sure)), changed_(context) {}
 
-  /// Answers at once if there is something to tell, or if this node is not sure; else it waits.
+  /// Answers at once if there is something to tell, or if this node is not sure; else it waits. It
+  /// also waits while neither node knows a topic: a node that starts is asked by all others.
   awaitable<rpc::PollReplyT> answer(rpc::PollCallT call);
   /// Runs with the address of a node that asks and knows more of a topic than this node, which is
   /// not sure of it.
@@ -32,19 +33,36 @@
   void notify() { changed_.notify_all(); }
   void add_methods(rpc::dispatcher& methods);
   std::uint64_t answered() const { return answered_; }
+  /// Answers that held all wanted records of a topic, and those records.
+  std::uint64_t whole_answers() const { return whole_answers_; }
+  std::uint64_t whole_records() const { return whole_records_; }
   asking_nodes const& asking() const { return asking_; }
 
  private:
   void note_asking(rpc::PollCallT const& call);
   void note_newer(rpc::PollCallT const& call) const;
+  /// What a position asks for, fitted to what this node holds.
+  struct question {
+    topic about{};
+    record_selection wanted;
+    /// Revision up to which the asking node holds all that is wanted.
+    kv::revision after = 0;
+    /// Whether this node holds all that is wanted.
+    bool covered = false;
+  };
+
+  question read_question(rpc::TopicPositionT const& position, std::string const& node) const;
+  bool can_wait(question const& one) const;
   bool can_wait(rpc::PollCallT const& call) const;
-  rpc::TopicChangesT write_changes(rpc::TopicPositionT const& position) const;
+  rpc::TopicChangesT write_changes(question const& one);
 
   topic_views const& views_;
   std::function<bool(topic)> is_sure_;
   async_condition changed_;
   std::function<void(endpoint)> on_newer_;
   std::uint64_t answered_ = 0;
+  std::uint64_t whole_answers_ = 0;
+  std::uint64_t whole_records_ = 0;
   asking_nodes asking_;
 };
 
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -17,8 +17,7 @@
 /// A node that was not asked just before answers at once, across zones too (a few milliseconds)
 /// and on a processor that stands still for a tenth of a second.
 constexpr milliseconds k_first_margin{300};
-/// The first answer holds all records (75 KB at the largest deployment), for all nodes of a zone at
-/// once.
+/// The first answer holds all records of a node, for all nodes of a zone at once.
 constexpr milliseconds k_loading_margin{1000};
 /// Changes within that time are told together.
 constexpr milliseconds k_batch_pause{40};
@@ -78,7 +77,7 @@
       transport_(transport),
       options_(std::move(options)),
       find_owner_(std::move(find_owner)),
-      views_(options_.servers_alike),
+      views_(options_.servers_traits),
       service_(context, views_, [this](topic one) { return is_sure(one, boot_clock::now()); }),
       source_(context, store, options_.prefixes, make_source_callbacks()),
       record_(store, relays_, zone_relay{options_.zone, options_.node, options_.self, 0}),
@@ -276,6 +275,21 @@
   co_await poll_peer(transport_, std::move(peer), std::move(request), views_);
 }
 
+std::optional<record_selection> record_feed::select_servers() const {
+  if (!options_.wanted_servers) return record_selection();
+  auto const groups = options_.wanted_servers();
+  if (!groups) return std::nullopt;
+  group_parts const& held = views_.view(topic::SERVERS).held().parts();
+  group_parts parts;
+  for (std::string const& group : *groups) {
+    auto const known = held.find(group);
+    parts[group] = known == held.end() ? k_unknown_part : known->second;
+    // Others ask a relay for any part.
+    if (role_ == feed_role::relay) parts[group] = k_whole_group;
+  }
+  return record_selection(options_.node, std::move(parts));
+}
+
 poll_request record_feed::make_request() const {
   poll_request request;
   request.node = options_.node;
@@ -285,22 +299,27 @@
   request.uptime = std::chrono::duration_cast<milliseconds>(boot_clock::now() - started_at_);
   request.leaving = leaving_;
   request.topics.assign(k_topics.begin(), k_topics.end());
+  auto selected = select_servers();
+  // Who follows all servers at the store would learn of some only, or not of what they load.
+  if (source_.follows(topic::SERVERS) || !selected) std::erase(request.topics, topic::SERVERS);
+  if (selected) request.servers = std::move(*selected);
+  request.exact_parts = role_ == feed_role::relay;
   return request;
 }
 
 awaitable<poll_result> record_feed::ask(endpoint const& peer) {
   poll_request request = make_request();
   bool const known = serving_peer_ == peer;
-  request.wait = known ? k_wait : milliseconds(0);
+  bool const loading = !views_.all_loaded();
+  request.wait = known || loading ? k_wait : milliseconds(0);
   request.answer_margin = known ? k_margin : k_first_margin;
-  if (!views_.all_loaded()) request.answer_margin = k_loading_margin;
+  if (loading) request.answer_margin = k_loading_margin;
   ++figures_.polls_sent;
   co_return co_await poll_peer(transport_, peer, std::move(request), views_);
 }
 
 void record_feed::note_result(endpoint const& peer, poll_result const& result) {
   time_point const now = boot_clock::now();
-  // An owner tells what engines load to nobody, and its own records of servers are newer.
   for (topic const one : k_topics) {
     source_.expect(one, result.newest_changes[index_of(one)]);
   }
@@ -345,6 +364,10 @@
     }
     auto const owner = find_owner_();
     time_point const now = boot_clock::now();
+    if (!select_servers()) {
+      co_await role_changed_.wait();
+      continue;
+    }
     if (owner && now >= avoided_until) {
       if (co_await ask_owner(*owner)) continue;
       avoided_until = boot_clock::now() + k_owner_avoid_time;
@@ -367,6 +390,10 @@
     owner_told_at_ = boot_clock::now();
     // An owner's own records hold more than it passes on.
     if (!owner_) source_.follow(topic::SERVERS, false);
+    auto const selected = select_servers();
+    if (!owner_ && role_ == feed_role::relay && selected) {
+      views_.narrow(topic::SERVERS, *selected);
+    }
   } else {
     log_line(log_level::info, k_part, "Owner does not tell of servers; following the store.",
              {{"owner", owner.to_string()}, {"cause", result.cause}});
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,8 +44,10 @@
   /// Addresses of some nodes, of which any may be down.
   std::vector<endpoint> seeds;
   topic_prefixes prefixes;
-  /// Values of servers' records that other nodes can treat alike.
-  record_view::comparison servers_alike;
+  /// Whom servers' records concern; null: everybody.
+  trait_reader servers_traits;
+  /// Groups of servers that this node's calls need, nothing while that is not known. Null: all.
+  std::function<std::optional<std::set<std::string>>()> wanted_servers;
   /// Share of a core that this node may use.
   double processor_share = 0;
   /// A weak node claims its zone's record that much later.
@@ -76,8 +79,10 @@
   void start();
   /// Registers what other nodes call.
   void add_methods(rpc::dispatcher& methods) { service_.add_methods(methods); }
-  /// The owner of a pool follows the servers' records itself, with what they load.
+  /// The owner of a pool follows all servers' records itself, with what they load.
   void set_owner(bool owner);
+  /// To be called when the groups of servers that this node's calls need may have changed.
+  void note_wanted_servers() { role_changed_.notify_all(); }
   /// This process stood still: what was going on may be dead.
   void resynchronize(std::string_view cause) { source_.resynchronize(cause); }
   /// Answers as not sure from now on. If this node is its zone's relay, the record names the best
@@ -94,7 +99,8 @@
   /// same records.
   std::vector<endpoint> relay_addresses(std::size_t most) const;
   feed_figures const& figures() const { return figures_; }
-  std::uint64_t polls_answered() const { return service_.answered(); }
+  poll_service const& answers() const { return service_; }
+  record_view const& view(topic one) const { return views_.view(one); }
   /// Whether a node of its zone asks this one and could follow it as relay.
   bool has_successor(time_point now) const {
     return service_.asking().pick(options_.zone, now).has_value();
@@ -115,6 +121,10 @@
   void note_relays();
   awaitable<void> peers_loop();
   awaitable<void> ask_next_peer();
+  /// Servers' records that this node should hold: a relay whole groups, others parts of them.
+  /// Nothing while the groups are not known.
+  std::optional<record_selection> select_servers() const;
+  /// For all topics that other nodes can tell of.
   poll_request make_request() const;
   awaitable<poll_result> ask(endpoint const& peer);
   /// Asks a node that asked this one and knows more.
--- a/src/relay/record_view.cc
+++ b/src/relay/record_view.cc
@@ -5,10 +5,11 @@
 
 namespace frostline::relay {
 
-std::vector<kv::watch_event> record_view::take_snapshot(kv::range_answer const& all) {
+std::vector<kv::watch_event> record_view::take_snapshot(kv::range_answer const& all,
+                                                        record_selection const& held) {
   std::vector<kv::watch_event> news;
-  if (all.store_revision < at_) return news;
-  bool const first = !is_loaded();
+  bool const reselected = !is_loaded() || !(held == held_);
+  if (!reselected && all.store_revision < at_) return news;
   std::set<std::string> listed;
   for (kv::key_value const& entry : all.entries) {
     listed.insert(entry.key);
@@ -27,13 +28,33 @@
     if (apply(gone)) news.push_back(std::move(gone));
   }
   at_ = all.store_revision;
-  if (first) {
+  if (reselected) {
+    held_ = held;
     changes_.clear();
     complete_after_ = at_;
   }
   return news;
 }
 
+std::vector<std::string> record_view::narrow(record_selection const& held) {
+  if (held == held_ || !held_.covers(held)) return {};
+  held_ = held;
+  return drop_except(held);
+}
+
+std::vector<std::string> record_view::drop_except(record_selection const& held) {
+  std::vector<std::string> dropped;
+  if (held.is_everything()) return dropped;
+  for (auto const& [key, entry] : records_) {
+    if (!held.includes(traits_of(key))) dropped.push_back(key);
+  }
+  for (std::string const& key : dropped) {
+    set_traits(key, std::nullopt);
+    records_.erase(key);
+  }
+  return dropped;
+}
+
 bool record_view::take_event(kv::watch_event const& event) {
   if (event.entry.mod_revision <= at_) return false;
   return apply(event);
@@ -45,31 +66,62 @@
 
 bool record_view::apply(kv::watch_event const& event) {
   auto const known = records_.find(event.entry.key);
+  change one;
+  one.event = event;
+  one.was_known = known != records_.end();
+  if (one.was_known) one.before = traits_of(event.entry.key);
   if (event.deleted) {
-    if (known == records_.end()) return false;
+    if (!one.was_known) return false;
+    set_traits(event.entry.key, std::nullopt);
     records_.erase(known);
-    remember(event);
+    remember(std::move(one));
     return true;
   }
-  if (known == records_.end()) {
+  if (one.was_known && event.entry.mod_revision <= known->second.mod_revision) return false;
+  if (read_traits_) one.after = read_traits_(event.entry);
+  if (one.was_known) {
+    known->second = event.entry;
+  } else {
     records_.emplace(event.entry.key, event.entry);
-    remember(event);
-    return true;
   }
-  if (event.entry.mod_revision <= known->second.mod_revision) return false;
-  bool const told = !alike_ || !alike_(known->second, event.entry);
-  known->second = event.entry;
-  if (told) remember(event);
+  set_traits(event.entry.key, one.after);
+  bool const alike = one.before && one.after && one.before->digest == one.after->digest;
+  if (!alike) remember(std::move(one));
   return true;
 }
 
-void record_view::remember(kv::watch_event const& event) {
-  changes_.push_back(event);
+std::optional<record_traits> record_view::traits_of(std::string const& key) const {
+  auto const found = traits_.find(key);
+  if (found == traits_.end()) return std::nullopt;
+  return found->second;
+}
+
+void record_view::set_traits(std::string const& key, std::optional<record_traits> traits) {
+  auto const known = traits_.find(key);
+  if (known != traits_.end()) {
+    auto const size = group_sizes_.find(known->second.group);
+    if (--size->second == 0) group_sizes_.erase(size);
+    traits_.erase(known);
+  }
+  if (!traits) return;
+  ++group_sizes_[traits->group];
+  traits_.emplace(key, std::move(*traits));
+}
+
+void record_view::remember(change one) {
+  kv::revision const newest = changes_.empty() ? 0 : changes_.back().newest;
+  one.newest = std::max(newest, one.event.entry.mod_revision);
+  changes_.push_back(std::move(one));
   if (changes_.size() <= most_changes_) return;
-  complete_after_ = std::max(complete_after_, changes_.front().entry.mod_revision);
+  complete_after_ = std::max(complete_after_, changes_.front().event.entry.mod_revision);
   changes_.pop_front();
 }
 
+std::size_t record_view::group_size(std::string const& group) const {
+  auto const found = group_sizes_.find(group);
+  return found == group_sizes_.end() ? 0 : found->second;
+}
+
 kv::range_answer record_view::list() const {
   kv::range_answer all;
   all.store_revision = at_;
@@ -77,26 +129,43 @@
   return all;
 }
 
-record_delta record_view::since(kv::revision after) const {
+std::optional<kv::watch_event> record_view::tell(change const& one,
+                                                 record_selection const& wanted) {
+  bool const was_included = one.was_known && wanted.includes(one.before);
+  bool const is_included = !one.event.deleted && wanted.includes(one.after);
+  if (is_included) return one.event;
+  if (!was_included) return std::nullopt;
+  kv::watch_event gone = one.event;
+  gone.deleted = true;
+  gone.entry.value.clear();
+  return gone;
+}
+
+record_delta record_view::since(kv::revision after, record_selection const& wanted) const {
   record_delta delta;
   delta.at = at_;
   delta.whole = is_loaded() && after < complete_after_;
   if (delta.whole) {
-    for (auto const& [key, entry] : records_) delta.changes.push_back({false, entry});
+    for (auto const& [key, entry] : records_) {
+      if (wanted.includes(traits_of(key))) delta.changes.push_back({false, entry});
+    }
     return delta;
   }
-  for (kv::watch_event const& change : changes_) {
-    if (change.entry.mod_revision > after) delta.changes.push_back(change);
+  for (change const& one : changes_) {
+    if (one.event.entry.mod_revision <= after) continue;
+    auto told = tell(one, wanted);
+    if (told) delta.changes.push_back(std::move(*told));
   }
   return delta;
 }
 
-bool record_view::has_news(kv::revision after) const {
+bool record_view::has_news(kv::revision after, record_selection const& wanted) const {
   if (!is_loaded()) return false;
   if (after < complete_after_) return true;
-  return std::any_of(changes_.begin(), changes_.end(), [&](kv::watch_event const& change) {
-    return change.entry.mod_revision > after;
-  });
+  for (auto one = changes_.rbegin(); one != changes_.rend() && one->newest > after; ++one) {
+    if (one->event.entry.mod_revision > after && tell(*one, wanted)) return true;
+  }
+  return false;
 }
 
 }  // namespace frostline::relay
--- a/src/relay/topic_views.h
+++ b/src/relay/topic_views.h
@@ -15,19 +15,22 @@
 
 class topic_views {
  public:
-  /// @param servers_alike values of servers' records that other nodes can treat alike.
-  explicit topic_views(record_view::comparison servers_alike);
+  /// @param servers_traits null: all servers' records concern everybody.
+  explicit topic_views(trait_reader servers_traits);
 
-  /// The first snapshot of a topic is told whole, everything later as events; nothing is told
-  /// twice.
+  /// The first snapshot of a topic is told whole, and one of another part of its records;
+  /// everything else as events, nothing of it twice.
   void listen(topic one, kv::follower_callbacks listener) {
     listeners_[index_of(one)] = std::move(listener);
   }
   /// Runs after each change that other nodes should hear of.
   void on_change(std::function<void()> listener) { changed_ = std::move(listener); }
 
-  void take_snapshot(topic one, kv::range_answer const& all);
+  /// @param held what `all` was selected by.
+  void take_snapshot(topic one, kv::range_answer const& all, record_selection const& held = {});
   void take_event(topic one, kv::watch_event const& event);
+  /// Drops what `held` does not include, if the view holds all that it includes.
+  void narrow(topic one, record_selection const& held);
   /// Nothing else of the topic has changed up to this revision.
   void advance(topic one, kv::revision at) { views_[index_of(one)].advance(at); }
   /// At this time the topic was complete.
@@ -44,6 +47,7 @@
 
  private:
   void tell(topic one, std::vector<kv::watch_event> const& news);
+  void tell_dropped(topic one, std::vector<std::string> const& keys);
 
   std::array<record_view, k_topics.size()> views_;
   std::array<kv::follower_callbacks, k_topics.size()> listeners_;
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -252,6 +252,10 @@
 struct RelayRecordBuilder;
 struct RelayRecordT;
 
+struct GroupPart;
+struct GroupPartBuilder;
+struct GroupPartT;
+
 struct TopicPosition;
 struct TopicPositionBuilder;
 struct TopicPositionT;
@@ -8060,6 +8064,95 @@
 
 flatbuffers::Offset<RelayRecord> CreateRelayRecord(flatbuffers::FlatBufferBuilder &_fbb, const RelayRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct GroupPartT : public flatbuffers::NativeTable {
+  typedef GroupPart TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.GroupPartT";
+  }
+  std::string group{};
+  uint32_t one_in = 0;
+};
+
+/// Records of one group, for example one service's servers.
+struct GroupPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupPartT NativeTableType;
+  typedef GroupPartBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.GroupPart";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_ONE_IN = 6
+  };
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  /// One record in that many; 1: all. 0: the answering node chooses.
+  uint32_t one_in() const {
+    return GetField<uint32_t>(VT_ONE_IN, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyField<uint32_t>(verifier, VT_ONE_IN, 4) &&
+           verifier.EndTable();
+  }
+  GroupPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GroupPartBuilder {
+  typedef GroupPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(GroupPart::VT_GROUP, group);
+  }
+  void add_one_in(uint32_t one_in) {
+    fbb_.AddElement<uint32_t>(GroupPart::VT_ONE_IN, one_in, 0);
+  }
+  explicit GroupPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GroupPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GroupPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GroupPart> CreateGroupPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    uint32_t one_in = 0) {
+  GroupPartBuilder builder_(_fbb);
+  builder_.add_one_in(one_in);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct GroupPart::Traits {
+  using type = GroupPart;
+  static auto constexpr Create = CreateGroupPart;
+};
+
+inline flatbuffers::Offset<GroupPart> CreateGroupPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *group = nullptr,
+    uint32_t one_in = 0) {
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  return frostline::rpc::CreateGroupPart(
+      _fbb,
+      group__,
+      one_in);
+}
+
+flatbuffers::Offset<GroupPart> CreateGroupPart(flatbuffers::FlatBufferBuilder &_fbb, const GroupPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TopicPositionT : public flatbuffers::NativeTable {
   typedef TopicPosition TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -8067,6 +8160,13 @@
   }
   frostline::rpc::RecordTopic topic = frostline::rpc::RecordTopic::CONFIGURATION;
   uint64_t after = 0;
+  bool selected = false;
+  std::vector<std::unique_ptr<frostline::rpc::GroupPartT>> parts{};
+  bool exact = false;
+  TopicPositionT() = default;
+  TopicPositionT(const TopicPositionT &o);
+  TopicPositionT(TopicPositionT&&) FLATBUFFERS_NOEXCEPT = default;
+  TopicPositionT &operator=(TopicPositionT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct TopicPosition FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -8078,7 +8178,10 @@
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPIC = 4,
-    VT_AFTER = 6
+    VT_AFTER = 6,
+    VT_SELECTED = 8,
+    VT_PARTS = 10,
+    VT_EXACT = 12
   };
   frostline::rpc::RecordTopic topic() const {
     return static_cast<frostline::rpc::RecordTopic>(GetField<int8_t>(VT_TOPIC, 0));
@@ -8087,10 +8190,26 @@
   uint64_t after() const {
     return GetField<uint64_t>(VT_AFTER, 0);
   }
+  /// Only records of `parts` are asked for; else all.
+  bool selected() const {
+    return GetField<uint8_t>(VT_SELECTED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *>(VT_PARTS);
+  }
+  /// The answering node leaves the parts as they are; else it fits them to the groups' sizes.
+  bool exact() const {
+    return GetField<uint8_t>(VT_EXACT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_TOPIC, 1) &&
            VerifyField<uint64_t>(verifier, VT_AFTER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_SELECTED, 1) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
+           VerifyField<uint8_t>(verifier, VT_EXACT, 1) &&
            verifier.EndTable();
   }
   TopicPositionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8108,6 +8227,15 @@
   void add_after(uint64_t after) {
     fbb_.AddElement<uint64_t>(TopicPosition::VT_AFTER, after, 0);
   }
+  void add_selected(bool selected) {
+    fbb_.AddElement<uint8_t>(TopicPosition::VT_SELECTED, static_cast<uint8_t>(selected), 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts) {
+    fbb_.AddOffset(TopicPosition::VT_PARTS, parts);
+  }
+  void add_exact(bool exact) {
+    fbb_.AddElement<uint8_t>(TopicPosition::VT_EXACT, static_cast<uint8_t>(exact), 0);
+  }
   explicit TopicPositionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8122,9 +8250,15 @@
 inline flatbuffers::Offset<TopicPosition> CreateTopicPosition(
     flatbuffers::FlatBufferBuilder &_fbb,
     frostline::rpc::RecordTopic topic = frostline::rpc::RecordTopic::CONFIGURATION,
-    uint64_t after = 0) {
+    uint64_t after = 0,
+    bool selected = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts = 0,
+    bool exact = false) {
   TopicPositionBuilder builder_(_fbb);
   builder_.add_after(after);
+  builder_.add_parts(parts);
+  builder_.add_exact(exact);
+  builder_.add_selected(selected);
   builder_.add_topic(topic);
   return builder_.Finish();
 }
@@ -8134,6 +8268,23 @@
   static auto constexpr Create = CreateTopicPosition;
 };
 
+inline flatbuffers::Offset<TopicPosition> CreateTopicPositionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    frostline::rpc::RecordTopic topic = frostline::rpc::RecordTopic::CONFIGURATION,
+    uint64_t after = 0,
+    bool selected = false,
+    const std::vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts = nullptr,
+    bool exact = false) {
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>>(*parts) : 0;
+  return frostline::rpc::CreateTopicPosition(
+      _fbb,
+      topic,
+      after,
+      selected,
+      parts__,
+      exact);
+}
+
 flatbuffers::Offset<TopicPosition> CreateTopicPosition(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PollCallT : public flatbuffers::NativeTable {
@@ -8329,6 +8480,8 @@
   uint64_t store_revision = 0;
   uint64_t confirmed_ms_ago = 0;
   std::vector<std::unique_ptr<frostline::rpc::RecordChangeT>> changes{};
+  bool selected = false;
+  std::vector<std::unique_ptr<frostline::rpc::GroupPartT>> parts{};
   TopicChangesT() = default;
   TopicChangesT(const TopicChangesT &o);
   TopicChangesT(TopicChangesT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8348,7 +8501,9 @@
     VT_WHOLE = 8,
     VT_STORE_REVISION = 10,
     VT_CONFIRMED_MS_AGO = 12,
-    VT_CHANGES = 14
+    VT_CHANGES = 14,
+    VT_SELECTED = 16,
+    VT_PARTS = 18
   };
   frostline::rpc::RecordTopic topic() const {
     return static_cast<frostline::rpc::RecordTopic>(GetField<int8_t>(VT_TOPIC, 0));
@@ -8372,6 +8527,13 @@
   const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *changes() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *>(VT_CHANGES);
   }
+  /// The changes are of these parts' records only; else of all.
+  bool selected() const {
+    return GetField<uint8_t>(VT_SELECTED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_TOPIC, 1) &&
@@ -8382,6 +8544,10 @@
            VerifyOffset(verifier, VT_CHANGES) &&
            verifier.VerifyVector(changes()) &&
            verifier.VerifyVectorOfTables(changes()) &&
+           VerifyField<uint8_t>(verifier, VT_SELECTED, 1) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
            verifier.EndTable();
   }
   TopicChangesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8411,6 +8577,12 @@
   void add_changes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>>> changes) {
     fbb_.AddOffset(TopicChanges::VT_CHANGES, changes);
   }
+  void add_selected(bool selected) {
+    fbb_.AddElement<uint8_t>(TopicChanges::VT_SELECTED, static_cast<uint8_t>(selected), 0);
+  }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts) {
+    fbb_.AddOffset(TopicChanges::VT_PARTS, parts);
+  }
   explicit TopicChangesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8429,11 +8601,15 @@
     bool whole = false,
     uint64_t store_revision = 0,
     uint64_t confirmed_ms_ago = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>>> changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::RecordChange>>> changes = 0,
+    bool selected = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts = 0) {
   TopicChangesBuilder builder_(_fbb);
   builder_.add_confirmed_ms_ago(confirmed_ms_ago);
   builder_.add_store_revision(store_revision);
+  builder_.add_parts(parts);
   builder_.add_changes(changes);
+  builder_.add_selected(selected);
   builder_.add_whole(whole);
   builder_.add_sure(sure);
   builder_.add_topic(topic);
@@ -8452,8 +8628,11 @@
     bool whole = false,
     uint64_t store_revision = 0,
     uint64_t confirmed_ms_ago = 0,
-    const std::vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *changes = nullptr) {
+    const std::vector<flatbuffers::Offset<frostline::rpc::RecordChange>> *changes = nullptr,
+    bool selected = false,
+    const std::vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts = nullptr) {
   auto changes__ = changes ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RecordChange>>(*changes) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>>(*parts) : 0;
   return frostline::rpc::CreateTopicChanges(
       _fbb,
       topic,
@@ -8461,7 +8640,9 @@
       whole,
       store_revision,
       confirmed_ms_ago,
-      changes__);
+      changes__,
+      selected,
+      parts__);
 }
 
 flatbuffers::Offset<TopicChanges> CreateTopicChanges(flatbuffers::FlatBufferBuilder &_fbb, const TopicChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12652,6 +12833,53 @@
       _address);
 }
 
+inline GroupPartT *GroupPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GroupPart::UnPackTo(GroupPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = one_in(); _o->one_in = _e; }
+}
+
+inline flatbuffers::Offset<GroupPart> GroupPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GroupPart> CreateGroupPart(flatbuffers::FlatBufferBuilder &_fbb, const GroupPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->group);
+  auto _one_in = _o->one_in;
+  return frostline::rpc::CreateGroupPart(
+      _fbb,
+      _group,
+      _one_in);
+}
+
+inline TopicPositionT::TopicPositionT(const TopicPositionT &o)
+      : topic(o.topic),
+        after(o.after),
+        selected(o.selected),
+        exact(o.exact) {
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new frostline::rpc::GroupPartT(*parts_) : nullptr); }
+}
+
+inline TopicPositionT &TopicPositionT::operator=(TopicPositionT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(topic, o.topic);
+  std::swap(after, o.after);
+  std::swap(selected, o.selected);
+  std::swap(parts, o.parts);
+  std::swap(exact, o.exact);
+  return *this;
+}
+
 inline TopicPositionT *TopicPosition::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TopicPositionT>();
   UnPackTo(_o.get(), _resolver);
@@ -12663,6 +12891,9 @@
   (void)_resolver;
   { auto _e = topic(); _o->topic = _e; }
   { auto _e = after(); _o->after = _e; }
+  { auto _e = selected(); _o->selected = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<frostline::rpc::GroupPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = exact(); _o->exact = _e; }
 }
 
 inline flatbuffers::Offset<TopicPosition> TopicPosition::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12675,10 +12906,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TopicPositionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _topic = _o->topic;
   auto _after = _o->after;
+  auto _selected = _o->selected;
+  auto _parts = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va );
+  auto _exact = _o->exact;
   return frostline::rpc::CreateTopicPosition(
       _fbb,
       _topic,
-      _after);
+      _after,
+      _selected,
+      _parts,
+      _exact);
 }
 
 inline PollCallT::PollCallT(const PollCallT &o)
@@ -12757,9 +12994,12 @@
         sure(o.sure),
         whole(o.whole),
         store_revision(o.store_revision),
-        confirmed_ms_ago(o.confirmed_ms_ago) {
+        confirmed_ms_ago(o.confirmed_ms_ago),
+        selected(o.selected) {
   changes.reserve(o.changes.size());
   for (const auto &changes_ : o.changes) { changes.emplace_back((changes_) ? new frostline::rpc::RecordChangeT(*changes_) : nullptr); }
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new frostline::rpc::GroupPartT(*parts_) : nullptr); }
 }
 
 inline TopicChangesT &TopicChangesT::operator=(TopicChangesT o) FLATBUFFERS_NOEXCEPT {
@@ -12769,6 +13009,8 @@
   std::swap(store_revision, o.store_revision);
   std::swap(confirmed_ms_ago, o.confirmed_ms_ago);
   std::swap(changes, o.changes);
+  std::swap(selected, o.selected);
+  std::swap(parts, o.parts);
   return *this;
 }
 
@@ -12787,6 +13029,8 @@
   { auto _e = store_revision(); _o->store_revision = _e; }
   { auto _e = confirmed_ms_ago(); _o->confirmed_ms_ago = _e; }
   { auto _e = changes(); if (_e) { _o->changes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changes[_i] = std::unique_ptr<frostline::rpc::RecordChangeT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = selected(); _o->selected = _e; }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<frostline::rpc::GroupPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<TopicChanges> TopicChanges::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TopicChangesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12803,6 +13047,8 @@
   auto _store_revision = _o->store_revision;
   auto _confirmed_ms_ago = _o->confirmed_ms_ago;
   auto _changes = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::RecordChange>> (_o->changes.size(), [](size_t i, _VectorArgs *__va) { return CreateRecordChange(*__va->__fbb, __va->__o->changes[i].get(), __va->__rehasher); }, &_va );
+  auto _selected = _o->selected;
+  auto _parts = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va );
   return frostline::rpc::CreateTopicChanges(
       _fbb,
       _topic,
@@ -12810,7 +13056,9 @@
       _whole,
       _store_revision,
       _confirmed_ms_ago,
-      _changes);
+      _changes,
+      _selected,
+      _parts);
 }
 
 inline PollReplyT::PollReplyT(const PollReplyT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -581,10 +581,21 @@
   /// IP:port at which other nodes reach it.
   address:string;
 }
+/// Records of one group, for example one service's servers.
+table GroupPart {
+  group:string;
+  /// One record in that many; 1: all. 0: the answering node chooses.
+  one_in:uint32;
+}
 table TopicPosition {
   topic:RecordTopic;
   /// Store revision up to which the asking node knows the topic; 0: it knows nothing.
   after:uint64;
+  /// Only records of `parts` are asked for; else all.
+  selected:bool;
+  parts:[GroupPart];
+  /// The answering node leaves the parts as they are; else it fits them to the groups' sizes.
+  exact:bool;
 }
 /// Asks a node for the changes that it knows beyond these positions.
 table PollCall {
@@ -613,6 +624,9 @@
   /// How long ago the store confirmed that nothing is missing, as far as is known.
   confirmed_ms_ago:uint64;
   changes:[RecordChange];
+  /// The changes are of these parts' records only; else of all.
+  selected:bool;
+  parts:[GroupPart];
 }
 table PollReply {
   topics:[TopicChanges];
--- a/tests/unit/directory/server_directory_test.cc
+++ b/tests/unit/directory/server_directory_test.cc
@@ -6,6 +6,14 @@
 
 using namespace frostline::directory;
 
+namespace {
+
+bool alike(server const& left, server const& right) {
+  return digest_for_callers(left) == digest_for_callers(right);
+}
+
+}  // namespace
+
 TEST_GROUP(server_directory_test) {
   server one;
 
@@ -20,19 +28,19 @@
   server loaded = one;
   loaded.models["m"] = 4;
   loaded.sequence = 9;
-  CHECK(serve_alike(one, loaded));
+  CHECK(alike(one, loaded));
 }
 
 TEST(server_directory_test, everything_else_does) {
   server draining = one;
   draining.state = server_state::draining;
-  CHECK_FALSE(serve_alike(one, draining));
+  CHECK_FALSE(alike(one, draining));
   server moved = one;
   moved.address.port = 7;
-  CHECK_FALSE(serve_alike(one, moved));
+  CHECK_FALSE(alike(one, moved));
   server plain = one;
   plain.models.clear();
-  CHECK_FALSE(serve_alike(one, plain));
+  CHECK_FALSE(alike(one, plain));
 }
 
 TEST(server_directory_test, later_life_replaces_the_one_before_and_never_the_other_way) {
@@ -60,7 +68,7 @@
 TEST(server_directory_test, another_life_is_not_alike) {
   server next = one;
   next.born = 1;
-  CHECK_FALSE(serve_alike(one, next));
+  CHECK_FALSE(alike(one, next));
 }
 
 TEST(server_directory_test, life_is_replaced_by_a_later_one_under_its_identifier) {
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -7,6 +7,9 @@
 #include <optional>
 #include <set>
 
+#include "base/encoding.h"
+#include "relay/part_codec.h"
+
 using namespace frostline;
 using namespace frostline::relay;
 
@@ -145,3 +148,104 @@
   CHECK(told(topic::OWNERS).confirmed_ms_ago < 60'000);
   CHECK(told(topic::SERVERS).confirmed_ms_ago > 1'000'000);
 }
+
+TEST_GROUP(poll_service_selection_test) {
+  asio::io_context context{1};
+  /// A server's value is its service.
+  topic_views views{[](kv::key_value const& record) {
+    return record_traits{record.value, hash_bytes(record.key), hash_bytes(record.value)};
+  }};
+  poll_service service{context, views, [](topic) { return true; }};
+
+  void load(std::size_t servers) {
+    kv::range_answer all;
+    all.store_revision = 5;
+    for (std::size_t one = 0; one < servers; ++one) {
+      kv::key_value record;
+      record.key = "servers/" + std::to_string(one);
+      record.value = one % 4 == 0 ? "calls" : "engines";
+      record.mod_revision = 1;
+      all.entries.push_back(std::move(record));
+    }
+    views.take_snapshot(topic::SERVERS, all);
+  }
+
+  rpc::PollReplyT ask(std::string const& node, kv::revision after, std::string const& group,
+                      std::uint32_t one_in, bool exact = false) {
+    rpc::PollCallT call;
+    call.node = node;
+    call.positions.push_back(std::make_unique<rpc::TopicPositionT>());
+    rpc::TopicPositionT& position = *call.positions.back();
+    position.topic = topic::SERVERS;
+    position.after = after;
+    position.selected = true;
+    position.exact = exact;
+    position.parts = write_parts({{group, one_in}});
+    std::optional<rpc::PollReplyT> reply;
+    auto const asking = [](poll_service& from, rpc::PollCallT what,
+                           std::optional<rpc::PollReplyT>& into) -> awaitable<void> {
+      into = co_await from.answer(std::move(what));
+    };
+    spawn(context, asking(service, std::move(call), reply));
+    context.restart();
+    context.poll();
+    CHECK(reply.has_value());
+    return std::move(*reply);
+  }
+};
+
+TEST(poll_service_selection_test, answer_to_a_node_that_starts_does_not_grow_with_the_servers) {
+  load(2800);
+  auto const smaller = ask("node-1", 0, "calls", k_unknown_part);
+  load(40'000);
+  auto const larger = ask("node-1", 0, "calls", k_unknown_part);
+  std::size_t const before = smaller.topics.front()->changes.size();
+  std::size_t const after = larger.topics.front()->changes.size();
+  CHECK(before >= 90 && before <= 330);
+  CHECK(after >= 90 && after <= 330);
+  CHECK(larger.topics.front()->parts.front()->one_in > smaller.topics.front()->parts.front()->one_in);
+}
+
+TEST(poll_service_selection_test, relay_gets_the_whole_group_that_it_asks_for) {
+  load(2800);
+  auto const reply = ask("relay", 0, "calls", k_whole_group, true);
+  LONGS_EQUAL(700, reply.topics.front()->changes.size());
+  LONGS_EQUAL(k_whole_group, reply.topics.front()->parts.front()->one_in);
+}
+
+TEST(poll_service_selection_test, part_that_still_suits_is_asked_for_changes_only) {
+  load(2800);
+  auto const first = ask("node-1", 0, "calls", k_unknown_part);
+  std::uint32_t const part = first.topics.front()->parts.front()->one_in;
+  auto const second = ask("node-1", 5, "calls", part);
+  CHECK_FALSE(second.topics.front()->whole);
+  LONGS_EQUAL(0, second.topics.front()->changes.size());
+  CHECK(second.topics.front()->sure);
+}
+
+TEST(poll_service_selection_test, node_that_holds_a_part_is_not_sure_of_another_one) {
+  load(2800);
+  record_selection const calls("relay", {{"calls", k_whole_group}});
+  views.narrow(topic::SERVERS, calls);
+  auto const reply = ask("node-1", 0, "engines", k_unknown_part);
+  CHECK_FALSE(reply.topics.front()->sure);
+  LONGS_EQUAL(0, reply.topics.front()->store_revision);
+  LONGS_EQUAL(0, reply.topics.front()->changes.size());
+}
+
+TEST(poll_service_selection_test, node_that_asks_for_all_is_not_served_by_one_that_holds_a_part) {
+  load(400);
+  views.narrow(topic::SERVERS, record_selection("relay", {{"calls", k_whole_group}}));
+  rpc::PollCallT call;
+  call.positions.push_back(std::make_unique<rpc::TopicPositionT>());
+  call.positions.back()->topic = topic::SERVERS;
+  std::optional<rpc::PollReplyT> reply;
+  auto const asking = [](poll_service& from, rpc::PollCallT what,
+                         std::optional<rpc::PollReplyT>& into) -> awaitable<void> {
+    into = co_await from.answer(std::move(what));
+  };
+  spawn(context, asking(service, std::move(call), reply));
+  context.poll();
+  CHECK(reply.has_value());
+  CHECK_FALSE(reply->topics.front()->sure);
+}
--- a/tests/unit/relay/record_view_test.cc
+++ b/tests/unit/relay/record_view_test.cc
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include "base/encoding.h"
+
 using namespace frostline;
 using namespace frostline::relay;
 
@@ -127,8 +129,8 @@
 }
 
 TEST(record_view_test, change_that_others_can_treat_alike_is_taken_and_not_passed_on) {
-  record_view servers([](kv::key_value const& known, kv::key_value const& fresh) {
-    return known.value.front() == fresh.value.front();
+  record_view servers([](kv::key_value const& record) {
+    return record_traits{"", 0, static_cast<std::uint64_t>(record.value.front())};
   });
   servers.take_snapshot(snapshot(10, {change("a", 9, "ready 1")}));
   CHECK(servers.take_event(change("a", 11, "ready 2")));
@@ -140,3 +142,111 @@
   servers.advance(12);
   CHECK(servers.has_news(11));
 }
+
+TEST_GROUP(record_view_selection_test) {
+  /// A record's value is its group and its place: "service 17".
+  record_view view{[](kv::key_value const& record) -> std::optional<record_traits> {
+    auto const space = record.value.find(' ');
+    if (space == std::string::npos) return std::nullopt;
+    std::uint64_t const place = std::stoull(record.value.substr(space + 1));
+    return record_traits{record.value.substr(0, space), place, hash_bytes(record.value)};
+  }};
+
+  /// As many servers of each of two services.
+  void load(std::size_t each) {
+    std::vector<kv::watch_event> all;
+    for (std::size_t place = 0; place < each; ++place) {
+      std::string const number = std::to_string(place);
+      all.push_back(change("call-" + number, 5, "calls " + number));
+      all.push_back(change("engine-" + number, 5, "engines " + number));
+    }
+    view.take_snapshot(snapshot(10, all));
+  }
+
+  record_selection part(std::string const& node, std::uint32_t one_in) {
+    return record_selection(node, {{"calls", one_in}});
+  }
+};
+
+TEST(record_view_selection_test, node_gets_about_its_part_of_one_group_and_nothing_of_the_others) {
+  load(2048);
+  auto const delta = view.since(0, part("node-1", 16));
+  CHECK(delta.whole);
+  CHECK(delta.changes.size() > 90 && delta.changes.size() < 170);
+  for (auto const& one : delta.changes) CHECK(one.entry.value.starts_with("calls"));
+}
+
+TEST(record_view_selection_test, parts_differ_from_node_to_node_and_cover_the_group) {
+  load(2048);
+  std::map<std::string, int> holders;
+  for (int node = 0; node < 200; ++node) {
+    auto const delta = view.since(0, part("node-" + std::to_string(node), 16));
+    for (auto const& one : delta.changes) ++holders[one.entry.key];
+  }
+  LONGS_EQUAL(2048, holders.size());
+}
+
+TEST(record_view_selection_test, change_outside_of_a_part_is_no_news) {
+  load(512);
+  record_selection const wanted = part("node-1", 4);
+  auto const held = view.since(0, wanted);
+  CHECK(view.take_event(change("engine-7", 11, "engines 9999")));
+  view.advance(11);
+  CHECK_FALSE(view.has_news(10, wanted));
+  LONGS_EQUAL(0, view.since(10, wanted).changes.size());
+  CHECK(view.take_event(removal(held.changes.front().entry.key, 12)));
+  view.advance(12);
+  CHECK(view.has_news(10, wanted));
+  LONGS_EQUAL(1, view.since(10, wanted).changes.size());
+}
+
+TEST(record_view_selection_test, record_that_leaves_a_part_is_told_as_gone) {
+  load(8);
+  record_selection const wanted = part("node-1", k_whole_group);
+  CHECK(view.take_event(change("call-3", 11, "engines 3")));
+  view.advance(11);
+  auto const delta = view.since(10, wanted);
+  LONGS_EQUAL(1, delta.changes.size());
+  CHECK(delta.changes.front().deleted);
+}
+
+TEST(record_view_selection_test, record_that_can_not_be_read_concerns_everybody) {
+  load(8);
+  CHECK(view.take_event(change("engine-3", 11, "unreadable")));
+  view.advance(11);
+  LONGS_EQUAL(1, view.since(10, part("node-1", 4)).changes.size());
+}
+
+TEST(record_view_selection_test, another_part_replaces_the_one_before_even_if_it_is_older) {
+  load(8);
+  view.advance(20);
+  record_selection const calls = part("node-1", k_whole_group);
+  LONGS_EQUAL(8, view.drop_except(calls).size());
+  auto const news = view.take_snapshot(snapshot(15, {change("call-1", 12, "calls 1")}), calls);
+  LONGS_EQUAL(8, news.size());
+  LONGS_EQUAL(15, view.at());
+  LONGS_EQUAL(1, view.group_size("calls"));
+  LONGS_EQUAL(0, view.group_size("engines"));
+  CHECK(view.held() == calls);
+}
+
+TEST(record_view_selection_test, narrowing_drops_the_other_groups_and_goes_on) {
+  load(8);
+  LONGS_EQUAL(8, view.narrow(part("node-1", k_whole_group)).size());
+  LONGS_EQUAL(10, view.at());
+  LONGS_EQUAL(8, view.records().size());
+  // What is not held any more can't be narrowed to.
+  LONGS_EQUAL(0, view.narrow(record_selection("node-1", {{"engines", k_whole_group}})).size());
+  LONGS_EQUAL(8, view.records().size());
+}
+
+TEST(record_view_selection_test, has_news_looks_at_the_changes_after_a_position_only) {
+  // A burst of engines that restart is no work for those who wait for another service's servers.
+  load(8);
+  for (kv::revision revision = 11; revision < 400; ++revision) {
+    view.take_event(change("engine-1", revision, "engines " + std::to_string(revision)));
+  }
+  view.advance(400);
+  CHECK_FALSE(view.has_news(400));
+  CHECK_FALSE(view.has_news(10, part("node-1", k_whole_group)));
+}
