A relay that is not sure of its servers alone still serves its zone

Change: a node bears a doubt of the servers alone for 3 s, in which relays find another source by themselves, and waits at the relay for changes meanwhile. Doubts of the configuration, the owners or the relays are acted on as before.

Ruled out: leaving the servers out of what a node asks (it would miss changes that the relay does know).

--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -48,6 +48,7 @@
   position->selected = !wanted.is_everything();
   position->parts = write_parts(wanted.parts());
   position->exact = request.exact_parts;
+  position->patient = one == topic::SERVERS && request.patient_for_servers;
   return position;
 }
 
@@ -97,11 +98,17 @@
   auto reply = co_await rpc::call<rpc::PollCallT, rpc::PollReplyT>(
       transport, std::move(peer), "RelayService", "Poll", call,
       request.wait + request.answer_margin);
-  if (!reply) co_return poll_result{poll_outcome::failed, reply.error().detail};
+  if (!reply) {
+    poll_result failed;
+    failed.cause = reply.error().detail;
+    co_return failed;
+  }
   std::string doubts = take_reply(reply.value(), request.node, asked, request.wait, views);
   bool const whole = reply.value().topics.size() == request.topics.size();
-  poll_result result{poll_outcome::not_sure, "not sure of " + doubts};
-  if (whole && doubts.empty()) result = poll_result{poll_outcome::sure, ""};
+  poll_result result;
+  result.outcome = whole && doubts.empty() ? poll_outcome::sure : poll_outcome::not_sure;
+  result.doubts_servers_only = whole && doubts == rpc::EnumNameRecordTopic(topic::SERVERS);
+  if (result.outcome == poll_outcome::not_sure) result.cause = "not sure of " + doubts;
   for (auto const& told : reply.value().topics) {
     if (index_of(told->topic) >= k_topics.size()) continue;
     result.newest_changes[index_of(told->topic)] = newest_of(*told);
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -18,6 +18,8 @@
 
 struct poll_result {
   poll_outcome outcome = poll_outcome::failed;
+  /// Not sure of the servers, and of all else it is.
+  bool doubts_servers_only = false;
   /// Why it failed, or why the other node was not sure.
   std::string cause;
   /// Revision of the newest change that it told, by topic; 0: none.
@@ -40,6 +42,8 @@
   record_selection servers;
   /// The parts of `servers` stay as they are; else the other node fits them to the groups' sizes.
   bool exact_parts = false;
+  /// Wait for changes also at a node that is not sure of its servers.
+  bool patient_for_servers = false;
   /// How long the other node may wait for a change.
   milliseconds wait{0};
   /// Beyond that, a node that does not answer counts as failed.
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -51,13 +51,15 @@
     one.wanted = record_selection(node, std::move(fitted));
   }
   one.covered = view.held().covers(one.wanted);
+  one.patient = position.patient;
   return one;
 }
 
 bool poll_service::can_wait(question const& one) const {
   record_view const& view = views_.view(one.about);
   if (!view.is_loaded() && one.after == 0) return true;
-  return is_sure_(one.about) && one.covered && !view.has_news(one.after, one.wanted);
+  if (!one.covered) return one.patient;
+  return (one.patient || is_sure_(one.about)) && !view.has_news(one.after, one.wanted);
 }
 
 bool poll_service::can_wait(rpc::PollCallT const& call) const {
--- a/src/relay/poll_service.h
+++ b/src/relay/poll_service.h
@@ -49,6 +49,8 @@
     kv::revision after = 0;
     /// Whether this node holds all that is wanted.
     bool covered = false;
+    /// The asking node knows already that this one is not sure.
+    bool patient = false;
   };
 
   question read_question(rpc::TopicPositionT const& position, std::string const& node) const;
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -32,6 +32,9 @@
 /// again half a second after its return. A node for which the store answers twice, that far apart,
 /// turns to it.
 constexpr milliseconds k_doubt_patience{500};
+/// Relays of which none is sure of the servers, and of all else they are, are trusted to find
+/// another source for that long: an owner that does not answer (0.95 s) and a list of the store.
+constexpr milliseconds k_servers_patience{3000};
 constexpr milliseconds k_store_check_timeout{300};
 constexpr milliseconds k_store_check_pause{900};
 constexpr milliseconds k_outage_check_pause{2000};
@@ -304,6 +307,7 @@
   if (source_.follows(topic::SERVERS) || !selected) std::erase(request.topics, topic::SERVERS);
   if (selected) request.servers = std::move(*selected);
   request.exact_parts = role_ == feed_role::relay;
+  request.patient_for_servers = servers_doubted_since_.has_value();
   return request;
 }
 
@@ -327,18 +331,13 @@
   answered_once_ = answered_once_ || result.outcome != poll_outcome::failed;
   if (result.outcome != poll_outcome::failed && is_relay) relay_answered_at_ = now;
   if (result.outcome == poll_outcome::sure) {
-    picker_.note_success(peer);
-    served_at_ = now;
-    store_answers_since_.reset();
+    servers_doubted_since_.reset();
     sure_once_ = true;
-    if (serving_peer_ != peer) {
-      log_line(log_level::info, k_part, "Relay serves this node.",
-               {{"relay", peer.to_string()}, {"is_relay", is_relay}});
-    }
-    serving_peer_ = peer;
-    if (role_ == feed_role::direct && is_relay) {
-      change_role(feed_role::standby, "a relay answers");
-    }
+    note_service(peer, is_relay);
+    return;
+  }
+  if (bears_doubt(result, now)) {
+    note_service(peer, is_relay);
     return;
   }
   if (result.outcome == poll_outcome::failed) {
@@ -355,6 +354,28 @@
   }
 }
 
+bool record_feed::bears_doubt(poll_result const& result, time_point now) {
+  if (!result.doubts_servers_only) return false;
+  if (!servers_doubted_since_) servers_doubted_since_ = now;
+  return now < *servers_doubted_since_ + k_servers_patience;
+}
+
+void record_feed::note_service(endpoint const& peer, bool is_relay) {
+  picker_.note_success(peer);
+  served_at_ = boot_clock::now();
+  store_answers_since_.reset();
+  if (serving_peer_ != peer) {
+    log_line(log_level::info, k_part, "Relay serves this node.",
+             {{"relay", peer.to_string()},
+              {"is_relay", is_relay},
+              {"sure_of_servers", servers_doubted_since_ ? "no" : "yes"}});
+  }
+  serving_peer_ = peer;
+  if (role_ == feed_role::direct && is_relay) {
+    change_role(feed_role::standby, "a relay answers");
+  }
+}
+
 awaitable<void> record_feed::servers_loop() {
   time_point avoided_until = time_point::min();
   while (true) {
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -130,6 +130,11 @@
   /// Asks a node that asked this one and knows more.
   awaitable<void> ask_back(endpoint peer);
   void note_result(endpoint const& peer, poll_result const& result);
+  /// A node that was sure, of all but its servers perhaps, answered.
+  void note_service(endpoint const& peer, bool is_relay);
+  /// Whether to put up with an answer that is not sure of the servers: a relay finds another source
+  /// for them by itself, and what it would cost if all nodes did the same grows with the fleet.
+  bool bears_doubt(poll_result const& result, time_point now);
   /// Keeps the servers' records current on a node that follows the store: through the owner of a
   /// pool, or the store itself.
   awaitable<void> servers_loop();
@@ -185,6 +190,8 @@
   time_point next_store_check_ = time_point::min();
   time_point asked_back_at_ = time_point::min();
   bool sure_once_ = false;
+  /// Since when those who serve this node are not sure of the servers.
+  std::optional<time_point> servers_doubted_since_;
 };
 
 }  // namespace frostline::relay
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -8163,6 +8163,7 @@
   bool selected = false;
   std::vector<std::unique_ptr<frostline::rpc::GroupPartT>> parts{};
   bool exact = false;
+  bool patient = false;
   TopicPositionT() = default;
   TopicPositionT(const TopicPositionT &o);
   TopicPositionT(TopicPositionT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8181,7 +8182,8 @@
     VT_AFTER = 6,
     VT_SELECTED = 8,
     VT_PARTS = 10,
-    VT_EXACT = 12
+    VT_EXACT = 12,
+    VT_PATIENT = 14
   };
   frostline::rpc::RecordTopic topic() const {
     return static_cast<frostline::rpc::RecordTopic>(GetField<int8_t>(VT_TOPIC, 0));
@@ -8201,6 +8203,10 @@
   bool exact() const {
     return GetField<uint8_t>(VT_EXACT, 0) != 0;
   }
+  /// Wait for a change also if the answering node is not sure of the topic.
+  bool patient() const {
+    return GetField<uint8_t>(VT_PATIENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_TOPIC, 1) &&
@@ -8210,6 +8216,7 @@
            verifier.VerifyVector(parts()) &&
            verifier.VerifyVectorOfTables(parts()) &&
            VerifyField<uint8_t>(verifier, VT_EXACT, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PATIENT, 1) &&
            verifier.EndTable();
   }
   TopicPositionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8236,6 +8243,9 @@
   void add_exact(bool exact) {
     fbb_.AddElement<uint8_t>(TopicPosition::VT_EXACT, static_cast<uint8_t>(exact), 0);
   }
+  void add_patient(bool patient) {
+    fbb_.AddElement<uint8_t>(TopicPosition::VT_PATIENT, static_cast<uint8_t>(patient), 0);
+  }
   explicit TopicPositionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8253,10 +8263,12 @@
     uint64_t after = 0,
     bool selected = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts = 0,
-    bool exact = false) {
+    bool exact = false,
+    bool patient = false) {
   TopicPositionBuilder builder_(_fbb);
   builder_.add_after(after);
   builder_.add_parts(parts);
+  builder_.add_patient(patient);
   builder_.add_exact(exact);
   builder_.add_selected(selected);
   builder_.add_topic(topic);
@@ -8274,7 +8286,8 @@
     uint64_t after = 0,
     bool selected = false,
     const std::vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts = nullptr,
-    bool exact = false) {
+    bool exact = false,
+    bool patient = false) {
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>>(*parts) : 0;
   return frostline::rpc::CreateTopicPosition(
       _fbb,
@@ -8282,7 +8295,8 @@
       after,
       selected,
       parts__,
-      exact);
+      exact,
+      patient);
 }
 
 flatbuffers::Offset<TopicPosition> CreateTopicPosition(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12866,7 +12880,8 @@
       : topic(o.topic),
         after(o.after),
         selected(o.selected),
-        exact(o.exact) {
+        exact(o.exact),
+        patient(o.patient) {
   parts.reserve(o.parts.size());
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new frostline::rpc::GroupPartT(*parts_) : nullptr); }
 }
@@ -12877,6 +12892,7 @@
   std::swap(selected, o.selected);
   std::swap(parts, o.parts);
   std::swap(exact, o.exact);
+  std::swap(patient, o.patient);
   return *this;
 }
 
@@ -12894,6 +12910,7 @@
   { auto _e = selected(); _o->selected = _e; }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<frostline::rpc::GroupPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = exact(); _o->exact = _e; }
+  { auto _e = patient(); _o->patient = _e; }
 }
 
 inline flatbuffers::Offset<TopicPosition> TopicPosition::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12909,13 +12926,15 @@
   auto _selected = _o->selected;
   auto _parts = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va );
   auto _exact = _o->exact;
+  auto _patient = _o->patient;
   return frostline::rpc::CreateTopicPosition(
       _fbb,
       _topic,
       _after,
       _selected,
       _parts,
-      _exact);
+      _exact,
+      _patient);
 }
 
 inline PollCallT::PollCallT(const PollCallT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -596,6 +596,8 @@
   parts:[GroupPart];
   /// The answering node leaves the parts as they are; else it fits them to the groups' sizes.
   exact:bool;
+  /// Wait for a change also if the answering node is not sure of the topic.
+  patient:bool;
 }
 /// Asks a node for the changes that it knows beyond these positions.
 table PollCall {
