What a relay reads of servers at the store costs its zone the changes only

Change: a node that is no owner holds the same part of the servers whatever its source; what the store tells beyond it is passed over. Nodes that follow the store since no relay answers ask the owner or the store for servers only after 3 to 6 s if they hold parts, and keep to the servers that they know. An answer of parts that comes after a node has become owner does not replace what the owner follows.

Weighed: relays that wait for the next owner instead of reading the store (they would not be sure of the servers for the 3 to 4 s that an owner's loss takes; small deployments allow 2 s).

--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -59,16 +59,17 @@
 }
 
 /// Takes a reply over. @return what the other node was not sure of, as text; empty: nothing.
-std::string take_reply(rpc::PollReplyT const& reply, std::string const& node, time_point asked,
-                       milliseconds longest_wait, topic_views& views) {
-  milliseconds const waited = std::min(milliseconds(reply.waited_ms), longest_wait);
+std::string take_reply(rpc::PollReplyT const& reply, poll_request const& request,
+                       time_point asked, topic_views& views) {
+  milliseconds const waited = std::min(milliseconds(reply.waited_ms), request.wait);
   // Before the changes, since it says what a change means.
   auto const back = std::min(milliseconds(reply.store_back_ms_ago), k_longest_age);
   if (back < k_longest_age) views.note_store_back(asked + waited - back);
   std::string doubts;
   for (auto const& told : reply.topics) {
     if (index_of(told->topic) >= k_topics.size()) continue;
-    take_changes(*told, node, views);
+    bool const wanted = told->topic != topic::SERVERS || request.takes_servers();
+    if (wanted) take_changes(*told, request.node, views);
     // The time on the way there is not known; the answer is at least as new as this.
     auto const age = std::min(milliseconds(told->confirmed_ms_ago), k_longest_age);
     views.confirm(told->topic, asked + waited - age);
@@ -103,7 +104,7 @@
     failed.cause = reply.error().detail;
     co_return failed;
   }
-  std::string doubts = take_reply(reply.value(), request.node, asked, request.wait, views);
+  std::string doubts = take_reply(reply.value(), request, asked, views);
   bool const whole = reply.value().topics.size() == request.topics.size();
   poll_result result;
   result.outcome = whole && doubts.empty() ? poll_outcome::sure : poll_outcome::not_sure;
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
   record_selection servers;
   /// The parts of `servers` stay as they are; else the other node fits them to the groups' sizes.
   bool exact_parts = false;
+  /// Asked when the answer is there: whether servers' records are still wanted from others. The
+  /// records that this node follows at the store by then are more.
+  std::function<bool()> takes_servers;
   /// Wait for changes also at a node that is not sure of its servers.
   bool patient_for_servers = false;
   /// How long the other node may wait for a change.
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -35,6 +35,8 @@
 /// Relays of which none is sure of the servers, and of all else they are, are trusted to find
 /// another source for that long: an owner that does not answer (0.95 s) and a list of the store.
 constexpr milliseconds k_servers_patience{3000};
+/// Nodes whose relay was lost read servers' records themselves this far apart.
+constexpr milliseconds k_servers_spread{3000};
 constexpr milliseconds k_store_check_timeout{300};
 constexpr milliseconds k_store_check_pause{900};
 constexpr milliseconds k_outage_check_pause{2000};
@@ -87,7 +89,9 @@
       picker_(picker_options{options_.node, options_.zone, options_.self, options_.seeds}),
       claims_(make_claim_options(), hash_bytes(make_unique_token())),
       role_changed_(context),
-      patience_(k_store_patience + with_jitter(k_store_spread)) {
+      patience_(k_store_patience + with_jitter(k_store_spread)),
+      servers_spread_(static_cast<std::int64_t>(hash_bytes(options_.node) %
+                                                static_cast<std::uint64_t>(k_servers_spread.count()))) {
   source_.set_pause(topic::CONFIGURATION, k_configuration_pause);
   source_.set_pause(topic::SERVERS, k_servers_pause);
   views_.on_change([this] { service_.notify(); });
@@ -116,7 +120,7 @@
   source_callbacks callbacks;
   callbacks.snapshot = [this](topic one, kv::range_answer const& all) {
     note_store_answer();
-    views_.take_snapshot(one, all);
+    views_.take_snapshot(one, all, select_from_store(one, all));
   };
   callbacks.event = [this](topic one, kv::watch_event const& event) {
     note_store_answer();
@@ -293,6 +297,20 @@
   return record_selection(options_.node, std::move(parts));
 }
 
+record_selection record_feed::select_from_store(topic one, kv::range_answer const& all) const {
+  auto const selected = select_servers();
+  if (one != topic::SERVERS || owner_ || !selected || selected->is_everything()) return {};
+  if (role_ == feed_role::relay) return *selected;
+  std::map<std::string, std::size_t> sizes;
+  for (kv::key_value const& entry : all.entries) {
+    auto const traits = options_.servers_traits(entry);
+    if (traits) ++sizes[traits->group];
+  }
+  group_parts parts = selected->parts();
+  for (auto& [group, part] : parts) part = suitable_part(part, sizes[group]);
+  return record_selection(options_.node, std::move(parts));
+}
+
 poll_request record_feed::make_request() const {
   poll_request request;
   request.node = options_.node;
@@ -306,6 +324,7 @@
   // Who follows all servers at the store would learn of some only, or not of what they load.
   if (source_.follows(topic::SERVERS) || !selected) std::erase(request.topics, topic::SERVERS);
   if (selected) request.servers = std::move(*selected);
+  request.takes_servers = [this] { return !source_.follows(topic::SERVERS); };
   request.exact_parts = role_ == feed_role::relay;
   request.patient_for_servers = servers_doubted_since_.has_value();
   return request;
@@ -389,6 +408,10 @@
       co_await role_changed_.wait();
       continue;
     }
+    if (now < servers_needed_from()) {
+      co_await role_changed_.wait_until(servers_needed_from());
+      continue;
+    }
     if (owner && now >= avoided_until) {
       if (co_await ask_owner(*owner)) continue;
       avoided_until = boot_clock::now() + k_owner_avoid_time;
@@ -399,9 +422,18 @@
   }
 }
 
+time_point record_feed::servers_needed_from() const {
+  group_parts const& held = views_.view(topic::SERVERS).held().parts();
+  bool const large = std::any_of(held.begin(), held.end(),
+                                 [](auto const& one) { return one.second > k_whole_group; });
+  if (role_ != feed_role::direct || !large) return time_point::min();
+  return std::max(served_at_, started_at_) + k_servers_patience + servers_spread_;
+}
+
 awaitable<bool> record_feed::ask_owner(endpoint owner) {
   poll_request request = make_request();
   request.topics = {topic::SERVERS};
+  request.takes_servers = [this] { return !owner_; };
   request.wait = k_wait;
   request.answer_margin = k_margin;
   ++figures_.polls_sent;
@@ -409,7 +441,7 @@
   bool const sure = result.outcome == poll_outcome::sure;
   if (sure) {
     owner_told_at_ = boot_clock::now();
-    // An owner's own records hold more than it passes on.
+    // An owner holds more than it passes on.
     if (!owner_) source_.follow(topic::SERVERS, false);
     auto const selected = select_servers();
     if (!owner_ && role_ == feed_role::relay && selected) {
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -124,6 +124,12 @@
   /// Servers' records that this node should hold: a relay whole groups, others parts of them.
   /// Nothing while the groups are not known.
   std::optional<record_selection> select_servers() const;
+  /// What this node should hold of what the store lists.
+  record_selection select_from_store(topic one, kv::range_answer const& all) const;
+  /// When a node that follows the store turns to the owner, or the store, for servers as well. All
+  /// of a zone's nodes may have lost their relay at once: where there are more servers than a node
+  /// holds, they keep to what they know until another one has had the time to follow.
+  time_point servers_needed_from() const;
   /// For all topics that other nodes can tell of.
   poll_request make_request() const;
   awaitable<poll_result> ask(endpoint const& peer);
@@ -180,6 +186,8 @@
   time_point relay_answered_at_ = time_point::min();
   /// How long this node waits for a relay before it turns to the store; each node another time.
   milliseconds patience_{0};
+  /// How much longer it waits before it reads servers' records itself.
+  milliseconds servers_spread_{0};
   std::uint32_t fruitless_polls_ = 0;
   /// Whether any node has ever answered.
   bool answered_once_ = false;
--- a/src/relay/record_selection.cc
+++ b/src/relay/record_selection.cc
@@ -28,11 +28,11 @@
   if (!whole) node_ = hash_bytes(node);
 }
 
-bool record_selection::includes(std::optional<record_traits> const& traits) const {
-  if (everything_ || !traits) return true;
-  auto const part = parts_.find(traits->group);
+bool record_selection::includes(record_traits const& traits) const {
+  if (everything_) return true;
+  auto const part = parts_.find(traits.group);
   if (part == parts_.end() || part->second == k_unknown_part) return false;
-  return part->second == k_whole_group || mix(traits->place, node_) % part->second == 0;
+  return part->second == k_whole_group || mix(traits.place, node_) % part->second == 0;
 }
 
 bool record_selection::covers(record_selection const& wanted) const {
--- a/src/relay/record_selection.h
+++ b/src/relay/record_selection.h
@@ -42,7 +42,10 @@
 
   bool is_everything() const { return everything_; }
   group_parts const& parts() const { return parts_; }
-  bool includes(std::optional<record_traits> const& traits) const;
+  bool includes(record_traits const& traits) const;
+  bool includes(std::optional<record_traits> const& traits) const {
+    return !traits || includes(*traits);
+  }
   /// Whether all that `wanted` includes is included here.
   bool covers(record_selection const& wanted) const;
   bool operator==(record_selection const&) const = default;
--- a/src/relay/record_view.cc
+++ b/src/relay/record_view.cc
@@ -4,17 +4,28 @@
 #include <set>
 
 namespace frostline::relay {
+namespace {
+
+kv::watch_event write_removal(kv::watch_event const& change) {
+  kv::watch_event gone = change;
+  gone.deleted = true;
+  gone.entry.value.clear();
+  return gone;
+}
+
+}  // namespace
 
 std::vector<kv::watch_event> record_view::take_snapshot(kv::range_answer const& all,
                                                         record_selection const& held) {
   std::vector<kv::watch_event> news;
   bool const reselected = !is_loaded() || !(held == held_);
   if (!reselected && all.store_revision < at_) return news;
+  held_ = held;
   std::set<std::string> listed;
   for (kv::key_value const& entry : all.entries) {
     listed.insert(entry.key);
-    kv::watch_event event{false, entry};
-    if (apply(event)) news.push_back(std::move(event));
+    auto change = apply({false, entry});
+    if (change) news.push_back(std::move(*change));
   }
   std::vector<std::string> missing;
   for (auto const& [key, known] : records_) {
@@ -25,11 +36,11 @@
     gone.deleted = true;
     gone.entry.key = key;
     gone.entry.mod_revision = all.store_revision;
-    if (apply(gone)) news.push_back(std::move(gone));
+    auto change = apply(gone);
+    if (change) news.push_back(std::move(*change));
   }
   at_ = all.store_revision;
   if (reselected) {
-    held_ = held;
     changes_.clear();
     complete_after_ = at_;
   }
@@ -55,8 +66,8 @@
   return dropped;
 }
 
-bool record_view::take_event(kv::watch_event const& event) {
-  if (event.entry.mod_revision <= at_) return false;
+std::optional<kv::watch_event> record_view::take_event(kv::watch_event const& event) {
+  if (event.entry.mod_revision <= at_) return std::nullopt;
   return apply(event);
 }
 
@@ -64,30 +75,32 @@
   if (is_loaded()) at_ = std::max(at_, at);
 }
 
-bool record_view::apply(kv::watch_event const& event) {
+std::optional<kv::watch_event> record_view::apply(kv::watch_event const& event) {
   auto const known = records_.find(event.entry.key);
   change one;
   one.event = event;
   one.was_known = known != records_.end();
-  if (one.was_known) one.before = traits_of(event.entry.key);
-  if (event.deleted) {
-    if (!one.was_known) return false;
+  if (one.was_known) {
+    if (!event.deleted && event.entry.mod_revision <= known->second.mod_revision) {
+      return std::nullopt;
+    }
+    one.before = traits_of(event.entry.key);
+  }
+  if (!event.deleted && read_traits_) one.after = read_traits_(event.entry);
+  // A record that belongs elsewhere now is gone for this view.
+  if (!event.deleted && !held_.includes(one.after)) one.event = write_removal(event);
+  if (one.event.deleted) {
+    if (!one.was_known) return std::nullopt;
     set_traits(event.entry.key, std::nullopt);
     records_.erase(known);
-    remember(std::move(one));
-    return true;
-  }
-  if (one.was_known && event.entry.mod_revision <= known->second.mod_revision) return false;
-  if (read_traits_) one.after = read_traits_(event.entry);
-  if (one.was_known) {
-    known->second = event.entry;
   } else {
-    records_.emplace(event.entry.key, event.entry);
+    records_[event.entry.key] = event.entry;
+    set_traits(event.entry.key, one.after);
   }
-  set_traits(event.entry.key, one.after);
+  kv::watch_event const told = one.event;
   bool const alike = one.before && one.after && one.before->digest == one.after->digest;
-  if (!alike) remember(std::move(one));
-  return true;
+  if (!alike || told.deleted) remember(std::move(one));
+  return told;
 }
 
 std::optional<record_traits> record_view::traits_of(std::string const& key) const {
@@ -135,10 +148,19 @@
   bool const is_included = !one.event.deleted && wanted.includes(one.after);
   if (is_included) return one.event;
   if (!was_included) return std::nullopt;
-  kv::watch_event gone = one.event;
-  gone.deleted = true;
-  gone.entry.value.clear();
-  return gone;
+  return write_removal(one.event);
+}
+
+void record_view::list_selected(record_selection const& wanted,
+                                std::vector<kv::watch_event>& into) const {
+  // Both are sorted by key.
+  auto traits = traits_.begin();
+  for (auto const& [key, entry] : records_) {
+    bool const known = traits != traits_.end() && traits->first == key;
+    bool const included = known ? wanted.includes(traits->second) : true;
+    if (known) ++traits;
+    if (included) into.push_back({false, entry});
+  }
 }
 
 record_delta record_view::since(kv::revision after, record_selection const& wanted) const {
@@ -146,9 +168,7 @@
   delta.at = at_;
   delta.whole = is_loaded() && after < complete_after_;
   if (delta.whole) {
-    for (auto const& [key, entry] : records_) {
-      if (wanted.includes(traits_of(key))) delta.changes.push_back({false, entry});
-    }
+    list_selected(wanted, delta.changes);
     return delta;
   }
   for (change const& one : changes_) {
--- a/src/relay/record_view.h
+++ b/src/relay/record_view.h
@@ -33,14 +33,15 @@
                        std::size_t most_changes = k_most_changes)
       : read_traits_(std::move(read_traits)), most_changes_(most_changes) {}
 
-  /// @param held what `all` was selected by. If it differs from what the view holds, the view goes
-  /// on from the snapshot's revision.
+  /// @param held what the view holds from now on: it passes over whatever else `all` lists. If it
+  /// differs from what the view held, the view goes on from the snapshot's revision.
   /// @return what it changes, in no order; nothing if more is known already.
   std::vector<kv::watch_event> take_snapshot(kv::range_answer const& all,
                                              record_selection const& held = {});
   /// To be followed by `advance` once all changes of an answer are taken: several may have the same
-  /// revision. @return whether it was news.
-  bool take_event(kv::watch_event const& event);
+  /// revision. @return what it changes here; nothing if it is no news, or of a record that the view
+  /// does not hold.
+  std::optional<kv::watch_event> take_event(kv::watch_event const& event);
   /// Nothing else has changed up to this revision.
   void advance(kv::revision at);
   /// Drops what `held` does not include, if the view holds all that it includes.
@@ -76,7 +77,8 @@
   };
 
   void remember(change one);
-  bool apply(kv::watch_event const& event);
+  std::optional<kv::watch_event> apply(kv::watch_event const& event);
+  void list_selected(record_selection const& wanted, std::vector<kv::watch_event>& into) const;
   std::optional<record_traits> traits_of(std::string const& key) const;
   void set_traits(std::string const& key, std::optional<record_traits> traits);
   /// What somebody who holds `wanted` is told of a change; nothing if it doesn't concern them.
--- a/src/relay/topic_views.cc
+++ b/src/relay/topic_views.cc
@@ -27,7 +27,8 @@
 }
 
 void topic_views::take_event(topic one, kv::watch_event const& event) {
-  if (views_[index_of(one)].take_event(event)) tell(one, {event});
+  auto change = views_[index_of(one)].take_event(event);
+  if (change) tell(one, {std::move(*change)});
 }
 
 void topic_views::tell(topic one, std::vector<kv::watch_event> const& news) {
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -7,7 +7,9 @@
 
 #include <deque>
 #include <memory>
+#include <set>
 
+#include "base/encoding.h"
 #include "cluster.h"
 #include "cut_off_store.h"
 #include "http/server.h"
@@ -29,7 +31,8 @@
 /// One node: its way to the store, its server for other nodes, and its feed.
 struct test_node {
   test_node(asio::io_context& context, memory_record_store& shared, std::string name,
-            std::string const& zone, endpoint address, std::vector<endpoint> seeds)
+            std::string const& zone, endpoint address, std::vector<endpoint> seeds,
+            std::optional<std::set<std::string>> wanted_groups)
       : store(shared),
         transport(context),
         server(context, http::server_limits(),
@@ -41,6 +44,12 @@
     options.seeds = std::move(seeds);
     options.prefixes = {k_configuration, "owners/", zone_relays::records_prefix(), "servers/",
                         "quarantine/"};
+    if (wanted_groups) {
+      options.servers_traits = [](kv::key_value const& record) {
+        return record_traits{record.value, hash_bytes(record.key), hash_bytes(record.value)};
+      };
+      options.wanted_servers = [wanted_groups] { return wanted_groups; };
+    }
     feed = std::make_unique<record_feed>(context, store, transport, std::move(options),
                                          [this] { return owner; });
     kv::follower_callbacks listener;
@@ -86,6 +95,8 @@
   std::string address = testing::own_loopback_address();
   std::deque<endpoint> addresses;
   std::vector<std::unique_ptr<test_node>> nodes;
+  /// Servers whose value is one of these are wanted by all nodes; nothing: all servers.
+  std::optional<std::set<std::string>> wanted_groups;
 
   void setup() override {
     shared.put_now(k_configuration, "1");
@@ -107,7 +118,8 @@
     std::size_t const index = nodes.size();
     nodes.push_back(std::make_unique<test_node>(context, shared, "node-" + std::to_string(index),
                                                 zone, addresses.at(index),
-                                                std::vector<endpoint>{addresses.front()}));
+                                                std::vector<endpoint>{addresses.front()},
+                                                wanted_groups));
     STRCMP_EQUAL("", nodes.back()->failure.c_str());
     return *nodes.back();
   }
@@ -390,3 +402,28 @@
   only.store.set_deaf(false);
   CHECK(all_have("2"));
 }
+
+TEST(record_feed_test, node_that_becomes_owner_while_it_waits_for_a_part_holds_everything) {
+  // The answer that is under way is of the servers that calls need.
+  for (int one = 2; one < 300; ++one) shared.put_now("servers/" + std::to_string(one), "calls");
+  shared.put_now("servers/engine", "engines");
+  wanted_groups = {"calls"};
+  start_two_zones();
+  std::size_t index = 0;
+  while (nodes.at(index)->feed->role() != feed_role::standby) ++index;
+  test_node& owner = *nodes.at(index);
+  CHECK(run_until([&] { return owner.feed->view(topic::SERVERS).group_size("calls") > 90; }));
+  CHECK(owner.feed->view(topic::SERVERS).group_size("calls") < 298);
+  LONGS_EQUAL(0, owner.feed->view(topic::SERVERS).group_size("engines"));
+  owner.feed->set_owner(true);
+  CHECK(run_until([&] { return owner.feed->view(topic::SERVERS).group_size("engines") == 1; }));
+  // More than doubles the group, so that every part is another one.
+  for (int one = 1000; one < 1600; ++one) shared.put_now("servers/" + std::to_string(one), "calls");
+  shared.put_now("servers/engine-2", "engines");
+  CHECK(run_until([&] {
+    return owner.feed->view(topic::SERVERS).group_size("engines") == 2 &&
+           owner.feed->view(topic::SERVERS).group_size("calls") == 898;
+  }));
+  owner.feed->set_owner(false);
+  CHECK(run_until([&] { return owner.feed->view(topic::SERVERS).group_size("engines") == 0; }));
+}
--- a/tests/unit/relay/record_view_test.cc
+++ b/tests/unit/relay/record_view_test.cc
@@ -40,7 +40,7 @@
 
   /// A change that came alone.
   bool take(kv::watch_event const& event) {
-    bool const news = view.take_event(event);
+    bool const news = view.take_event(event).has_value();
     view.advance(event.entry.mod_revision);
     return news;
   }
@@ -97,8 +97,8 @@
 TEST(record_view_test, all_changes_of_one_revision_are_taken) {
   // A transaction changes several records at one revision, and so does a snapshot.
   view.take_snapshot(snapshot(10, {change("a", 9), change("b", 9)}));
-  CHECK(view.take_event(removal("a", 12)));
-  CHECK(view.take_event(removal("b", 12)));
+  CHECK(view.take_event(removal("a", 12)).has_value());
+  CHECK(view.take_event(removal("b", 12)).has_value());
   view.advance(12);
   LONGS_EQUAL(0, view.records().size());
   LONGS_EQUAL(2, view.since(10).changes.size());
@@ -133,12 +133,12 @@
     return record_traits{"", 0, static_cast<std::uint64_t>(record.value.front())};
   });
   servers.take_snapshot(snapshot(10, {change("a", 9, "ready 1")}));
-  CHECK(servers.take_event(change("a", 11, "ready 2")));
+  CHECK(servers.take_event(change("a", 11, "ready 2")).has_value());
   servers.advance(11);
   CHECK_FALSE(servers.has_news(10));
   LONGS_EQUAL(11, servers.since(10).at);
   STRCMP_EQUAL("ready 2", servers.records().at("a").value.c_str());
-  CHECK(servers.take_event(change("a", 12, "draining 2")));
+  CHECK(servers.take_event(change("a", 12, "draining 2")).has_value());
   servers.advance(12);
   CHECK(servers.has_news(11));
 }
@@ -190,11 +190,11 @@
   load(512);
   record_selection const wanted = part("node-1", 4);
   auto const held = view.since(0, wanted);
-  CHECK(view.take_event(change("engine-7", 11, "engines 9999")));
+  CHECK(view.take_event(change("engine-7", 11, "engines 9999")).has_value());
   view.advance(11);
   CHECK_FALSE(view.has_news(10, wanted));
   LONGS_EQUAL(0, view.since(10, wanted).changes.size());
-  CHECK(view.take_event(removal(held.changes.front().entry.key, 12)));
+  CHECK(view.take_event(removal(held.changes.front().entry.key, 12)).has_value());
   view.advance(12);
   CHECK(view.has_news(10, wanted));
   LONGS_EQUAL(1, view.since(10, wanted).changes.size());
@@ -203,7 +203,7 @@
 TEST(record_view_selection_test, record_that_leaves_a_part_is_told_as_gone) {
   load(8);
   record_selection const wanted = part("node-1", k_whole_group);
-  CHECK(view.take_event(change("call-3", 11, "engines 3")));
+  CHECK(view.take_event(change("call-3", 11, "engines 3")).has_value());
   view.advance(11);
   auto const delta = view.since(10, wanted);
   LONGS_EQUAL(1, delta.changes.size());
@@ -212,7 +212,7 @@
 
 TEST(record_view_selection_test, record_that_can_not_be_read_concerns_everybody) {
   load(8);
-  CHECK(view.take_event(change("engine-3", 11, "unreadable")));
+  CHECK(view.take_event(change("engine-3", 11, "unreadable")).has_value());
   view.advance(11);
   LONGS_EQUAL(1, view.since(10, part("node-1", 4)).changes.size());
 }
@@ -250,3 +250,36 @@
   CHECK_FALSE(view.has_news(400));
   CHECK_FALSE(view.has_news(10, part("node-1", k_whole_group)));
 }
+
+TEST(record_view_selection_test, view_passes_over_what_it_does_not_hold) {
+  // A relay whose source is the store hears of all servers.
+  record_selection const calls("relay", {{"calls", k_whole_group}});
+  view.take_snapshot(snapshot(10, {change("call-1", 5, "calls 1"), change("engine-1", 6, "engines 1")}),
+                     calls);
+  LONGS_EQUAL(1, view.records().size());
+  CHECK_FALSE(view.take_event(change("engine-2", 11, "engines 2")).has_value());
+  CHECK(view.take_event(change("call-2", 12, "calls 2")).has_value());
+  view.advance(12);
+  auto const moved = view.take_event(change("call-1", 13, "engines 1"));
+  CHECK(moved && moved->deleted);
+  LONGS_EQUAL(1, view.records().size());
+}
+
+TEST(record_view_selection_test, change_of_source_costs_those_who_ask_the_changes_only) {
+  // Thundering herd: an owner that is lost must not have each node of a zone read its part again.
+  record_selection const calls("relay", {{"calls", k_whole_group}});
+  std::vector<kv::watch_event> all;
+  for (int place = 0; place < 2048; ++place) {
+    std::string const number = std::to_string(place);
+    all.push_back(change("call-" + number, 5, "calls " + number));
+    all.push_back(change("engine-" + number, 5, "engines " + number));
+  }
+  view.take_snapshot(snapshot(10, all), calls);
+  all.front() = change("call-0", 14, "calls 5000");
+  LONGS_EQUAL(1, view.take_snapshot(snapshot(20, all), calls).size());
+  for (int node = 0; node < 20; ++node) {
+    auto const delta = view.since(10, part("node-" + std::to_string(node), 16));
+    CHECK_FALSE(delta.whole);
+    CHECK(delta.changes.size() <= 1);
+  }
+}
