Nodes that no relay serves leave a long list of servers to the next relay

Change: such a node looks whether the list of servers is longer than one answer of the store (one stale read); if it is, or if it holds parts already, it waits 3 to 12 s for a relay before it reads them itself.

Weighed: waiting for a relay in any case (a small deployment whose seeds are dead would serve some seconds later); a count of servers in the relays' records (none at a first start).

--- a/src/kv/record_store.h
+++ b/src/kv/record_store.h
@@ -27,6 +27,8 @@
   /// All records whose keys begin with `prefix`. Pages are read one after the other, so records may
   /// be newer than `store_revision`, which is that of the first page.
   virtual awaitable<result<range_answer>> list(std::string prefix) = 0;
+  /// Whether there are more records than one answer of the store holds. The answer may be old.
+  virtual awaitable<result<bool>> has_many(std::string prefix) = 0;
   /// @param timeout after which the outcome counts as unknown.
   virtual awaitable<result<transaction_answer>> apply(transaction change, milliseconds timeout) = 0;
   /// Waits up to `wait` for changes of `prefix` after `after`. An answer without events moves
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -36,7 +36,7 @@
 /// another source for that long: an owner that does not answer (0.95 s) and a list of the store.
 constexpr milliseconds k_servers_patience{3000};
 /// Nodes whose relay was lost read servers' records themselves this far apart.
-constexpr milliseconds k_servers_spread{3000};
+constexpr milliseconds k_servers_spread{9000};
 constexpr milliseconds k_store_check_timeout{300};
 constexpr milliseconds k_store_check_pause{900};
 constexpr milliseconds k_outage_check_pause{2000};
@@ -408,6 +408,10 @@
       co_await role_changed_.wait();
       continue;
     }
+    if (role_ == feed_role::direct && !servers_are_many_) {
+      co_await look_how_many();
+      continue;
+    }
     if (now < servers_needed_from()) {
       co_await role_changed_.wait_until(servers_needed_from());
       continue;
@@ -422,11 +426,19 @@
   }
 }
 
+awaitable<void> record_feed::look_how_many() {
+  servers_are_many_ = false;
+  if (views_.view(topic::SERVERS).is_loaded()) co_return;
+  auto const many = co_await store_.has_many(options_.prefixes[index_of(topic::SERVERS)]);
+  if (many) servers_are_many_ = many.value();
+}
+
 time_point record_feed::servers_needed_from() const {
   group_parts const& held = views_.view(topic::SERVERS).held().parts();
-  bool const large = std::any_of(held.begin(), held.end(),
-                                 [](auto const& one) { return one.second > k_whole_group; });
-  if (role_ != feed_role::direct || !large) return time_point::min();
+  bool const holds_parts = std::any_of(held.begin(), held.end(),
+                                       [](auto const& one) { return one.second > k_whole_group; });
+  bool const many = holds_parts || servers_are_many_.value_or(false);
+  if (role_ != feed_role::direct || !many) return time_point::min();
   return std::max(served_at_, started_at_) + k_servers_patience + servers_spread_;
 }
 
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -126,9 +126,11 @@
   std::optional<record_selection> select_servers() const;
   /// What this node should hold of what the store lists.
   record_selection select_from_store(topic one, kv::range_answer const& all) const;
+  /// A node that follows the store and knows no servers looks how large their list is first.
+  awaitable<void> look_how_many();
   /// When a node that follows the store turns to the owner, or the store, for servers as well. All
-  /// of a zone's nodes may have lost their relay at once: where there are more servers than a node
-  /// holds, they keep to what they know until another one has had the time to follow.
+  /// of a zone's nodes may have lost their relay at once: where there are many servers, they keep
+  /// to what they know until another relay has had the time to follow.
   time_point servers_needed_from() const;
   /// For all topics that other nodes can tell of.
   poll_request make_request() const;
@@ -200,6 +202,8 @@
   bool sure_once_ = false;
   /// Since when those who serve this node are not sure of the servers.
   std::optional<time_point> servers_doubted_since_;
+  /// Whether the store's list of servers is longer than one answer, once this node has looked.
+  std::optional<bool> servers_are_many_;
 };
 
 }  // namespace frostline::relay
--- a/tests/support/cut_off_store.h
+++ b/tests/support/cut_off_store.h
@@ -14,17 +14,24 @@
   /// Watches are not answered from now on, those that wait among them; all other calls are.
   void set_deaf(bool deaf) { deaf_ = deaf; }
   std::uint64_t lists() const { return lists_; }
+  /// Lists of servers' records among them.
+  std::uint64_t server_lists() const { return server_lists_; }
   std::uint64_t watches() const { return watches_; }
   std::uint64_t probes() const { return probes_; }
   std::uint64_t transactions() const { return transactions_; }
 
   awaitable<result<kv::range_answer>> list(std::string prefix) override {
     ++lists_;
+    if (prefix.starts_with("servers/")) ++server_lists_;
     if (cut_) co_return std::error_code(kv::errc::unavailable);
     auto answer = co_await store_.list(std::move(prefix));
     if (cut_) co_return std::error_code(kv::errc::unavailable);
     co_return answer;
   }
+  awaitable<result<bool>> has_many(std::string prefix) override {
+    if (cut_) co_return std::error_code(kv::errc::unavailable);
+    co_return co_await store_.has_many(std::move(prefix));
+  }
   awaitable<result<kv::transaction_answer>> apply(kv::transaction change,
                                                   milliseconds timeout) override {
     ++transactions_;
@@ -59,6 +66,7 @@
   bool cut_ = false;
   bool deaf_ = false;
   std::uint64_t lists_ = 0;
+  std::uint64_t server_lists_ = 0;
   std::uint64_t watches_ = 0;
   std::uint64_t probes_ = 0;
   std::uint64_t transactions_ = 0;
--- a/tests/support/memory_record_store.h
+++ b/tests/support/memory_record_store.h
@@ -16,6 +16,7 @@
   explicit memory_record_store(asio::io_context& context) : changed_(context) {}
 
   awaitable<result<kv::range_answer>> list(std::string prefix) override;
+  awaitable<result<bool>> has_many(std::string prefix) override;
   awaitable<result<kv::transaction_answer>> apply(kv::transaction change,
                                                   milliseconds timeout) override;
   awaitable<result<kv::watch_batch>> watch(std::string prefix, kv::revision after,
@@ -41,6 +42,8 @@
   void before_next_answer(std::function<void()> action) { before_answer_ = std::move(action); }
   /// Every lease runs out.
   void expire_leases();
+  /// Records that one answer holds.
+  void set_page(std::size_t records) { page_ = records; }
   /// Watches from before now get no history.
   void compact();
   /// No call is answered: all fail as unavailable.
@@ -63,6 +66,7 @@
   bool delay_next_ = false;
   std::function<void()> before_answer_;
   bool down_ = false;
+  std::size_t page_ = 500;
   std::uint64_t watches_ = 0;
   std::optional<kv::transaction> delayed_;
 };
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -427,3 +427,25 @@
   owner.feed->set_owner(false);
   CHECK(run_until([&] { return owner.feed->view(topic::SERVERS).group_size("engines") == 0; }));
 }
+
+TEST(record_feed_test, nodes_without_a_relay_leave_a_long_list_of_servers_to_the_next_relay) {
+  // Thundering herd: all nodes start at once, and nobody who knows the servers answers them.
+  for (int one = 2; one < 300; ++one) shared.put_now("servers/" + std::to_string(one), "calls");
+  shared.set_page(100);
+  wanted_groups = {"calls"};
+  test_node& seed = add("a");
+  seed.fall_silent();
+  seed.store.set_cut(true);
+  for (int node = 0; node < 5; ++node) add("a");
+  CHECK(run_until([&] { return count(feed_role::relay) == 1; }));
+  CHECK(run_until([&] {
+    return std::all_of(nodes.begin() + 1, nodes.end(), [](auto const& one) {
+      return one->feed->view(topic::SERVERS).group_size("calls") > 60;
+    });
+  }));
+  std::size_t readers = 0;
+  for (std::size_t node = 1; node < nodes.size(); ++node) {
+    readers += nodes[node]->store.server_lists() > 0 ? 1 : 0;
+  }
+  LONGS_EQUAL(1, readers);
+}
