A node that nobody answers reads who the relays are before it follows the store

Cause: when all machines start at once, the seeds are as late as everybody and answer 280 nodes each; after 0.8 s without an answer 758 of 835 nodes followed the store, each with four lists, the configuration (80 KB) among them, and a page of servers. The store's link was busy for 2 s (log: "Record store does not answer" from 28.4 to 31.0 s), the relays' own reading with it; nodes served from 32 s on.

Change: such a node first reads the zones' relays, one record a zone, and asks these; it follows the store if none of them answers for another 1.3 to 1.6 s, or if there is none.

Weighed: a longer wait before the store (a node whose seeds are dead would serve later on all deployments).

--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -473,7 +473,7 @@
     milliseconds const patience = answered_once_ ? k_start_patience : k_silent_start_patience;
     return is_seed() || now >= started_at_ + patience;
   }
-  return now >= std::max(relay_answered_at_, started_at_) + patience_;
+  return now >= std::max({relay_answered_at_, started_at_, relays_listed_at_}) + patience_;
 }
 
 awaitable<void> record_feed::check_store() {
@@ -506,7 +506,18 @@
   return health;
 }
 
+awaitable<void> record_feed::look_for_relays() {
+  auto const answer = co_await store_.list(options_.prefixes[index_of(topic::RELAYS)]);
+  if (!answer || views_.view(topic::RELAYS).is_loaded()) co_return;
+  relays_listed_at_ = boot_clock::now();
+  log_line(log_level::info, k_part, "Relays read from the store.",
+           {{"zone", options_.zone}, {"relays", answer.value().entries.size()}});
+  views_.take_snapshot(topic::RELAYS, answer.value());
+}
+
 awaitable<void> record_feed::review() {
+  bool const knows_relays = views_.view(topic::RELAYS).is_loaded();
+  if (must_follow_store(boot_clock::now()) && !knows_relays) co_await look_for_relays();
   time_point const now = boot_clock::now();
   if (must_follow_store(now)) {
     change_role(feed_role::direct, "no relay answers");
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -148,6 +148,9 @@
   awaitable<void> servers_loop();
   awaitable<bool> ask_owner(endpoint owner);
 
+  /// A node that nobody answers reads who the relays are before it follows the store: that costs
+  /// little, however many nodes do so at once, and those relays may just have started themselves.
+  awaitable<void> look_for_relays();
   /// Turns to the store when no relay answers, and claims the zone's record when its relay fails.
   awaitable<void> review();
   bool must_follow_store(time_point now) const;
@@ -186,6 +189,8 @@
   time_point started_at_ = time_point::max();
   /// When a relay last answered, sure or not.
   time_point relay_answered_at_ = time_point::min();
+  /// When this node read from the store who the relays are.
+  time_point relays_listed_at_ = time_point::min();
   /// How long this node waits for a relay before it turns to the store; each node another time.
   milliseconds patience_{0};
   /// How much longer it waits before it reads servers' records itself.
