--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -152,8 +152,7 @@
   return version->second >= need.min_version;
 }
 
-double engine_board::cost_of(board_engine const& one, run_need const& need,
-                             time_point now) const {
+double engine_board::cost_of(board_engine const& one, run_need const& need, time_point now) const {
   double const load = static_cast<double>(one.in_flight) / std::max(one.server.slots, 1U);
   double const bonus = one.groups.contains(need.group) ? k_group_bonus : 0.0;
   return slowness(one, now) * (1.0 + load) - bonus;
@@ -182,8 +181,7 @@
     for (std::string const& id : group->second) consider(id);
   }
   std::uint64_t const least = need.exact_version.value_or(need.min_version);
-  std::uint64_t const most =
-      need.exact_version.value_or(std::numeric_limits<std::uint64_t>::max());
+  std::uint64_t const most = need.exact_version.value_or(std::numeric_limits<std::uint64_t>::max());
   // Of those that nothing else speaks for, the emptiest is the best.
   index_.visit_emptiest(need.model, least, most, [&](std::string const& id) {
     board_engine const* const one = consider(id);
--- a/src/engines/engine_index.cc
+++ b/src/engines/engine_index.cc
@@ -15,10 +15,6 @@
   return newest - 1;
 }
 
-double fullness_of(engine_standing const& one) {
-  return static_cast<double>(one.in_flight) / std::max(one.slots, 1U);
-}
-
 template <typename Buckets, typename Entry>
 void erase_from(Buckets& buckets, std::uint64_t version, Entry const& entry) {
   auto const bucket = buckets.find(version);
@@ -49,22 +45,45 @@
   enter();
 }
 
-bool engine_index::is_recent(std::string const& model, std::uint64_t version) const {
-  auto const found = models_.find(model);
-  return found != models_.end() && version >= oldest_recent(found->second.newest);
+engine_index::fullness engine_index::filed_engine::full() const {
+  return {static_cast<float>(in_flight) / static_cast<float>(std::max(slots, 1U)), number};
 }
 
-std::size_t engine_index::count_homes(engine_standing const& one) const {
-  return static_cast<std::size_t>(
-      std::count_if(one.versions.begin(), one.versions.end(),
-                    [&](auto const& held) { return is_recent(held.first, held.second); }));
+std::uint32_t engine_index::count_homes(filed_engine const& one) {
+  return static_cast<std::uint32_t>(std::count_if(
+      one.versions.begin(), one.versions.end(),
+      [](held_version const& held) { return held.version >= oldest_recent(held.model->newest); }));
+}
+
+engine_number engine_index::number_of(std::string const& id) {
+  if (free_numbers_.empty()) {
+    ids_.push_back(&id);
+    return static_cast<engine_number>(ids_.size() - 1);
+  }
+  engine_number const number = free_numbers_.back();
+  free_numbers_.pop_back();
+  ids_[number] = &id;
+  return number;
 }
 
 void engine_index::put(engine_standing const& one) {
-  remove(one.id);
-  filed_engine& filed = engines_[one.id];
-  filed.standing = one;
-  filed.homes = count_homes(one);
+  auto const [place, fresh] = engines_.try_emplace(one.id);
+  filed_engine& filed = place->second;
+  if (fresh) {
+    filed.number = number_of(place->first);
+  } else {
+    unfile(filed);
+  }
+  filed.ready = one.ready;
+  filed.slots = one.slots;
+  filed.in_flight = one.in_flight;
+  filed.versions.clear();
+  for (auto const& [name, version] : one.versions) {
+    filed.versions.push_back({&models_[name], version});
+  }
+  filed.loads = one.load ? &models_[one.load->first] : nullptr;
+  filed.loaded_version = one.load ? one.load->second : 0;
+  filed.homes = count_homes(filed);
   file(filed);
 }
 
@@ -72,67 +91,61 @@
   auto const found = engines_.find(id);
   if (found == engines_.end()) return;
   unfile(found->second);
+  ids_[found->second.number] = nullptr;
+  free_numbers_.push_back(found->second.number);
   engines_.erase(found);
 }
 
 void engine_index::file(filed_engine const& one) {
   ++filings_;
-  engine_standing const& standing = one.standing;
-  if (!standing.ready) return;
-  for (auto const& [name, version] : standing.versions) {
-    model_engines& model = models_[name];
-    ++model.engines;
-    model.places += standing.slots;
-    model.holders[version].insert(standing.id);
-    bool const loads_it = standing.load && standing.load->first == name;
-    if (loads_it) ++model.loading[{version, standing.load->second}];
-    if (!standing.load) {
-      model.candidates[version].insert({one.homes, standing.in_flight, standing.id});
+  if (!one.ready) return;
+  for (auto const& [model, version] : one.versions) {
+    ++model->engines;
+    model->places += one.slots;
+    model->holders[version].insert(one.number);
+    bool const loads_it = one.loads == model;
+    if (loads_it) ++model->loading[{version, one.loaded_version}];
+    if (one.loads == nullptr) {
+      model->candidates[version].insert({one.homes, one.in_flight, one.number});
     }
-    bool const has_room = standing.in_flight < standing.slots && !loads_it;
-    if (has_room) model.with_room[version].insert({fullness_of(standing), standing.id});
+    if (one.has_room() && !loads_it) model->with_room[version].insert(one.full());
   }
 }
 
 void engine_index::unfile(filed_engine const& one) {
-  engine_standing const& standing = one.standing;
-  if (!standing.ready) return;
-  for (auto const& [name, version] : standing.versions) {
-    model_engines& model = models_[name];
-    --model.engines;
-    model.places -= standing.slots;
-    erase_from(model.holders, version, standing.id);
-    bool const loads_it = standing.load && standing.load->first == name;
+  if (!one.ready) return;
+  for (auto const& [model, version] : one.versions) {
+    --model->engines;
+    model->places -= one.slots;
+    erase_from(model->holders, version, one.number);
+    bool const loads_it = one.loads == model;
     if (loads_it) {
-      auto const loading = model.loading.find({version, standing.load->second});
-      if (--loading->second == 0) model.loading.erase(loading);
-    }
-    if (!standing.load) {
-      erase_from(model.candidates, version,
-                 load_candidates::rank{one.homes, standing.in_flight, standing.id});
+      auto const loading = model->loading.find({version, one.loaded_version});
+      if (--loading->second == 0) model->loading.erase(loading);
     }
-    bool const has_room = standing.in_flight < standing.slots && !loads_it;
-    if (has_room) {
-      erase_from(model.with_room, version, fullness{fullness_of(standing), standing.id});
+    if (one.loads == nullptr) {
+      erase_from(model->candidates, version,
+                 load_candidates::rank{one.homes, one.in_flight, one.number});
     }
+    if (one.has_room() && !loads_it) erase_from(model->with_room, version, one.full());
   }
 }
 
 void engine_index::set_newest(std::string const& model, std::uint64_t newest) {
-  std::uint64_t const before = models_[model].newest;
-  if (before == newest) return;
+  model_engines& own = models_[model];
+  if (own.newest == newest) return;
   // Others are recent by both or by neither.
-  auto const [least, most] = std::minmax({oldest_recent(before), oldest_recent(newest)});
-  std::vector<std::string> concerned;
-  auto const& holders = models_[model].holders;
-  for (auto bucket = holders.lower_bound(least); bucket != holders.lower_bound(most); ++bucket) {
+  auto const [least, most] = std::minmax({oldest_recent(own.newest), oldest_recent(newest)});
+  std::vector<engine_number> concerned;
+  for (auto bucket = own.holders.lower_bound(least); bucket != own.holders.lower_bound(most);
+       ++bucket) {
     concerned.insert(concerned.end(), bucket->second.begin(), bucket->second.end());
   }
-  for (std::string const& id : concerned) unfile(engines_.at(id));
-  models_[model].newest = newest;
-  for (std::string const& id : concerned) {
-    filed_engine& one = engines_.at(id);
-    one.homes = count_homes(one.standing);
+  for (engine_number const number : concerned) unfile(engines_.at(id_of(number)));
+  own.newest = newest;
+  for (engine_number const number : concerned) {
+    filed_engine& one = engines_.at(id_of(number));
+    one.homes = count_homes(one);
     file(one);
   }
 }
@@ -171,8 +184,8 @@
   auto const& buckets = found->second.with_room;
   for (auto bucket = buckets.lower_bound(least); bucket != buckets.end(); ++bucket) {
     if (bucket->first > most) return;
-    for (auto const& [full, id] : bucket->second) {
-      if (visit(id)) break;
+    for (auto const& [full, number] : bucket->second) {
+      if (visit(id_of(number))) break;
     }
   }
 }
--- a/src/engines/engine_index.h
+++ b/src/engines/engine_index.h
@@ -26,18 +26,21 @@
   std::optional<std::pair<std::string, std::uint64_t>> load;
 };
 
+/// Stands for an engine's identifier while the engine is filed.
+using engine_number = std::uint32_t;
+
 /// Engines of one model that may be ordered to load it, the best first.
 class load_candidates {
  public:
-  /// Models that an engine serves with a recent version, runs on it, identifier.
-  using rank = std::tuple<std::size_t, std::uint32_t, std::string>;
+  /// Models that an engine serves with a recent version, runs on it, engine.
+  using rank = std::tuple<std::uint32_t, std::uint32_t, engine_number>;
   using by_version = std::map<std::uint64_t, std::set<rank>>;
 
   /// @param newest version to be loaded. @param slack how many versions behind it a job may use.
   load_candidates(by_version const& all, std::uint64_t newest, std::uint64_t slack);
 
   bool empty() const { return turn_ == buckets_.size(); }
-  std::string const& id() const { return std::get<std::string>(*next_); }
+  engine_number number() const { return std::get<2>(*next_); }
   /// Version that it holds.
   std::uint64_t version() const { return buckets_[turn_]->first; }
   void pop();
@@ -45,7 +48,8 @@
  private:
   void enter();
 
-  /// Engines that no job can use, then the others; of each those that held the latest version first.
+  /// Engines that no job can use, then the others; of each those that held the latest version
+  /// first.
   std::vector<by_version::const_iterator> buckets_;
   std::size_t turn_ = 0;
   std::set<rank>::const_iterator next_;
@@ -64,6 +68,13 @@
 
 class engine_index {
  public:
+  engine_index() = default;
+  // Engines point to their models.
+  engine_index(engine_index const&) = delete;
+  engine_index& operator=(engine_index const&) = delete;
+  engine_index(engine_index&&) = default;
+  engine_index& operator=(engine_index&&) = default;
+
   /// Files an engine anew.
   void put(engine_standing const& one);
   void remove(std::string const& id);
@@ -76,36 +87,54 @@
                              std::uint64_t slack) const;
   /// Times that an engine was filed, so far.
   std::uint64_t filings() const { return filings_; }
+  std::string const& id_of(engine_number number) const { return *ids_[number]; }
   /// Engines with room for a run, the emptiest first, for each version from `least` to `most`.
   /// @param visit returns true if the rest of this version's engines need not be seen.
   void visit_emptiest(std::string const& model, std::uint64_t least, std::uint64_t most,
                       std::function<bool(std::string const&)> const& visit) const;
 
  private:
-  /// Requests under way for each slot, identifier.
-  using fullness = std::pair<double, std::string>;
+  /// Requests under way for each slot, engine.
+  using fullness = std::pair<float, engine_number>;
 
   struct model_engines {
     std::size_t engines = 0;
     std::size_t places = 0;
-    std::map<std::uint64_t, std::set<std::string>> holders;
+    std::map<std::uint64_t, std::set<engine_number>> holders;
     /// Engines that load, by the version that they hold and the one that they load.
     std::map<std::pair<std::uint64_t, std::uint64_t>, std::size_t> loading;
     load_candidates::by_version candidates;
     std::map<std::uint64_t, std::set<fullness>> with_room;
     std::uint64_t newest = 0;
   };
+  struct held_version {
+    model_engines* model = nullptr;
+    std::uint64_t version = 0;
+  };
   struct filed_engine {
-    engine_standing standing;
-    std::size_t homes = 0;
+    engine_number number = 0;
+    bool ready = false;
+    std::uint32_t slots = 1;
+    std::uint32_t in_flight = 0;
+    std::uint32_t homes = 0;
+    std::vector<held_version> versions;
+    /// Null: none is under way.
+    model_engines* loads = nullptr;
+    std::uint64_t loaded_version = 0;
+
+    bool has_room() const { return in_flight < slots; }
+    fullness full() const;
   };
 
-  bool is_recent(std::string const& model, std::uint64_t version) const;
-  std::size_t count_homes(engine_standing const& one) const;
+  static std::uint32_t count_homes(filed_engine const& one);
+  engine_number number_of(std::string const& id);
   void file(filed_engine const& one);
   void unfile(filed_engine const& one);
 
   std::map<std::string, filed_engine> engines_;
+  /// Null for numbers that are free.
+  std::vector<std::string const*> ids_;
+  std::vector<engine_number> free_numbers_;
   std::map<std::string, model_engines> models_;
   std::uint64_t filings_ = 0;
 };
--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -107,7 +107,7 @@
   while (loading + orders.size() < limit) {
     model_plan* const plan = most_pressing(plans);
     if (plan == nullptr) break;
-    std::string const id = plan->others.id();
+    std::string const& id = board.index().id_of(plan->others.number());
     bool const useless = plan->others.version() + plan->need.slack < plan->need.newest;
     plan->others.pop();
     // An engine that a more pressing model takes is there for this one later.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds k_tick{100};
 constexpr milliseconds k_least_pause{4};
 constexpr milliseconds k_orders_interval{40};
+/// A turn that takes a fifteenth of the lease's time is worth a line.
+constexpr milliseconds k_long_turn{100};
 constexpr milliseconds k_load_pause{100};
 /// The store counts as silent after that long: it answers renewals of a lease every 400 ms, and one
 /// without an answer is sent again after 150 ms.
@@ -237,24 +239,50 @@
 
 void pool_owner::advance() {
   time_point const now = boot_clock::now();
+  turn_clock clock(now);
   refresh_board();
+  clock.mark("board", boot_clock::now());
   refresh_terms();
   drop_unrecorded(now);
   table_.expire(now);
+  clock.mark("jobs", boot_clock::now());
   bool const may_begin = permission_.may_begin_runs(now, parts_.lease.holds(now));
   if (may_begin) runner_.advance(now);
+  clock.mark("runs", boot_clock::now());
   bool const store_is_silent = now > parts_.lease.confirmed_at() + k_store_silence;
   std::size_t const copies =
       store_is_silent ? progress_sender::k_copies_in_outage : progress_sender::k_copies;
   progress_.advance(table_, parts_.lease.epoch(), copies, now);
-  if (state_ != owner_state::active) return;
+  clock.mark("progress", boot_clock::now());
+  if (state_ == owner_state::active) keep_records(clock, now);
+  note_turn(clock);
+}
+
+void pool_owner::keep_records(turn_clock& clock, time_point now) {
   if (now - orders_planned_at_ >= k_orders_interval) {
     orders_planned_at_ = now;
     orders_.advance(now);
   }
+  clock.mark("orders", boot_clock::now());
   commit_results(false);
   write_checkpoint(now);
   forget_old(now);
+  clock.mark("records", boot_clock::now());
+}
+
+void pool_owner::note_turn(turn_clock const& clock) {
+  longest_turn_ = std::max(longest_turn_, clock.total());
+  if (clock.total() < k_long_turn) return;
+  auto const longest = clock.longest();
+  log_line(log_level::warning, k_part, "A turn of the owner's loop took long.",
+           {{"pool", parts_.lease.resource()},
+            {"epoch", parts_.lease.epoch()},
+            {"turn_ms", clock.total().count()},
+            {"longest_part", longest.name},
+            {"longest_part_ms", std::chrono::duration_cast<milliseconds>(longest.time).count()},
+            {"engines", board_.engines().size()},
+            {"jobs", table_.jobs().size()},
+            {"engines_examined", board_.examined()}});
 }
 
 void pool_owner::write_checkpoint(time_point now) {
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -21,6 +21,7 @@
 #include "jobs/record_log.h"
 #include "jobs/run_permission.h"
 #include "jobs/sample_runner.h"
+#include "jobs/turn_clock.h"
 #include "kv/record_store.h"
 #include "ownership/owner_lease.h"
 #include "schema/frostline_generated.h"
@@ -66,6 +67,8 @@
   sample_runner const& runner() const { return runner_; }
   record_log const& log() const { return log_; }
   std::size_t jobs() { return table_.jobs().size(); }
+  /// Of the owner's loop, so far.
+  milliseconds longest_turn() const { return longest_turn_; }
 
   /// One call of a submitter, on this node or passed on by another.
   awaitable<rpc::JobReplyT> handle(rpc::JobCallT call);
@@ -113,6 +116,9 @@
   awaitable<void> advance_loop();
   void advance();
   void refresh_terms();
+  /// What the owner keeps at the store, and orders.
+  void keep_records(turn_clock& clock, time_point now);
+  void note_turn(turn_clock const& clock);
   void refresh_board();
   void read_all_servers();
   void commit_results(bool all);
@@ -174,6 +180,7 @@
   bool work_pending_ = false;
   /// Servers that the board has not taken over yet; all of them if `board_is_old_`.
   std::set<std::string> changed_servers_;
+  milliseconds longest_turn_{0};
   bool board_is_old_ = true;
   time_point orders_planned_at_{};
   time_point checkpoint_at_{};
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -59,8 +59,8 @@
 }
 
 /// Takes a reply over. @return what the other node was not sure of, as text; empty: nothing.
-std::string take_reply(rpc::PollReplyT const& reply, poll_request const& request,
-                       time_point asked, topic_views& views) {
+std::string take_reply(rpc::PollReplyT const& reply, poll_request const& request, time_point asked,
+                       topic_views& views) {
   milliseconds const waited = std::min(milliseconds(reply.waited_ms), request.wait);
   // Before the changes, since it says what a change means.
   auto const back = std::min(milliseconds(reply.store_back_ms_ago), k_longest_age);
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -123,8 +123,8 @@
   reply.waited_ms = milliseconds_since(begin, boot_clock::now());
   reply.store_back_ms_ago = milliseconds_since(views_.store_back_at(), boot_clock::now());
   for (auto const& position : call.positions) {
-    reply.topics.push_back(std::make_unique<rpc::TopicChangesT>(
-        write_changes(read_question(*position, call.node))));
+    reply.topics.push_back(
+        std::make_unique<rpc::TopicChangesT>(write_changes(read_question(*position, call.node))));
   }
   ++answered_;
   co_return reply;
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -90,8 +90,8 @@
       claims_(make_claim_options(), hash_bytes(make_unique_token())),
       role_changed_(context),
       patience_(k_store_patience + with_jitter(k_store_spread)),
-      servers_spread_(static_cast<std::int64_t>(hash_bytes(options_.node) %
-                                                static_cast<std::uint64_t>(k_servers_spread.count()))) {
+      servers_spread_(static_cast<std::int64_t>(
+          hash_bytes(options_.node) % static_cast<std::uint64_t>(k_servers_spread.count()))) {
   source_.set_pause(topic::CONFIGURATION, k_configuration_pause);
   source_.set_pause(topic::SERVERS, k_servers_pause);
   views_.on_change([this] { service_.notify(); });
--- a/tests/unit/engines/version_planner_test.cc
+++ b/tests/unit/engines/version_planner_test.cc
@@ -58,8 +58,7 @@
       auto const orders = plan_orders(board, needs, options);
       if (orders.empty()) return count;
       count += orders.size();
-      for (auto const& order : orders)
-        board.set_version(order.engine, order.model, order.version);
+      for (auto const& order : orders) board.set_version(order.engine, order.model, order.version);
     }
   }
 
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -203,7 +203,8 @@
   std::size_t const after = larger.topics.front()->changes.size();
   CHECK(before >= 90 && before <= 330);
   CHECK(after >= 90 && after <= 330);
-  CHECK(larger.topics.front()->parts.front()->one_in > smaller.topics.front()->parts.front()->one_in);
+  CHECK(larger.topics.front()->parts.front()->one_in >
+        smaller.topics.front()->parts.front()->one_in);
 }
 
 TEST(poll_service_selection_test, relay_gets_the_whole_group_that_it_asks_for) {
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -116,10 +116,9 @@
   /// The first node of all is the seed.
   test_node& add(std::string const& zone) {
     std::size_t const index = nodes.size();
-    nodes.push_back(std::make_unique<test_node>(context, shared, "node-" + std::to_string(index),
-                                                zone, addresses.at(index),
-                                                std::vector<endpoint>{addresses.front()},
-                                                wanted_groups));
+    nodes.push_back(std::make_unique<test_node>(
+        context, shared, "node-" + std::to_string(index), zone, addresses.at(index),
+        std::vector<endpoint>{addresses.front()}, wanted_groups));
     STRCMP_EQUAL("", nodes.back()->failure.c_str());
     return *nodes.back();
   }
@@ -450,7 +449,8 @@
   LONGS_EQUAL(1, readers);
 }
 
-TEST(record_feed_test, nodes_that_start_all_at_once_read_from_the_store_who_relays_and_nothing_else) {
+TEST(record_feed_test,
+     nodes_that_start_all_at_once_read_from_the_store_who_relays_and_nothing_else) {
   // Thundering herd: all machines are back at once, the seeds last, and the zones' records stand.
   start_two_zones();
   std::size_t const relay = nodes.front().get() == relay_of("a") ? 0 : 1;
--- a/tests/unit/relay/record_selection_test.cc
+++ b/tests/unit/relay/record_selection_test.cc
@@ -7,19 +7,20 @@
 using namespace frostline;
 using namespace frostline::relay;
 
-TEST_GROUP(record_selection_test) {
-  std::optional<record_traits> record(std::string const& group, std::uint64_t place) {
-    return record_traits{group, place, 0};
-  }
+TEST_GROUP(record_selection_test){
+    std::optional<record_traits> record(std::string const& group,
+                                        std::uint64_t place){return record_traits{group, place, 0};
+}
 
-  std::size_t count(record_selection const& held, std::size_t records) {
-    std::size_t included = 0;
-    for (std::size_t place = 0; place < records; ++place) {
-      if (held.includes(record("calls", place))) ++included;
-    }
-    return included;
+std::size_t count(record_selection const& held, std::size_t records) {
+  std::size_t included = 0;
+  for (std::size_t place = 0; place < records; ++place) {
+    if (held.includes(record("calls", place))) ++included;
   }
-};
+  return included;
+}
+}
+;
 
 TEST(record_selection_test, everything_covers_all_and_nothing_else_covers_it) {
   record_selection const all;
--- a/tests/unit/relay/record_view_test.cc
+++ b/tests/unit/relay/record_view_test.cc
@@ -254,8 +254,8 @@
 TEST(record_view_selection_test, view_passes_over_what_it_does_not_hold) {
   // A relay whose source is the store hears of all servers.
   record_selection const calls("relay", {{"calls", k_whole_group}});
-  view.take_snapshot(snapshot(10, {change("call-1", 5, "calls 1"), change("engine-1", 6, "engines 1")}),
-                     calls);
+  view.take_snapshot(
+      snapshot(10, {change("call-1", 5, "calls 1"), change("engine-1", 6, "engines 1")}), calls);
   LONGS_EQUAL(1, view.records().size());
   CHECK_FALSE(view.take_event(change("engine-2", 11, "engines 2")).has_value());
   CHECK(view.take_event(change("call-2", 12, "calls 2")).has_value());
