--- a/src/jobs/turn_clock.h
+++ b/src/jobs/turn_clock.h
@@ -19,9 +19,7 @@
     parts_.push_back({name, now - last_});
     last_ = now;
   }
-  milliseconds total() const {
-    return std::chrono::duration_cast<milliseconds>(last_ - begin_);
-  }
+  milliseconds total() const { return std::chrono::duration_cast<milliseconds>(last_ - begin_); }
   struct part {
     std::string_view name;
     time_point::duration time{};
