A version is accepted by a node that has not heard of the one before it

Traced: the test publishes version 1 at node 0 and version 2 at node 2 at once; node 2 compared the version's record with the revision that it knew, none, and answered CONFLICT though nobody had published that version or a later one. Beside load the news of version 1 takes longer than the test to go on.

Change: after a conflict that shows an older version than the one asked for, the node publishes again at the revision that it has now learned, three times at most. A version that is as new or newer stays a conflict.

--- a/src/operators/service.cc
+++ b/src/operators/service.cc
@@ -13,6 +13,8 @@
 constexpr std::string_view k_part = "operators";
 constexpr milliseconds k_kv_retry{1000};
 constexpr milliseconds k_peer_timeout{1000};
+/// A node may be behind by several versions that others publish meanwhile.
+constexpr std::uint32_t k_publish_retries = 3;
 constexpr int k_read_back_tries = 5;
 constexpr milliseconds k_read_back_pause{100};
 constexpr std::size_t k_longest_name = 64;
@@ -136,6 +138,18 @@
 
 awaitable<service::change_reply> service::publish(rpc::PublishVersionRequestT request) {
   if (store_.find_task(request.task) == nullptr) co_return not_found("no such task");
+  auto reply = co_await publish_once(request);
+  for (std::uint32_t again = 0; again < k_publish_retries; ++again) {
+    bool const conflict = reply && reply.value().outcome == rpc::ChangeOutcome::CONFLICT;
+    // The conflict has shown what this node had not heard of. An older version is no rival.
+    bool const was_behind = store_.published_version(request.task) < request.version;
+    if (!conflict || !was_behind) break;
+    reply = co_await publish_once(request);
+  }
+  co_return reply;
+}
+
+awaitable<service::change_reply> service::publish_once(rpc::PublishVersionRequestT request) {
   std::uint64_t const published = store_.published_version(request.task);
   kv::revision const known = store_.version_revision(request.task);
   if (request.version == published && published > 0) {
--- a/src/operators/service.h
+++ b/src/operators/service.h
@@ -43,6 +43,7 @@
 
   awaitable<change_reply> put_task(rpc::PutTaskRequestT request);
   awaitable<change_reply> publish(rpc::PublishVersionRequestT request);
+  awaitable<change_reply> publish_once(rpc::PublishVersionRequestT request);
   awaitable<change_reply> put_route(rpc::PutRouteRequestT request);
   awaitable<change_reply> set_drain(rpc::SetDrainRequestT request);
   awaitable<status_reply> status(rpc::GetStatusRequestT request);
--- a/tests/integration/configuration_test.cc
+++ b/tests/integration/configuration_test.cc
@@ -50,6 +50,13 @@
   }
 }
 
+TEST(configuration_test, version_is_accepted_by_a_node_that_has_not_heard_of_the_one_before) {
+  for (std::uint64_t version = 2; version < 60; ++version) {
+    auto const accepted = system.publish("main", version, version % 3);
+    CHECK(accepted.outcome == rpc::ChangeOutcome::ACCEPTED);
+  }
+}
+
 TEST(configuration_test, of_racing_operators_one_wins_and_the_other_is_told) {
   auto const revision = static_cast<std::int64_t>(system.status(0, true).tasks.front()->revision);
   auto const first = put_bound(0, 2, revision);
