--- a/src/relay/asking_nodes.cc
+++ b/src/relay/asking_nodes.cc
@@ -7,7 +7,7 @@
 
 /// A node asks again within 0.95 s (a question's wait and margin); one of these may be lost.
 constexpr milliseconds k_longest_silence{2000};
-/// Well above the nodes of the largest deployment (380).
+/// Bounds what is remembered of nodes that are gone.
 constexpr std::size_t k_most_nodes = 2000;
 
 }  // namespace
--- a/src/relay/record_view.h
+++ b/src/relay/record_view.h
@@ -24,8 +24,7 @@
 
 class record_view {
  public:
-  /// Changes that are kept one by one. A burst at the largest deployment measured (92 servers that
-  /// start at once) fits five times; who lacks more gets all records.
+  /// Changes that are kept one by one; who lacks more gets all records that it wants.
   static constexpr std::size_t k_most_changes = 512;
 
   /// @param read_traits null: all records concern everybody.
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -172,15 +172,19 @@
 
   rpc::PollReplyT ask(std::string const& node, kv::revision after, std::string const& group,
                       std::uint32_t one_in, bool exact = false) {
+    auto position = std::make_unique<rpc::TopicPositionT>();
+    position->topic = topic::SERVERS;
+    position->after = after;
+    position->selected = true;
+    position->exact = exact;
+    position->parts = write_parts({{group, one_in}});
+    return ask(node, std::move(position));
+  }
+
+  rpc::PollReplyT ask(std::string const& node, std::unique_ptr<rpc::TopicPositionT> position) {
     rpc::PollCallT call;
     call.node = node;
-    call.positions.push_back(std::make_unique<rpc::TopicPositionT>());
-    rpc::TopicPositionT& position = *call.positions.back();
-    position.topic = topic::SERVERS;
-    position.after = after;
-    position.selected = true;
-    position.exact = exact;
-    position.parts = write_parts({{group, one_in}});
+    call.positions.push_back(std::move(position));
     std::optional<rpc::PollReplyT> reply;
     auto const asking = [](poll_service& from, rpc::PollCallT what,
                            std::optional<rpc::PollReplyT>& into) -> awaitable<void> {
@@ -237,16 +241,8 @@
 TEST(poll_service_selection_test, node_that_asks_for_all_is_not_served_by_one_that_holds_a_part) {
   load(400);
   views.narrow(topic::SERVERS, record_selection("relay", {{"calls", k_whole_group}}));
-  rpc::PollCallT call;
-  call.positions.push_back(std::make_unique<rpc::TopicPositionT>());
-  call.positions.back()->topic = topic::SERVERS;
-  std::optional<rpc::PollReplyT> reply;
-  auto const asking = [](poll_service& from, rpc::PollCallT what,
-                         std::optional<rpc::PollReplyT>& into) -> awaitable<void> {
-    into = co_await from.answer(std::move(what));
-  };
-  spawn(context, asking(service, std::move(call), reply));
-  context.poll();
-  CHECK(reply.has_value());
-  CHECK_FALSE(reply->topics.front()->sure);
+  auto position = std::make_unique<rpc::TopicPositionT>();
+  position->topic = topic::SERVERS;
+  auto const reply = ask("node-1", std::move(position));
+  CHECK_FALSE(reply.topics.front()->sure);
 }
