A node's lines are written when it begins to serve

Since servers are asked for after the configuration, a node begins to serve when they come, up to 0.25 s before its lines are next written; before, it began in the loop that writes them.

Change: the lines are written when the node begins to serve.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -248,6 +248,8 @@
              {{"config", configuration_.table()->all().version},
               {"servers", servers_.servers().size()},
               {"records_age_ms", feed_.age(boot_clock::now()).count()}});
+    // What the node knows can be read as soon as it calls itself ready.
+    flush_logs();
   }
   pools_.notify();
 }
