A node that follows servers at the store reads those that it needs from now on

Cause: a node passes over what the store tells of servers that it does not hold. If it becomes its zone's relay, or a configuration calls another service, while no owner of a pool tells of servers, its followed list is not read again: a relay went on with its own part and was not sure towards its zone, and servers of the new service stayed unknown.

Change: such a node reads the list anew, once for each change of what it needs.

Tests: record_feed_test.node_that_becomes_a_relay_reads_what_its_zone_asks_it_for and ...servers_of_a_service_that_is_called_from_now_on_are_read: both red for 20 s before the change, green after it. A look at the store that fails is logged.

--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -126,6 +126,9 @@
   std::optional<record_selection> select_servers() const;
   /// What this node should hold of what the store lists.
   record_selection select_from_store(topic one, kv::range_answer const& all) const;
+  /// Has the servers read anew, once, if this node follows them at the store and holds too few of
+  /// them since its role, or what its calls need, has changed.
+  void review_servers();
   /// A node that follows the store and knows no servers looks how large their list is first.
   awaitable<void> look_how_many();
   /// When a node that follows the store turns to the owner, or the store, for servers as well. All
@@ -207,6 +210,8 @@
   bool sure_once_ = false;
   /// Since when those who serve this node are not sure of the servers.
   std::optional<time_point> servers_doubted_since_;
+  /// What the store's list of servers is being read anew for.
+  std::optional<record_selection> read_for_;
   /// Whether the store's list of servers is longer than one answer, once this node has looked.
   std::optional<bool> servers_are_many_;
 };
--- a/src/relay/record_feed_servers.cc
+++ b/src/relay/record_feed_servers.cc
@@ -71,6 +71,7 @@
       co_await role_changed_.wait_until(servers_needed_from());
       continue;
     }
+    review_servers();
     // The owner may be the one of before a restart of all.
     if (!views_.view(topic::SERVERS).is_loaded()) source_.follow(topic::SERVERS, true);
     if (owner && now >= avoided_until) {
@@ -83,11 +84,32 @@
   }
 }
 
+void record_feed::review_servers() {
+  record_view const& known = views_.view(topic::SERVERS);
+  auto const selected = select_servers();
+  bool const lacks = known.is_loaded() && selected && !known.held().covers(*selected);
+  if (!lacks || !source_.follows(topic::SERVERS)) {
+    read_for_.reset();
+    return;
+  }
+  if (read_for_ == selected) return;
+  read_for_ = selected;
+  log_line(log_level::info, k_part, "Servers are read anew: this node needs others than before.",
+           {{"zone", options_.zone}, {"role", to_text(role_)}});
+  source_.follow(topic::SERVERS, false);
+  source_.follow(topic::SERVERS, true);
+}
+
 awaitable<void> record_feed::look_how_many() {
   servers_are_many_ = false;
   if (views_.view(topic::SERVERS).is_loaded()) co_return;
   auto const many = co_await store_.has_many(options_.prefixes[index_of(topic::SERVERS)]);
-  if (many) servers_are_many_ = many.value();
+  if (many) {
+    servers_are_many_ = many.value();
+    co_return;
+  }
+  log_line(log_level::info, k_part, "Store does not tell how many servers there are.",
+           {{"zone", options_.zone}, {"cause", many.error().message()}});
 }
 
 time_point record_feed::servers_needed_from() const {
--- a/tests/unit/relay/record_feed_test.cc
+++ b/tests/unit/relay/record_feed_test.cc
@@ -32,7 +32,7 @@
 struct test_node {
   test_node(asio::io_context& context, memory_record_store& shared, std::string name,
             std::string const& zone, endpoint address, std::vector<endpoint> seeds,
-            std::optional<std::set<std::string>> wanted_groups)
+            std::optional<std::set<std::string>> const& wanted_groups)
       : store(shared),
         transport(context),
         server(context, http::server_limits(),
@@ -48,7 +48,7 @@
       options.servers_traits = [](kv::key_value const& record) {
         return record_traits{record.value, hash_bytes(record.key), hash_bytes(record.value)};
       };
-      options.wanted_servers = [wanted_groups] { return wanted_groups; };
+      options.wanted_servers = [&wanted_groups] { return wanted_groups; };
     }
     feed = std::make_unique<record_feed>(context, store, transport, std::move(options),
                                          [this] { return owner; });
@@ -485,3 +485,36 @@
   // A question waits for 0.7 s.
   CHECK(boot_clock::now() - begin < milliseconds(500));
 }
+
+TEST(record_feed_test, node_that_becomes_a_relay_reads_what_its_zone_asks_it_for) {
+  // There is no owner that could tell it the rest.
+  for (int one = 2; one < 300; ++one) shared.put_now("servers/" + std::to_string(one), "calls");
+  wanted_groups = {"calls"};
+  test_node& seed = add("a");
+  seed.fall_silent();
+  seed.store.set_cut(true);
+  test_node& relay = add("a");
+  CHECK(run_until([&] { return relay.feed->role() == feed_role::direct; }));
+  CHECK(run_until([&] { return relay.feed->view(topic::SERVERS).is_loaded(); }));
+  CHECK(relay.feed->view(topic::SERVERS).group_size("calls") < 298);
+  CHECK(run_until([&] { return relay.feed->role() == feed_role::relay; }));
+  CHECK(run_until([&] { return relay.feed->view(topic::SERVERS).group_size("calls") == 298; }));
+}
+
+TEST(record_feed_test, servers_of_a_service_that_is_called_from_now_on_are_read) {
+  shared.put_now("servers/2", "new");
+  wanted_groups = {"ready"};
+  start_two_zones();
+  CHECK(run_until([&] {
+    return std::all_of(nodes.begin(), nodes.end(), [](auto const& one) {
+      return one->feed->view(topic::SERVERS).group_size("ready") == 1;
+    });
+  }));
+  wanted_groups = {"ready", "new"};
+  for (auto const& node : nodes) node->feed->note_wanted_servers();
+  CHECK(run_until([&] {
+    return std::all_of(nodes.begin(), nodes.end(), [](auto const& one) {
+      return one->feed->view(topic::SERVERS).group_size("new") == 1;
+    });
+  }));
+}
