What tests of crashing requests ask of all servers stands once

Cause: deadly_arrivals and the options of a system with many servers stood two and three times in tests/platform.

--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -28,15 +28,6 @@
 /// Calls of each of those that stood beside it which come again: those of its time.
 constexpr int k_beside_again = 12;
 
-platform_options with_many_servers() {
-  platform_options options;
-  options.engines = 4;
-  options.apps = 4;
-  options.zones = 3;
-  options.event_gap = milliseconds(15);
-  return options;
-}
-
 std::vector<test_item> make_items(std::string const& job, std::size_t count) {
   std::vector<test_item> items;
   for (std::size_t index = 0; index < count; ++index) {
@@ -78,26 +69,9 @@
     });
   }
 
-  /// Times at which a deadly request reached a server, in their order.
-  std::vector<time_point> deadly_arrivals() {
-    std::vector<time_point> times = system.on_platform([&] {
-      std::vector<time_point> all;
-      auto const take = [&](server_standin const& from) {
-        for (arrival const& one : from.arrivals()) {
-          if (one.crashed) all.push_back(one.at);
-        }
-      };
-      for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
-      for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
-      return all;
-    });
-    std::sort(times.begin(), times.end());
-    return times;
-  }
-
   /// How often the request reached a server once the bound held.
   std::size_t late_arrivals() {
-    auto const times = deadly_arrivals();
+    auto const times = deadly_arrivals(system);
     if (times.size() < k_crashes_allowed) return 0;
     time_point const bound = times[k_crashes_allowed - 1] + k_contact;
     return static_cast<std::size_t>(
@@ -105,7 +79,7 @@
   }
 
   bool is_bound_in_force() {
-    auto const times = deadly_arrivals();
+    auto const times = deadly_arrivals(system);
     return times.size() >= k_crashes_allowed &&
            boot_clock::now() > times[k_crashes_allowed - 1] + k_contact;
   }
@@ -172,7 +146,7 @@
     });
   });
   LONGS_EQUAL(502, try_deadly("/calls/x"));
-  LONGS_EQUAL(3, deadly_arrivals().size());
+  LONGS_EQUAL(3, deadly_arrivals(system).size());
 }
 
 TEST(crashing_request_test, unsafe_request_reaches_servers_no_more_after_three_have_ended) {
@@ -243,7 +217,7 @@
 
 TEST(crashing_request_test, quarantine_outlasts_the_end_of_every_node) {
   keep_trying("/calls/x");
-  std::size_t const before = deadly_arrivals().size();
+  std::size_t const before = deadly_arrivals(system).size();
   for (std::size_t node = 0; node < system.nodes(); ++node) system.node(node).kill();
   for (std::size_t node = 0; node < system.nodes(); ++node) system.start_node(node);
   for (std::size_t node = 0; node < system.nodes(); ++node) {
@@ -256,18 +230,18 @@
     });
   }
   // The record takes a moment to take effect on a node that has just started.
-  CHECK(deadly_arrivals().size() <= before + system.nodes() * k_crashes_allowed);
-  std::size_t const after = deadly_arrivals().size();
+  CHECK(deadly_arrivals(system).size() <= before + system.nodes() * k_crashes_allowed);
+  std::size_t const after = deadly_arrivals(system).size();
   for (std::size_t number = 0; number < k_late_tries; ++number) {
     wait_for_service("/calls/x");
     try_deadly("/calls/x");
   }
-  CHECK(deadly_arrivals().size() <= after + 1);
+  CHECK(deadly_arrivals(system).size() <= after + 1);
 }
 
 TEST(crashing_request_test, request_is_served_again_once_the_servers_bear_it) {
   platform_cluster::wait_until("three servers have ended and there is a record", [&] {
-    if (deadly_arrivals().size() < k_crashes_allowed) try_deadly("/calls/x");
+    if (deadly_arrivals(system).size() < k_crashes_allowed) try_deadly("/calls/x");
     return quarantine_records() == 1;
   });
   system.set_crash_text("");
@@ -307,7 +281,7 @@
   });
   platform_cluster::wait_until("three servers have ended", [&] {
     try_deadly("/calls/x");
-    return deadly_arrivals().size() >= k_crashes_allowed;
+    return deadly_arrivals(system).size() >= k_crashes_allowed;
   });
   system.on_platform([&] {
     system.store().faults().silent = false;
@@ -318,12 +292,12 @@
     try_deadly("/calls/x");
     return boot_clock::now() > back + k_contact;
   });
-  std::size_t const before = deadly_arrivals().size();
+  std::size_t const before = deadly_arrivals(system).size();
   for (std::size_t number = 0; number < k_late_tries; ++number) {
     wait_for_service("/calls/x");
     try_deadly("/calls/x");
   }
-  CHECK(deadly_arrivals().size() <= before + k_retries_allowed);
+  CHECK(deadly_arrivals(system).size() <= before + k_retries_allowed);
 }
 
 TEST(crashing_request_test, wide_crash_under_a_popular_request_refuses_nothing) {
--- a/tests/platform/cut_runs_test.cc
+++ b/tests/platform/cut_runs_test.cc
@@ -43,15 +43,6 @@
 /// The same, after the first event of a sample's run was waited for in vain (2.5 s).
 constexpr milliseconds k_crash_after_run{2550};
 
-platform_options with_many_servers() {
-  platform_options options;
-  options.engines = 4;
-  options.apps = 4;
-  options.zones = 3;
-  options.event_gap = milliseconds(15);
-  return options;
-}
-
 }  // namespace
 
 TEST_GROUP(cut_runs_test) {
@@ -74,31 +65,14 @@
     });
   }
 
-  /// Times at which a deadly request reached a server, in their order.
-  std::vector<time_point> deadly_arrivals() {
-    std::vector<time_point> times = system.on_platform([&] {
-      std::vector<time_point> all;
-      auto const take = [&](server_standin const& from) {
-        for (arrival const& one : from.arrivals()) {
-          if (one.crashed) all.push_back(one.at);
-        }
-      };
-      for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
-      for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
-      return all;
-    });
-    std::sort(times.begin(), times.end());
-    return times;
-  }
-
   bool is_bound_in_force() {
-    auto const times = deadly_arrivals();
+    auto const times = deadly_arrivals(system);
     return times.size() >= k_crashes_allowed &&
            boot_clock::now() > times[k_crashes_allowed - 1] + k_contact;
   }
 
   std::size_t late_arrivals() {
-    auto const times = deadly_arrivals();
+    auto const times = deadly_arrivals(system);
     if (times.size() < k_crashes_allowed) return 0;
     time_point const bound = times[k_crashes_allowed - 1] + k_contact;
     return static_cast<std::size_t>(
@@ -121,7 +95,7 @@
   /// others are served by the node that is tried next.
   void wait_for_service(std::string const& path) {
     platform_cluster::wait_until("servers are back", [&] {
-      auto const times = deadly_arrivals();
+      auto const times = deadly_arrivals(system);
       bool const over = times.empty() || boot_clock::now() > times.back() + 2 * crash_after;
       return over && !is_any_server_down();
     });
--- a/tests/platform/lost_crash_records_test.cc
+++ b/tests/platform/lost_crash_records_test.cc
@@ -32,15 +32,6 @@
 constexpr std::size_t k_retries_allowed = 3;
 constexpr std::size_t k_late_tries = 12;
 
-platform_options with_many_servers() {
-  platform_options options;
-  options.engines = 4;
-  options.apps = 4;
-  options.zones = 3;
-  options.event_gap = milliseconds(15);
-  return options;
-}
-
 }  // namespace
 
 TEST_GROUP(lost_crash_records_test) {
--- a/tests/platform/suspended_crash_test.cc
+++ b/tests/platform/suspended_crash_test.cc
@@ -92,7 +92,7 @@
   }
 
   /// A server ends under a call of a node that sleeps, and is back before it wakes.
-  void end_server_in_sleep(std::size_t node, milliseconds callers_patience) {
+  void end_server_while_suspended(std::size_t node, milliseconds callers_patience) {
     std::size_t const before = crashes();
     std::string const id = "slept-" + std::to_string(before);
     auto call = std::async(std::launch::async, [&] {
@@ -110,9 +110,9 @@
     wait_for_service(node);
   }
 
-  void end_three_servers_in_sleep(milliseconds callers_patience) {
+  void end_three_servers_while_suspended(milliseconds callers_patience) {
     for (std::size_t number = 0; number < k_crashes_allowed; ++number) {
-      end_server_in_sleep(number % system.nodes(), callers_patience);
+      end_server_while_suspended(number % system.nodes(), callers_patience);
     }
   }
 
@@ -134,13 +134,13 @@
 };
 
 TEST(suspended_crash_test, crashes_under_calls_whose_callers_have_left_count) {
-  end_three_servers_in_sleep(k_short_patience);
+  end_three_servers_while_suspended(k_short_patience);
   LONGS_EQUAL(3, crashes());
   CHECK(late_crashes() <= k_retries_allowed);
 }
 
 TEST(suspended_crash_test, crashes_under_calls_whose_callers_wait_count) {
-  end_three_servers_in_sleep(k_long_patience);
+  end_three_servers_while_suspended(k_long_patience);
   LONGS_EQUAL(3, crashes());
   CHECK(late_crashes() <= k_retries_allowed);
 }
--- a/tests/platform_standin/cluster_queries.cc
+++ b/tests/platform_standin/cluster_queries.cc
@@ -30,6 +30,31 @@
 
 }  // namespace
 
+platform_options with_many_servers() {
+  platform_options options;
+  options.engines = 4;
+  options.apps = 4;
+  options.zones = 3;
+  options.event_gap = milliseconds(15);
+  return options;
+}
+
+std::vector<time_point> deadly_arrivals(platform_cluster& system) {
+  std::vector<time_point> times = system.on_platform([&] {
+    std::vector<time_point> all;
+    auto const take = [&](server_standin const& from) {
+      for (arrival const& one : from.arrivals()) {
+        if (one.crashed) all.push_back(one.at);
+      }
+    };
+    for (std::size_t index = 0; index < system.apps(); ++index) take(system.app(index));
+    for (std::size_t index = 0; index < system.engines(); ++index) take(system.engine(index));
+    return all;
+  });
+  std::sort(times.begin(), times.end());
+  return times;
+}
+
 std::size_t count_arrivals(platform_cluster& system, std::string const& prefix) {
   return count_at_all(system, prefix, false);
 }
