Soak: a seed replays its schedule of faults

Faults are now drawn by fault_schedule from a generator of its own; the caller's and the trainer's thread have one each. No check or bound changes.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -8,11 +8,11 @@
 #include <functional>
 #include <iostream>
 #include <map>
-#include <mutex>
 #include <random>
 #include <set>
 #include <thread>
 
+#include "fault_schedule.h"
 #include "http/json_fields.h"
 #include "platform_cluster.h"
 #include "poison_requests.h"
@@ -71,16 +71,21 @@
 constexpr milliseconds k_propagation_time{3000};
 /// Long enough that some calls are in flight when an application server crashes.
 constexpr milliseconds k_call_service_time{8};
+/// Each thread draws from a generator of its own, so that its draws do not depend on the others.
+constexpr std::uint64_t k_caller_stream = 1;
+constexpr std::uint64_t k_trainer_stream = 2;
 
 class soak {
  public:
   explicit soak(std::uint64_t seed)
-      : random_(seed),
+      : caller_random_(make_generator(seed, k_caller_stream)),
+        trainer_random_(make_generator(seed, k_trainer_stream)),
         system_(options()),
         poison_requests_(system_, k_first_key, seed, milliseconds(FLAGS_deadly_patience_ms)),
         faults_(
             system_, poison_requests_, {k_tenants, k_tenants_with_key_revoked},
-            [this] { wait_for_acceptance(); }, FLAGS_all_faults) {
+            [this] { wait_for_acceptance(); }, FLAGS_all_faults),
+        schedule_(seed, faults_.all().size()) {
     system_.on_platform([this] {
       for (std::size_t app = 0; app < FLAGS_apps; ++app) {
         system_.app(app).faults().work_time = k_call_service_time;
@@ -132,17 +137,17 @@
     return settings;
   }
 
-  std::size_t pick(std::size_t count) {
-    std::lock_guard const lock(random_mutex_);
-    return random_() % count;
+  static std::mt19937_64 make_generator(std::uint64_t seed, std::uint64_t stream) {
+    std::seed_seq sequence{seed, stream};
+    return std::mt19937_64(sequence);
   }
 
+  static std::size_t pick(std::mt19937_64& random, std::size_t count) { return random() % count; }
+
   void cause_random_pair() {
     std::vector<soak_fault> const& faults = faults_.all();
-    std::size_t const first = pick(faults.size());
-    std::size_t const second = pick(faults.size());
-    std::size_t const target = pick(1000);
-    cause_pair(faults[first], faults[second], target);
+    fault_pair const pair = schedule_.next();
+    cause_pair(faults[pair.first], faults[pair.second], pair.target);
   }
 
   void cause_pair(soak_fault const& first, soak_fault const& second, std::size_t target) {
@@ -223,15 +228,15 @@
   void call_loop() {
     while (calling_) {
       call_record call;
-      call.repeatable = pick(2) == 0;
+      call.repeatable = pick(caller_random_, 2) == 0;
       call.request = next_id("call");
       std::string const path = call.repeatable ? "/calls/x" : "/once/x";
-      std::size_t const choice = pick(5);
+      std::size_t const choice = pick(caller_random_, 5);
       std::string const key =
           choice == 0 ? k_unknown_key : (choice < 3 ? k_first_key : k_second_key);
       if (choice > 0) call.tenant = choice < 3 ? k_first_tenant : k_second_tenant;
-      auto const answer = system_.call(pick(FLAGS_nodes), http::verb::post, path, call.request, "b",
-                                       milliseconds(1500), key);
+      auto const answer = system_.call(pick(caller_random_, FLAGS_nodes), http::verb::post, path,
+                                       call.request, "b", milliseconds(1500), key);
       if (answer) {
         call.status = answer.value().result_int();
         call.body = answer.value().body();
@@ -266,7 +271,8 @@
         items.back().scorer_path = "/open/score";
       }
       while (training_ && !job.accepted) {
-        job.accepted = system_.submit(pick(FLAGS_nodes), job.job, items, job.min_version) == 202;
+        job.accepted = system_.submit(pick(trainer_random_, FLAGS_nodes), job.job, items,
+                                      job.min_version) == 202;
       }
       if (job.accepted) {
         ++accepted_jobs_;
@@ -276,7 +282,7 @@
         if (read_results(job.job) == k_samples_per_job) break;
         std::this_thread::sleep_for(milliseconds(100));
       }
-      if (job.accepted && pick(3) == 0) end_job(job);
+      if (job.accepted && pick(trainer_random_, 3) == 0) end_job(job);
       records_.jobs.push_back(std::move(job));
       faults_.announce_next_version();
     }
@@ -285,7 +291,7 @@
 
   /// @return number of results in the list.
   std::size_t read_results(std::string const& job) {
-    auto const answer = system_.results(pick(FLAGS_nodes), job);
+    auto const answer = system_.results(pick(trainer_random_, FLAGS_nodes), job);
     if (!answer) return 0;
     read_record record;
     record.job = job;
@@ -298,7 +304,7 @@
   }
 
   void end_job(job_record& job) {
-    job.ended = system_.end_job(pick(FLAGS_nodes), job.job) == 200;
+    job.ended = system_.end_job(pick(trainer_random_, FLAGS_nodes), job.job) == 200;
     job.ended_at = boot_clock::now();
     // Without status 200 the job may or may not have ended, so the checker must not require its
     // results.
@@ -362,8 +368,10 @@
     return broken.empty() && covered;
   }
 
-  std::mt19937_64 random_;
-  std::mutex random_mutex_;
+  /// Used by the caller thread.
+  std::mt19937_64 caller_random_;
+  /// Used by the trainer thread while it runs, by the main thread otherwise.
+  std::mt19937_64 trainer_random_;
   platform_cluster system_;
   std::atomic<bool> calling_ = true;
   std::atomic<bool> training_ = false;
@@ -379,6 +387,7 @@
   std::vector<violation> route_violations_;
   poison_requests poison_requests_;
   soak_faults faults_;
+  fault_schedule schedule_;
 };
 
 }  // namespace
