After all nodes have ended, one crash puts a request under quarantine

Callers saw: a request that had ended three servers ended five more after all nodes had ended together (platform.lost_evidence_test's entry). What runs on those servers falls with them.

Cause: a node that starts took "no evidence" for "no crashes". Evidence of a first crash, and of a second one that is not stored yet, dies with all nodes, so the request had to be proven anew by three crashes, one more came before the record took effect, and one under the trial. The logs of a red play show it: at the restart each node loads 0 records of frostline/quarantine, then the five crashes follow.

Change: nodes know how far back evidence reaches (evidence_horizon): to their own start, or as far as that of a collector, or of the writer of the marker frostline/quarantine-run, which tells a restart of the system from its first start. While evidence that would still count may be lost, the node that sees a crash writes a provisional record: in effect at once, with a trial due at once, which a call that may be repeated makes itself. Not for requests that were answered in the last 3 s, that others explain, or when more than three servers end within a second. Samples and scorers' calls with the same fingerprint run one at a time meanwhile. A trial that no server ran is returned.

Why it works: what came before the restart can't be known, so the bound is kept by what follows. One crash proves the request, no other node runs it once the record has reached it, and the trial is the last run for five minutes.

Ruled out: that the runs of a job alone make up the bound (the same scorers' call of three jobs made three runs at once on one node, 4 crashes after the restart: hence one at a time).

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -57,10 +57,12 @@
 awaitable<void> forwarder::record_suspicion(request_state& state) {
   bool const watching = dependencies_.quarantine.has_suspects() || state.broken_attempts > 1;
   if (!watching || state.is_trial) co_return;
-  // After a second broken attempt, the probe of its server may be pending, and must_be_recorded
-  // still false. record_before_next_run waits for the probe and checks again.
-  bool const broke_twice = state.broken_attempts > 1;
-  if (!broke_twice && !dependencies_.quarantine.must_be_recorded(fingerprint_of(state))) co_return;
+  // After a second broken attempt, or after the first one while earlier evidence may be lost, the
+  // probe of its server may be pending, and must_be_recorded still false. record_before_next_run
+  // waits for the probe and checks again.
+  std::uint32_t const unrecorded_breaks = dependencies_.quarantine.may_lack_evidence() ? 0 : 1;
+  bool const must_examine = state.broken_attempts > unrecorded_breaks;
+  if (!must_examine && !dependencies_.quarantine.must_be_recorded(fingerprint_of(state))) co_return;
   co_await dependencies_.quarantine.record_before_next_run(fingerprint_of(state));
 }
 
@@ -74,8 +76,10 @@
   if (must_wait) state.is_quarantined = true;
   if (must_wait) co_return true;
   if (verdict == quarantine::verdict::allowed) co_return false;
-  // A trial needs a request that has not run yet, since its outcome decides the quarantine.
-  bool const can_be_trial = verdict == quarantine::verdict::trial && state.attempts == 0;
+  // A trial needs a request that has not run yet, since its outcome decides the quarantine. A
+  // provisional record may be due to this request's own attempt, which the trial then repeats.
+  bool const suitable = state.attempts == 0 || dependencies_.quarantine.is_provisional(request);
+  bool const can_be_trial = verdict == quarantine::verdict::trial && suitable;
   if (can_be_trial) state.is_trial = co_await dependencies_.quarantine.claim_trial(request);
   if (state.is_trial) co_return false;
   state.is_quarantined = true;
@@ -233,6 +237,7 @@
     if (state.client != nullptr && state.client->is_disconnected()) break;
     if (boot_clock::now() >= state.deadline) break;
     co_await record_suspicion(state);
+    state.unattended_run.reset();
     if (co_await is_blocked_by_quarantine(state)) break;
     auto const& ready = dependencies_.servers.ready_servers(state.service);
     directory::server const* selected =
@@ -252,6 +257,9 @@
     state.attempt_started_at = boot_clock::now();
     auto upstream =
         std::make_unique<exchange>(dependencies_.connections, dependencies_.names, *selected);
+    if (state.client == nullptr && dependencies_.quarantine.has_suspects()) {
+      state.unattended_run = dependencies_.quarantine.begin_unattended_run(fingerprint_of(state));
+    }
     if (state.client != nullptr)
       state.client->on_disconnect([active_exchange = upstream.get()] { active_exchange->abort(); });
     if (is_suspect(state)) upstream->hold(dependencies_.selector.isolate(selected->id));
@@ -261,6 +269,7 @@
     bool const accepted = answered && accepts(state, *upstream);
     bool const refused = answered && !accepted && is_refusal(upstream->head());
     bool const not_connected = failure == exchange_failure::not_connected;
+    if (!refused && !not_connected) state.trial_ran = state.is_trial;
     if (not_connected && all_failed) state.unreachable.insert(server_id);
     count_run(state, usage_attempt, !refused && !not_connected,
               answered && has_events(upstream->head()));
@@ -268,6 +277,9 @@
     if (state.client != nullptr) state.client->on_disconnect(nullptr);
     if (failure != exchange_failure::none) note_failure(state, *upstream, failure);
   }
+  if (state.is_trial && !state.trial_ran) {
+    co_await dependencies_.quarantine.return_trial(fingerprint_of(state));
+  }
   set_call_failure(state);
   co_return nullptr;
 }
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -112,6 +112,10 @@
     std::optional<milliseconds> retry_delay;
     /// The request is sent once, to find out whether it still crashes its server.
     bool is_trial = false;
+    /// Held during an attempt that no caller waits for, while the quarantine has suspects.
+    std::shared_ptr<void> unattended_run;
+    /// A server may have begun to run the trial.
+    bool trial_ran = false;
     call_failure reason = call_failure::none;
   };
 
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -78,7 +78,7 @@
   if (!dependencies_.quarantine.has_suspects()) return true;
   sample_entry& sample = job.samples[index];
   quarantine::fingerprint const& request = fingerprint_of(job, index);
-  if (trials_.erase(request) > 0) return true;
+  if (trials_.contains(request)) return true;
   if (dependencies_.quarantine.should_wait(request, now)) {
     sample.not_before = now + k_suspect_retry_delay;
     return false;
@@ -152,7 +152,15 @@
             {"events", sample.events},
             {"in_flight", engine.in_flight},
             {"isolated", isolated ? "yes" : "no"}});
-  spawn(dependencies_.context, run(key, engine.server, tokens, sample.spec->group, isolated));
+  run_context context;
+  context.isolated = isolated;
+  context.trial = take_trial(job, index);
+  if (dependencies_.quarantine.has_suspects()) {
+    context.unattended_run =
+        dependencies_.quarantine.begin_unattended_run(fingerprint_of(job, index));
+  }
+  spawn(dependencies_.context,
+        run(key, engine.server, tokens, sample.spec->group, std::move(context)));
 }
 
 void sample_runner::move_slow_runs(time_point now) {
@@ -257,7 +265,7 @@
 }
 
 awaitable<void> sample_runner::run(run_key key, directory::server engine, std::uint64_t tokens,
-                                   std::string group, bool isolated) {
+                                   std::string group, run_context context) {
   run_id const id = next_run_++;
   calls::exchange exchange(dependencies_.connections, dependencies_.names, engine);
   job_entry const* const job = dependencies_.table.find(key.job);
@@ -273,9 +281,12 @@
   if (outcome == run_outcome::completed) exchange.finish();
   if (exchange.may_have_reached_server())
     report_outcome(id, key, engine, outcome, exchange.has_broken());
+  bool const ran = exchange.may_have_reached_server() && outcome != run_outcome::refused;
+  if (context.trial && !ran) trials_.insert(*context.trial);
   runs_.erase(id);
   keys_.erase(id);
-  if (isolated) isolating_engines_.erase(engine.id);
+  if (context.isolated) isolating_engines_.erase(engine.id);
+  context.unattended_run.reset();
   dependencies_.board.note_ended(engine.id, tokens, group);
   finish_run(key, engine.id, outcome);
   dependencies_.notify();
@@ -305,6 +316,13 @@
   co_return co_await read_events(key, exchange);
 }
 
+std::optional<quarantine::fingerprint> sample_runner::take_trial(job_entry& job,
+                                                                 std::uint32_t index) {
+  if (trials_.empty()) return std::nullopt;
+  auto const trial = trials_.extract(fingerprint_of(job, index));
+  return trial.empty() ? std::nullopt : std::optional(trial.value());
+}
+
 sample_runner::run_outcome sample_runner::classify_response(calls::exchange const& exchange) const {
   http::response const& head = exchange.head();
   unsigned const status = head.result_int();
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -94,6 +96,16 @@
   };
   using run_id = std::uint64_t;
 
+  /// What the quarantine requires of a run.
+  struct run_context {
+    /// Result of must_be_isolated.
+    bool isolated = false;
+    /// Set if the run is a trial, which is granted again if no engine runs it.
+    std::optional<quarantine::fingerprint> trial;
+    /// Held during the run, while the quarantine has suspects.
+    std::shared_ptr<void> unattended_run;
+  };
+
   engines::run_requirements make_run_need(job_entry const& job, sample_entry const& sample) const;
   /// Returns true if the sample must not share an engine with another such sample: it is
   /// quarantined, or would be after one more engine crash.
@@ -116,8 +128,10 @@
   static bool is_abandoned(run_outcome outcome);
   void abort(run_id id, open_run& open);
   milliseconds retry_delay_after_break(job_entry& job, std::uint32_t index) const;
+  /// Removes and returns the trial that the next run of the sample is, if any.
+  std::optional<quarantine::fingerprint> take_trial(job_entry& job, std::uint32_t index);
   awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
-                      std::string group, bool isolated);
+                      std::string group, run_context context);
   awaitable<run_outcome> execute(run_key const& key, calls::exchange& exchange);
   awaitable<run_outcome> read_events(run_key const& key, calls::exchange& exchange);
   run_outcome classify_response(calls::exchange const& exchange) const;
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -49,6 +49,8 @@
   /// Waits until the probes for all broken connections of this request are done, but no longer than
   /// one probe takes.
   awaitable<void> wait_until_examined(fingerprint request);
+  /// Returns false while the server of a broken connection of this request is being probed.
+  bool is_examined(fingerprint const& request) const;
   /// Reports the undecided runs at servers that the directory now lists as restarted, as crashes.
   void note_directory_change();
   void clean(time_point now) { undecided_.expire(now); }
@@ -58,7 +60,6 @@
  private:
   enum class server_condition { ended, alive, unknown };
 
-  bool is_examined(fingerprint const& request) const;
   awaitable<void> examine(directory::server server);
   /// Probes a server until it has crashed, or until it can no longer be running abandoned runs.
   awaitable<void> monitor_abandoned(directory::server server);
--- a/src/quarantine/evidence_record.cc
+++ b/src/quarantine/evidence_record.cc
@@ -9,6 +9,8 @@
 
 std::string quarantine_records_prefix() { return "frostline/quarantine"; }
 
+std::string run_marker_key() { return quarantine_records_prefix() + "-run"; }
+
 std::string evidence_record::records_prefix() { return quarantine_records_prefix() + "-evidence/"; }
 
 std::string evidence_record::key_of(std::string const& node) { return records_prefix() + node; }
--- a/src/quarantine/evidence_record.h
+++ b/src/quarantine/evidence_record.h
@@ -40,4 +40,8 @@
 /// records.
 std::string quarantine_records_prefix();
 
+/// Key of the marker that the system has run: an evidence record without requests, by the node that
+/// found the store empty at its start.
+std::string run_marker_key();
+
 }  // namespace frostline::quarantine
--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -27,6 +27,7 @@
   record.trial_node = trial_node;
   record.token = make_unique_token();
   record.suspected = entry.is_suspicion;
+  record.provisional = entry.is_provisional;
   return rpc::encode(record);
 }
 
@@ -35,13 +36,14 @@
   auto const request = fingerprint::parse(std::string_view(record.key).substr(k_prefix.size()));
   auto const decoded = rpc::decode<rpc::QuarantineRecordT>(record.value);
   if (!request || !decoded) return std::nullopt;
-  return quarantine_entry{*request, record.mod_revision, decoded->servers, decoded->trials,
-                          decoded->suspected};
+  return quarantine_entry{*request,        record.mod_revision, decoded->servers,
+                          decoded->trials, decoded->suspected,  decoded->provisional};
 }
 
-time_point quarantine_list::effective_time(bool is_suspicion, time_point now,
+time_point quarantine_list::effective_time(quarantine_entry const& entry, time_point now,
                                            discovery discovered) {
-  if (!is_suspicion) return now + k_effect_delay;
+  if (entry.is_provisional) return now;
+  if (!entry.is_suspicion) return now + k_effect_delay;
   return discovered == discovery::at_start ? now + k_suspicion_effect_delay : time_point::max();
 }
 
@@ -52,7 +54,7 @@
   if (inserted) known.first_seen_at = now;
   if (inserted) known.effective_at = time_point::max();
   bool const decides_effect = inserted || known.record.is_suspicion != entry.is_suspicion;
-  time_point const effective_at = effective_time(entry.is_suspicion, now, discovered);
+  time_point const effective_at = effective_time(entry, now, discovered);
   if (decides_effect) known.effective_at = std::min(known.effective_at, effective_at);
   known.changed_at = now;
   known.record = std::move(entry);
@@ -72,6 +74,7 @@
 
 std::optional<time_point> quarantine_list::trial_time(known_entry const& known) {
   std::size_t const trials = known.record.trials;
+  if (known.record.is_provisional && trials == 0) return known.changed_at;
   if (trials >= std::size(k_trial_delays)) return std::nullopt;
   return known.changed_at + k_trial_delays[trials];
 }
@@ -92,7 +95,12 @@
 
 bool quarantine_list::is_proven(fingerprint const& request) const {
   quarantine_entry const* const known = find(request);
-  return known != nullptr && !known->is_suspicion;
+  return known != nullptr && !known->is_suspicion && !known->is_provisional;
+}
+
+bool quarantine_list::is_provisional(fingerprint const& request) const {
+  quarantine_entry const* const known = find(request);
+  return known != nullptr && known->is_provisional;
 }
 
 milliseconds quarantine_list::known_for(fingerprint const& request, time_point now) const {
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -14,6 +14,10 @@
 /// unless it has become a full record. A suspicion takes effect only on nodes that find it when
 /// they start, after `k_suspicion_effect_delay`. Other nodes ignore it when they check a request,
 /// since a popular request may run on crashing servers without being the cause.
+///
+/// A provisional record is written after a single crash while evidence of earlier crashes may be
+/// lost. It takes effect at once, and its first trial is due at once, so that a harmless request is
+/// cleared by its next run.
 #pragma once
 
 #include <cstdint>
@@ -43,6 +47,8 @@
   std::uint32_t trials = 0;
   /// True if the record was written before the crash threshold was reached.
   bool is_suspicion = false;
+  /// True if the record was written after one crash, because earlier evidence may be lost.
+  bool is_provisional = false;
 };
 
 /// When this node learned of a record: with its first snapshot of the store, or later.
@@ -82,8 +88,9 @@
   std::optional<milliseconds> time_until_trial(fingerprint const& request, time_point now) const;
   /// Null if there is no record.
   quarantine_entry const* find(fingerprint const& request) const;
-  /// Returns true if there is a record and it is not just a suspicion.
+  /// Returns true if there is a record, and it is neither a suspicion nor provisional.
   bool is_proven(fingerprint const& request) const;
+  bool is_provisional(fingerprint const& request) const;
   /// Time since this node first received the record; 0 if there is none.
   milliseconds known_for(fingerprint const& request, time_point now) const;
   /// The least recently changed record if there are more than k_max_entries, else null.
@@ -94,7 +101,8 @@
  private:
   struct known_entry;
   static std::optional<time_point> trial_time(known_entry const& known);
-  static time_point effective_time(bool is_suspicion, time_point now, discovery discovered);
+  static time_point effective_time(quarantine_entry const& entry, time_point now,
+                                   discovery discovered);
 
   struct known_entry {
     quarantine_entry record;
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -32,9 +32,6 @@
 /// the record takes effect.
 constexpr milliseconds k_revocation_spread{300};
 constexpr milliseconds k_write_retry_delay{300};
-/// How long evidence is kept. Clients retry within minutes, and crashes further apart are weak
-/// evidence, since another node may have seen an answer between them.
-constexpr milliseconds k_retention{600'000};
 
 }  // namespace
 
@@ -45,7 +42,8 @@
                    [this](std::vector<crash> crashes) { note_crashes(crashes); }),
       evidence_writer_({dependencies_.context, dependencies_.store, dependencies_.node,
                         dependencies_.self, incarnation_, [this] { return select_evidence(); }}),
-      evidence_added_(dependencies_.context) {}
+      evidence_added_(dependencies_.context),
+      provisional_write_ended_(dependencies_.context) {}
 
 verdict service::check(fingerprint const& request, time_point now) const {
   verdict const listed = list_.check(request, now);
@@ -88,6 +86,9 @@
 }
 
 void service::note_crashes(std::vector<crash> const& crashes) {
+  time_point const now = boot_clock::now();
+  for (crash const& event : crashes) note_crashed_server(event.server, now);
+  bool const incomplete = horizon_.may_lack_evidence(now);
   for (crash const& event : crashes) {
     ++counters_.crashes;
     crash_history const& seen = seen_here_.note(event);
@@ -96,9 +97,11 @@
               {"server", event.server},
               {"beside", crashes.size() - 1},
               {"crashes_seen_here", seen.servers.size()},
-              {"in_turn", seen.sequential_crashes}});
+              {"in_turn", seen.sequential_crashes},
+              {"evidence_age_ms", horizon_.age(now).count()}});
     outbox_.add(event);
     collect(event);
+    if (incomplete) start_provisional_write(event.request);
   }
   evidence_added_.notify_all();
 }
@@ -136,10 +139,11 @@
 
 awaitable<void> service::record_before_next_run(fingerprint request) {
   co_await crash_watch_.wait_until_examined(request);
+  co_await wait_for_provisional_record(request);
   if (!must_be_recorded(request)) co_return;
   recorded_suspicions_.insert(request);
   ++suspicion_writes_in_flight_;
-  co_await try_to_write(request, true);
+  co_await try_to_write(request, record_kind::suspicion);
   --suspicion_writes_in_flight_;
   spawn(dependencies_.context, withdraw_suspicion(request));
 }
@@ -167,18 +171,19 @@
 awaitable<void> service::write_record(fingerprint request) {
   co_await wait_for(k_collector_stagger * static_cast<int>(own_rank() + 1));
   while (is_proven(request) && !list_.is_proven(request) && !defers_to_collectors()) {
-    co_await try_to_write(request, false);
+    co_await try_to_write(request, record_kind::proven);
     if (!list_.is_proven(request)) co_await wait_for(with_jitter(k_write_retry_delay));
   }
   writing_.erase(request);
 }
 
-awaitable<void> service::try_to_write(fingerprint request, bool is_suspicion) {
+awaitable<void> service::try_to_write(fingerprint request, record_kind kind) {
   quarantine_entry entry;
   quarantine_entry const* const known = list_.find(request);
   if (known != nullptr) entry = *known;
   entry.request = request;
-  entry.is_suspicion = is_suspicion;
+  entry.is_suspicion = kind == record_kind::suspicion;
+  entry.is_provisional = kind == record_kind::provisional;
   entry.servers = collected_.find(request)->servers;
   kv::operation put;
   put.key = quarantine_list::key_of(request);
@@ -188,8 +193,11 @@
   if (!written) co_return;
   ++counters_.records_written;
   log_line(log_level::warning, k_part,
-           is_suspicion ? "Suspicion of a request recorded." : "Request put under quarantine.",
-           {{"fingerprint", request.to_string()}, {"servers", servers}});
+           kind == record_kind::suspicion ? "Suspicion of a request recorded."
+                                          : "Request put under quarantine.",
+           {{"fingerprint", request.to_string()},
+            {"servers", servers},
+            {"provisional", kind == record_kind::provisional ? "yes" : "no"}});
   quarantine_entry const* const entry_to_evict = list_.entry_to_evict();
   if (entry_to_evict != nullptr) start_revocation(entry_to_evict->request);
 }
@@ -238,9 +246,24 @@
             {"number", number},
             {"granted", claimed ? "yes" : "no"}});
   if (claimed) ++counters_.trials;
+  if (claimed) own_trials_.insert(request);
   co_return claimed;
 }
 
+awaitable<void> service::return_trial(fingerprint request) {
+  quarantine_entry const* const known = list_.find(request);
+  bool const own = own_trials_.erase(request) > 0;
+  if (!own || known == nullptr || known->trials == 0) co_return;
+  quarantine_entry entry = *known;
+  --entry.trials;
+  kv::operation put;
+  put.key = quarantine_list::key_of(request);
+  put.value = quarantine_list::encode(entry, "");
+  bool const returned = co_await apply(std::move(entry), std::move(put));
+  log_line(log_level::info, k_part, "Trial was not run and is returned.",
+           {{"fingerprint", request.to_string()}, {"done", returned ? "yes" : "no"}});
+}
+
 void service::note_answer(fingerprint const& request) {
   seen_here_.clear(request);
   collected_.clear(request);
@@ -256,7 +279,11 @@
 
 awaitable<void> service::revoke(fingerprint request) {
   // Most nodes that answered the request learn of the removal by another node in this time.
-  co_await wait_for(with_jitter(2 * k_revocation_spread) - k_revocation_spread);
+  // No other node ran the trial.
+  bool const was_trial = own_trials_.erase(request) > 0;
+  if (!was_trial) {
+    co_await wait_for(with_jitter(2 * k_revocation_spread) - k_revocation_spread);
+  }
   bool const removed = co_await remove_while(request, [](quarantine_entry const&) { return true; });
   if (removed) ++counters_.revoked;
   revoking_.erase(request);
@@ -282,6 +309,7 @@
            {{"fingerprint", entry.request.to_string()},
             {"servers", entry.servers.size()},
             {"trials", entry.trials},
+            {"provisional", entry.is_provisional ? "yes" : "no"},
             {"revision", entry.revision}});
 }
 
@@ -290,6 +318,11 @@
     ingest_evidence(record, discovered);
     return;
   }
+  if (record.key == run_marker_key()) {
+    auto const marker = evidence_record::decode(record.value);
+    if (marker) run_marker_writer_ = marker->writer;
+    return;
+  }
   auto entry = quarantine_list::decode(record);
   if (!entry) {
     log_line(log_level::error, k_part, "Quarantine record is malformed and is ignored.",
@@ -303,8 +336,8 @@
     start_revocation(entry->request);
     return;
   }
-  if (!entry->is_suspicion) return;
-  // The node that wrote the suspicion may be gone, so its evidence counts here too.
+  if (list_.is_proven(entry->request)) return;
+  // The node that wrote the record may be gone, so its evidence counts here too.
   for (std::string const& server : entry->servers) collect({entry->request, server, now, now});
 }
 
@@ -317,6 +350,7 @@
     collected_.clear(request);
     outbox_.clear(request);
   }
+  own_trials_.erase(request);
   if (!list_.remove(request)) return;
   log_line(log_level::info, k_part, "Quarantine ended.",
            {{"fingerprint", request.to_string()}, {"cause", cause}});
@@ -326,6 +360,7 @@
   kv::prefix_watcher_callbacks callbacks;
   callbacks.snapshot = [this](kv::range_answer const& all) {
     discovery const discovered = received_snapshot_ ? discovery::later : discovery::at_start;
+    if (!received_snapshot_) take_first_snapshot(all);
     received_snapshot_ = true;
     for (kv::key_value const& record : all.entries) ingest(record, discovered);
   };
@@ -344,9 +379,9 @@
 
 void service::clean(time_point now) {
   crash_watch_.clean(now);
-  seen_here_.expire(now - k_retention);
-  collected_.expire(now - k_retention);
-  outbox_.expire(now - k_retention);
+  seen_here_.expire(now - k_evidence_retention);
+  collected_.expire(now - k_evidence_retention);
+  outbox_.expire(now - k_evidence_retention);
   evidence_writer_.update_existing();
   resolve_previous_evidence_if_due(now);
   std::erase_if(recorded_suspicions_,
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -14,11 +14,16 @@
 /// Collectors also store evidence of requests that have crashed two servers. If the first collector
 /// found evidence at its start whose writer no longer runs, it quarantines the request, because
 /// nodes that saw a third crash may be gone.
+///
+/// Evidence that was not stored is lost if all nodes end together. A node that starts and finds no
+/// running node with older evidence therefore writes a provisional record after a single crash,
+/// for as long as the lost evidence would have counted.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -31,6 +36,7 @@
 #include "kv/prefix_watcher.h"
 #include "kv/record_store.h"
 #include "quarantine/crash_watch.h"
+#include "quarantine/evidence_horizon.h"
 #include "quarantine/evidence_record.h"
 #include "quarantine/evidence_writer.h"
 #include "quarantine/quarantine_list.h"
@@ -82,21 +88,32 @@
   /// Drops expired evidence.
   void clean(time_point now);
 
-  /// Returns false if no request is suspected, so that callers need not compute fingerprints.
+  /// Returns false if no request is suspected, so that callers need not compute fingerprints. True
+  /// while earlier evidence may be lost, so that answers are noted.
   bool has_suspects() const {
-    return !seen_here_.empty() || !list_.empty() || !unresolved_.empty();
+    return !seen_here_.empty() || !list_.empty() || !unresolved_.empty() || may_lack_evidence();
   }
+  /// Returns true if evidence of earlier crashes may be lost, so that a single crash is recorded.
+  bool may_lack_evidence() const { return horizon_.may_lack_evidence(boot_clock::now()); }
   /// Returns whether a request may be sent to a server now; `trial` requires `claim_trial` first.
   verdict check(fingerprint const& request, time_point now) const;
   /// Returns true if a run that no caller waits for, such as that of a sample, should be postponed
   /// for a moment: because evidence is being stored, because the request has reached the crash
   /// threshold and its record is not in effect yet, or because evidence from previous nodes is
-  /// being resolved.
+  /// being resolved. While evidence may be lost, also because another such run is in progress.
   bool should_wait(fingerprint const& request, time_point now);
+  /// Notes a run that no caller waits for, until the result is destroyed. The service must outlive
+  /// the result.
+  std::shared_ptr<void> begin_unattended_run(fingerprint const& request);
   /// Time until a refused request may be tried again; nullopt if it is unknown.
   std::optional<milliseconds> time_until_retry(fingerprint const& request, time_point now) const;
   /// Claims a trial, which only one node may run. @return true if this node may run it.
   awaitable<bool> claim_trial(fingerprint request);
+  /// Gives back a claimed trial that no server has run.
+  awaitable<void> return_trial(fingerprint request);
+  /// Returns true if a request that has crashed servers may be tried again by the call that saw the
+  /// crash: its record is provisional.
+  bool is_provisional(fingerprint const& request) const { return list_.is_provisional(request); }
   /// Counts and logs a request that was refused after `check`.
   void note_refused(fingerprint const& request);
   /// Number of servers that this node has seen crash while running the request.
@@ -106,8 +123,9 @@
   /// crashed two servers in sequence in runs of this node, and there is no record of it. If the
   /// next run took down all nodes, the evidence would be lost.
   bool must_be_recorded(fingerprint const& request) const;
-  /// Waits for pending probes and then records a suspicion if it is still required. The write is
-  /// tried once; the suspicion is withdrawn later unless it was confirmed.
+  /// Waits for pending probes and for a provisional record that is being written. Then records a
+  /// suspicion if it is still required. That write is tried once; the suspicion is withdrawn later
+  /// unless it was confirmed.
   awaitable<void> record_before_next_run(fingerprint request);
   /// Notes that the connection of a request to a server broke before the response was complete.
   void note_broken(directory::server const& server, fingerprint const& request,
@@ -127,6 +145,8 @@
   std::size_t records() const { return list_.size(); }
 
  private:
+  enum class record_kind { proven, suspicion, provisional };
+
   void note_crashes(std::vector<crash> const& crashes);
   /// Adds evidence seen by this node or reported by another one.
   void collect(crash const& event);
@@ -143,7 +163,7 @@
   void start_write(fingerprint const& request);
   /// Writes the record, after a delay in which higher-ranked collectors can do so.
   awaitable<void> write_record(fingerprint request);
-  awaitable<void> try_to_write(fingerprint request, bool is_suspicion);
+  awaitable<void> try_to_write(fingerprint request, record_kind kind);
   awaitable<void> revoke(fingerprint request);
   awaitable<void> withdraw_suspicion(fingerprint request);
   /// Removes the record of a request. Retries as long as the record exists and meets `condition`.
@@ -162,6 +182,9 @@
   void ingest_evidence(kv::key_value const& record, discovery discovered);
   std::vector<stored_evidence> select_evidence() const;
   std::size_t min_stored_crashes() const;
+  /// Returns true if evidence may be lost and the outcome of the request's latest run is still
+  /// open: it is in progress, or its crash is being examined or recorded.
+  bool is_latest_run_open(fingerprint const& request, time_point now) const;
   /// Stores evidence if it is sufficient and this node is responsible for storing it.
   void store_evidence(crash_history const& known);
   bool is_collector() const { return own_rank() < dependencies_.find_collectors().size(); }
@@ -174,6 +197,24 @@
   /// Removes evidence records whose writers no longer run, up to a limit. This node has taken over
   /// their evidence.
   awaitable<void> remove_previous_records();
+  void take_first_snapshot(kv::range_answer const& all);
+  /// Stores the marker that the system has run, unless another node does.
+  awaitable<void> write_run_marker();
+  /// Asks running nodes how far back their evidence reaches, until it is complete or the attempts
+  /// are used up.
+  awaitable<void> query_evidence_age();
+  /// Takes over how far back the evidence of a collector reaches.
+  void take_evidence_age(rpc::CrashReportReplyT const& reply);
+  /// Nodes that may have older evidence than this one.
+  std::vector<endpoint> evidence_peers() const;
+  /// Starts to write a provisional record of a request that has just crashed a server.
+  void start_provisional_write(fingerprint const& request);
+  awaitable<void> write_provisional_record(fingerprint request);
+  awaitable<void> wait_for_provisional_record(fingerprint request);
+  void note_crashed_server(std::string const& server, time_point now);
+  /// Returns true if so many servers have crashed within a short time that one request is not the
+  /// likely cause.
+  bool is_wide_crash(time_point now) const;
   void log_record(quarantine_entry const& entry) const;
   void start_revocation(fingerprint const& request);
   void forget(fingerprint const& request, std::string_view cause);
@@ -209,8 +250,21 @@
   std::set<fingerprint> recorded_suspicions_;
   std::size_t suspicion_writes_in_flight_ = 0;
   bool received_snapshot_ = false;
+  time_point started_at_ = boot_clock::now();
+  evidence_horizon horizon_;
+  /// The node that stored the run marker, which may still be running.
+  std::optional<endpoint> run_marker_writer_;
+  /// Requests with a run in progress that no caller waits for.
+  std::multiset<fingerprint> unattended_runs_;
+  /// Requests whose provisional records are being written.
+  std::set<fingerprint> provisional_writes_;
+  async_condition provisional_write_ended_;
+  /// When each server that crashed recently was noted.
+  std::map<std::string, time_point> crashed_servers_;
   std::set<fingerprint> revoking_;
   std::set<fingerprint> claiming_;
+  /// Requests whose latest trial this node has claimed.
+  std::set<fingerprint> own_trials_;
   std::set<endpoint> reporting_to_;
   quarantine_counters counters_;
 };
--- a/src/quarantine/service_evidence.cc
+++ b/src/quarantine/service_evidence.cc
@@ -32,8 +32,6 @@
 constexpr std::size_t k_max_removals = 16;
 constexpr milliseconds k_liveness_timeout{250};
 constexpr milliseconds k_removal_timeout{400};
-/// Matches the retention of evidence in memory, see `service::clean`.
-constexpr std::uint64_t k_max_evidence_age_ms = 600'000;
 
 }  // namespace
 
@@ -59,8 +57,17 @@
   if (is_responsible && known.servers.size() >= min_stored_crashes()) evidence_writer_.update();
 }
 
+bool service::is_latest_run_open(fingerprint const& request, time_point now) const {
+  if (!horizon_.may_lack_evidence(now) || recent_answers_.has(request, now)) return false;
+  if (unattended_runs_.contains(request) || !crash_watch_.is_examined(request)) return true;
+  crash_history const* const seen = seen_here_.find(request);
+  bool const writing = seen != nullptr && provisional_writes_.contains(request);
+  return writing && now < seen->last_crash_at + k_evidence_write_wait;
+}
+
 bool service::should_wait(fingerprint const& request, time_point now) {
   if (unresolved_.contains(request) && now < unresolved_until_) return true;
+  if (is_latest_run_open(request, now)) return true;
   // Until the record is in effect, only an answer to another caller of the request could clear it.
   bool const is_recorded = list_.is_proven(request);
   if (is_recorded) return list_.check(request, now) == verdict::allowed;
@@ -84,7 +91,7 @@
   if (record.mod_revision <= ingested) return;
   ingested = record.mod_revision;
   bool const own = found->incarnation == incarnation_;
-  bool const old = found->written_at_ms + k_max_evidence_age_ms < wall_clock_ms();
+  bool const old = found->written_at_ms + k_evidence_retention.count() < wall_clock_ms();
   log_line(log_level::info, k_part, "Evidence received.",
            {{"key", record.key},
             {"requests", found->requests.size()},
@@ -144,7 +151,7 @@
     log_line(log_level::warning, k_part,
              "Quarantining a request on evidence from nodes that are gone.",
              {{"fingerprint", evidence.request.to_string()}, {"servers", evidence.servers.size()}});
-    co_await try_to_write(evidence.request, false);
+    co_await try_to_write(evidence.request, record_kind::proven);
   }
   unresolved_.clear();
   evidence_writer_.update();
--- a/src/quarantine/service_reports.cc
+++ b/src/quarantine/service_reports.cc
@@ -56,6 +56,7 @@
       dependencies_.transport, collector, "QuarantineService", "Report", call, k_report_timeout);
   reporting_to_.erase(collector);
   if (reply) {
+    take_evidence_age(reply.value());
     outbox_.note_reported(collector, reply.value().incarnation, report.last_number);
     co_return;
   }
@@ -73,6 +74,7 @@
   }
   rpc::CrashReportReplyT reply;
   reply.incarnation = incarnation_;
+  reply.evidence_age_ms = static_cast<std::uint64_t>(horizon_.age(now).count());
   return reply;
 }
 
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -21,6 +21,9 @@
 /// A request that has crashed this many servers is quarantined, unless other requests explain the
 /// crashes.
 inline constexpr std::uint32_t k_crash_threshold = 3;
+/// How long evidence is kept. Clients retry within minutes, and crashes further apart are weak
+/// evidence, since another node may have seen an answer between them.
+inline constexpr milliseconds k_evidence_retention{600'000};
 
 /// The crash of a server while it ran a request.
 struct crash {
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -9732,6 +9732,7 @@
     return "frostline.rpc.CrashReportReplyT";
   }
   std::string incarnation{};
+  uint64_t evidence_age_ms = 0;
 };
 
 struct CrashReportReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -9742,16 +9743,22 @@
     return "frostline.rpc.CrashReportReply";
   }
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_INCARNATION = 4
+    VT_INCARNATION = 4,
+    VT_EVIDENCE_AGE_MS = 6
   };
   /// Unique for each process: one that has just started knows nothing of earlier reports.
   const flatbuffers::String *incarnation() const {
     return GetPointer<const flatbuffers::String *>(VT_INCARNATION);
   }
+  /// How far back the process's crash evidence reaches. 0 in replies of nodes that do not know of this.
+  uint64_t evidence_age_ms() const {
+    return GetField<uint64_t>(VT_EVIDENCE_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_INCARNATION) &&
            verifier.VerifyString(incarnation()) &&
+           VerifyField<uint64_t>(verifier, VT_EVIDENCE_AGE_MS, 8) &&
            verifier.EndTable();
   }
   CrashReportReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9766,6 +9773,9 @@
   void add_incarnation(flatbuffers::Offset<flatbuffers::String> incarnation) {
     fbb_.AddOffset(CrashReportReply::VT_INCARNATION, incarnation);
   }
+  void add_evidence_age_ms(uint64_t evidence_age_ms) {
+    fbb_.AddElement<uint64_t>(CrashReportReply::VT_EVIDENCE_AGE_MS, evidence_age_ms, 0);
+  }
   explicit CrashReportReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9779,8 +9789,10 @@
 
 inline flatbuffers::Offset<CrashReportReply> CreateCrashReportReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> incarnation = 0) {
+    flatbuffers::Offset<flatbuffers::String> incarnation = 0,
+    uint64_t evidence_age_ms = 0) {
   CrashReportReplyBuilder builder_(_fbb);
+  builder_.add_evidence_age_ms(evidence_age_ms);
   builder_.add_incarnation(incarnation);
   return builder_.Finish();
 }
@@ -9792,11 +9804,13 @@
 
 inline flatbuffers::Offset<CrashReportReply> CreateCrashReportReplyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *incarnation = nullptr) {
+    const char *incarnation = nullptr,
+    uint64_t evidence_age_ms = 0) {
   auto incarnation__ = incarnation ? _fbb.CreateString(incarnation) : 0;
   return frostline::rpc::CreateCrashReportReply(
       _fbb,
-      incarnation__);
+      incarnation__,
+      evidence_age_ms);
 }
 
 flatbuffers::Offset<CrashReportReply> CreateCrashReportReply(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9811,6 +9825,7 @@
   std::string trial_node{};
   std::string token{};
   bool suspected = false;
+  bool provisional = false;
 };
 
 /// A request that no server gets any more, but for trials. Stored in the record store, one record for each
@@ -9827,7 +9842,8 @@
     VT_TRIALS = 6,
     VT_TRIAL_NODE = 8,
     VT_TOKEN = 10,
-    VT_SUSPECTED = 12
+    VT_SUSPECTED = 12,
+    VT_PROVISIONAL = 14
   };
   /// Lives of servers that ended under it.
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
@@ -9850,6 +9866,11 @@
   bool suspected() const {
     return GetField<uint8_t>(VT_SUSPECTED, 0) != 0;
   }
+  /// Written after a single crash, while earlier evidence may be lost. Nodes that do not know of this take it for a
+  /// record like any other.
+  bool provisional() const {
+    return GetField<uint8_t>(VT_PROVISIONAL, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SERVERS) &&
@@ -9861,6 +9882,7 @@
            VerifyOffset(verifier, VT_TOKEN) &&
            verifier.VerifyString(token()) &&
            VerifyField<uint8_t>(verifier, VT_SUSPECTED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_PROVISIONAL, 1) &&
            verifier.EndTable();
   }
   QuarantineRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9887,6 +9909,9 @@
   void add_suspected(bool suspected) {
     fbb_.AddElement<uint8_t>(QuarantineRecord::VT_SUSPECTED, static_cast<uint8_t>(suspected), 0);
   }
+  void add_provisional(bool provisional) {
+    fbb_.AddElement<uint8_t>(QuarantineRecord::VT_PROVISIONAL, static_cast<uint8_t>(provisional), 0);
+  }
   explicit QuarantineRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9904,12 +9929,14 @@
     uint32_t trials = 0,
     flatbuffers::Offset<flatbuffers::String> trial_node = 0,
     flatbuffers::Offset<flatbuffers::String> token = 0,
-    bool suspected = false) {
+    bool suspected = false,
+    bool provisional = false) {
   QuarantineRecordBuilder builder_(_fbb);
   builder_.add_token(token);
   builder_.add_trial_node(trial_node);
   builder_.add_trials(trials);
   builder_.add_servers(servers);
+  builder_.add_provisional(provisional);
   builder_.add_suspected(suspected);
   return builder_.Finish();
 }
@@ -9925,7 +9952,8 @@
     uint32_t trials = 0,
     const char *trial_node = nullptr,
     const char *token = nullptr,
-    bool suspected = false) {
+    bool suspected = false,
+    bool provisional = false) {
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
   auto trial_node__ = trial_node ? _fbb.CreateString(trial_node) : 0;
   auto token__ = token ? _fbb.CreateString(token) : 0;
@@ -9935,7 +9963,8 @@
       trials,
       trial_node__,
       token__,
-      suspected);
+      suspected,
+      provisional);
 }
 
 flatbuffers::Offset<QuarantineRecord> CreateQuarantineRecord(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -13491,6 +13520,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = incarnation(); if (_e) _o->incarnation = _e->str(); }
+  { auto _e = evidence_age_ms(); _o->evidence_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<CrashReportReply> CrashReportReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CrashReportReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13502,9 +13532,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CrashReportReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _incarnation = _o->incarnation.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->incarnation);
+  auto _evidence_age_ms = _o->evidence_age_ms;
   return frostline::rpc::CreateCrashReportReply(
       _fbb,
-      _incarnation);
+      _incarnation,
+      _evidence_age_ms);
 }
 
 inline QuarantineRecordT *QuarantineRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -13521,6 +13553,7 @@
   { auto _e = trial_node(); if (_e) _o->trial_node = _e->str(); }
   { auto _e = token(); if (_e) _o->token = _e->str(); }
   { auto _e = suspected(); _o->suspected = _e; }
+  { auto _e = provisional(); _o->provisional = _e; }
 }
 
 inline flatbuffers::Offset<QuarantineRecord> QuarantineRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantineRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13536,13 +13569,15 @@
   auto _trial_node = _o->trial_node.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->trial_node);
   auto _token = _o->token.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->token);
   auto _suspected = _o->suspected;
+  auto _provisional = _o->provisional;
   return frostline::rpc::CreateQuarantineRecord(
       _fbb,
       _servers,
       _trials,
       _trial_node,
       _token,
-      _suspected);
+      _suspected,
+      _provisional);
 }
 
 inline KeptEvidenceT *KeptEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -713,6 +713,8 @@
 table CrashReportReply {
   /// Unique for each process: one that has just started knows nothing of earlier reports.
   incarnation:string;
+  /// How far back the process's crash evidence reaches. 0 in replies of nodes that do not know of this.
+  evidence_age_ms:uint64;
 }
 /// A request that no server gets any more, but for trials. Stored in the record store, one record for each
 /// fingerprint.
@@ -728,6 +730,9 @@
   /// Written before the third run, while fewer servers than that have ended. Absent in records of
   /// nodes that do not know of this: then it is a record like any other.
   suspected:bool;
+  /// Written after a single crash, while earlier evidence may be lost. Nodes that do not know of this take it for a
+  /// record like any other.
+  provisional:bool;
 }
 /// A request under which servers ended, as one node knows it.
 table KeptEvidence {
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -149,3 +149,33 @@
   CHECK(list.entry_to_evict() != nullptr);
   LONGS_EQUAL(100, list.entry_to_evict()->revision);
 }
+
+// Guards against a request that crashes another server before its record takes effect.
+TEST(quarantine_list_test, provisional_record_takes_effect_at_once_with_a_trial_due) {
+  quarantine_entry entry{request, 5, {"s1"}, 0, false, true};
+  list.put(entry, start);
+  CHECK(is(verdict::trial, start));
+  CHECK(list.time_until_trial(request, start) == milliseconds(0));
+  CHECK(list.is_provisional(request));
+  CHECK_FALSE(list.is_proven(request));
+  entry.revision = 6;
+  entry.trials = 1;
+  list.put(entry, start);
+  CHECK(is(verdict::refused, start + quarantine_list::k_trial_delays[1] - milliseconds(1)));
+  CHECK(is(verdict::trial, start + quarantine_list::k_trial_delays[1]));
+}
+
+TEST(quarantine_list_test, proven_record_that_replaces_a_provisional_one_stays_in_effect) {
+  list.put({request, 5, {"s1"}, 1, false, true}, start);
+  list.put({request, 6, {"s1", "s2", "s3"}, 1, false, false}, start);
+  CHECK(is(verdict::refused, start));
+  CHECK(list.is_proven(request));
+}
+
+TEST(quarantine_list_test, provisional_record_survives_encoding) {
+  quarantine_entry const entry{request, 0, {"s1"}, 1, false, true};
+  kv::key_value const record{quarantine_list::key_of(request), quarantine_list::encode(entry, "")};
+  auto const decoded = quarantine_list::decode(record);
+  CHECK(decoded && decoded->is_provisional && !decoded->is_suspicion);
+  LONGS_EQUAL(1, decoded->trials);
+}
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -69,6 +69,11 @@
     CHECK(becomes_recorded());
   }
 
+  awaitable<void> claim_trial() {
+    // The test reads the service's counter instead of the result.
+    static_cast<void>(co_await collector.claim_trial(request));
+  }
+
   bool becomes_removed() {
     return run_until([&] { return store.list_now(quarantine_list::records_prefix()).empty(); });
   }
@@ -89,13 +94,16 @@
   }
 
   /// Starts another collector, which accepts reports.
-  endpoint start_other_collector() {
+  /// @param evidence_age how far back its evidence reaches.
+  endpoint start_other_collector(milliseconds evidence_age = milliseconds(0)) {
     other_methods.add<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
         "QuarantineService", "Report",
-        [this](rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
+        [this, evidence_age](
+            rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
           reported += call.evidence.size();
           rpc::CrashReportReplyT reply;
           reply.incarnation = "other";
+          reply.evidence_age_ms = static_cast<std::uint64_t>(evidence_age.count());
           co_return reply;
         });
     endpoint const where = free_endpoint(address);
@@ -147,6 +155,27 @@
     });
   }
 
+  /// Delivers a first snapshot that shows that the system has run before.
+  void start_after_previous_run(endpoint const& marker_writer) {
+    evidence_record const marker{marker_writer, "previous incarnation", {}, wall_clock_ms()};
+    store.put_now(run_marker_key(), marker.encode());
+    kv::range_answer all;
+    all.entries = store.list_now(quarantine_records_prefix());
+    collector.listener().snapshot(all);
+  }
+
+  std::optional<quarantine_entry> stored_record() {
+    auto const records = store.list_now(quarantine_list::records_prefix());
+    return records.size() == 1 ? quarantine_list::decode(records.front()) : std::nullopt;
+  }
+
+  bool becomes_provisional() {
+    return run_until([&] {
+      auto const entry = stored_record();
+      return entry && entry->is_provisional;
+    });
+  }
+
   std::size_t evidence_records() {
     return store.list_now(evidence_record::records_prefix()).size();
   }
@@ -314,3 +343,89 @@
   collector.note_answer(request);
   CHECK_FALSE(collector.should_wait(request, boot_clock::now()));
 }
+
+TEST(quarantine_service_test, first_node_of_the_first_run_stores_the_run_marker) {
+  collector.listener().snapshot({});
+  CHECK_FALSE(collector.may_lack_evidence());
+  CHECK(run_until([&] { return store.revision_of(run_marker_key()) > 0; }));
+  observe_crash("one", request);
+  CHECK_FALSE(becomes_recorded());
+}
+
+// Guards against crashes that all nodes have forgotten together.
+TEST(quarantine_service_test, one_crash_is_recorded_if_no_node_has_older_evidence) {
+  collectors = {self, start_other_collector()};
+  start_after_previous_run(free_endpoint(address));
+  CHECK(collector.may_lack_evidence());
+  observe_crash("one", request);
+  CHECK(becomes_provisional());
+  CHECK(run_until([&] { return collector.records() == 1; }));
+  CHECK(collector.check(request, boot_clock::now()) == verdict::trial);
+}
+
+TEST(quarantine_service_test, one_crash_is_not_recorded_if_a_collector_has_older_evidence) {
+  collectors = {self, start_other_collector(k_evidence_retention)};
+  start_after_previous_run(free_endpoint(address));
+  CHECK(run_until([&] { return !collector.may_lack_evidence(); }));
+  observe_crash("one", request);
+  CHECK_FALSE(becomes_recorded());
+}
+
+TEST(quarantine_service_test, writer_of_the_run_marker_completes_the_first_start) {
+  collectors.clear();
+  start_after_previous_run(start_other_collector(k_evidence_retention));
+  CHECK(run_until([&] { return !collector.may_lack_evidence(); }));
+}
+
+// Guards against refusing a harmless request that ran on a crashing server.
+TEST(quarantine_service_test, answered_request_is_not_recorded_after_one_crash) {
+  start_after_previous_run(free_endpoint(address));
+  collector.note_answer(request);
+  observe_crash("one", request);
+  CHECK_FALSE(becomes_recorded());
+}
+
+TEST(quarantine_service_test, answered_trial_removes_a_provisional_record) {
+  start_after_previous_run(free_endpoint(address));
+  observe_crash("one", request);
+  CHECK(becomes_provisional());
+  CHECK(run_until([&] { return collector.check(request, boot_clock::now()) == verdict::trial; }));
+  spawn(context, claim_trial());
+  CHECK(run_until([&] { return collector.counters().trials == 1; }));
+  CHECK(collector.check(request, boot_clock::now()) == verdict::refused);
+  collector.note_answer(request);
+  CHECK(becomes_removed());
+}
+
+TEST(quarantine_service_test, trial_that_was_not_run_is_returned) {
+  start_after_previous_run(free_endpoint(address));
+  observe_crash("one", request);
+  CHECK(becomes_provisional());
+  CHECK(run_until([&] { return collector.check(request, boot_clock::now()) == verdict::trial; }));
+  spawn(context, claim_trial());
+  CHECK(run_until([&] { return collector.counters().trials == 1; }));
+  spawn(context, collector.return_trial(request));
+  CHECK(run_until([&] { return collector.check(request, boot_clock::now()) == verdict::trial; }));
+}
+
+// Guards against a record for each request that runs when many servers lose power.
+TEST(quarantine_service_test, wide_crash_is_not_recorded_provisionally) {
+  start_after_previous_run(free_endpoint(address));
+  std::vector<fingerprint> requests;
+  for (int number = 0; number < 8; ++number) {
+    requests.push_back(fingerprint::of({"", "host", "POST", "/", std::to_string(number)}));
+    directory::server const server = ended_server("server-" + std::to_string(number));
+    collector.note_broken(server, requests.back(), boot_clock::now());
+  }
+  CHECK(run_until([&] { return collector.counters().crashes == requests.size(); }));
+  CHECK_FALSE(becomes_recorded());
+}
+
+TEST(quarantine_service_test, sample_waits_while_its_first_crash_is_recorded) {
+  start_after_previous_run(free_endpoint(address));
+  collector.note_broken(ended_server("one"), request, boot_clock::now());
+  CHECK(collector.should_wait(request, boot_clock::now()));
+  CHECK(becomes_provisional());
+  CHECK(run_until([&] { return !collector.should_wait(request, boot_clock::now()); }));
+  CHECK(collector.check(request, boot_clock::now()) == verdict::trial);
+}
