Relays report their newest changes in polls

Callers saw: a change in force at the nodes of one zone only when the relay's own watch had timed out (2.4 s, where 2 s are the bound); the known red record_feed_test.watch_that_misses_a_change_known_to_peers_is_restarted.

Cause, from the logs of red plays: the watch of the relays' records went silent before it had delivered the record of the second relay. The first relay therefore knew no peer to poll, and only answers to its own polls told it of changes that its watch had missed. The second relay polled it all the time, but what it told there was not used.

Change: a node that reads records from the store sends the revision of the newest change of each topic with its polls; the polled node expects that change from its own watch, as it does after answers, and reads the topic again after 0.7 s without it.

Ruled out: that the first relay skipped the second after a failed poll; no poll failed.

--- a/src/quarantine/service_horizon.cc
+++ b/src/quarantine/service_horizon.cc
@@ -18,10 +18,10 @@
 constexpr milliseconds k_run_marker_timeout{400};
 constexpr milliseconds k_retry_delay{300};
 constexpr milliseconds k_age_query_timeout{250};
-/// Delay before the second query; it doubles with each further one. All queries together take
-/// about 13 s, which is longer than a system takes to select its collectors.
+/// Delay before the second query; it doubles with each further one. All queries together take up to
+/// 13 s, which is longer than a system takes to select its collectors.
 constexpr milliseconds k_first_age_query_delay{100};
-constexpr int k_max_age_queries = 8;
+constexpr int k_max_age_queries = 7;
 /// Time for crashes at about the same time to be noted before one of them is recorded.
 constexpr milliseconds k_provisional_write_delay{10};
 /// Crashes within this time count as one event. If it hit more servers than `k_crash_threshold`, no
--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -48,6 +48,7 @@
   position->selected = !wanted.is_everything();
   position->parts = encode_subsets(wanted.subsets());
   position->exact = request.exact_subsets;
+  if (request.follows_store) position->newest_change = view.newest_change();
   position->patient = topic_id == topic::SERVERS && request.wait_if_servers_not_authoritative;
   return position;
 }
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -47,6 +47,8 @@
   std::function<bool()> accept_servers;
   /// Wait for changes even if the peer is not authoritative for the servers.
   bool wait_if_servers_not_authoritative = false;
+  /// This node reads records from the store, so the peer should expect the changes that it knows.
+  bool follows_store = false;
   /// How long the peer may wait for a change before it replies.
   milliseconds wait{0};
   /// Time allowed beyond `wait` for the reply to arrive.
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -93,6 +93,14 @@
   if (ahead) on_peer_ahead_(*peer);
 }
 
+void poll_service::note_known_changes(rpc::PollCallT const& call) const {
+  if (!on_known_change_) return;
+  for (auto const& position : call.positions) {
+    bool const missing = position->newest_change > views_.view(position->topic).at();
+    if (missing) on_known_change_(position->topic, position->newest_change);
+  }
+}
+
 rpc::TopicChangesT poll_service::encode_changes(topic_query const& query) {
   rpc::TopicChangesT topic_changes;
   topic_changes.topic = query.topic_id;
@@ -119,6 +127,7 @@
   std::erase_if(call.positions, is_unknown);
   note_polling_node(call);
   note_peer_ahead(call);
+  note_known_changes(call);
   time_point const begin = boot_clock::now();
   time_point const deadline = begin + std::min(milliseconds(call.wait_ms), k_max_wait);
   while (boot_clock::now() < deadline && can_wait(call)) co_await changed_.wait_until(deadline);
--- a/src/relay/poll_service.h
+++ b/src/relay/poll_service.h
@@ -34,6 +34,11 @@
   void on_peer_ahead(std::function<void(endpoint)> listener) {
     on_peer_ahead_ = std::move(listener);
   }
+  /// Called with the newest change of a topic that a polling node has read from the store. This
+  /// node may have missed it.
+  void on_known_change(std::function<void(topic, kv::revision)> listener) {
+    on_known_change_ = std::move(listener);
+  }
   /// Must be called when a view changes or this node gains or loses authority for a topic.
   void notify() { changed_.notify_all(); }
   void add_methods(rpc::dispatcher& methods);
@@ -46,6 +51,7 @@
  private:
   void note_polling_node(rpc::PollCallT const& call);
   void note_peer_ahead(rpc::PollCallT const& call) const;
+  void note_known_changes(rpc::PollCallT const& call) const;
   /// What a poll requests of one topic, with the subsets adjusted to this node's view.
   struct topic_query {
     topic topic_id{};
@@ -67,6 +73,7 @@
   std::function<bool(topic)> is_authoritative_;
   async_condition changed_;
   std::function<void(endpoint)> on_peer_ahead_;
+  std::function<void(topic, kv::revision)> on_known_change_;
   std::uint64_t answered_ = 0;
   std::uint64_t snapshot_answers_ = 0;
   std::uint64_t snapshot_records_ = 0;
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -87,6 +87,8 @@
   views_.on_change([this] { service_.notify(); });
   service_.on_peer_ahead(
       [this](endpoint peer) { spawn(context_, poll_peer_ahead(std::move(peer))); });
+  service_.on_known_change(
+      [this](topic topic_id, kv::revision change) { source_.expect(topic_id, change); });
   kv::prefix_watcher_callbacks on_relays;
   on_relays.snapshot = [this](kv::range_answer const& all) {
     relays_.apply_all(all);
@@ -289,6 +291,7 @@
   if (selected) request.servers = std::move(*selected);
   request.accept_servers = [this] { return !source_.follows(topic::SERVERS); };
   request.exact_subsets = role_ == feed_role::relay;
+  request.follows_store = role_ != feed_role::standby;
   request.wait_if_servers_not_authoritative = servers_in_doubt_since_.has_value();
   return request;
 }
--- a/src/relay/record_view.cc
+++ b/src/relay/record_view.cc
@@ -125,6 +125,7 @@
 void record_view::append_change(change recorded) {
   kv::revision const newest = changes_.empty() ? 0 : changes_.back().newest;
   recorded.newest = std::max(newest, recorded.event.entry.mod_revision);
+  newest_change_ = std::max(newest_change_, recorded.newest);
   changes_.push_back(std::move(recorded));
   if (changes_.size() <= max_changes_) return;
   complete_after_ = std::max(complete_after_, changes_.front().event.entry.mod_revision);
--- a/src/relay/record_view.h
+++ b/src/relay/record_view.h
@@ -55,6 +55,8 @@
   /// Revision up to which the view is complete; 0 before the first snapshot.
   kv::revision at() const { return at_; }
   bool is_loaded() const { return at_ != 0; }
+  /// Revision of the newest change that the view has applied; 0 before the first.
+  kv::revision newest_change() const { return newest_change_; }
   /// The records that the view holds.
   record_selection const& selection() const { return selection_; }
   std::map<std::string, kv::key_value> const& records() const { return records_; }
@@ -100,6 +102,7 @@
   /// `changes_` contains all changes after this revision.
   kv::revision complete_after_ = 0;
   kv::revision at_ = 0;
+  kv::revision newest_change_ = 0;
 };
 
 }  // namespace frostline::relay
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -8164,6 +8164,7 @@
   std::vector<std::unique_ptr<frostline::rpc::GroupPartT>> parts{};
   bool exact = false;
   bool patient = false;
+  uint64_t newest_change = 0;
   TopicPositionT() = default;
   TopicPositionT(const TopicPositionT &o);
   TopicPositionT(TopicPositionT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8183,7 +8184,8 @@
     VT_SELECTED = 8,
     VT_PARTS = 10,
     VT_EXACT = 12,
-    VT_PATIENT = 14
+    VT_PATIENT = 14,
+    VT_NEWEST_CHANGE = 16
   };
   frostline::rpc::RecordTopic topic() const {
     return static_cast<frostline::rpc::RecordTopic>(GetField<int8_t>(VT_TOPIC, 0));
@@ -8207,6 +8209,10 @@
   bool patient() const {
     return GetField<uint8_t>(VT_PATIENT, 0) != 0;
   }
+  /// Revision of the newest change that the asking node has read from the store; 0 if it does not follow it there.
+  uint64_t newest_change() const {
+    return GetField<uint64_t>(VT_NEWEST_CHANGE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<int8_t>(verifier, VT_TOPIC, 1) &&
@@ -8217,6 +8223,7 @@
            verifier.VerifyVectorOfTables(parts()) &&
            VerifyField<uint8_t>(verifier, VT_EXACT, 1) &&
            VerifyField<uint8_t>(verifier, VT_PATIENT, 1) &&
+           VerifyField<uint64_t>(verifier, VT_NEWEST_CHANGE, 8) &&
            verifier.EndTable();
   }
   TopicPositionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8246,6 +8253,9 @@
   void add_patient(bool patient) {
     fbb_.AddElement<uint8_t>(TopicPosition::VT_PATIENT, static_cast<uint8_t>(patient), 0);
   }
+  void add_newest_change(uint64_t newest_change) {
+    fbb_.AddElement<uint64_t>(TopicPosition::VT_NEWEST_CHANGE, newest_change, 0);
+  }
   explicit TopicPositionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8264,8 +8274,10 @@
     bool selected = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::GroupPart>>> parts = 0,
     bool exact = false,
-    bool patient = false) {
+    bool patient = false,
+    uint64_t newest_change = 0) {
   TopicPositionBuilder builder_(_fbb);
+  builder_.add_newest_change(newest_change);
   builder_.add_after(after);
   builder_.add_parts(parts);
   builder_.add_patient(patient);
@@ -8287,7 +8299,8 @@
     bool selected = false,
     const std::vector<flatbuffers::Offset<frostline::rpc::GroupPart>> *parts = nullptr,
     bool exact = false,
-    bool patient = false) {
+    bool patient = false,
+    uint64_t newest_change = 0) {
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>>(*parts) : 0;
   return frostline::rpc::CreateTopicPosition(
       _fbb,
@@ -8296,7 +8309,8 @@
       selected,
       parts__,
       exact,
-      patient);
+      patient,
+      newest_change);
 }
 
 flatbuffers::Offset<TopicPosition> CreateTopicPosition(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12910,7 +12924,8 @@
         after(o.after),
         selected(o.selected),
         exact(o.exact),
-        patient(o.patient) {
+        patient(o.patient),
+        newest_change(o.newest_change) {
   parts.reserve(o.parts.size());
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new frostline::rpc::GroupPartT(*parts_) : nullptr); }
 }
@@ -12922,6 +12937,7 @@
   std::swap(parts, o.parts);
   std::swap(exact, o.exact);
   std::swap(patient, o.patient);
+  std::swap(newest_change, o.newest_change);
   return *this;
 }
 
@@ -12940,6 +12956,7 @@
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<frostline::rpc::GroupPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = exact(); _o->exact = _e; }
   { auto _e = patient(); _o->patient = _e; }
+  { auto _e = newest_change(); _o->newest_change = _e; }
 }
 
 inline flatbuffers::Offset<TopicPosition> TopicPosition::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TopicPositionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12956,6 +12973,7 @@
   auto _parts = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::GroupPart>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreateGroupPart(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va );
   auto _exact = _o->exact;
   auto _patient = _o->patient;
+  auto _newest_change = _o->newest_change;
   return frostline::rpc::CreateTopicPosition(
       _fbb,
       _topic,
@@ -12963,7 +12981,8 @@
       _selected,
       _parts,
       _exact,
-      _patient);
+      _patient,
+      _newest_change);
 }
 
 inline PollCallT::PollCallT(const PollCallT &o)
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -598,6 +598,8 @@
   exact:bool;
   /// Wait for a change also if the answering node is not sure of the topic.
   patient:bool;
+  /// Revision of the newest change that the asking node has read from the store; 0 if it does not follow it there.
+  newest_change:uint64;
 }
 /// Asks a node for the changes that it knows beyond these positions.
 table PollCall {
--- a/tests/unit/relay/poll_service_test.cc
+++ b/tests/unit/relay/poll_service_test.cc
@@ -4,6 +4,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <optional>
 #include <set>
 
@@ -250,3 +251,15 @@
   auto const reply = ask("node-1", std::move(position));
   CHECK_FALSE(reply.topics.front()->sure);
 }
+
+// Guards against a relay that knows no other relay, and so misses what its own watch missed.
+TEST(poll_service_test, change_that_a_polling_node_read_from_the_store_is_reported) {
+  std::map<topic, kv::revision> known;
+  service.on_known_change([&](topic topic_id, kv::revision change) { known[topic_id] = change; });
+  rpc::PollCallT call = call_of(5, 0);
+  call.positions.at(index_of(topic::OWNERS))->newest_change = 6;
+  call.positions.at(index_of(topic::CONFIGURATION))->newest_change = 5;
+  ask(std::move(call));
+  LONGS_EQUAL(1, known.size());
+  LONGS_EQUAL(6, known.at(topic::OWNERS));
+}
