A trial of a provisional record is repeated if its node ends

Cause, from its logs: node 2 claimed the trial of harmless-3 and lost the pool 1 ms later, since it was suspended, so that the trial never ran. The record then said that one trial was used, and the next was due in five minutes.

Change: a crash under a trial is added to the provisional record. While the record has only the first crash, the outcome of the trial is unknown, and the trial is repeated once after 2 s; with the added crash the next one is due after five minutes, as before. A poison request still ends two servers after the restart.

quarantine_list_test.trial_of_a_provisional_record_is_repeated_* and quarantine_service_test.crash_under_the_trial_is_added_* hold it. Records of three crashes have the same gap, as before this work: design/crashing-requests.md, Open.

--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -1,7 +1,7 @@
 #include "quarantine/quarantine_list.h"
 
 #include <algorithm>
-#include <iterator>
+#include <span>
 
 #include "base/encoding.h"
 #include "rpc/codec.h"
@@ -74,9 +74,12 @@
 
 std::optional<time_point> quarantine_list::trial_time(known_entry const& known) {
   std::size_t const trials = known.record.trials;
-  if (known.record.is_provisional && trials == 0) return known.changed_at;
-  if (trials >= std::size(k_trial_delays)) return std::nullopt;
-  return known.changed_at + k_trial_delays[trials];
+  bool const one_crash = known.record.is_provisional && known.record.servers.size() < 2;
+  using delay_list = std::span<milliseconds const>;
+  delay_list const delays =
+      one_crash ? delay_list(k_provisional_trial_delays) : delay_list(k_trial_delays);
+  if (trials >= delays.size()) return std::nullopt;
+  return known.changed_at + delays[trials];
 }
 
 std::optional<milliseconds> quarantine_list::time_until_trial(fingerprint const& request,
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -16,8 +16,9 @@
 /// since a popular request may run on crashing servers without being the cause.
 ///
 /// A provisional record is written after a single crash while evidence of earlier crashes may be
-/// lost. It takes effect at once, and its first trial is due at once, so that a harmless request is
-/// cleared by its next run.
+/// lost. It takes effect at once. While it has only that crash, its first trial is due at once, so
+/// that a harmless request is cleared by its next run. If the trial's node ends before it reports
+/// the outcome, there is another trial soon. A crash under the trial is added to the record.
 #pragma once
 
 #include <cstdint>
@@ -67,6 +68,11 @@
   /// poison request crashes a server, so there are only two. The first comes early, to clear
   /// requests that merely ran on servers that other requests crashed.
   static constexpr milliseconds k_trial_delays[] = {milliseconds(1'500), milliseconds(300'000)};
+  /// Delays for a provisional record while it has only one crash, so that the outcome of earlier
+  /// trials is unknown. The second is longer than most calls run, and than a crash under the first
+  /// trial takes to be added to the record.
+  static constexpr milliseconds k_provisional_trial_delays[] = {
+      milliseconds(0), milliseconds(2'000), milliseconds(300'000)};
   /// Limit of stored records; beyond it the least recently changed one is evicted.
   static constexpr std::size_t k_max_entries = 256;
 
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -101,7 +101,7 @@
               {"evidence_age_ms", horizon_.age(now).count()}});
     outbox_.add(event);
     collect(event);
-    if (incomplete) start_provisional_write(event.request);
+    if (incomplete || list_.is_provisional(event.request)) start_provisional_write(event.request);
   }
   evidence_added_.notify_all();
 }
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -207,8 +207,11 @@
   void take_evidence_age(rpc::CrashReportReplyT const& reply);
   /// Nodes that may have older evidence than this one.
   std::vector<endpoint> evidence_peers() const;
-  /// Starts to write a provisional record of a request that has just crashed a server.
+  /// Starts to write a provisional record of a request that has just crashed a server, or to add
+  /// the crash to its record.
   void start_provisional_write(fingerprint const& request);
+  /// Returns true if the request has no record, or a provisional one that lacks a crash.
+  bool needs_provisional_record(fingerprint const& request) const;
   awaitable<void> write_provisional_record(fingerprint request);
   awaitable<void> wait_for_provisional_record(fingerprint request);
   void note_crashed_server(std::string const& server, time_point now);
--- a/src/quarantine/service_horizon.cc
+++ b/src/quarantine/service_horizon.cc
@@ -121,18 +121,26 @@
   return recent > k_crash_threshold;
 }
 
+bool service::needs_provisional_record(fingerprint const& request) const {
+  crash_history const* const evidence = collected_.find(request);
+  if (evidence == nullptr) return false;
+  quarantine_entry const* const known = list_.find(request);
+  if (known == nullptr) return true;
+  return known->is_provisional && known->servers.size() < evidence->servers.size();
+}
+
 void service::start_provisional_write(fingerprint const& request) {
-  bool const listed = list_.find(request) != nullptr;
   bool const answered = recent_answers_.has(request, boot_clock::now());
-  bool const full = list_.size() + provisional_writes_.size() >= k_max_provisional_records;
-  if (listed || answered || full) return;
+  bool const full = list_.find(request) == nullptr &&
+                    list_.size() + provisional_writes_.size() >= k_max_provisional_records;
+  if (answered || full || !needs_provisional_record(request)) return;
   if (!provisional_writes_.insert(request).second) return;
   spawn(dependencies_.context, write_provisional_record(request));
 }
 
 awaitable<void> service::write_provisional_record(fingerprint request) {
   co_await wait_for(k_provisional_write_delay);
-  while (collected_.find(request) != nullptr && list_.find(request) == nullptr) {
+  while (needs_provisional_record(request)) {
     bool const wide = is_wide_crash(boot_clock::now());
     if (wide || is_explained_by_others(request)) {
       log_line(log_level::info, k_part, "Crash is not recorded provisionally.",
@@ -140,7 +148,7 @@
       break;
     }
     co_await try_to_write(request, record_kind::provisional);
-    if (list_.find(request) == nullptr) co_await wait_for(with_jitter(k_retry_delay));
+    if (needs_provisional_record(request)) co_await wait_for(with_jitter(k_retry_delay));
   }
   provisional_writes_.erase(request);
   provisional_write_ended_.notify_all();
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -158,13 +158,30 @@
   CHECK(list.time_until_trial(request, start) == milliseconds(0));
   CHECK(list.is_provisional(request));
   CHECK_FALSE(list.is_proven(request));
+}
+
+// Guards against a harmless request that is refused for minutes, since the node of its trial ended.
+TEST(quarantine_list_test, trial_of_a_provisional_record_is_repeated_unless_it_crashed_a_server) {
+  quarantine_entry entry{request, 5, {"s1"}, 1, false, true};
+  list.put(entry, start);
+  milliseconds const delay = quarantine_list::k_provisional_trial_delays[1];
+  CHECK(is(verdict::refused, start + delay - milliseconds(1)));
+  CHECK(is(verdict::trial, start + delay));
   entry.revision = 6;
-  entry.trials = 1;
+  entry.servers.push_back("s2");
   list.put(entry, start);
   CHECK(is(verdict::refused, start + quarantine_list::k_trial_delays[1] - milliseconds(1)));
   CHECK(is(verdict::trial, start + quarantine_list::k_trial_delays[1]));
 }
 
+TEST(quarantine_list_test, trials_of_a_provisional_record_end) {
+  std::uint32_t const trials = std::size(quarantine_list::k_provisional_trial_delays);
+  list.put({request, 5, {"s1"}, trials, false, true}, start);
+  CHECK(is(verdict::refused, start + seconds(1'000'000)));
+  list.put({request, 6, {"s1", "s2"}, 2, false, true}, start);
+  CHECK(is(verdict::refused, start + seconds(1'000'000)));
+}
+
 TEST(quarantine_list_test, proven_record_that_replaces_a_provisional_one_stays_in_effect) {
   list.put({request, 5, {"s1"}, 1, false, true}, start);
   list.put({request, 6, {"s1", "s2", "s3"}, 1, false, false}, start);
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -397,6 +397,20 @@
   CHECK(becomes_removed());
 }
 
+TEST(quarantine_service_test, crash_under_the_trial_is_added_to_a_provisional_record) {
+  start_after_previous_run(free_endpoint(address));
+  observe_crash("one", request);
+  CHECK(becomes_provisional());
+  CHECK(run_until([&] { return collector.check(request, boot_clock::now()) == verdict::trial; }));
+  spawn(context, claim_trial());
+  CHECK(run_until([&] { return collector.counters().trials == 1; }));
+  observe_crash("two", request);
+  CHECK(run_until([&] {
+    auto const entry = stored_record();
+    return entry && entry->servers.size() == 2 && entry->trials == 1;
+  }));
+}
+
 TEST(quarantine_service_test, trial_that_was_not_run_is_returned) {
   start_after_previous_run(free_endpoint(address));
   observe_crash("one", request);
