Only complete answers of status 500 use up a sample's attempts

Cause: the forwarder counted every status of 500 and above as a failed answer, from the head alone, and the scorer gave a sample up after max_attempts of them. Engines' failures were taken from the head alone, too.

Change: an answer counts if it is complete, has status 500 and carries the request's id. The connection of a 500 is not used again, since a faulty server may send the answer twice and a repeated request keeps its id. Engines' 500 and 422 must be complete. The stand-in's fault `surplus`, which nothing read, goes.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -253,10 +253,16 @@
   co_return exchange_failure::none;
 }
 
+bool exchange::is_whole_own_answer() const {
+  return is_whole() && !request_id_.empty() &&
+         http::header(parser_->get(), names_.request_id) == request_id_;
+}
+
 void exchange::finish() {
   if (!connection_ || !is_whole() || aborted_ || overdue_) return;
-  bool const clean = parser_->get().keep_alive() && !parser_->get().need_eof() && request_sent_ &&
-                     connection_->buffer.size() == 0;
+  bool const failed = parser_->get().result() == http::status::internal_server_error;
+  bool const clean = !failed && parser_->get().keep_alive() && !parser_->get().need_eof() &&
+                     request_sent_ && connection_->buffer.size() == 0;
   if (!clean) {
     connection_.reset();
     return;
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -123,7 +123,12 @@
   /// Reads more of the body into `piece`, which is empty at the end of the body.
   awaitable<exchange_failure> read_piece(std::string& piece, time_point deadline);
   bool is_whole() const { return parser_ && parser_->is_done(); }
+  /// Returns true if the answer was read to its end and carries the id of the request. Only such an
+  /// answer proves that the server ended this request with the answer's status.
+  bool is_whole_own_answer() const;
   /// Returns the connection to the pool if the answer is complete and the server keeps it open.
+  /// Closes it after a server error: a faulty server may send the answer twice, and a repeated
+  /// request, which keeps its id, would take the copy for a second error.
   void finish();
   /// Closes the connection at once; pending operations fail with `aborted`.
   void abort();
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -9,16 +9,11 @@
 namespace frostline::calls {
 namespace {
 
-/// An answer within the route's target_latency divided by this counts as fast, and its server is
-/// preferred for later requests. An attempt that takes longer leaves no time for a second one
-/// within the target.
-constexpr int k_fast_answer_divisor = 2;
 constexpr std::string_view k_part = "calls";
 /// Time reserved to deliver the answer before the client's deadline.
 constexpr milliseconds k_answer_margin{15};
 /// Minimum time for an attempt that is not the last one, unless the deadline is earlier.
 constexpr milliseconds k_min_attempt_timeout{250};
-constexpr std::size_t k_max_answer_bytes = 64 * 1024 * 1024;
 
 }  // namespace
 
@@ -188,18 +183,6 @@
     dependencies_.quarantine.note_answer(fingerprint_of(state));
 }
 
-void forwarder::note_whole_answer(request_state& state, exchange const& upstream) {
-  clear_suspicion(state, upstream);
-  time_point const now = boot_clock::now();
-  bool const in_time =
-      now - state.attempt_started_at <= state.matched_route->target_latency / k_fast_answer_divisor;
-  if (in_time && upstream.head().result_int() < 500) {
-    dependencies_.selector.note_fast_answer(upstream.server().id, now);
-  } else {
-    dependencies_.selector.note_answer(upstream.server().id);
-  }
-}
-
 bool forwarder::is_refusal(http::response const& head) const {
   return !http::header(head, dependencies_.names.not_run).empty() ||
          head.result() == http::status::misdirected_request;
@@ -223,12 +206,10 @@
     return false;
   }
   bool const failed = head.result_int() >= 500;
-  if (failed) ++state.failed_answers;
   bool const should_retry = failed && state.matched_route->is_repeatable() &&
                             state.attempts < state.matched_route->max_attempts;
   if (!should_retry) return true;
   state.may_have_run = true;
-  dependencies_.selector.note_answer(upstream.server().id);
   return false;
 }
 
@@ -274,6 +255,7 @@
     count_run(state, usage_attempt, !refused && !not_connected,
               answered && has_events(upstream->head()));
     if (accepted) co_return upstream;
+    if (answered && !refused) co_await discard_answer(state, *upstream);
     if (state.client != nullptr) state.client->on_disconnect(nullptr);
     if (failure != exchange_failure::none) note_failure(state, *upstream, failure);
   }
@@ -299,54 +281,6 @@
   }
 }
 
-awaitable<bool> forwarder::read_whole(request_state& state, exchange& upstream,
-                                      http::response& whole_answer) {
-  whole_answer.base() = upstream.head().base();
-  std::string piece;
-  while (!upstream.is_whole() || !upstream.head().body().empty()) {
-    exchange_failure const failure = co_await upstream.read_piece(piece, state.deadline);
-    if (failure != exchange_failure::none) {
-      note_failure(state, upstream, failure);
-      co_return false;
-    }
-    whole_answer.body() += piece;
-    if (whole_answer.body().size() > k_max_answer_bytes) co_return false;
-  }
-  note_whole_answer(state, upstream);
-  upstream.finish();
-  co_return true;
-}
-
-awaitable<call_outcome> forwarder::run_whole(request_state& state) {
-  call_outcome outcome;
-  while (auto upstream = co_await next_exchange(state)) {
-    bool const whole = co_await read_whole(state, *upstream, outcome.answer);
-    if (state.client != nullptr) state.client->on_disconnect(nullptr);
-    if (whole) {
-      strip_hop_by_hop(outcome.answer);
-      outcome.answer.erase(http::field::content_length);
-      outcome.attempts = state.attempts;
-      outcome.failed_answers = state.failed_answers;
-      outcome.server = state.server;
-      co_return outcome;
-    }
-    outcome.answer = http::response();
-  }
-  outcome.reason = state.reason;
-  outcome.failed_answers = state.failed_answers;
-  outcome.attempts = state.attempts;
-  outcome.server = state.server;
-  co_return outcome;
-}
-
-awaitable<call_outcome> forwarder::call(std::shared_ptr<route_table const> table,
-                                        route const& matched_route, http::request message,
-                                        time_point deadline, caller* client) {
-  request_state state =
-      begin(std::move(table), matched_route, std::move(message), deadline, client);
-  co_return co_await run_whole(state);
-}
-
 awaitable<void> forwarder::handle(std::shared_ptr<route_table const> table,
                                   route const* matched_route, http::request message,
                                   std::string tenant, time_point deadline, caller& client) {
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -26,8 +26,10 @@
   /// Set if `reason` is none.
   http::response answer;
   std::uint32_t attempts = 0;
-  /// Answers with a 5xx status over all attempts, including the last one.
-  std::uint32_t failed_answers = 0;
+  /// Complete answers with status 500 over all attempts, including the last one. Other statuses of
+  /// 500 and above are not counted: a server that is slow answers 504 at its deadline, and a later
+  /// attempt may succeed.
+  std::uint32_t server_errors = 0;
   /// Id of the server of the last attempt; empty if there was none.
   std::string server;
 };
@@ -91,7 +93,8 @@
     std::set<std::string> unreachable;
     std::uint32_t attempts = 0;
     time_point attempt_started_at{};
-    std::uint32_t failed_answers = 0;
+    /// Complete answers with status 500.
+    std::uint32_t server_errors = 0;
     bool may_have_run = false;
     bool was_refused = false;
     std::string server;
@@ -129,6 +132,10 @@
   bool is_refusal(http::response const& head) const;
   /// Returns true if the answer is to be passed on, false if another attempt should follow.
   bool accepts(request_state& state, exchange& upstream);
+  /// Counts the answer if it is a complete server error.
+  static void count_server_error(request_state& state, exchange const& upstream);
+  /// Reads the rest of an answer after which another attempt follows, for a bounded time.
+  awaitable<void> discard_answer(request_state& state, exchange& upstream);
   void note_failure(request_state& state, exchange const& upstream, exchange_failure failure);
   /// Updates the selector and the quarantine after the client has disconnected.
   void note_caller_left(request_state& state, exchange const& upstream);
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds k_send_timeout{1000};
 /// Timeout of the response head and of the first event.
 constexpr milliseconds k_first_event_timeout{2500};
+/// Time to read the body of a failure after its head.
+constexpr milliseconds k_failed_answer_timeout{300};
 /// Timeout between two events: at least this, or a multiple of the engine's usual gap.
 constexpr milliseconds k_min_event_timeout{700};
 constexpr double k_event_timeout_factor = 10.0;
@@ -312,10 +314,23 @@
   if (dependencies_.table.find_running(key) == nullptr) co_return run_outcome::unwanted;
   if (failure != calls::exchange_failure::none) co_return run_outcome::broken;
   run_outcome const head = classify_response(exchange);
+  bool const failed = head == run_outcome::failed || head == run_outcome::impossible;
+  if (failed) co_return co_await confirm_failure(exchange, head);
   if (head != run_outcome::completed) co_return head;
   co_return co_await read_events(key, exchange);
 }
 
+awaitable<sample_runner::run_outcome> sample_runner::confirm_failure(calls::exchange& exchange,
+                                                                     run_outcome outcome) const {
+  time_point const deadline = boot_clock::now() + k_failed_answer_timeout;
+  std::string piece;
+  while (!exchange.is_whole()) {
+    auto const failure = co_await exchange.read_piece(piece, deadline);
+    if (failure != calls::exchange_failure::none) co_return run_outcome::broken;
+  }
+  co_return exchange.is_whole_own_answer() ? outcome : run_outcome::broken;
+}
+
 std::optional<quarantine::fingerprint> sample_runner::take_trial(job_entry& job,
                                                                  std::uint32_t index) {
   if (trials_.empty()) return std::nullopt;
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -135,6 +135,9 @@
   awaitable<run_outcome> execute(run_key const& key, calls::exchange& exchange);
   awaitable<run_outcome> read_events(run_key const& key, calls::exchange& exchange);
   run_outcome classify_response(calls::exchange const& exchange) const;
+  /// Reads the rest of an answer that ends the run without a text. @return `outcome` if the answer
+  /// is complete; `broken` otherwise, since a cut answer proves nothing about the request.
+  awaitable<run_outcome> confirm_failure(calls::exchange& exchange, run_outcome outcome) const;
   run_outcome take_events(run_key const& key, std::vector<calls::stream_event> const& events,
                           std::uint64_t& version);
   http::request make_request(job_entry const& job, sample_entry const& sample) const;
--- a/src/jobs/sample_scorer.cc
+++ b/src/jobs/sample_scorer.cc
@@ -115,7 +115,7 @@
     co_return scoring_step::done;
   }
   if (outcome.reason == calls::call_failure::quarantined) co_return scoring_step::requeue;
-  current->scoring_failures += outcome.failed_answers;
+  current->scoring_failures += outcome.server_errors;
   if (current->scoring_failures < max_failures) co_return scoring_step::retry;
   ++counters_.dead;
   dependencies_.table.mark_dead(*job, index, boot_clock::now());
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -211,7 +211,7 @@
   co_await wait_for(faults_.work_time);
   bool const fails = faults_.failures > 0;
   if (fails) --faults_.failures;
-  auto const code = fails ? http::status::internal_server_error : http::status::ok;
+  auto const code = fails ? static_cast<http::status>(faults_.failure_status) : http::status::ok;
   http::response answer =
       http::make_response(code, "answer to " + entry.request + " of " + options_.id, "text/plain");
   set(answer, k_id, entry.request);
@@ -233,8 +233,27 @@
   if (co_await writer.begin(std::move(head))) co_await writer.write("answer to ");
 }
 
+awaitable<void> server_standin::cut_failure(http::request const& message,
+                                            http::stream_writer& writer) {
+  --faults_.failures;
+  arrival entry = note(message);
+  entry.ran = true;
+  arrivals_.push_back(entry);
+  auto const code = static_cast<http::status>(faults_.failure_status);
+  http::response head = http::make_response(code, "", "text/plain");
+  set(head, k_id, entry.request);
+  set(head, k_stamp, "stamp-" + entry.request);
+  if (co_await writer.begin(std::move(head))) co_await writer.write("failure of ");
+}
+
 awaitable<bool> server_standin::stream(http::request const& message, http::stream_writer& writer) {
   std::string const target(message.target());
+  bool const cuts_failure = faults_.cuts_failures && faults_.failures > 0 && !faults_.silent &&
+                            !target.starts_with("/api/") && !refuses(message);
+  if (cuts_failure) {
+    co_await cut_failure(message, writer);
+    co_return true;
+  }
   bool const cuts =
       faults_.cuts > 0 && !faults_.silent && !target.starts_with("/api/") && !refuses(message);
   if (cuts) {
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -45,8 +45,11 @@
   bool full = false;
   /// Answers no request.
   bool silent = false;
-  /// Number of requests to answer with 500.
+  /// Number of requests to answer with `failure_status`.
   std::uint32_t failures = 0;
+  unsigned failure_status = 500;
+  /// Answers counted in `failures` are cut in the middle of their body.
+  bool cuts_failures = false;
   /// Number of events after which a stream counted in `breaks` is cut.
   std::uint32_t break_after = 0;
   /// Number of streams to cut.
@@ -55,8 +58,6 @@
   std::uint32_t lost_orders = 0;
   /// Number of requests that are run and whose answers are cut off.
   std::uint32_t cuts = 0;
-  /// Number of answers that are followed by a second, surplus answer.
-  std::uint32_t surplus = 0;
   /// Requests whose body contains this text crash the server that starts to run them; empty for
   /// none.
   std::string crash_text;
@@ -123,6 +124,8 @@
   awaitable<bool> stream(http::request const& message, http::stream_writer& writer);
   awaitable<bool> write_events(http::stream_writer& writer, std::string request,
                                std::uint64_t from);
+  /// Answers with a failure and cuts off its body.
+  awaitable<void> cut_failure(http::request const& message, http::stream_writer& writer);
   order_arrival note_order(std::string const& body);
   awaitable<http::response> order(std::string body);
   awaitable<void> load(std::uint64_t version);
