Settings and a rule of the configuration switch features for competing trainers

Cause: parts for hard load must leave the earlier deployments as they are and must not depend on a deployment's name. Change: a pool has competing trainers if it serves two models or more, two routes of jobs with a due time or more use it, and all of its job routes have one priority (route_table::competing_pools). Four settings (auto, on, off) control the parts to come.

--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -56,6 +56,8 @@
   quarantine::service& quarantine;
   /// Age of this node's copy of the store's records, for log lines.
   std::function<milliseconds()> records_age;
+  /// Returns true if attempts end early by the time that servers usually take.
+  std::function<bool()> times_attempts = [] { return false; };
 };
 
 class forwarder {
--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -23,11 +23,38 @@
   return services;
 }
 
+std::set<std::string> competing_pools(configuration const& all) {
+  struct job_routes {
+    std::set<std::uint32_t> priorities;
+    std::size_t with_due_time = 0;
+  };
+  std::map<std::string, job_routes> by_pool;
+  for (route const& candidate : all.routes) {
+    if (candidate.kind != route_kind::job) continue;
+    for (service_share const& share : candidate.shares) {
+      job_routes& routes = by_pool[share.service];
+      routes.priorities.insert(candidate.priority);
+      if (candidate.due > milliseconds(0)) ++routes.with_due_time;
+    }
+  }
+  std::set<std::string> pools;
+  for (auto const& [name, routes] : by_pool) {
+    auto const pool = all.services.find(name);
+    bool const has_models = pool != all.services.end() && pool->second.engines &&
+                            pool->second.engines->models.size() >= 2;
+    if (has_models && routes.priorities.size() == 1 && routes.with_due_time >= 2) {
+      pools.insert(name);
+    }
+  }
+  return pools;
+}
+
 route_table::route_table(configuration all, time_point in_force_since)
     : all_(std::move(all)),
       in_force_since_(in_force_since),
       tenants_(all_.tenants),
-      callable_services_(calls::callable_services(all_)) {
+      callable_services_(calls::callable_services(all_)),
+      competing_pools_(calls::competing_pools(all_)) {
   for (route const& candidate : all_.routes) by_host_[candidate.host].push_back(&candidate);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](route const* left, route const* right) {
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -96,6 +96,11 @@
 /// Services that clients may call directly: all except engine pools that only job routes use.
 std::set<std::string> callable_services(configuration const& all);
 
+/// Pools in which trainers compete without a rank that decides between them: the pool serves at
+/// least two models, at least two routes of jobs with a due time use it, and all routes of jobs
+/// that use it have the same priority.
+std::set<std::string> competing_pools(configuration const& all);
+
 /// Immutable; a request keeps the table that it began with.
 class route_table {
  public:
@@ -109,6 +114,7 @@
   service const* find_service(std::string const& name) const;
   tenant_index const& tenants() const { return tenants_; }
   std::set<std::string> const& callable_services() const { return callable_services_; }
+  std::set<std::string> const& competing_pools() const { return competing_pools_; }
   /// Returns true if jobs can be submitted at this host without a key.
   bool has_public_job_route(std::string_view host) const;
 
@@ -119,6 +125,7 @@
   std::map<std::string, std::vector<route const*>, std::less<>> by_host_;
   tenant_index tenants_;
   std::set<std::string> callable_services_;
+  std::set<std::string> competing_pools_;
 };
 
 /// Distributes the requests of a route over its services by smooth weighted round robin, so that
--- a/src/calls/server_selector.h
+++ b/src/calls/server_selector.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -28,8 +29,14 @@
   /// Number of candidates that `pick` compares between two checks for a free slot.
   static constexpr std::size_t k_candidates_per_round = 128;
 
-  server_selector(std::string own_zone, std::uint64_t seed)
-      : own_zone_(std::move(own_zone)), start_fraction_(fraction_of_range(seed)), random_(seed) {}
+  /// @param avoids_slow_servers returns true if servers that are measured to be slow are avoided.
+  server_selector(
+      std::string own_zone, std::uint64_t seed,
+      std::function<bool()> avoids_slow_servers = [] { return false; })
+      : own_zone_(std::move(own_zone)),
+        start_fraction_(fraction_of_range(seed)),
+        random_(seed),
+        avoids_slow_servers_(std::move(avoids_slow_servers)) {}
 
   /// Returns the best-ranked candidate. Compares candidates in rounds of k_candidates_per_round,
   /// starting at a position that is fixed for this node, and stops after the first round in which
@@ -85,6 +92,7 @@
   /// Where this node starts in the list of candidates, as a fraction of its length.
   double start_fraction_;
   std::mt19937_64 random_;
+  std::function<bool()> avoids_slow_servers_;
   std::map<std::string, server_state> states_;
   std::uint64_t compared_count_ = 0;
 };
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -9,6 +9,7 @@
 #include "gateway/client_calls.h"
 #include "gateway/directory_updater.h"
 #include "gateway/duties.h"
+#include "gateway/features.h"
 #include "gateway/metrics.h"
 #include "gateway/operator_request_reader.h"
 #include "gateway/pool_registry.h"
@@ -79,9 +80,11 @@
   application_state state_ = application_state::starting;
   http::client transport_{context_};
   calls::active_configuration configuration_;
+  features features_{settings_.features, configuration_};
   directory::server_directory servers_;
   calls::connection_pool connections_{context_};
-  calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id)};
+  calls::server_selector selector_{settings_.zone, hash_bytes(settings_.id),
+                                   [this] { return features_.avoids_slow_servers(); }};
   usage::run_counter runs_;
   quarantine::service quarantine_{quarantine::service_dependencies{
       context_, adapter_.store(), transport_, settings_.id, settings_.peers,
@@ -95,11 +98,11 @@
             connections_.add_idle(server.id, std::move(stream));
           },
           &servers_}}};
-  calls::forwarder forwarder_{
-      calls::forwarder_dependencies{context_, servers_, connections_, selector_, adapter_.names(),
-                                    runs_, quarantine_, [this] { return records_age(); }}};
+  calls::forwarder forwarder_{calls::forwarder_dependencies{
+      context_, servers_, connections_, selector_, adapter_.names(), runs_, quarantine_,
+      [this] { return records_age(); }, [this] { return features_.times_attempts(); }}};
   pool_registry pools_{pool_registry_dependencies{context_, settings_, adapter_, transport_,
-                                                  configuration_, servers_, connections_,
+                                                  configuration_, features_, servers_, connections_,
                                                   forwarder_, quarantine_}};
   /// Empty if the platform has no duty service, or if usage is not reported.
   std::optional<duties> duties_;
--- a/src/gateway/pool_registry.h
+++ b/src/gateway/pool_registry.h
@@ -7,6 +7,7 @@
 
 #include "base/asio.h"
 #include "gateway/adapter.h"
+#include "gateway/features.h"
 #include "gateway/settings.h"
 #include "http/client.h"
 #include "jobs/job_client.h"
@@ -21,6 +22,7 @@
   platform_adapter& adapter;
   http::client& transport;
   calls::active_configuration const& configuration;
+  features const& enabled_features;
   directory::server_directory const& servers;
   calls::connection_pool& connections;
   calls::forwarder& forwarder;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -85,6 +85,15 @@
   return {};
 }
 
+reader feature(feature_switch feature_settings::*member) {
+  return [member](toml::node const& value, settings& into) -> std::string {
+    auto const parsed = parse_feature_switch(value.value_or<std::string>(""));
+    if (!parsed) return "must be " + std::string(k_feature_switch_values);
+    into.features.*member = *parsed;
+    return {};
+  };
+}
+
 std::vector<setting> const& all_settings() {
   static std::vector<setting> const all = {
       {{"node.role", "gateway", "gateway: serves clients; spare: does nothing"}, read_role},
@@ -151,6 +160,22 @@
       {{"usage.late_seconds", "10", "a window's usage is due that long after its end"},
        number(0.1, 86'400,
               [](settings& into, double value) { into.usage_late = from_seconds(value); })},
+      {{"scheduling.order", "auto",
+        "order samples by the time that is left until they are due: auto, on or off; auto: where "
+        "trainers of one priority share engines"},
+       feature(&feature_settings::sample_order)},
+      {{"scheduling.memory", "auto",
+        "admit runs by the memory that they hold over time: auto, on or off; auto: as for "
+        "scheduling.order"},
+       feature(&feature_settings::memory_plan)},
+      {{"balancing.slow_servers", "auto",
+        "avoid servers that are measured to be slow: auto, on or off; auto: as for "
+        "scheduling.order, for all services"},
+       feature(&feature_settings::slow_servers)},
+      {{"balancing.attempts", "auto",
+        "end attempts early by the time that servers usually take: auto, on or off; auto: as for "
+        "scheduling.order, for all services"},
+       feature(&feature_settings::attempt_times)},
       {{"limits.connections", "2000", "client connections at once"},
        number(1, 1'000'000,
               [](settings& into, double value) {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -9,6 +9,7 @@
 
 #include "base/endpoint.h"
 #include "base/time.h"
+#include "gateway/features.h"
 #include "kv/record_store.h"
 
 namespace frostline::gateway {
@@ -47,6 +48,7 @@
   milliseconds usage_window{0};
   /// Time after the end of a window within which its usage must be reported.
   milliseconds usage_late{10'000};
+  feature_settings features;
   std::size_t connections = 2000;
   std::string log_level = "info";
 };
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -48,6 +48,10 @@
   /// Time after a job's acceptance or loading from which on the job is deleted, if it is closed
   /// (ended, or with all results listed).
   milliseconds retention{140'000};
+  /// Returns true if samples are ordered by the time that is left until they are due.
+  std::function<bool()> orders_by_due_time = [] { return false; };
+  /// Returns true if runs are admitted by the memory that they hold over time.
+  std::function<bool()> plans_memory = [] { return false; };
 };
 
 /// standby -> loading: the lease was acquired.
--- a/tests/unit/calls/route_table_test.cc
+++ b/tests/unit/calls/route_table_test.cc
@@ -124,3 +124,44 @@
   selector.note_full("s", now);
   LONGS_EQUAL(0, selector.outstanding("s"));
 }
+
+namespace {
+
+/// Two routes of jobs with a due time on one pool that serves two models.
+configuration make_competing_configuration() {
+  configuration all;
+  for (std::string const name : {"first", "second"}) {
+    route jobs = make_route(name, "a", "/" + name + "/");
+    jobs.kind = route_kind::job;
+    jobs.due = milliseconds(7500);
+    jobs.priority = 1;
+    jobs.shares = {{"pool", 1}};
+    all.routes.push_back(jobs);
+  }
+  auto engines = std::make_shared<engine_pool>();
+  engines->models = {"m0", "m1"};
+  all.services["pool"] = {"pool", 100, engines};
+  return all;
+}
+
+}  // namespace
+
+TEST(route_table_test, trainers_compete_if_the_priorities_leave_their_order_open) {
+  CHECK(competing_pools(make_competing_configuration()) == std::set<std::string>{"pool"});
+}
+
+// Guards the earlier deployments: features for competing trainers must not change how they are
+// served.
+TEST(route_table_test, trainers_do_not_compete_if_priorities_decide_or_there_is_one_model) {
+  configuration ranked = make_competing_configuration();
+  ranked.routes[1].priority = 0;
+  CHECK(competing_pools(ranked).empty());
+  configuration without_due_time = make_competing_configuration();
+  without_due_time.routes[1].due = milliseconds(0);
+  CHECK(competing_pools(without_due_time).empty());
+  configuration one_model = make_competing_configuration();
+  auto engines = std::make_shared<engine_pool>();
+  engines->models = {"m0"};
+  one_model.services["pool"].engines = engines;
+  CHECK(competing_pools(one_model).empty());
+}
--- a/tests/unit/gateway/gateway_settings_test.cc
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -54,3 +54,19 @@
   LONGS_EQUAL(1, errors.size());
   STRCMP_CONTAINS("line 2", errors[0].key.c_str());
 }
+
+TEST(gateway_settings_test, features_are_automatic_unless_the_file_says_otherwise) {
+  LONGS_EQUAL(0, read(std::string(k_good) + "[scheduling]\norder = \"off\"\n[balancing]\n"
+                                            "attempts = \"on\"\n")
+                     .size());
+  CHECK(all.features.sample_order == feature_switch::off);
+  CHECK(all.features.memory_plan == feature_switch::automatic);
+  CHECK(all.features.attempt_times == feature_switch::on);
+}
+
+TEST(gateway_settings_test, unknown_value_of_a_feature_is_reported_with_the_allowed_ones) {
+  auto const errors = read(std::string(k_good) + "[balancing]\nslow_servers = \"yes\"\n");
+  LONGS_EQUAL(1, errors.size());
+  STRCMP_EQUAL("balancing.slow_servers", errors[0].key.c_str());
+  STRCMP_EQUAL("must be auto, on or off", errors[0].reason.c_str());
+}
