Jobs: order of samples by the time left until their jobs are due

Cause: samples of trainers with the same priority start in the order of their jobs' acceptance, so long samples wait behind short ones of an older job (head-of-line blocking) and steps are late.

Change: scheduling/run_estimate learns events per unit of the length hint and the time per event of each model; scheduling/sample_order ranks by slack. job_table::runnable takes the order; without one it is as before. The owner asks orders_by_due_time in each iteration.

--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -43,6 +43,12 @@
   set("writes_total", "transactions sent for jobs", static_cast<double>(pool.transactions));
 }
 
+void write_sample_order(gauge_page& page, pool_snapshot const& pool) {
+  page.set("frostline_pool_started_without_slack_total",
+           "runs started with less time left than expected to be needed, while ordered by due time",
+           static_cast<double>(pool.runs.started_without_slack), {{"pool", pool.name}});
+}
+
 void write_records(gauge_page& page, node_snapshot const& snapshot) {
   for (auto const role :
        {relay::feed_role::standby, relay::feed_role::relay, relay::feed_role::direct}) {
@@ -152,7 +158,10 @@
   if (snapshot.usage) write_usage(page, *snapshot.usage);
   write_quarantine(page, snapshot);
   write_records(page, snapshot);
-  for (pool_snapshot const& pool : snapshot.pools) write_pool(page, pool);
+  for (pool_snapshot const& pool : snapshot.pools) {
+    write_pool(page, pool);
+    write_sample_order(page, pool);
+  }
   return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -1,7 +1,6 @@
 #include "jobs/job_table.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace frostline::jobs {
 namespace {
@@ -125,6 +124,7 @@
     sample.spec = job->record.items[index].get();
     sample.resubmitted = unfinished_items_.erase(sample.spec->id) > 0;
   }
+  number_groups(*job);
   return true;
 }
 
@@ -194,33 +194,6 @@
   return true;
 }
 
-std::vector<run_candidate> job_table::runnable(time_point now) {
-  std::vector<run_candidate> all;
-  for (auto const& [id, job] : jobs_) {
-    if (!job->is_open()) continue;
-    for (std::uint32_t index = 0; index < job->samples.size(); ++index) {
-      sample_entry const& sample = job->samples[index];
-      if (sample.state != sample_state::waiting || sample.not_before > now) continue;
-      all.push_back({job.get(), index});
-    }
-  }
-  auto const rank = [](run_candidate const& candidate) {
-    sample_entry const& sample = candidate.job->samples[candidate.index];
-    // Partially run samples are closest to completion. Resubmitted samples are usually long, so a
-    // late start would delay the end of the job.
-    bool const has_not_run = sample.events == 0;
-    bool const deferrable = has_not_run && !sample.resubmitted;
-    job_policy const& policy = candidate.job->policy;
-    return std::tuple(policy.tenant_priority, policy.priority, deferrable, candidate.job->sequence,
-                      has_not_run, -static_cast<std::int64_t>(sample.spec->length_hint),
-                      candidate.index);
-  };
-  std::sort(all.begin(), all.end(), [&](run_candidate const& left, run_candidate const& right) {
-    return rank(left) < rank(right);
-  });
-  return all;
-}
-
 run_key job_table::start(job_entry& job, std::uint32_t index, std::string engine, time_point now) {
   sample_entry& sample = job.samples[index];
   if (!sample.started_at) sample.started_at = now;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "calls/event_stream.h"
 #include "quarantine/fingerprint.h"
+#include "scheduling/sample_order.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
@@ -47,6 +48,8 @@
 
 struct sample_entry {
   rpc::JobItemT const* spec = nullptr;
+  /// Number of the sample's group within its job.
+  std::uint32_t group = 0;
   sample_state state = sample_state::waiting;
   /// Data of the events received so far, joined by line feeds.
   std::string text;
@@ -99,6 +102,10 @@
   /// to callers or stored.
   bool recorded = true;
   std::vector<sample_entry> samples;
+  /// Number of sample groups.
+  std::uint32_t groups = 0;
+  /// How long the job has yielded to jobs that can still meet their due times.
+  scheduling::yield_state yielded;
   /// Indexes of the samples with committed results, in the order of their positions.
   std::vector<std::uint32_t> listed;
   /// Indexes of finished samples that are not committed, in the order of finishing.
@@ -144,8 +151,13 @@
 struct run_candidate {
   job_entry* job = nullptr;
   std::uint32_t index = 0;
+  /// Set if samples are ordered by due time.
+  std::optional<scheduling::sample_outlook> outlook;
 };
 
+/// Numbers the job's sample groups in the order of their first samples.
+void number_groups(job_entry& job);
+
 enum class event_result { accepted, duplicate, out_of_order, too_old, mixed_versions };
 
 class job_table {
@@ -168,10 +180,10 @@
   job_entry* find(std::string const& id);
   std::map<std::string, std::unique_ptr<job_entry>>& jobs() { return jobs_; }
 
-  /// Returns the samples that may be started, in scheduling order: by the tenant's and the route's
-  /// priority, then partially run and resubmitted samples, then the job's age, then the longest
-  /// expected run.
-  std::vector<run_candidate> runnable(time_point now);
+  /// Returns the samples that may be started, in scheduling order.
+  /// @param order the order by due time; null for `scheduling::rank_by_acceptance`.
+  std::vector<run_candidate> runnable(time_point now,
+                                      scheduling::sample_order const* order = nullptr);
   run_key start(job_entry& job, std::uint32_t index, std::string engine, time_point now);
   /// Returns the sample of this run; null if the run is no longer current.
   sample_entry* find_running(run_key const& key);
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -48,10 +48,11 @@
               make_authority(dependencies_, runner_)),
       log_(dependencies_.context, dependencies_.store, dependencies_.limits,
            dependencies_.lease.resource()),
-      runner_(runner_dependencies{
-          dependencies_.context, dependencies_.configuration, dependencies_.servers,
-          dependencies_.connections, dependencies_.forwarder, dependencies_.names, board_,
-          dependencies_.quarantine, table_, [this] { return may_resend(); }, [this] { notify(); }}),
+      runner_(runner_dependencies{dependencies_.context, dependencies_.configuration,
+                                  dependencies_.servers, dependencies_.connections,
+                                  dependencies_.forwarder, dependencies_.names, board_,
+                                  dependencies_.quarantine, table_, estimates_,
+                                  [this] { return may_resend(); }, [this] { notify(); }}),
       progress_(dependencies_.context, dependencies_.transport, dependencies_.lease.resource(),
                 dependencies_.zone),
       work_(dependencies_.context),
@@ -99,6 +100,7 @@
   state_ = owner_state::standby;
   runner_.abort_runs({});
   table_.jobs().clear();
+  estimates_ = {};
   board_.update({});
   board_is_stale_ = true;
   unloaded_ended_jobs_.clear();
@@ -254,7 +256,8 @@
   table_.expire(now);
   timer.mark("jobs", boot_clock::now());
   bool const may_start_runs = run_permission_.may_start_runs(now, dependencies_.lease.holds(now));
-  if (may_start_runs) runner_.advance(now);
+  auto const* const order = dependencies_.orders_by_due_time() ? &order_ : nullptr;
+  if (may_start_runs) runner_.advance(now, order);
   timer.mark("runs", boot_clock::now());
   bool const store_unavailable =
       now > dependencies_.lease.confirmed_at() + k_store_outage_threshold;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -25,6 +25,8 @@
 #include "jobs/sample_runner.h"
 #include "kv/record_store.h"
 #include "ownership/owner_lease.h"
+#include "scheduling/run_estimate.h"
+#include "scheduling/sample_order.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
@@ -177,6 +179,8 @@
   engines::engine_board board_;
   engines::weight_orders orders_;
   job_table table_;
+  scheduling::run_estimate estimates_;
+  scheduling::sample_order order_{estimates_};
   record_log log_;
   sample_runner runner_;
   progress_replica replica_;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -35,6 +35,10 @@
 /// Deadline of a run, sent to the engine.
 constexpr milliseconds k_run_deadline{60'000};
 
+/// Events of a run, after the first, from which its time per event is taken. In shorter runs the
+/// delivery of events in bursts distorts the mean.
+constexpr std::uint64_t k_min_measured_events = 4;
+
 std::uint64_t parse_number(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -109,11 +113,11 @@
   dependencies_.notify();
 }
 
-void sample_runner::advance(time_point now) {
+void sample_runner::advance(time_point now, scheduling::sample_order const* order) {
   auto const table = dependencies_.configuration.table();
   if (!table) return;
   std::size_t started = 0;
-  for (run_candidate const& next : dependencies_.table.runnable(now)) {
+  for (run_candidate const& next : dependencies_.table.runnable(now, order)) {
     if (started == k_max_starts_per_iteration) {
       // The remaining runs start in the next iteration.
       dependencies_.notify();
@@ -132,28 +136,24 @@
     if (isolated) need.excluded = isolating_engines_;
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
     if (engine == nullptr || !may_start(job, next.index, now)) continue;
-    start(job, next.index, *engine, isolated);
+    start(next, *engine, isolated);
     ++started;
   }
   move_slow_runs(now);
 }
 
-void sample_runner::start(job_entry& job, std::uint32_t index, engines::engine_entry const& engine,
+void sample_runner::start(run_candidate const& next, engines::engine_entry const& engine,
                           bool isolated) {
+  job_entry& job = *next.job;
+  std::uint32_t const index = next.index;
   sample_entry& sample = job.samples[index];
   run_key const key = dependencies_.table.start(job, index, engine.server.id, boot_clock::now());
   std::uint64_t const tokens = expected_tokens(*sample.spec);
   dependencies_.board.note_started(engine.server.id, tokens, sample.spec->group);
   ++counters_.runs;
   if (isolated) isolating_engines_.insert(engine.server.id);
-  log_line(log_level::info, k_part, "Run started.",
-           {{"request", sample.spec->id},
-            {"job", job.record.id},
-            {"server", engine.server.id},
-            {"run", key.attempt},
-            {"events", sample.events},
-            {"in_flight", engine.in_flight},
-            {"isolated", isolated ? "yes" : "no"}});
+  if (next.outlook && next.outlook->slack < milliseconds(0)) ++counters_.started_without_slack;
+  log_start(next, key, engine, isolated);
   run_context context;
   context.isolated = isolated;
   context.trial = take_trial(job, index);
@@ -165,6 +165,34 @@
         run(key, engine.server, tokens, sample.spec->group, std::move(context)));
 }
 
+void sample_runner::log_start(run_candidate const& next, run_key const& key,
+                              engines::engine_entry const& engine, bool isolated) {
+  sample_entry const& sample = next.job->samples[next.index];
+  log_field const request("request", sample.spec->id);
+  log_field const job("job", key.job);
+  log_field const server("server", engine.server.id);
+  log_field const run("run", key.attempt);
+  log_field const events("events", sample.events);
+  log_field const in_flight("in_flight", engine.in_flight);
+  log_field const separate("isolated", isolated ? "yes" : "no");
+  constexpr std::string_view k_message = "Run started.";
+  if (!next.outlook) {
+    log_line(log_level::info, k_part, k_message,
+             {request, job, server, run, events, in_flight, separate});
+    return;
+  }
+  log_line(log_level::info, k_part, k_message,
+           {request,
+            job,
+            server,
+            run,
+            events,
+            in_flight,
+            separate,
+            {"slack_ms", next.outlook->slack.count()},
+            {"remaining_ms", next.outlook->remaining.count()}});
+}
+
 void sample_runner::move_slow_runs(time_point now) {
   open_run* best = nullptr;
   milliseconds best_gain{0};
@@ -356,6 +384,7 @@
   std::string const engine = exchange.server().id;
   time_point last_event_at = boot_clock::now();
   bool awaiting_first_event = true;
+  event_times times;
   std::string piece;
   while (!exchange.is_whole() || !exchange.head().body().empty()) {
     engines::engine_entry const* board = dependencies_.board.find(engine);
@@ -376,6 +405,13 @@
       auto const gap = std::chrono::duration_cast<milliseconds>(now - last_event_at);
       dependencies_.board.note_event_gap(engine, gap / static_cast<int>(events.size()), now);
     }
+    if (awaiting_first_event) {
+      times.first = now;
+    } else {
+      times.after_first += events.size();
+    }
+    times.last = now;
+    times.interrupted = times.interrupted || loading;
     awaiting_first_event = false;
     last_event_at = now;
     run_outcome const taken = take_events(key, events, version);
@@ -385,9 +421,22 @@
   sample_entry const* sample = dependencies_.table.find_running(key);
   if (sample == nullptr) co_return run_outcome::unwanted;
   bool const complete = splitter.is_between_events() && sample->events > 0;
+  if (complete) note_completed(key, *sample, times);
   co_return complete ? run_outcome::completed : run_outcome::broken;
 }
 
+void sample_runner::note_completed(run_key const& key, sample_entry const& sample,
+                                   event_times const& times) {
+  job_entry const* const job = dependencies_.table.find(key.job);
+  if (job == nullptr) return;
+  std::string const& model = job->record.model;
+  dependencies_.estimates.note_completed(model, sample.spec->length_hint, sample.events);
+  if (times.interrupted || times.after_first < k_min_measured_events) return;
+  std::chrono::duration<double, std::milli> const spent = times.last - times.first;
+  dependencies_.estimates.note_event_time(model,
+                                          spent.count() / static_cast<double>(times.after_first));
+}
+
 sample_runner::run_outcome sample_runner::take_events(
     run_key const& key, std::vector<calls::stream_event> const& events, std::uint64_t& version) {
   for (calls::stream_event const& event : events) {
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -17,6 +17,8 @@
 #include "jobs/job_table.h"
 #include "jobs/sample_scorer.h"
 #include "quarantine/service.h"
+#include "scheduling/run_estimate.h"
+#include "scheduling/sample_order.h"
 
 namespace frostline::jobs {
 
@@ -31,6 +33,8 @@
   engines::engine_board& board;
   quarantine::service& quarantine;
   job_table& table;
+  /// Learns from completed runs.
+  scheduling::run_estimate& estimates;
   /// Returns false if another owner may have taken over while this process was suspended.
   std::function<bool()> may_resend;
   /// Wakes up the owner's loop.
@@ -44,6 +48,9 @@
   std::uint64_t moved = 0;
   /// Samples marked dead because of the engine's answers.
   std::uint64_t dead = 0;
+  /// Runs that started when less than their expected time was left until their job was due. Counted
+  /// while samples are ordered by due time.
+  std::uint64_t started_without_slack = 0;
 };
 
 class sample_runner {
@@ -52,7 +59,8 @@
       : dependencies_(std::move(dependencies)) {}
 
   /// Starts runnable samples and moves at most one run off a slow engine.
-  void advance(time_point now);
+  /// @param order see `job_table::runnable`.
+  void advance(time_point now, scheduling::sample_order const* order);
   /// Aborts the runs of one job, or of all jobs if `job` is empty.
   void abort_runs(std::string const& job);
   /// Aborts the run of one sample.
@@ -96,6 +104,16 @@
   };
   using run_id = std::uint64_t;
 
+  /// Times of the events of one run, which give the time per event of its model.
+  struct event_times {
+    time_point first{};
+    time_point last{};
+    /// Events of this run after those that arrived together with the first.
+    std::uint64_t after_first = 0;
+    /// True if the engine loaded weights meanwhile, which pauses its runs.
+    bool interrupted = false;
+  };
+
   /// What the quarantine requires of a run.
   struct run_context {
     /// Result of must_be_isolated.
@@ -116,8 +134,9 @@
   awaitable<void> request_trial(quarantine::fingerprint request);
   /// Starts a run of the sample on `engine`.
   /// @param isolated result of must_be_isolated.
-  void start(job_entry& job, std::uint32_t index, engines::engine_entry const& engine,
-             bool isolated);
+  void start(run_candidate const& next, engines::engine_entry const& engine, bool isolated);
+  void log_start(run_candidate const& next, run_key const& key, engines::engine_entry const& engine,
+                 bool isolated);
   void move_slow_runs(time_point now);
   /// Reports broken and abandoned runs to the quarantine service, which checks whether the engine
   /// crashes.
@@ -140,6 +159,8 @@
   awaitable<run_outcome> confirm_failure(calls::exchange& exchange, run_outcome outcome) const;
   run_outcome take_events(run_key const& key, std::vector<calls::stream_event> const& events,
                           std::uint64_t& version);
+  /// Lets the estimates learn from a run whose text is complete.
+  void note_completed(run_key const& key, sample_entry const& sample, event_times const& times);
   http::request make_request(job_entry const& job, sample_entry const& sample) const;
   void finish_run(run_key const& key, std::string const& engine, run_outcome outcome);
   void finish_failed_run(job_entry& job, run_key const& key, sample_entry& sample);
