--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -35,10 +35,6 @@
 /// Deadline of a run, sent to the engine.
 constexpr milliseconds k_run_deadline{60'000};
 
-/// Events of a run, after the first, from which its time per event is taken. In shorter runs the
-/// delivery of events in bursts distorts the mean.
-constexpr std::uint64_t k_min_measured_events = 4;
-
 std::uint64_t parse_number(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -384,7 +380,7 @@
   std::string const engine = exchange.server().id;
   time_point last_event_at = boot_clock::now();
   bool awaiting_first_event = true;
-  event_times times;
+  scheduling::event_timer timer;
   std::string piece;
   while (!exchange.is_whole() || !exchange.head().body().empty()) {
     engines::engine_entry const* board = dependencies_.board.find(engine);
@@ -405,13 +401,7 @@
       auto const gap = std::chrono::duration_cast<milliseconds>(now - last_event_at);
       dependencies_.board.note_event_gap(engine, gap / static_cast<int>(events.size()), now);
     }
-    if (awaiting_first_event) {
-      times.first = now;
-    } else {
-      times.after_first += events.size();
-    }
-    times.last = now;
-    times.interrupted = times.interrupted || loading;
+    timer.note_events(events.size(), loading, now);
     awaiting_first_event = false;
     last_event_at = now;
     run_outcome const taken = take_events(key, events, version);
@@ -421,20 +411,18 @@
   sample_entry const* sample = dependencies_.table.find_running(key);
   if (sample == nullptr) co_return run_outcome::unwanted;
   bool const complete = splitter.is_between_events() && sample->events > 0;
-  if (complete) note_completed(key, *sample, times);
+  if (complete) note_completed(key, *sample, timer);
   co_return complete ? run_outcome::completed : run_outcome::broken;
 }
 
 void sample_runner::note_completed(run_key const& key, sample_entry const& sample,
-                                   event_times const& times) {
+                                   scheduling::event_timer const& timer) {
   job_entry const* const job = dependencies_.table.find(key.job);
   if (job == nullptr) return;
   std::string const& model = job->record.model;
   dependencies_.estimates.note_completed(model, sample.spec->length_hint, sample.events);
-  if (times.interrupted || times.after_first < k_min_measured_events) return;
-  std::chrono::duration<double, std::milli> const spent = times.last - times.first;
-  dependencies_.estimates.note_event_time(model,
-                                          spent.count() / static_cast<double>(times.after_first));
+  auto const event_ms = timer.event_ms();
+  if (event_ms) dependencies_.estimates.note_event_time(model, *event_ms);
 }
 
 sample_runner::run_outcome sample_runner::take_events(
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -104,16 +104,6 @@
   };
   using run_id = std::uint64_t;
 
-  /// Times of the events of one run, which give the time per event of its model.
-  struct event_times {
-    time_point first{};
-    time_point last{};
-    /// Events of this run after those that arrived together with the first.
-    std::uint64_t after_first = 0;
-    /// True if the engine loaded weights meanwhile, which pauses its runs.
-    bool interrupted = false;
-  };
-
   /// What the quarantine requires of a run.
   struct run_context {
     /// Result of must_be_isolated.
@@ -160,7 +150,8 @@
   run_outcome take_events(run_key const& key, std::vector<calls::stream_event> const& events,
                           std::uint64_t& version);
   /// Lets the estimates learn from a run whose text is complete.
-  void note_completed(run_key const& key, sample_entry const& sample, event_times const& times);
+  void note_completed(run_key const& key, sample_entry const& sample,
+                      scheduling::event_timer const& timer);
   http::request make_request(job_entry const& job, sample_entry const& sample) const;
   void finish_run(run_key const& key, std::string const& engine, run_outcome outcome);
   void finish_failed_run(job_entry& job, run_key const& key, sample_entry& sample);
--- a/src/scheduling/run_estimate.cc
+++ b/src/scheduling/run_estimate.cc
@@ -14,6 +14,9 @@
 constexpr double k_max_deviation = 4.0;
 /// Bound of estimates, for hints of any size.
 constexpr double k_max_events = 1e6;
+/// Events of a run, after the first, from which its time per event is taken. In shorter runs the
+/// delivery of events in bursts distorts the mean.
+constexpr std::size_t k_min_measured_events = 4;
 constexpr double k_min_event_ms = 0.1;
 constexpr double k_max_event_ms = 10'000.0;
 
@@ -56,6 +59,22 @@
   return to_time(pace, expected_events(pace, run) - static_cast<double>(run.events));
 }
 
+void event_timer::note_events(std::size_t count, bool paused, time_point now) {
+  was_paused_ = was_paused_ || paused;
+  last_at_ = now;
+  if (first_at_) {
+    after_first_ += count;
+  } else {
+    first_at_ = now;
+  }
+}
+
+std::optional<double> event_timer::event_ms() const {
+  if (was_paused_ || after_first_ < k_min_measured_events) return std::nullopt;
+  std::chrono::duration<double, std::milli> const spent = last_at_ - *first_at_;
+  return spent.count() / static_cast<double>(after_first_);
+}
+
 model_pace* run_estimate::find_or_add(std::string const& model) {
   auto const found = models_.find(model);
   if (found != models_.end()) return &found->second;
--- a/src/scheduling/run_estimate.h
+++ b/src/scheduling/run_estimate.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "base/time.h"
@@ -49,6 +50,23 @@
 /// exceeded its estimate may end at any event.
 milliseconds least_time_left(model_pace const& pace, run_length const& run);
 
+/// Measures the mean time between the events of one run.
+class event_timer {
+ public:
+  /// Records events that arrived together.
+  /// @param paused true if the engine may have paused the run since the previous events.
+  void note_events(std::size_t count, bool paused, time_point now);
+  /// Returns the mean in milliseconds; nothing if the run was paused or has too few events.
+  std::optional<double> event_ms() const;
+
+ private:
+  std::optional<time_point> first_at_;
+  time_point last_at_{};
+  /// Events after those that arrived together with the first one.
+  std::size_t after_first_ = 0;
+  bool was_paused_ = false;
+};
+
 class run_estimate {
  public:
   /// Models that are remembered; runs of further models are not learned from.
--- a/tests/unit/scheduling/run_estimate_test.cc
+++ b/tests/unit/scheduling/run_estimate_test.cc
@@ -83,6 +83,28 @@
   CHECK(estimates.pace_of("model").events_per_hint > 0);
 }
 
+// Guards against a time per event that contains the wait for the first event.
+TEST(run_estimate_test, time_per_event_is_counted_from_the_first_events) {
+  time_point const now{std::chrono::hours(1)};
+  event_timer timer;
+  timer.note_events(2, false, now + seconds(2));
+  CHECK_FALSE(timer.event_ms().has_value());
+  for (int piece = 1; piece <= 5; ++piece) {
+    timer.note_events(2, false, now + seconds(2) + piece * milliseconds(97));
+  }
+  DOUBLES_EQUAL(48.5, *timer.event_ms(), 0.01);
+}
+
+// Guards against a load of weights during a run that makes all later runs look slow.
+TEST(run_estimate_test, paused_run_gives_no_time_per_event) {
+  time_point const now{std::chrono::hours(1)};
+  event_timer timer;
+  for (int event = 0; event < 20; ++event) {
+    timer.note_events(1, event == 10, now + event * milliseconds(50));
+  }
+  CHECK_FALSE(timer.event_ms().has_value());
+}
+
 // Guards against memory that grows with the names of models in submitted jobs.
 TEST(run_estimate_test, number_of_models_is_bounded) {
   for (std::size_t index = 0; index <= run_estimate::k_max_models; ++index) {
