Admission of runs by the memory that they use over time

Cause: each run reserves its prompt and twice its hint from its start to its end, although it holds that much only at its end, so engines have free slots while samples wait (docs/design/hard-load.md). Change: scheduling::memory_plan keeps the runs of an engine by their expected ends and admits a run if the usage at each end stays below the cache less 5 %. The board keeps it beside the sum of final sizes; pool_owner asks plans_memory once an iteration which of the two decides. scheduling::event_ratios learns the events per hinted token.

--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -146,9 +146,6 @@
   if (loading || engine.blocked_until > now) return false;
   if (requirements.excluded.contains(engine.server.id)) return false;
   if (engine.in_flight >= engine.server.slots) return false;
-  bool const fits = cache_tokens_ == 0 || engine.in_flight == 0 ||
-                    engine.tokens_in_flight + requirements.tokens <= cache_tokens_;
-  if (!fits) return false;
   auto const version = engine.versions.find(requirements.model);
   if (version == engine.versions.end()) return false;
   if (requirements.exact_version) return version->second == *requirements.exact_version;
@@ -163,6 +160,14 @@
 }
 
 engine_entry const* engine_board::choose(run_requirements const& requirements, time_point now) {
+  bool lacks_memory = false;
+  engine_entry const* const best = find_best(requirements, now, lacks_memory);
+  if (best == nullptr && lacks_memory) ++memory_counters_.refused;
+  return best;
+}
+
+engine_entry const* engine_board::find_best(run_requirements const& requirements, time_point now,
+                                            bool& lacks_memory) {
   refresh_typical_gap(now);
   engine_entry const* best = nullptr;
   double best_cost = 0;
@@ -170,6 +175,10 @@
     ++examined_;
     engine_entry const* const engine = find(id);
     if (engine == nullptr || !can_run(*engine, requirements, now)) return nullptr;
+    if (!has_memory(*engine, requirements, now)) {
+      lacks_memory = true;
+      return nullptr;
+    }
     double const cost = cost_of(*engine, requirements, now);
     bool const better = best == nullptr || cost < best_cost ||
                         (cost == best_cost && engine->server.id < best->server.id);
@@ -196,38 +205,6 @@
   return best;
 }
 
-void engine_board::note_started(std::string const& id, std::uint64_t tokens,
-                                std::string const& group) {
-  engine_entry* const engine = find_mutable(id);
-  if (engine == nullptr) return;
-  ++engine->in_flight;
-  engine->tokens_in_flight += tokens;
-  ++engine->groups[group];
-  groups_[group].insert(id);
-  update_index(*engine);
-}
-
-void engine_board::note_ended(std::string const& id, std::uint64_t tokens,
-                              std::string const& group) {
-  engine_entry* const engine = find_mutable(id);
-  if (engine == nullptr) return;
-  if (engine->in_flight > 0) --engine->in_flight;
-  engine->tokens_in_flight -= std::min(tokens, engine->tokens_in_flight);
-  auto const runs = engine->groups.find(group);
-  if (runs != engine->groups.end() && --runs->second == 0) {
-    engine->groups.erase(runs);
-    remove_from_group(id, group);
-  }
-  update_index(*engine);
-}
-
-void engine_board::remove_from_group(std::string const& id, std::string const& group) {
-  auto const found = groups_.find(group);
-  if (found == groups_.end()) return;
-  found->second.erase(id);
-  if (found->second.empty()) groups_.erase(found);
-}
-
 void engine_board::note_event_gap(std::string const& id, milliseconds gap, time_point now) {
   engine_entry* const engine = find_mutable(id);
   if (engine == nullptr) return;
@@ -289,7 +266,8 @@
   refresh_typical_gap(now);
   double const own_slowness = slowness(from, now);
   if (own_slowness < k_move_ratio) return milliseconds(0);
-  engine_entry const* const other = choose(requirements, now);
+  bool lacks_memory = false;
+  engine_entry const* const other = find_best(requirements, now, lacks_memory);
   // An engine of unknown speed may be the slow one that the run has just left.
   if (other == nullptr || other == &from || !has_recent_gap(*other, now)) return milliseconds(0);
   double const other_slowness = slowness(*other, now);
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -1,5 +1,5 @@
 /// @file Scheduling state of a pool's engines, kept by the owner of the pool: requests in flight,
-/// measured speed and loaded weight versions. No I/O; reads no clock.
+/// measured speed, expected memory and loaded weight versions. No I/O; reads no clock.
 #pragma once
 
 #include <cstdint>
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "directory/server.h"
 #include "engines/engine_index.h"
+#include "scheduling/memory_plan.h"
 
 namespace frostline::engines {
 
@@ -29,7 +30,10 @@
   /// Loaded version by model, from service discovery and from the engine's own answers.
   std::map<std::string, std::uint64_t> versions;
   std::uint32_t in_flight = 0;
+  /// Sum of the expected final sizes of the runs in flight.
   std::uint64_t tokens_in_flight = 0;
+  /// Memory of the runs in flight over time. Kept also while it is not used for admission.
+  scheduling::memory_plan memory;
   /// Runs in flight by sample group.
   std::map<std::string, std::uint32_t> groups;
   /// Moving average of the time between two stream events of a run; 0 before the first event gap.
@@ -51,18 +55,31 @@
   /// The only version that may execute the run, if set: the run continues output of that version
   /// and must not mix versions.
   std::optional<std::uint64_t> exact_version;
-  /// KV cache space that the run may occupy, in tokens.
+  /// Expected final size of the run in the KV cache, in tokens.
   std::uint64_t tokens = 0;
+  scheduling::run_memory memory;
   /// Sample group of the run. The samples of a group share a prompt.
   std::string group;
   /// Engines that must not be chosen.
   std::set<std::string> excluded;
 };
 
+struct memory_counters {
+  /// Runs that were started although the sum of the final sizes exceeded the KV cache.
+  std::uint64_t admitted_over_sum = 0;
+  /// Choices that failed because no engine with a free slot had enough memory.
+  std::uint64_t refused = 0;
+};
+
 class engine_board {
  public:
   /// @param cache_tokens size of each engine's KV cache in tokens; 0 for no limit.
   void set_cache_tokens(std::uint64_t cache_tokens) { cache_tokens_ = cache_tokens; }
+  /// Sets whether runs are admitted by their memory over time, or by the sum of their final sizes.
+  /// Both are kept at any time.
+  void set_memory_planning(bool enabled) { plans_memory_ = enabled; }
+  bool plans_memory() const { return plans_memory_; }
+  memory_counters const& memory() const { return memory_counters_; }
   /// Adds or updates the engines in `servers`, the pool's servers in service discovery, and removes
   /// all others.
   void update(std::vector<directory::server const*> const& servers);
@@ -97,8 +114,17 @@
   /// if the engine runs samples of the same group and so has the prompt cached. Returns null if no
   /// engine qualifies.
   engine_entry const* choose(run_requirements const& requirements, time_point now);
-  void note_started(std::string const& id, std::uint64_t tokens, std::string const& group);
-  void note_ended(std::string const& id, std::uint64_t tokens, std::string const& group);
+  /// @param run identifies the run in the memory plan; must be unique among the runs in flight.
+  /// Without it, the run only counts in the sum of the final sizes.
+  /// @param memory the run's memory, of which `tokens` is the final size.
+  void note_started(std::string const& id, std::uint64_t tokens, std::string const& group,
+                    std::optional<scheduling::run_id> run = std::nullopt,
+                    scheduling::run_memory const& memory = {});
+  /// @param events number of stream events that the run has received.
+  void note_progress(std::string const& id, scheduling::run_id run, std::uint64_t events);
+  /// @param tokens, group, run as in `note_started`.
+  void note_ended(std::string const& id, std::uint64_t tokens, std::string const& group,
+                  std::optional<scheduling::run_id> run = std::nullopt);
   void note_event_gap(std::string const& id, milliseconds gap, time_point now);
   /// Records a failed or unanswered request. Blocks the engine with exponential backoff.
   void note_failure(std::string const& id, time_point now);
@@ -121,10 +147,18 @@
   engine_entry* find_mutable(std::string const& id);
   void update_index(engine_entry const& entry);
   void remove_from_group(std::string const& id, std::string const& group);
+  /// As `choose`, but does not count. Sets `lacks_memory` if an engine qualified except for its
+  /// memory.
+  engine_entry const* find_best(run_requirements const& requirements, time_point now,
+                                bool& lacks_memory);
   /// Resets the state of a restarted engine. Its runs stay counted until they end.
   static void reset_for_restart(engine_entry& engine);
+  /// Does not check the engine's memory.
   bool can_run(engine_entry const& engine, run_requirements const& requirements,
                time_point now) const;
+  bool has_memory(engine_entry const& engine, run_requirements const& requirements,
+                  time_point now) const;
+  bool exceeds_sum(engine_entry const& engine, std::uint64_t tokens) const;
   /// Expected time per event relative to an idle engine of median speed, less the bonus for a
   /// cached prompt.
   double cost_of(engine_entry const& engine, run_requirements const& requirements,
@@ -135,6 +169,8 @@
   void refresh_typical_gap(time_point now);
 
   std::uint64_t cache_tokens_ = 0;
+  bool plans_memory_ = false;
+  memory_counters memory_counters_;
   /// Median of the engines' recent event gaps; 0 if there are none.
   double typical_gap_ms_ = 0;
   time_point typical_gap_at_{};
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -352,7 +352,8 @@
     snapshot.pools.push_back({name, pool.lease->state() == ownership::lease_state::owner,
                               pool.owner->jobs(), pool.owner->runner().running(),
                               pool.owner->runner().counters(), pool.owner->runner().scoring(),
-                              pool.owner->orders().sent(), pool.owner->log().transactions()});
+                              pool.owner->memory(), pool.owner->orders().sent(),
+                              pool.owner->log().transactions()});
   }
   return http::make_response(http::status::ok, metrics_.write(snapshot), k_plain_text);
 }
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -43,6 +43,16 @@
   set("writes_total", "transactions sent for jobs", static_cast<double>(pool.transactions));
 }
 
+void write_memory(gauge_page& page, pool_snapshot const& pool) {
+  prometheus::Labels const labels{{"pool", pool.name}};
+  page.set("frostline_pool_runs_over_sum_total",
+           "runs started although the final sizes of the engine's runs exceed its memory",
+           static_cast<double>(pool.memory.admitted_over_sum), labels);
+  page.set("frostline_pool_memory_refusals_total",
+           "choices of an engine that failed for lack of memory",
+           static_cast<double>(pool.memory.refused), labels);
+}
+
 void write_records(gauge_page& page, node_snapshot const& snapshot) {
   for (auto const role :
        {relay::feed_role::standby, relay::feed_role::relay, relay::feed_role::direct}) {
@@ -152,7 +162,10 @@
   if (snapshot.usage) write_usage(page, *snapshot.usage);
   write_quarantine(page, snapshot);
   write_records(page, snapshot);
-  for (pool_snapshot const& pool : snapshot.pools) write_pool(page, pool);
+  for (pool_snapshot const& pool : snapshot.pools) {
+    write_pool(page, pool);
+    write_memory(page, pool);
+  }
   return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
 }
 
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -25,6 +25,7 @@
   std::size_t running = 0;
   jobs::runner_counters runs;
   jobs::scorer_counters scoring;
+  engines::memory_counters memory;
   std::uint64_t orders = 0;
   std::uint64_t transactions = 0;
 };
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -9,8 +9,6 @@
 /// Results that don't complete the job or its desired groups are committed in batches, at most this
 /// late.
 constexpr milliseconds k_commit_interval{900};
-/// Length hints match the median length; the mean is higher.
-constexpr std::uint64_t k_length_hint_factor = 2;
 
 rpc::SampleResultT copy_result(rpc::SampleResultT const& from) { return from; }
 
@@ -82,7 +80,17 @@
 std::uint64_t expected_tokens(rpc::JobItemT const& item) {
   if (item.length_hint == 0 || item.generated_limit == 0) return item.tokens;
   std::uint64_t const limit = std::min(item.generated_limit, item.tokens);
-  return item.tokens - limit + std::min(limit, item.length_hint * k_length_hint_factor);
+  return item.tokens - limit + std::min(limit, item.length_hint * scheduling::k_length_hint_factor);
+}
+
+scheduling::run_memory expected_memory(rpc::JobItemT const& item) {
+  scheduling::run_memory memory;
+  memory.prompt_tokens = item.tokens;
+  if (item.length_hint == 0 || item.generated_limit == 0) return memory;
+  memory.output_limit = std::min(item.generated_limit, item.tokens);
+  memory.prompt_tokens -= memory.output_limit;
+  memory.hinted_tokens = item.length_hint;
+  return memory;
 }
 
 quarantine::fingerprint const& fingerprint_of(job_entry& job, std::uint32_t index) {
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -12,6 +12,7 @@
 #include "base/time.h"
 #include "calls/event_stream.h"
 #include "quarantine/fingerprint.h"
+#include "scheduling/memory_plan.h"
 #include "schema/frostline_generated.h"
 
 namespace frostline::jobs {
@@ -130,6 +131,10 @@
 /// of the submitter's length hint, at most the submitter's limit.
 std::uint64_t expected_tokens(rpc::JobItemT const& item);
 
+/// Returns how the KV cache usage of a run of this item grows to `expected_tokens`. The result has
+/// no events, neither expected nor received.
+scheduling::run_memory expected_memory(rpc::JobItemT const& item);
+
 /// Fingerprint of a sample's request; equal requests have the same fingerprint in all jobs.
 quarantine::fingerprint const& fingerprint_of(job_entry& job, std::uint32_t index);
 
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -248,6 +248,7 @@
   time_point const now = boot_clock::now();
   iteration_timer timer(now);
   refresh_board();
+  board_.set_memory_planning(dependencies_.plans_memory());
   timer.mark("board", boot_clock::now());
   refresh_policies();
   drop_unrecorded(now);
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -73,6 +73,7 @@
   owner_state state() const { return state_; }
   engines::weight_orders& orders() { return orders_; }
   sample_runner const& runner() const { return runner_; }
+  engines::memory_counters const& memory() const { return board_.memory(); }
   record_log const& log() const { return log_; }
   std::size_t jobs() { return table_.jobs().size(); }
   /// Duration of the longest iteration of the owner's loop so far.
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -59,6 +59,9 @@
   bool const bound = job.policy.single_version && !sample.versions.empty();
   if (bound) need.exact_version = sample.versions.front();
   need.tokens = expected_tokens(*sample.spec);
+  need.memory = expected_memory(*sample.spec);
+  need.memory.hinted_events = event_ratios_.events_for(need.model, need.memory.hinted_tokens);
+  need.memory.events = sample.events;
   need.group = sample.spec->group;
   return need;
 }
@@ -132,28 +135,21 @@
     if (isolated) need.excluded = isolating_engines_;
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
     if (engine == nullptr || !may_start(job, next.index, now)) continue;
-    start(job, next.index, *engine, isolated);
+    start(job, next.index, *engine, need, isolated);
     ++started;
   }
   move_slow_runs(now);
 }
 
 void sample_runner::start(job_entry& job, std::uint32_t index, engines::engine_entry const& engine,
-                          bool isolated) {
+                          engines::run_requirements const& need, bool isolated) {
   sample_entry& sample = job.samples[index];
   run_key const key = dependencies_.table.start(job, index, engine.server.id, boot_clock::now());
-  std::uint64_t const tokens = expected_tokens(*sample.spec);
-  dependencies_.board.note_started(engine.server.id, tokens, sample.spec->group);
+  run_id const id = next_run_++;
+  dependencies_.board.note_started(engine.server.id, need.tokens, need.group, id, need.memory);
   ++counters_.runs;
   if (isolated) isolating_engines_.insert(engine.server.id);
-  log_line(log_level::info, k_part, "Run started.",
-           {{"request", sample.spec->id},
-            {"job", job.record.id},
-            {"server", engine.server.id},
-            {"run", key.attempt},
-            {"events", sample.events},
-            {"in_flight", engine.in_flight},
-            {"isolated", isolated ? "yes" : "no"}});
+  log_start(job, sample, key, engine, isolated);
   run_context context;
   context.isolated = isolated;
   context.trial = take_trial(job, index);
@@ -162,7 +158,26 @@
         dependencies_.quarantine.begin_unattended_run(fingerprint_of(job, index));
   }
   spawn(dependencies_.context,
-        run(key, engine.server, tokens, sample.spec->group, std::move(context)));
+        run(id, key, engine.server, need.tokens, need.group, std::move(context)));
+}
+
+void sample_runner::log_start(job_entry const& job, sample_entry const& sample, run_key const& key,
+                              engines::engine_entry const& engine, bool isolated) const {
+  log_field const request{"request", sample.spec->id};
+  log_field const job_id{"job", job.record.id};
+  log_field const server{"server", engine.server.id};
+  log_field const run{"run", key.attempt};
+  log_field const events{"events", sample.events};
+  log_field const in_flight{"in_flight", engine.in_flight};
+  log_field const apart{"isolated", isolated ? "yes" : "no"};
+  if (!dependencies_.board.plans_memory()) {
+    log_line(log_level::info, k_part, "Run started.",
+             {request, job_id, server, run, events, in_flight, apart});
+    return;
+  }
+  log_field const peak{"peak_tokens", static_cast<std::uint64_t>(engine.memory.peak())};
+  log_line(log_level::info, k_part, "Run started.",
+           {request, job_id, server, run, events, in_flight, apart, peak});
 }
 
 void sample_runner::move_slow_runs(time_point now) {
@@ -266,9 +281,8 @@
   return message;
 }
 
-awaitable<void> sample_runner::run(run_key key, directory::server engine, std::uint64_t tokens,
-                                   std::string group, run_context context) {
-  run_id const id = next_run_++;
+awaitable<void> sample_runner::run(run_id id, run_key key, directory::server engine,
+                                   std::uint64_t tokens, std::string group, run_context context) {
   calls::exchange exchange(dependencies_.connections, dependencies_.names, engine);
   job_entry const* const job = dependencies_.table.find(key.job);
   open_run open;
@@ -278,7 +292,7 @@
   open.single_version = job != nullptr && job->policy.single_version;
   runs_[id] = open;
   keys_[id] = key;
-  run_outcome outcome = co_await execute(key, exchange);
+  run_outcome outcome = co_await execute(id, key, exchange);
   if (outcome == run_outcome::broken && runs_[id].moving) outcome = run_outcome::moved;
   if (outcome == run_outcome::completed) exchange.finish();
   if (exchange.may_have_reached_server())
@@ -289,12 +303,12 @@
   keys_.erase(id);
   if (context.isolated) isolating_engines_.erase(engine.id);
   context.unattended_run.reset();
-  dependencies_.board.note_ended(engine.id, tokens, group);
+  dependencies_.board.note_ended(engine.id, tokens, group, id);
   finish_run(key, engine.id, outcome);
   dependencies_.notify();
 }
 
-awaitable<sample_runner::run_outcome> sample_runner::execute(run_key const& key,
+awaitable<sample_runner::run_outcome> sample_runner::execute(run_id id, run_key const& key,
                                                              calls::exchange& exchange) {
   sample_entry const* sample = dependencies_.table.find_running(key);
   if (sample == nullptr) co_return run_outcome::unwanted;
@@ -317,7 +331,7 @@
   bool const failed = head == run_outcome::failed || head == run_outcome::impossible;
   if (failed) co_return co_await confirm_failure(exchange, head);
   if (head != run_outcome::completed) co_return head;
-  co_return co_await read_events(key, exchange);
+  co_return co_await read_events(id, key, exchange);
 }
 
 awaitable<sample_runner::run_outcome> sample_runner::confirm_failure(calls::exchange& exchange,
@@ -348,7 +362,7 @@
   return status == 500 ? run_outcome::failed : run_outcome::broken;
 }
 
-awaitable<sample_runner::run_outcome> sample_runner::read_events(run_key const& key,
+awaitable<sample_runner::run_outcome> sample_runner::read_events(run_id id, run_key const& key,
                                                                  calls::exchange& exchange) {
   calls::event_splitter splitter(dependencies_.names.versions);
   std::string version_field = dependencies_.names.versions;
@@ -381,6 +395,8 @@
     run_outcome const taken = take_events(key, events, version);
     if (taken != run_outcome::completed) co_return taken;
     dependencies_.board.note_success(engine);
+    sample_entry const* const running = dependencies_.table.find_running(key);
+    if (running != nullptr) dependencies_.board.note_progress(engine, id, running->events);
   }
   sample_entry const* sample = dependencies_.table.find_running(key);
   if (sample == nullptr) co_return run_outcome::unwanted;
@@ -432,6 +448,7 @@
   switch (outcome) {
     case run_outcome::completed:
       ++counters_.completed;
+      event_ratios_.note_completed(job->record.model, sample->spec->length_hint, sample->events);
       if (dependencies_.quarantine.has_suspects()) {
         dependencies_.quarantine.note_answer(fingerprint_of(*job, key.index));
       }
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -17,6 +17,7 @@
 #include "jobs/job_table.h"
 #include "jobs/sample_scorer.h"
 #include "quarantine/service.h"
+#include "scheduling/event_ratios.h"
 
 namespace frostline::jobs {
 
@@ -94,7 +95,7 @@
     /// from the table before the run ends.
     std::optional<quarantine::fingerprint> request;
   };
-  using run_id = std::uint64_t;
+  using run_id = scheduling::run_id;
 
   /// What the quarantine requires of a run.
   struct run_context {
@@ -115,9 +116,10 @@
   bool may_start(job_entry& job, std::uint32_t index, time_point now);
   awaitable<void> request_trial(quarantine::fingerprint request);
   /// Starts a run of the sample on `engine`.
+  /// @param need requirements by which the engine was chosen.
   /// @param isolated result of must_be_isolated.
   void start(job_entry& job, std::uint32_t index, engines::engine_entry const& engine,
-             bool isolated);
+             engines::run_requirements const& need, bool isolated);
   void move_slow_runs(time_point now);
   /// Reports broken and abandoned runs to the quarantine service, which checks whether the engine
   /// crashes.
@@ -130,10 +132,10 @@
   milliseconds retry_delay_after_break(job_entry& job, std::uint32_t index) const;
   /// Removes and returns the trial that the next run of the sample is, if any.
   std::optional<quarantine::fingerprint> take_trial(job_entry& job, std::uint32_t index);
-  awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
+  awaitable<void> run(run_id id, run_key key, directory::server engine, std::uint64_t tokens,
                       std::string group, run_context context);
-  awaitable<run_outcome> execute(run_key const& key, calls::exchange& exchange);
-  awaitable<run_outcome> read_events(run_key const& key, calls::exchange& exchange);
+  awaitable<run_outcome> execute(run_id id, run_key const& key, calls::exchange& exchange);
+  awaitable<run_outcome> read_events(run_id id, run_key const& key, calls::exchange& exchange);
   run_outcome classify_response(calls::exchange const& exchange) const;
   /// Reads the rest of an answer that ends the run without a text. @return `outcome` if the answer
   /// is complete; `broken` otherwise, since a cut answer proves nothing about the request.
@@ -142,6 +144,9 @@
                           std::uint64_t& version);
   http::request make_request(job_entry const& job, sample_entry const& sample) const;
   void finish_run(run_key const& key, std::string const& engine, run_outcome outcome);
+  /// Logs the start of a run; with the engine's expected peak usage while memory is planned.
+  void log_start(job_entry const& job, sample_entry const& sample, run_key const& key,
+                 engines::engine_entry const& engine, bool isolated) const;
   void finish_failed_run(job_entry& job, run_key const& key, sample_entry& sample);
   std::string_view name_of(run_outcome outcome) const;
 
@@ -158,6 +163,7 @@
   std::set<quarantine::fingerprint> trials_;
   /// Engines that are running an isolated sample.
   std::set<std::string> isolating_engines_;
+  scheduling::event_ratios event_ratios_;
   runner_counters counters_;
 };
 
