Memory is checked last when an engine is chosen

Change: memory is checked only for engines that would be the new best, and engines with a recent event gap are not considered a second time by way of the index. The chosen engine is the same, since the order of checks has no effect on it.

--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -171,22 +171,21 @@
   refresh_typical_gap(now);
   engine_entry const* best = nullptr;
   double best_cost = 0;
-  auto const consider = [&](std::string const& id) -> engine_entry const* {
+  auto const consider = [&](std::string const& id) {
     ++examined_;
     engine_entry const* const engine = find(id);
-    if (engine == nullptr || !can_run(*engine, requirements, now)) return nullptr;
-    if (!has_memory(*engine, requirements, now)) {
-      lacks_memory = true;
-      return nullptr;
-    }
+    if (engine == nullptr || !can_run(*engine, requirements, now)) return;
     double const cost = cost_of(*engine, requirements, now);
     bool const better = best == nullptr || cost < best_cost ||
                         (cost == best_cost && engine->server.id < best->server.id);
-    if (better) {
-      best = engine;
-      best_cost = cost;
+    if (!better) return;
+    // Checked last, since it takes the longest.
+    if (!has_memory(*engine, requirements, now)) {
+      lacks_memory = true;
+      return;
     }
-    return engine;
+    best = engine;
+    best_cost = cost;
   };
   for (std::string const& id : measured_) consider(id);
   auto const group = groups_.find(requirements.group);
@@ -197,11 +196,14 @@
   std::uint64_t const max_version =
       requirements.exact_version.value_or(std::numeric_limits<std::uint64_t>::max());
   // Among the engines without a recent event gap, the least loaded one has the lowest cost.
-  index_.visit_least_loaded(requirements.model, min_version, max_version,
-                            [&](std::string const& id) {
-                              engine_entry const* const engine = consider(id);
-                              return engine != nullptr && !has_recent_gap(*engine, now);
-                            });
+  index_.visit_least_loaded(
+      requirements.model, min_version, max_version, [&](std::string const& id) {
+        engine_entry const* const engine = find(id);
+        // Engines with a recent gap are in `measured_`.
+        if (engine == nullptr || has_recent_gap(*engine, now)) return false;
+        consider(id);
+        return can_run(*engine, requirements, now) && has_memory(*engine, requirements, now);
+      });
   return best;
 }
 
--- /dev/null
+++ b/tests/platform/planned_memory_test.cc
@@ -0,0 +1,87 @@
+/// @file Admission of runs by the memory of engines, through real gateway processes.
+
+#include <CppUTest/TestHarness.h>
+
+#include "platform_cluster.h"
+
+using namespace frostline;
+using namespace frostline::testing;
+
+namespace {
+
+/// One engine whose cache holds a long run and five short ones by their final sizes: 450 and 110
+/// tokens each.
+platform_options with_little_memory(std::string const& memory_setting) {
+  platform_options options;
+  options.nodes = 1;
+  options.engines = 1;
+  options.cache_tokens = 1000;
+  options.events = 20;
+  options.event_gap = milliseconds(20);
+  options.settings = "[scheduling]\nmemory = \"" + memory_setting + "\"\n";
+  return options;
+}
+
+std::vector<test_item> make_items(std::string const& job, std::size_t count,
+                                  std::uint64_t length_hint) {
+  std::vector<test_item> items;
+  for (std::size_t index = 0; index < count; ++index) {
+    test_item item;
+    item.id = job + "-" + std::to_string(index);
+    item.scored = false;
+    item.length_hint = length_hint;
+    item.generated_limit = 400;
+    items.push_back(item);
+  }
+  return items;
+}
+
+/// Runs samples until the events per token are known, then a long run beside short ones, then a
+/// short run alone.
+void run_jobs(platform_cluster& system) {
+  LONGS_EQUAL(202, system.submit(0, "first", make_items("first", 8, 100)));
+  system.wait_for_results(0, "first", 8);
+  std::vector<test_item> mixed = make_items("long", 1, 400);
+  for (test_item const& item : make_items("short", 12, 30)) mixed.push_back(item);
+  LONGS_EQUAL(202, system.submit(0, "mixed", mixed));
+  system.wait_for_results(0, "mixed", 13);
+  LONGS_EQUAL(202, system.submit(0, "last", make_items("last", 1, 30)));
+  system.wait_for_results(0, "last", 1);
+}
+
+bool has_log(platform_cluster& system, std::string const& text) {
+  return system.log(0).find(text) != std::string::npos;
+}
+
+/// Returns the line that reports the start of a request.
+std::string start_line(platform_cluster& system, std::string const& request) {
+  std::string const log = system.log(0);
+  std::size_t at = 0;
+  while ((at = log.find("Run started.", at)) != std::string::npos) {
+    std::string const line = log.substr(at, log.find('\n', at) - at);
+    if (line.find("\"" + request + "\"") != std::string::npos) return line;
+    ++at;
+  }
+  return {};
+}
+
+}  // namespace
+
+TEST_GROUP(planned_memory_test){};
+
+// Guards against runs whose progress or end does not reach the plan: the long run would keep short
+// ones out, or the last run would not find the engine idle.
+TEST(planned_memory_test, short_runs_fill_the_slots_beside_a_long_one) {
+  platform_cluster system(with_little_memory("on"));
+  run_jobs(system);
+  CHECK(has_log(system, "\"in_flight\":\"8\""));
+  STRCMP_CONTAINS("\"peak_tokens\":\"110\"", start_line(system, "last-0").c_str());
+}
+
+TEST(planned_memory_test, without_the_feature_final_sizes_are_reserved) {
+  platform_cluster system(with_little_memory("off"));
+  run_jobs(system);
+  CHECK(has_log(system, "\"in_flight\":\"6\""));
+  CHECK_FALSE(has_log(system, "\"in_flight\":\"8\""));
+  CHECK_FALSE(has_log(system, "peak_tokens"));
+}
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -22,8 +22,10 @@
 constexpr char k_engine_service[] = "engines";
 constexpr char k_app_service[] = "apps";
 
+constexpr std::uint64_t k_prompt_tokens = 50;
+
 std::string config_text(std::uint64_t version, std::string const& extra_routes,
-                        std::string const& tenants) {
+                        std::string const& tenants, std::uint64_t cache_tokens) {
   std::ostringstream text;
   text << R"({"version":)" << version << R"(,"routes":[)"
        << R"({"name":"calls","host":"test.example","path_prefix":"/calls/","kind":"safe",)"
@@ -42,7 +44,8 @@
        << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
        << R"("max_attempts":3,"public":true})" << extra_routes
        << R"(],"services":[{"name":"engines","health_path":"/health","max_conns":150,)"
-       << R"("engine":{"slots":8,"kv_capacity":100000,"models":[{"name":"model"}]}},)"
+       << R"("engine":{"slots":8,"kv_capacity":)" << cache_tokens
+       << R"(,"models":[{"name":"model"}]}},)"
        << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
        << R"("limits":{"max_header_bytes":16384,"max_body_bytes":33554432,)"
        << R"("header_timeout_ms":3000,"idle_timeout_ms":15000})";
@@ -57,9 +60,14 @@
   item["path"] = "/jobs/run/" + spec.id;
   json::object headers;
   headers["X-Frostline-Model"] = platform_cluster::k_model;
+  if (spec.length_hint > 0) {
+    headers["X-Frostline-Length-Hint"] = std::to_string(spec.length_hint);
+    headers["X-Frostline-Token-Usage"] =
+        std::to_string(k_prompt_tokens) + "," + std::to_string(spec.generated_limit);
+  }
   item["headers"] = std::move(headers);
   item["body"] = base64_encode("prompt of " + spec.id + spec.prompt);
-  item["tokens"] = 100;
+  item["tokens"] = spec.length_hint > 0 ? k_prompt_tokens + spec.generated_limit : 100;
   item["group"] = spec.group;
   if (!spec.scored) return item;
   json::object scorer;
@@ -174,7 +182,8 @@
 }
 
 void platform_cluster::put_config(std::uint64_t version, std::string const& extra_routes) {
-  store_->put("op/config", config_text(version, extra_routes, options_.tenants));
+  store_->put("op/config",
+              config_text(version, extra_routes, options_.tenants, options_.cache_tokens));
 }
 
 void platform_cluster::name_version(std::uint64_t version) {
@@ -195,7 +204,8 @@
        << where.readiness.to_string() << "\"\npeers = \"" << where.peers.to_string() << "\"\n"
        << "[relay]\nseeds = \"" << addresses_.front().peers.to_string() << "\"\n"
        << "[record_store]\naddress = \"" << store.to_string() << "\"\n"
-       << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
+       << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n"
+       << options_.settings;
   if (options_.usage_window == milliseconds(0)) return;
   file << "[duties]\naddress = \"" << duties_address_.to_string() << "\"\n[usage]\n"
        << "window_seconds = " << static_cast<double>(options_.usage_window.count()) / 1000
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -39,6 +39,10 @@
   milliseconds usage_delay{1500};
   /// Allows suspend() and resume().
   bool suspendable = false;
+  /// Size of each engine's KV cache in tokens.
+  std::uint64_t cache_tokens = 100'000;
+  /// Lines that are added to the settings of all nodes, in TOML.
+  std::string settings;
 };
 
 /// One item of a job, from which the request body is built.
@@ -50,6 +54,9 @@
   /// Text appended to the request body and to the body of the scorer's call.
   std::string prompt;
   std::string scorer_body;
+  /// Expected and largest output, in tokens; sent if the hint is not 0.
+  std::uint64_t length_hint = 0;
+  std::uint64_t generated_limit = 0;
 };
 
 /// The peers of the nodes whose connections are selected.
