--- a/src/base/log.cc
+++ b/src/base/log.cc
@@ -130,7 +130,7 @@
 }
 
 void log_line(log_level level, std::string_view component, std::string_view message,
-              log_fields fields) {
+              std::span<log_field const> fields) {
   boost::log::record record = logger().open_record(boost::log::keywords::severity = level);
   if (!record) return;
   boost::json::object line;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -8,6 +8,7 @@
 #include <concepts>
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -33,7 +34,12 @@
 
 /// Logs one line. `component` is the prefix of the message, such as "kv".
 void log_line(log_level level, std::string_view component, std::string_view message,
-              log_fields fields = {});
+              std::span<log_field const> fields);
+
+inline void log_line(log_level level, std::string_view component, std::string_view message,
+                     log_fields fields = {}) {
+  log_line(level, component, message, std::span(fields.begin(), fields.size()));
+}
 
 /// Writes buffered lines until standard output would block. Has to be called periodically and
 /// before the process exits.
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -49,6 +49,16 @@
            static_cast<double>(pool.runs.started_without_slack), {{"pool", pool.name}});
 }
 
+void write_memory(gauge_page& page, pool_snapshot const& pool) {
+  prometheus::Labels const labels{{"pool", pool.name}};
+  page.set("frostline_pool_runs_over_sum_total",
+           "runs started although the final sizes of the engine's runs exceed its memory",
+           static_cast<double>(pool.memory.admitted_over_sum), labels);
+  page.set("frostline_pool_memory_refusals_total",
+           "choices of an engine that failed for lack of memory",
+           static_cast<double>(pool.memory.refused), labels);
+}
+
 void write_records(gauge_page& page, node_snapshot const& snapshot) {
   for (auto const role :
        {relay::feed_role::standby, relay::feed_role::relay, relay::feed_role::direct}) {
@@ -171,6 +181,7 @@
   for (pool_snapshot const& pool : snapshot.pools) {
     write_pool(page, pool);
     write_sample_order(page, pool);
+    write_memory(page, pool);
   }
   return page.write() + prometheus::TextSerializer().Serialize(registry_.Collect());
 }
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -102,7 +102,7 @@
     /// from the table before the run ends.
     std::optional<quarantine::fingerprint> request;
   };
-  using run_id = std::uint64_t;
+  using run_id = scheduling::run_id;
 
   /// What the quarantine requires of a run.
   struct run_context {
@@ -123,10 +123,10 @@
   bool may_start(job_entry& job, std::uint32_t index, time_point now);
   awaitable<void> request_trial(quarantine::fingerprint request);
   /// Starts a run of the sample on `engine`.
+  /// @param need requirements by which the engine was chosen.
   /// @param isolated result of must_be_isolated.
-  void start(run_candidate const& next, engines::engine_entry const& engine, bool isolated);
-  void log_start(run_candidate const& next, run_key const& key, engines::engine_entry const& engine,
-                 bool isolated);
+  void start(run_candidate const& next, engines::engine_entry const& engine,
+             engines::run_requirements const& need, bool isolated);
   void move_slow_runs(time_point now);
   /// Reports broken and abandoned runs to the quarantine service, which checks whether the engine
   /// crashes.
@@ -139,10 +139,10 @@
   milliseconds retry_delay_after_break(job_entry& job, std::uint32_t index) const;
   /// Removes and returns the trial that the next run of the sample is, if any.
   std::optional<quarantine::fingerprint> take_trial(job_entry& job, std::uint32_t index);
-  awaitable<void> run(run_key key, directory::server engine, std::uint64_t tokens,
+  awaitable<void> run(run_id id, run_key key, directory::server engine, std::uint64_t tokens,
                       std::string group, run_context context);
-  awaitable<run_outcome> execute(run_key const& key, calls::exchange& exchange);
-  awaitable<run_outcome> read_events(run_key const& key, calls::exchange& exchange);
+  awaitable<run_outcome> execute(run_id id, run_key const& key, calls::exchange& exchange);
+  awaitable<run_outcome> read_events(run_id id, run_key const& key, calls::exchange& exchange);
   run_outcome classify_response(calls::exchange const& exchange) const;
   /// Reads the rest of an answer that ends the run without a text. @return `outcome` if the answer
   /// is complete; `broken` otherwise, since a cut answer proves nothing about the request.
@@ -154,6 +154,10 @@
                       scheduling::event_timer const& timer);
   http::request make_request(job_entry const& job, sample_entry const& sample) const;
   void finish_run(run_key const& key, std::string const& engine, run_outcome outcome);
+  /// Logs the start of a run; with its slack while samples are ordered by due time, and with the
+  /// engine's expected peak usage while memory is planned.
+  void log_start(run_candidate const& next, run_key const& key, engines::engine_entry const& engine,
+                 bool isolated) const;
   void finish_failed_run(job_entry& job, run_key const& key, sample_entry& sample);
   std::string_view name_of(run_outcome outcome) const;
 
--- a/src/scheduling/run_estimate.cc
+++ b/src/scheduling/run_estimate.cc
@@ -108,6 +108,12 @@
   pace->event_ms += weight * (bound_deviation(bounded, pace->event_ms) - pace->event_ms);
 }
 
+double run_estimate::hinted_events(std::string const& model, std::uint64_t length_hint) const {
+  auto const found = models_.find(model);
+  if (found == models_.end() || found->second.runs < k_reliable_runs) return 0;
+  return std::min(static_cast<double>(length_hint) * found->second.events_per_hint, k_max_events);
+}
+
 model_pace run_estimate::pace_of(std::string const& model) const {
   auto const found = models_.find(model);
   model_pace pace = found == models_.end() ? model_pace() : found->second;
--- a/src/scheduling/run_estimate.h
+++ b/src/scheduling/run_estimate.h
@@ -77,6 +77,9 @@
   void note_completed(std::string const& model, std::uint64_t length_hint, std::uint64_t events);
   /// Records the mean time between the events of a run.
   void note_event_time(std::string const& model, double event_ms);
+  /// Returns the expected number of events of a run with this length hint; 0 while too few runs of
+  /// the model were completed.
+  double hinted_events(std::string const& model, std::uint64_t length_hint) const;
   /// Returns what is known of a model; defaults for an unknown model. A model without event times
   /// has the mean of the others.
   model_pace pace_of(std::string const& model) const;
--- a/tests/unit/scheduling/run_estimate_test.cc
+++ b/tests/unit/scheduling/run_estimate_test.cc
@@ -113,3 +113,12 @@
   LONGS_EQUAL(1, estimates.pace_of("model0").runs);
   LONGS_EQUAL(0, estimates.pace_of("model" + std::to_string(run_estimate::k_max_models)).runs);
 }
+
+// Guards against memory that is planned with a ratio of events to hints that is not known yet.
+TEST(run_estimate_test, events_for_a_hint_are_unknown_until_enough_runs_completed) {
+  complete("model", 10, 20, 7);
+  DOUBLES_EQUAL(0, estimates.hinted_events("model", 100), 0);
+  complete("model", 10, 20, 1);
+  DOUBLES_EQUAL(200, estimates.hinted_events("model", 100), 1);
+  DOUBLES_EQUAL(0, estimates.hinted_events("other", 100), 0);
+}
