--- a/tests/unit/balancing/attempt_times_test.cc
+++ b/tests/unit/balancing/attempt_times_test.cc
@@ -107,7 +107,7 @@
   }
 };
 
-// Load: one slow server of several, without a measured time of its service yet.
+// Load: a service with few calls. A percentile of a few measurements would end attempts at random.
 TEST(attempt_times_test, few_measurements_leave_the_usual_limit) {
   note_answers(19, milliseconds(25));
   CHECK(!limit().early);
