Measure the pace of servers and avoid slow ones

Cause: nothing distinguishes a slow or failing application server from a fast one, and the load reports of servers are not read (docs/design/hard-load.md, part C). Change: server_paces keeps response times, results and load reports per server; server_selector puts the worst on probation when balancing.slow_servers is in effect; the forwarder notes answers, failures and abandoned attempts.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -141,6 +141,7 @@
     note_caller_left(state, upstream);
   } else {
     dependencies_.selector.note_failure(upstream.server().id, boot_clock::now());
+    measure_failure(state, upstream, failure);
   }
   if (failure == exchange_failure::timed_out) note_abandoned_run(state, upstream);
   state.saw_silent_connection = state.saw_silent_connection || upstream.saw_silent_connection();
@@ -165,17 +166,6 @@
             {"config", state.table->all().version}});
 }
 
-void forwarder::note_caller_left(request_state& state, exchange const& upstream) {
-  dependencies_.selector.note_abandoned(upstream.server().id);
-  note_abandoned_run(state, upstream);
-}
-
-void forwarder::note_abandoned_run(request_state& state, exchange const& upstream) {
-  if (!upstream.may_have_reached_server()) return;
-  dependencies_.quarantine.note_abandoned_run(upstream.server(), fingerprint_of(state),
-                                              state.attempt_started_at);
-}
-
 void forwarder::clear_suspicion(request_state& state, exchange const& upstream) {
   // A 5xx may be sent without a run, for example when a queued request reaches its deadline.
   bool const ran = upstream.head().result_int() < 500;
@@ -183,11 +173,6 @@
     dependencies_.quarantine.note_answer(fingerprint_of(state));
 }
 
-bool forwarder::is_refusal(http::response const& head) const {
-  return !http::header(head, dependencies_.names.not_run).empty() ||
-         head.result() == http::status::misdirected_request;
-}
-
 void forwarder::count_run(request_state& state, usage::run_counter::attempt_id attempt,
                           bool may_have_begun, bool is_event_stream) {
   bool const counts = may_have_begun && !state.usage_counted;
@@ -198,21 +183,6 @@
   dependencies_.runs.end_attempt(attempt, state.tenant, counts, begun);
 }
 
-bool forwarder::accepts(request_state& state, exchange& upstream) {
-  http::response const& head = upstream.head();
-  if (is_refusal(head)) {
-    state.was_refused = true;
-    dependencies_.selector.note_full(upstream.server().id, boot_clock::now());
-    return false;
-  }
-  bool const failed = head.result_int() >= 500;
-  bool const should_retry = failed && state.matched_route->is_repeatable() &&
-                            state.attempts < state.matched_route->max_attempts;
-  if (!should_retry) return true;
-  state.may_have_run = true;
-  return false;
-}
-
 awaitable<std::unique_ptr<exchange>> forwarder::next_exchange(request_state& state) {
   while (state.attempts < state.matched_route->max_attempts && may_try_again(state)) {
     if (state.client != nullptr && state.client->is_disconnected()) break;
@@ -222,7 +192,7 @@
     if (co_await is_blocked_by_quarantine(state)) break;
     auto const& ready = dependencies_.servers.ready_servers(state.service);
     directory::server const* selected =
-        dependencies_.selector.pick(ready, state.tried, boot_clock::now());
+        dependencies_.selector.pick(ready, state.tried, boot_clock::now(), probe_share(state));
     bool const all_failed =
         selected == nullptr && state.may_have_run && state.matched_route->is_repeatable();
     // Every ready server has been tried. A repeatable request that may have run is sent to them
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -144,6 +144,21 @@
   /// Reports a request that may still run at the server after this side stopped waiting, since it
   /// may yet crash the server.
   void note_abandoned_run(request_state& state, exchange const& upstream);
+  static balancing::work_kind work_of(request_state const& state);
+  /// Time since the start of the current attempt.
+  static milliseconds time_spent(request_state const& state);
+  /// Share of requests like this one that may probe a slow server; 0 for those that would not be
+  /// sent again if the probe fails, and for further attempts, which have little time left.
+  static double probe_share(request_state const& state);
+  /// Notes the load report of an answer's head, if there is one.
+  void measure_load(exchange const& upstream);
+  /// Notes the result of an attempt, and its time if that can be compared with others.
+  void measure_answer(request_state const& state, exchange const& upstream);
+  /// Notes an attempt without a usable answer.
+  void measure_failure(request_state const& state, exchange const& upstream,
+                       exchange_failure failure);
+  /// Notes the time spent on an attempt that was given up, as a lower bound.
+  void measure_late(request_state const& state, exchange const& upstream);
   quarantine::fingerprint const& fingerprint_of(request_state& state) const;
   /// Ends an attempt in `runs`. Counts the request for its tenant, at most once, if a server may
   /// have begun to run it.
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -1,4 +1,4 @@
-/// @file How the forwarder reads complete answers.
+/// @file How the forwarder reads answers, and what it notes about the servers that gave them.
 
 #include <algorithm>
 
@@ -16,11 +16,98 @@
 /// Time to read the rest of a failed answer before the next attempt. The head has arrived, so a
 /// sound server needs little more; a longer wait would delay the next attempt.
 constexpr milliseconds k_discard_timeout{100};
+/// Share of the requests without a waiting client that may probe servers on probation.
+constexpr double k_probe_share = 0.1;
+/// The same for requests of clients. The 99th percentile of their latency has a target, so less
+/// than one in a hundred may be slow.
+constexpr double k_client_probe_share = 0.005;
 
 }  // namespace
 
+bool forwarder::is_refusal(http::response const& head) const {
+  return !http::header(head, dependencies_.names.not_run).empty() ||
+         head.result() == http::status::misdirected_request;
+}
+
+bool forwarder::accepts(request_state& state, exchange& upstream) {
+  http::response const& head = upstream.head();
+  measure_load(upstream);
+  if (is_refusal(head)) {
+    state.was_refused = true;
+    dependencies_.selector.note_full(upstream.server().id, boot_clock::now());
+    return false;
+  }
+  bool const failed = head.result_int() >= 500;
+  bool const should_retry = failed && state.matched_route->is_repeatable() &&
+                            state.attempts < state.matched_route->max_attempts;
+  if (!should_retry) return true;
+  state.may_have_run = true;
+  return false;
+}
+
+void forwarder::note_caller_left(request_state& state, exchange const& upstream) {
+  dependencies_.selector.note_abandoned(upstream.server().id);
+  measure_late(state, upstream);
+  note_abandoned_run(state, upstream);
+}
+
+void forwarder::note_abandoned_run(request_state& state, exchange const& upstream) {
+  if (!upstream.may_have_reached_server()) return;
+  dependencies_.quarantine.note_abandoned_run(upstream.server(), fingerprint_of(state),
+                                              state.attempt_started_at);
+}
+
+balancing::work_kind forwarder::work_of(request_state const& state) {
+  return {state.service, state.matched_route->name};
+}
+
+milliseconds forwarder::time_spent(request_state const& state) {
+  return std::chrono::duration_cast<milliseconds>(boot_clock::now() - state.attempt_started_at);
+}
+
+double forwarder::probe_share(request_state const& state) {
+  if (state.attempts > 0 || !state.matched_route->is_repeatable()) return 0;
+  return state.client == nullptr ? k_probe_share : k_client_probe_share;
+}
+
+void forwarder::measure_load(exchange const& upstream) {
+  auto const report = http::header(upstream.head(), dependencies_.names.server_load);
+  if (report.empty()) return;
+  dependencies_.selector.paces().note_report(upstream.server().id, report, boot_clock::now());
+}
+
+void forwarder::measure_answer(request_state const& state, exchange const& upstream) {
+  bool const failed = upstream.head().result_int() >= 500;
+  auto& paces = dependencies_.selector.paces();
+  // The length of an event stream depends on its content.
+  if (state.matched_route->kind == route_kind::streaming) {
+    paces.note_result(upstream.server().id, failed, boot_clock::now());
+  } else {
+    paces.note_answer(work_of(state), upstream.server().id, time_spent(state), failed,
+                      boot_clock::now());
+  }
+}
+
+void forwarder::measure_failure(request_state const& state, exchange const& upstream,
+                                exchange_failure failure) {
+  bool const timed_out = failure == exchange_failure::timed_out;
+  if (timed_out) measure_late(state, upstream);
+  // A deadline that is earlier than the target says nothing about the server.
+  bool const late = timed_out && time_spent(state) >= state.matched_route->target_latency;
+  if (!late && failure != exchange_failure::broken) return;
+  dependencies_.selector.paces().note_result(upstream.server().id, true, boot_clock::now());
+}
+
+void forwarder::measure_late(request_state const& state, exchange const& upstream) {
+  if (state.matched_route->kind == route_kind::streaming) return;
+  if (!upstream.may_have_reached_server()) return;
+  dependencies_.selector.paces().note_late(work_of(state), upstream.server().id, time_spent(state),
+                                           boot_clock::now());
+}
+
 void forwarder::note_whole_answer(request_state& state, exchange const& upstream) {
   clear_suspicion(state, upstream);
+  measure_answer(state, upstream);
   time_point const now = boot_clock::now();
   bool const in_time =
       now - state.attempt_started_at <= state.matched_route->target_latency / k_fast_answer_divisor;
@@ -44,6 +131,7 @@
     failure = co_await upstream.read_piece(piece, deadline);
   }
   if (failure == exchange_failure::none) count_server_error(state, upstream);
+  measure_answer(state, upstream);
   dependencies_.selector.note_answer(upstream.server().id);
   upstream.finish();
 }
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -73,6 +73,7 @@
   }
   if (!splitter.is_between_events()) co_return !state.matched_route->resumable;
   clear_suspicion(state, upstream);
+  measure_answer(state, upstream);
   dependencies_.selector.note_answer(upstream.server().id);
   upstream.finish();
   ++counters_.answered;
--- a/src/calls/header_names.h
+++ b/src/calls/header_names.h
@@ -17,6 +17,8 @@
   std::string not_run = "Request-Not-Run";
   /// In a server's answer: proof that this server sent it.
   std::string stamp = "Server-Stamp";
+  /// In a server's answer: its load, in the format of balancing::parse_load_report.
+  std::string server_load = "Server-Load";
   /// In an engine's answer, and in lower case in an event: version of the weights.
   std::string versions = "Weight-Versions";
   /// In a request that resumes an event stream: id of the last event received.
--- a/src/calls/server_selector.cc
+++ b/src/calls/server_selector.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "base/log.h"
+
 namespace frostline::calls {
 namespace {
 
@@ -12,6 +14,11 @@
 /// How long after a fast answer the connection to the server is assumed to be open. Equals the
 /// default idle timeout of pooled connections.
 constexpr milliseconds k_warm_connection_time{20'000};
+/// Response times vary between requests, so a pace up to this has no effect.
+constexpr double k_typical_pace = 1.25;
+/// Probes that may be sent in a row after a time without any.
+constexpr double k_max_probe_credit = 2;
+constexpr std::string_view k_component = "calls";
 
 }  // namespace
 
@@ -19,18 +26,29 @@
   return static_cast<double>(seed) / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
 }
 
-server_selector::rank server_selector::rank_of(directory::server const& server, time_point now) {
+server_selector::ranked_server server_selector::rank_server(directory::server const& server,
+                                                            time_point now, bool by_pace) {
   ++compared_count_;
   auto const entry = states_.find(server.id);
   bool const in_backoff = entry != states_.end() && entry->second.backoff_until > now;
   std::uint32_t const outstanding = entry == states_.end() ? 0 : entry->second.outstanding;
   std::uint32_t const isolated = entry == states_.end() ? 0 : entry->second.isolated;
-  double const load = static_cast<double>(outstanding) / std::max(server.slots, 1U);
+  balancing::server_standing standing;
+  if (by_pace) standing = paces_.standing(server.id, server.slots, now);
+  double load = static_cast<double>(std::max(outstanding, standing.reported_load)) /
+                std::max(server.slots, 1U);
   milliseconds idle_time = k_warm_connection_time;
   if (entry != states_.end() && entry->second.last_fast_answer_at > now - k_warm_connection_time) {
     idle_time = std::chrono::duration_cast<milliseconds>(now - entry->second.last_fast_answer_at);
   }
-  return {in_backoff, isolated, load, server.zone != own_zone_, idle_time, random_()};
+  ranked_server ranked{&server,
+                       {in_backoff, isolated, load, server.zone != own_zone_, idle_time, random_()},
+                       false,
+                       standing.on_probation,
+                       standing.is_probe_due};
+  ranked.has_free_slot = has_free_slot(ranked.key);
+  if (standing.pace > k_typical_pace) std::get<double>(ranked.key) *= standing.pace;
+  return ranked;
 }
 
 bool server_selector::has_free_slot(rank const& candidate) {
@@ -40,22 +58,64 @@
 
 directory::server const* server_selector::pick(
     std::vector<directory::server const*> const& candidates, std::set<std::string> const& tried,
-    time_point now) {
-  directory::server const* best = nullptr;
-  rank best_rank;
+    time_point now, double probe_share) {
+  bool const by_pace = avoids_slow_servers_() && !candidates.empty();
+  if (by_pace) paces_.refresh(candidates.front()->service, candidates, now);
+  if (by_pace) log_changes();
+  ranked_server best;
+  ranked_server best_on_probation;
+  ranked_server probe;
   std::size_t const count = candidates.size();
   auto const first = static_cast<std::size_t>(start_fraction_ * static_cast<double>(count));
   for (std::size_t step = 0; step < count; ++step) {
     bool const round_complete = step > 0 && step % k_candidates_per_round == 0;
-    if (round_complete && best != nullptr && has_free_slot(best_rank)) break;
+    if (round_complete && best.has_free_slot) break;
     directory::server const* const server = candidates[(first + step) % count];
     if (tried.contains(server->id)) continue;
-    rank const candidate_rank = rank_of(*server, now);
-    if (best != nullptr && candidate_rank >= best_rank) continue;
-    best = server;
-    best_rank = candidate_rank;
+    ranked_server const ranked = rank_server(*server, now, by_pace);
+    ranked_server& leader = ranked.on_probation ? best_on_probation : best;
+    bool const can_probe = ranked.is_probe_due && ranked.has_free_slot;
+    if (can_probe && (probe.server == nullptr || ranked.key < probe.key)) probe = ranked;
+    if (leader.server == nullptr || ranked.key < leader.key) leader = ranked;
+  }
+  ranked_server selected = best;
+  bool const use_probation = best_on_probation.server != nullptr && !best.has_free_slot &&
+                             (best.server == nullptr || best_on_probation.key < best.key);
+  if (use_probation) selected = best_on_probation;
+  bool const sends_probe = best.has_free_slot && probe.server != nullptr;
+  if (by_pace && may_probe(probe_share, sends_probe)) selected = probe;
+  if (selected.on_probation) paces_.note_probe(selected.server->id, now);
+  return selected.server;
+}
+
+bool server_selector::may_probe(double probe_share, bool wanted) {
+  probe_credit_ = std::min(probe_credit_ + probe_share, k_max_probe_credit);
+  // Requests that must not be probes have a share of 0.
+  if (!wanted || probe_share <= 0 || probe_credit_ < 1) return false;
+  probe_credit_ -= 1;
+  return true;
+}
+
+void server_selector::log_changes() {
+  for (balancing::probation_change const& change : paces_.take_changes()) {
+    log_line(log_level::info, k_component,
+             change.begun ? "Server put on probation." : "Server released from probation.",
+             {{"server", change.server},
+              {"service", change.service},
+              {"pace_percent", static_cast<int>(change.pace * 100)},
+              {"failed_percent", change.failed_percent},
+              {"age_ms", change.age.count()},
+              {"cause", change.cause}});
   }
-  return best;
+}
+
+std::vector<balancing::slow_server> server_selector::slow_servers(time_point now) const {
+  if (!avoids_slow_servers_()) return {};
+  return paces_.slow_servers(now);
+}
+
+void server_selector::note_received(balancing::slow_server const& received, time_point now) {
+  if (avoids_slow_servers_()) paces_.note_received(received, now);
 }
 
 std::shared_ptr<void> server_selector::isolate(std::string const& server) {
@@ -99,6 +159,7 @@
 }
 
 void server_selector::note_restart(std::string const& server) {
+  paces_.forget(server);
   auto const entry = states_.find(server);
   if (entry == states_.end()) return;
   entry->second.consecutive_failures = 0;
@@ -107,6 +168,7 @@
 }
 
 void server_selector::clean(directory::server_directory const& servers) {
+  paces_.clean(servers);
   std::erase_if(states_, [&](auto const& entry) {
     return entry.second.outstanding == 0 && entry.second.isolated == 0 &&
            servers.find(entry.first) == nullptr;
--- a/src/calls/server_selector.h
+++ b/src/calls/server_selector.h
@@ -11,6 +11,7 @@
 #include <tuple>
 #include <vector>
 
+#include "balancing/server_paces.h"
 #include "base/time.h"
 #include "directory/server_directory.h"
 
@@ -24,6 +25,11 @@
 /// A server that runs a suspect request, one that may crash it, is marked by `isolate`, and is
 /// selected for other requests only if all other candidates are marked or in backoff. If that
 /// server crashes, few other requests are lost.
+///
+/// If slow servers are avoided, the load compared is the larger of the outstanding requests and
+/// those of a fresh load report, per slot, times the pace of a server that is slower than most.
+/// Servers on probation (see server_paces) are selected only if no other candidate has a free slot,
+/// and for probes.
 class server_selector {
  public:
   /// Number of candidates that `pick` compares between two checks for a free slot.
@@ -41,11 +47,14 @@
   /// Returns the best-ranked candidate. Compares candidates in rounds of k_candidates_per_round,
   /// starting at a position that is fixed for this node, and stops after the first round in which
   /// the best one so far has a free slot.
-  /// @param candidates in an order that stays the same between calls.
+  /// @param candidates the ready servers of one service, sorted by identifier.
   /// @param tried server incarnations that this request was already sent to.
+  /// @param probe_share share of such requests that may be sent to a server on probation as a
+  /// probe, from 0 to 1.
   /// @return null if no candidate is left.
   directory::server const* pick(std::vector<directory::server const*> const& candidates,
-                                std::set<std::string> const& tried, time_point now);
+                                std::set<std::string> const& tried, time_point now,
+                                double probe_share = 0);
   /// Marks a server as running a suspect request, one that may crash it.
   /// @return a guard whose destruction removes the mark; it must not outlive the selector.
   [[nodiscard]] std::shared_ptr<void> isolate(std::string const& server);
@@ -66,6 +75,14 @@
   /// request and no mark of `isolate`.
   void clean(directory::server_directory const& servers);
   std::uint32_t outstanding(std::string const& server) const;
+  /// Measurements of this node's calls, for the sender of the requests. They are taken whether or
+  /// not slow servers are avoided.
+  balancing::server_paces& paces() { return paces_; }
+  balancing::pace_counters pace_counters() const { return paces_.counters(); }
+  /// Servers to report to other nodes as slow; none unless slow servers are avoided.
+  std::vector<balancing::slow_server> slow_servers(time_point now) const;
+  /// Notes a server that another node reports as slow. The caller ignores unknown servers.
+  void note_received(balancing::slow_server const& received, time_point now);
   /// Number of candidates that were ranked since construction.
   std::uint64_t compared_count() const { return compared_count_; }
 
@@ -83,9 +100,21 @@
   /// Sort key of a candidate; the lowest one is selected.
   using rank = std::tuple<bool, std::uint32_t, double, bool, milliseconds, std::uint64_t>;
 
+  struct ranked_server {
+    directory::server const* server = nullptr;
+    rank key;
+    bool has_free_slot = false;
+    bool on_probation = false;
+    bool is_probe_due = false;
+  };
+
   static double fraction_of_range(std::uint64_t seed);
-  rank rank_of(directory::server const& server, time_point now);
+  ranked_server rank_server(directory::server const& server, time_point now, bool by_pace);
   static bool has_free_slot(rank const& candidate);
+  /// Counts a request, and returns true if it is to be sent as a probe.
+  /// @param wanted a server needs a probe.
+  bool may_probe(double probe_share, bool wanted);
+  void log_changes();
   void release(server_state& state);
 
   std::string own_zone_;
@@ -94,6 +123,9 @@
   std::mt19937_64 random_;
   std::function<bool()> avoids_slow_servers_;
   std::map<std::string, server_state> states_;
+  balancing::server_paces paces_;
+  /// Requests since the last probe, each counted by the share of probes that it allows.
+  double probe_credit_ = 0;
   std::uint64_t compared_count_ = 0;
 };
 
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -325,6 +325,7 @@
   snapshot.servers = servers_.servers().size();
   snapshot.malformed_servers = directory_updater_.malformed();
   snapshot.calls = forwarder_.counters();
+  snapshot.paces = selector_.pace_counters();
   snapshot.quarantine = quarantine_.counters();
   snapshot.quarantine_records = quarantine_.records();
   snapshot.connections_opened = connections_.opened();
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -100,6 +100,16 @@
   set("taken_back_total", "records taken back here after an answer", snapshot.quarantine.revoked);
 }
 
+void write_paces(gauge_page& page, balancing::pace_counters const& paces) {
+  auto const set = [&](std::string const& name, std::string const& help, std::uint64_t value) {
+    page.set("frostline_" + name, help, static_cast<double>(value));
+  };
+  set("servers_on_probation", "servers that are used only if no other is free", paces.on_probation);
+  set("probations_total", "times that a server was put on probation", paces.probations);
+  set("load_reports_total", "load reports of servers that were read", paces.reports_read);
+  set("load_reports_ignored_total", "malformed load reports of servers", paces.reports_ignored);
+}
+
 }  // namespace
 
 metrics::metrics()
@@ -150,6 +160,7 @@
   page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
            static_cast<double>(snapshot.tenants_requests));
   if (snapshot.usage) write_usage(page, *snapshot.usage);
+  write_paces(page, snapshot.paces);
   write_quarantine(page, snapshot);
   write_records(page, snapshot);
   for (pool_snapshot const& pool : snapshot.pools) write_pool(page, pool);
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -43,6 +43,7 @@
   std::size_t servers = 0;
   std::uint64_t malformed_servers = 0;
   calls::call_counters calls;
+  balancing::pace_counters paces;
   quarantine::quarantine_counters quarantine;
   std::size_t quarantine_records = 0;
   std::uint64_t connections_opened = 0;
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -196,6 +196,8 @@
        << "[relay]\nseeds = \"" << addresses_.front().peers.to_string() << "\"\n"
        << "[record_store]\naddress = \"" << store.to_string() << "\"\n"
        << "[orders]\ngap_ms = 300\n[stop]\nseconds = 8\n";
+  if (!options_.slow_servers.empty())
+    file << "[balancing]\nslow_servers = \"" << options_.slow_servers << "\"\n";
   if (options_.usage_window == milliseconds(0)) return;
   file << "[duties]\naddress = \"" << duties_address_.to_string() << "\"\n[usage]\n"
        << "window_seconds = " << static_cast<double>(options_.usage_window.count()) / 1000
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -37,6 +37,8 @@
   milliseconds usage_window{0};
   /// Time after the end of a window at which its usage is due.
   milliseconds usage_delay{1500};
+  /// Value of the setting balancing.slow_servers; empty for the default.
+  std::string slow_servers;
   /// Allows suspend() and resume().
   bool suspendable = false;
 };
