--- a/src/balancing/server_paces.cc
+++ b/src/balancing/server_paces.cc
@@ -11,6 +11,10 @@
 constexpr std::size_t k_min_measured_servers = 3;
 constexpr std::size_t k_min_results = 4;
 constexpr double k_failing_share = 0.5;
+/// If more servers are slow than may be on probation, another one replaces one of them only if it
+/// is slower by this factor. Paces decay during a probation, so servers that are equally slow would
+/// take turns otherwise.
+constexpr double k_probation_preference = 1.5;
 /// Bounds of the memory in use. The largest service known has 7,777 servers.
 constexpr std::size_t k_max_servers = 16'384;
 constexpr std::size_t k_max_routes = 8;
@@ -143,7 +147,8 @@
     if (is_ready) update_pace(figures, now);
     double const level = is_ready ? severity(figures, now) : 0;
     if (level >= k_probation_pace) {
-      suspects.push_back({level, &server, &figures});
+      double const rank = figures.on_probation ? level * k_probation_preference : level;
+      suspects.push_back({rank, &server, &figures});
     } else if (figures.on_probation) {
       change_probation(server, figures, false, now);
     }
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -216,6 +216,7 @@
       http::make_response(code, "answer to " + entry.request + " of " + options_.id, "text/plain");
   set(answer, k_id, entry.request);
   set(answer, k_stamp, "stamp-" + entry.request);
+  if (!faults_.load_report.empty()) set(answer, "X-Frostline-Server-Load", faults_.load_report);
   co_return answer;
 }
 
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -67,6 +67,8 @@
   milliseconds down_time{300};
   /// Time an application server takes to process a request.
   milliseconds work_time{0};
+  /// Load report sent with the answers of an application server; empty for none.
+  std::string load_report;
 };
 
 struct server_options {
