Slow servers: shorter selection, bounded routes, no stale count of probations

Cause: pick was long; a server with 8 measured routes took no new ones; the metric kept its value when the feature was turned off by a configuration.

--- a/src/balancing/server_paces.cc
+++ b/src/balancing/server_paces.cc
@@ -66,17 +66,23 @@
   figures.last_result_at = now;
 }
 
-server_paces::response_time* server_paces::time_of(server_figures& figures, work_kind kind) {
+server_paces::response_time* server_paces::time_of(server_figures& figures, work_kind kind,
+                                                   time_point now) {
   figures.service = kind.service;
   auto const entry = figures.times.find(kind.route);
   if (entry != figures.times.end()) return &entry->second;
+  if (figures.times.size() >= k_max_routes) {
+    std::erase_if(figures.times, [&](auto const& other) {
+      return !is_fresh(other.second.measured_at, k_measurement_time, now);
+    });
+  }
   if (figures.times.size() >= k_max_routes) return nullptr;
   return &figures.times[std::string(kind.route)];
 }
 
 void server_paces::update_time(work_kind kind, server_figures& figures, milliseconds took,
                                bool is_bound, time_point now) {
-  response_time* const time = time_of(figures, kind);
+  response_time* const time = time_of(figures, kind, now);
   if (time == nullptr) return;
   double const took_ms = std::max(1.0, static_cast<double>(took.count()));
   service_state& state = services_.try_emplace(std::string(kind.service)).first->second;
--- a/src/balancing/server_paces.h
+++ b/src/balancing/server_paces.h
@@ -155,7 +155,8 @@
   };
 
   server_figures* figures_of(std::string const& server);
-  response_time* time_of(server_figures& figures, work_kind kind);
+  /// Returns null if too many routes are measured for the server.
+  static response_time* time_of(server_figures& figures, work_kind kind, time_point now);
   void update_time(work_kind kind, server_figures& figures, milliseconds took, bool is_bound,
                    time_point now);
   void update_pace(server_figures& figures, time_point now);
--- a/src/calls/server_selector.cc
+++ b/src/calls/server_selector.cc
@@ -62,32 +62,36 @@
   bool const by_pace = avoids_slow_servers_() && !candidates.empty();
   if (by_pace) paces_.refresh(candidates.front()->service, candidates, now);
   if (by_pace) log_changes();
-  ranked_server best;
-  ranked_server best_on_probation;
-  ranked_server probe;
+  contenders found;
   std::size_t const count = candidates.size();
   auto const first = static_cast<std::size_t>(start_fraction_ * static_cast<double>(count));
   for (std::size_t step = 0; step < count; ++step) {
     bool const round_complete = step > 0 && step % k_candidates_per_round == 0;
-    if (round_complete && best.has_free_slot) break;
+    if (round_complete && found.best.has_free_slot) break;
     directory::server const* const server = candidates[(first + step) % count];
     if (tried.contains(server->id)) continue;
-    ranked_server const ranked = rank_server(*server, now, by_pace);
-    ranked_server& leader = ranked.on_probation ? best_on_probation : best;
-    bool const can_probe = ranked.is_probe_due && ranked.has_free_slot;
-    if (can_probe && (probe.server == nullptr || ranked.key < probe.key)) probe = ranked;
-    if (leader.server == nullptr || ranked.key < leader.key) leader = ranked;
+    found.add(rank_server(*server, now, by_pace));
   }
-  ranked_server selected = best;
-  bool const use_probation = best_on_probation.server != nullptr && !best.has_free_slot &&
-                             (best.server == nullptr || best_on_probation.key < best.key);
-  if (use_probation) selected = best_on_probation;
-  bool const sends_probe = best.has_free_slot && probe.server != nullptr;
-  if (by_pace && may_probe(probe_share, sends_probe)) selected = probe;
+  bool const probe_is_due = found.best.has_free_slot && found.probe.server != nullptr;
+  bool const sends_probe = by_pace && may_probe(probe_share, probe_is_due);
+  ranked_server const& selected = sends_probe ? found.probe : found.selected();
   if (selected.on_probation) paces_.note_probe(selected.server->id, now);
   return selected.server;
 }
 
+void server_selector::contenders::add(ranked_server const& candidate) {
+  ranked_server& leader = candidate.on_probation ? best_on_probation : best;
+  if (leader.server == nullptr || candidate.key < leader.key) leader = candidate;
+  if (!candidate.is_probe_due || !candidate.has_free_slot) return;
+  if (probe.server == nullptr || candidate.key < probe.key) probe = candidate;
+}
+
+server_selector::ranked_server const& server_selector::contenders::selected() const {
+  if (best.has_free_slot || best_on_probation.server == nullptr) return best;
+  if (best.server != nullptr && best.key < best_on_probation.key) return best;
+  return best_on_probation;
+}
+
 bool server_selector::may_probe(double probe_share, bool wanted) {
   probe_credit_ = std::min(probe_credit_ + probe_share, k_max_probe_credit);
   // Requests that must not be probes have a share of 0.
@@ -109,6 +113,12 @@
   }
 }
 
+balancing::pace_counters server_selector::pace_counters() const {
+  balancing::pace_counters counters = paces_.counters();
+  if (!avoids_slow_servers_()) counters.on_probation = 0;
+  return counters;
+}
+
 std::vector<balancing::slow_server> server_selector::slow_servers(time_point now) const {
   if (!avoids_slow_servers_()) return {};
   return paces_.slow_servers(now);
--- a/src/calls/server_selector.h
+++ b/src/calls/server_selector.h
@@ -78,7 +78,8 @@
   /// Measurements of this node's calls, for the sender of the requests. They are taken whether or
   /// not slow servers are avoided.
   balancing::server_paces& paces() { return paces_; }
-  balancing::pace_counters pace_counters() const { return paces_.counters(); }
+  /// Counters for metrics; no server is on probation unless slow servers are avoided.
+  balancing::pace_counters pace_counters() const;
   /// Servers to report to other nodes as slow; none unless slow servers are avoided.
   std::vector<balancing::slow_server> slow_servers(time_point now) const;
   /// Notes a server that another node reports as slow. The caller ignores unknown servers.
@@ -108,6 +109,18 @@
     bool is_probe_due = false;
   };
 
+  /// The best candidates so far.
+  struct contenders {
+    ranked_server best;
+    ranked_server best_on_probation;
+    /// The best of the servers with a free slot that need a probe.
+    ranked_server probe;
+
+    void add(ranked_server const& candidate);
+    /// Returns the best one if it has a free slot, or else the best of all.
+    ranked_server const& selected() const;
+  };
+
   static double fraction_of_range(std::uint64_t seed);
   ranked_server rank_server(directory::server const& server, time_point now, bool by_pace);
   static bool has_free_slot(rank const& candidate);
--- a/tests/unit/balancing/server_paces_test.cc
+++ b/tests/unit/balancing/server_paces_test.cc
@@ -246,6 +246,18 @@
   DOUBLES_EQUAL(1, paces.pace(id(0), now), 0.01);
 }
 
+TEST(server_paces_test, new_routes_are_measured_after_many_others) {
+  make(2);
+  for (int route = 0; route < 100; ++route) {
+    std::string const name = "route-" + std::to_string(route);
+    now += seconds(1);
+    paces.note_answer({"apps", name}, id(0), milliseconds(300), false, now);
+    paces.note_answer({"apps", name}, id(1), milliseconds(50), false, now);
+  }
+  refresh();
+  CHECK(paces.pace(id(0), now) > server_paces::k_probation_pace);
+}
+
 TEST(server_paces_test, one_slow_answer_of_a_new_server_does_not_count_fully) {
   make(6);
   times.erase(id(5));
