--- a/src/calls/forwarder_attempts.cc
+++ b/src/calls/forwarder_attempts.cc
@@ -25,10 +25,12 @@
   milliseconds const attempt_share =
       std::max(state.matched_route->target_latency * 2, k_min_attempt_timeout);
   time_point const usual = std::min(state.deadline, now + attempt_share);
-  // The time to the head of an event stream is not comparable with that to a complete answer. A
-  // trial is sent once, and its outcome decides a quarantine.
-  bool const may_end_early = dependencies_.times_attempts() && !state.is_trial &&
-                             state.matched_route->kind != route_kind::streaming;
+  // A later attempt is not ended early: if the request itself takes long, each server would be
+  // abandoned in turn, and none would have the time to answer. The time to the head of an event
+  // stream is not comparable with that to a complete answer. A trial is sent once, and its outcome
+  // decides a quarantine.
+  bool const may_end_early = dependencies_.times_attempts() && state.attempts <= 1 &&
+                             !state.is_trial && state.matched_route->kind != route_kind::streaming;
   if (!may_end_early) return {usual, std::nullopt};
   balancing::attempt_limit const limit =
       times_.timeout(state.service, attempt_share, whole_milliseconds(state.deadline - now), now);
