Exchange of slow servers in poll replies

Cause: nodes with few calls of their own choose slow servers that busy nodes already know (docs/design/hard-load.md, part D). Change: a field at the end of PollReply holds at most 32 slow servers with pace and age. balancing/pace_exchange encodes, decodes and checks the bounds; balancing/pace_allowance divides 100 entries a second among the polling nodes, since 32 entries in each reply of a relay exceed 9 KB/s. poll_service takes a source, peer_poll passes received entries to a listener, record_feed connects both for all polls. The time that a reply was under way is added to the ages, as an upper bound.

The relay's tests are not run yet.

--- a/src/relay/peer_poll.cc
+++ b/src/relay/peer_poll.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "balancing/pace_exchange.h"
 #include "relay/subset_codec.h"
 #include "rpc/client.h"
 
@@ -82,6 +83,20 @@
   return doubts;
 }
 
+/// Passes the slow servers of a reply to the request's listener. The time that the peer did not
+/// wait is an upper bound of the reply's way, so that an entry never gets younger on its way
+/// through several nodes.
+void report_slow_servers(rpc::PollReplyT const& reply, poll_request const& request,
+                         time_point sent_at) {
+  if (!request.on_slow_servers) return;
+  auto const waited =
+      std::min<std::uint64_t>(reply.waited_ms, static_cast<std::uint64_t>(request.wait.count()));
+  auto const under_way =
+      std::chrono::ceil<milliseconds>(boot_clock::now() - sent_at) - milliseconds(waited);
+  auto const servers = balancing::decode_slow_servers(reply.slow_servers.get(), under_way);
+  if (!servers.empty()) request.on_slow_servers(servers);
+}
+
 }  // namespace
 
 awaitable<poll_result> poll_peer(http::client& transport, endpoint peer, poll_request request,
@@ -107,6 +122,7 @@
     co_return failed;
   }
   std::string doubts = apply_reply(reply.value(), request, sent_at, views);
+  report_slow_servers(reply.value(), request, sent_at);
   bool const all_topics_answered = reply.value().topics.size() == request.topics.size();
   poll_result result;
   result.outcome = all_topics_answered && doubts.empty() ? poll_outcome::authoritative
--- a/src/relay/peer_poll.h
+++ b/src/relay/peer_poll.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "balancing/slow_server.h"
 #include "base/asio.h"
 #include "base/endpoint.h"
 #include "http/client.h"
@@ -27,6 +28,9 @@
   std::array<kv::revision, k_topics.size()> newest_changes{};
 };
 
+/// Called with the slow servers in a reply, if it holds valid ones.
+using slow_servers_listener = std::function<void(std::vector<balancing::slow_server> const&)>;
+
 struct poll_request {
   std::string node;
   /// This node's address for calls from other nodes.
@@ -49,6 +53,8 @@
   bool wait_if_servers_not_authoritative = false;
   /// This node reads records from the store, so the peer should expect the changes that it knows.
   bool follows_store = false;
+  /// May be empty.
+  slow_servers_listener on_slow_servers;
   /// How long the peer may wait for a change before it replies.
   milliseconds wait{0};
   /// Time allowed beyond `wait` for the reply to arrive.
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -123,6 +123,18 @@
   return topic_changes;
 }
 
+std::unique_ptr<rpc::SlowServersT> poll_service::encode_slow_servers(std::string const& node) {
+  if (!slow_servers_source_) return nullptr;
+  time_point const now = boot_clock::now();
+  auto encoded = balancing::encode_slow_servers(slow_servers_source_(now));
+  if (!encoded) return nullptr;
+  std::size_t const allowed = slow_servers_allowance_.take(node, encoded->servers.size(), now);
+  if (allowed == 0) return nullptr;
+  encoded->servers.resize(allowed);
+  slow_servers_sent_ += allowed;
+  return encoded;
+}
+
 awaitable<rpc::PollReplyT> poll_service::answer(rpc::PollCallT call) {
   std::erase_if(call.positions, is_unknown);
   note_polling_node(call);
@@ -138,6 +150,7 @@
     reply.topics.push_back(
         std::make_unique<rpc::TopicChangesT>(encode_changes(parse_position(*position, call.node))));
   }
+  reply.slow_servers = encode_slow_servers(call.node);
   ++answered_;
   co_return reply;
 }
--- a/src/relay/poll_service.h
+++ b/src/relay/poll_service.h
@@ -3,7 +3,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <vector>
 
+#include "balancing/pace_allowance.h"
+#include "balancing/slow_server.h"
 #include "base/asio.h"
 #include "base/endpoint.h"
 #include "relay/polling_nodes.h"
@@ -13,6 +17,10 @@
 
 namespace frostline::relay {
 
+/// Returns the slow servers that a node knows, by its own measurements and by those that it
+/// received, with their ages at the given time.
+using slow_servers_source = std::function<std::vector<balancing::slow_server>(time_point)>;
+
 class poll_service {
  public:
   /// Upper bound on the wait that a call may request.
@@ -39,6 +47,11 @@
   void on_known_change(std::function<void(topic, kv::revision)> listener) {
     on_known_change_ = std::move(listener);
   }
+  /// Sets the source of the slow servers that replies hold. Without one, replies hold none. They
+  /// never end the wait of a poll.
+  void set_slow_servers_source(slow_servers_source source) {
+    slow_servers_source_ = std::move(source);
+  }
   /// Must be called when a view changes or this node gains or loses authority for a topic.
   void notify() { changed_.notify_all(); }
   void add_methods(rpc::dispatcher& methods);
@@ -46,6 +59,8 @@
   /// Snapshots of a topic that were sent, and the records in them.
   std::uint64_t snapshot_answers() const { return snapshot_answers_; }
   std::uint64_t snapshot_records() const { return snapshot_records_; }
+  /// Entries about slow servers that were sent.
+  std::uint64_t slow_servers_sent() const { return slow_servers_sent_; }
   polling_nodes const& polled_by() const { return polling_nodes_; }
 
  private:
@@ -68,6 +83,8 @@
   bool can_wait(topic_query const& query) const;
   bool can_wait(rpc::PollCallT const& call) const;
   rpc::TopicChangesT encode_changes(topic_query const& query);
+  /// Returns what a reply to `node` tells about slow servers; null if nothing.
+  std::unique_ptr<rpc::SlowServersT> encode_slow_servers(std::string const& node);
 
   topic_views const& views_;
   std::function<bool(topic)> is_authoritative_;
@@ -78,6 +95,9 @@
   std::uint64_t snapshot_answers_ = 0;
   std::uint64_t snapshot_records_ = 0;
   polling_nodes polling_nodes_;
+  slow_servers_source slow_servers_source_;
+  balancing::pace_allowance slow_servers_allowance_;
+  std::uint64_t slow_servers_sent_ = 0;
 };
 
 }  // namespace frostline::relay
--- a/src/relay/record_feed.cc
+++ b/src/relay/record_feed.cc
@@ -276,7 +276,7 @@
   co_await poll_peer(transport_, std::move(peer), std::move(request), views_);
 }
 
-poll_request record_feed::make_request() const {
+poll_request record_feed::make_request() {
   poll_request request;
   request.node = options_.node;
   request.self = options_.self;
@@ -293,6 +293,10 @@
   request.exact_subsets = role_ == feed_role::relay;
   request.follows_store = role_ != feed_role::standby;
   request.wait_if_servers_not_authoritative = servers_in_doubt_since_.has_value();
+  request.on_slow_servers = [this](std::vector<balancing::slow_server> const& servers) {
+    counters_.slow_servers_received += servers.size();
+    if (on_slow_servers_) on_slow_servers_(servers);
+  };
   return request;
 }
 
--- a/src/relay/record_feed.h
+++ b/src/relay/record_feed.h
@@ -64,6 +64,8 @@
   std::uint64_t claims = 0;
   /// Changes to the direct role.
   std::uint64_t store_fallbacks = 0;
+  /// Valid entries about slow servers in replies of other nodes.
+  std::uint64_t slow_servers_received = 0;
 };
 
 class record_feed {
@@ -81,6 +83,14 @@
   void on_store_recovered(std::function<void()> listener) {
     on_store_recovered_ = std::move(listener);
   }
+  /// Sets the listener for the slow servers that other nodes report, with their ages at the time of
+  /// the call. The servers may be unknown to this node. Must be called before start.
+  void on_slow_servers(slow_servers_listener listener) { on_slow_servers_ = std::move(listener); }
+  /// Sets the source of the slow servers that this node reports to nodes that poll it. Must include
+  /// those that the listener received, so that they reach nodes that poll this one.
+  void set_slow_servers_source(slow_servers_source source) {
+    service_.set_slow_servers_source(std::move(source));
+  }
   void start();
   /// Registers the RPC methods for other nodes.
   void add_methods(rpc::dispatcher& methods) { service_.add_methods(methods); }
@@ -145,7 +155,7 @@
   /// may have lost their relay at once, and would otherwise all read the whole list.
   time_point servers_needed_from() const;
   /// Builds a request for all topics that this node accepts from peers.
-  poll_request make_request() const;
+  poll_request make_request();
   awaitable<poll_result> poll(endpoint const& peer);
   /// Polls a node whose own poll showed that it is ahead of this node.
   awaitable<void> poll_peer_ahead(endpoint peer);
@@ -192,6 +202,7 @@
   claim_timer claims_;
   async_condition role_changed_;
   std::function<void()> on_store_recovered_;
+  slow_servers_listener on_slow_servers_;
   feed_role role_ = feed_role::standby;
   feed_counters counters_;
   /// This node owns a pool.
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -268,6 +268,14 @@
 struct TopicChangesBuilder;
 struct TopicChangesT;
 
+struct SlowServer;
+struct SlowServerBuilder;
+struct SlowServerT;
+
+struct SlowServers;
+struct SlowServersBuilder;
+struct SlowServersT;
+
 struct PollReply;
 struct PollReplyBuilder;
 struct PollReplyT;
@@ -8675,6 +8683,190 @@
 
 flatbuffers::Offset<TopicChanges> CreateTopicChanges(flatbuffers::FlatBufferBuilder &_fbb, const TopicChangesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SlowServerT : public flatbuffers::NativeTable {
+  typedef SlowServer TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SlowServerT";
+  }
+  std::string id{};
+  uint16_t pace_percent = 0;
+  uint16_t age_ms = 0;
+};
+
+/// A server that nodes have measured to be slow.
+struct SlowServer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlowServerT NativeTableType;
+  typedef SlowServerBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SlowServer";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_PACE_PERCENT = 6,
+    VT_AGE_MS = 8
+  };
+  /// Identifier of the server's incarnation.
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  /// Time for an answer, in percent of the typical time of the servers of its service.
+  uint16_t pace_percent() const {
+    return GetField<uint16_t>(VT_PACE_PERCENT, 0);
+  }
+  /// Time since the newest measurement.
+  uint16_t age_ms() const {
+    return GetField<uint16_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<uint16_t>(verifier, VT_PACE_PERCENT, 2) &&
+           VerifyField<uint16_t>(verifier, VT_AGE_MS, 2) &&
+           verifier.EndTable();
+  }
+  SlowServerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SlowServerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SlowServer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlowServerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SlowServerBuilder {
+  typedef SlowServer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(SlowServer::VT_ID, id);
+  }
+  void add_pace_percent(uint16_t pace_percent) {
+    fbb_.AddElement<uint16_t>(SlowServer::VT_PACE_PERCENT, pace_percent, 0);
+  }
+  void add_age_ms(uint16_t age_ms) {
+    fbb_.AddElement<uint16_t>(SlowServer::VT_AGE_MS, age_ms, 0);
+  }
+  explicit SlowServerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlowServer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlowServer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlowServer> CreateSlowServer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    uint16_t pace_percent = 0,
+    uint16_t age_ms = 0) {
+  SlowServerBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_age_ms(age_ms);
+  builder_.add_pace_percent(pace_percent);
+  return builder_.Finish();
+}
+
+struct SlowServer::Traits {
+  using type = SlowServer;
+  static auto constexpr Create = CreateSlowServer;
+};
+
+inline flatbuffers::Offset<SlowServer> CreateSlowServerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    uint16_t pace_percent = 0,
+    uint16_t age_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return frostline::rpc::CreateSlowServer(
+      _fbb,
+      id__,
+      pace_percent,
+      age_ms);
+}
+
+flatbuffers::Offset<SlowServer> CreateSlowServer(flatbuffers::FlatBufferBuilder &_fbb, const SlowServerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SlowServersT : public flatbuffers::NativeTable {
+  typedef SlowServers TableType;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SlowServersT";
+  }
+  std::vector<std::unique_ptr<frostline::rpc::SlowServerT>> servers{};
+  SlowServersT() = default;
+  SlowServersT(const SlowServersT &o);
+  SlowServersT(SlowServersT&&) FLATBUFFERS_NOEXCEPT = default;
+  SlowServersT &operator=(SlowServersT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// A table of its own, since an empty list in the reply itself would take bytes in each reply.
+struct SlowServers FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlowServersT NativeTableType;
+  typedef SlowServersBuilder Builder;
+  struct Traits;
+  static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
+    return "frostline.rpc.SlowServers";
+  }
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVERS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SlowServer>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SlowServer>> *>(VT_SERVERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfTables(servers()) &&
+           verifier.EndTable();
+  }
+  SlowServersT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SlowServersT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SlowServers> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlowServersT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SlowServersBuilder {
+  typedef SlowServers Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SlowServer>>> servers) {
+    fbb_.AddOffset(SlowServers::VT_SERVERS, servers);
+  }
+  explicit SlowServersBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlowServers> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlowServers>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlowServers> CreateSlowServers(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::SlowServer>>> servers = 0) {
+  SlowServersBuilder builder_(_fbb);
+  builder_.add_servers(servers);
+  return builder_.Finish();
+}
+
+struct SlowServers::Traits {
+  using type = SlowServers;
+  static auto constexpr Create = CreateSlowServers;
+};
+
+inline flatbuffers::Offset<SlowServers> CreateSlowServersDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<frostline::rpc::SlowServer>> *servers = nullptr) {
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SlowServer>>(*servers) : 0;
+  return frostline::rpc::CreateSlowServers(
+      _fbb,
+      servers__);
+}
+
+flatbuffers::Offset<SlowServers> CreateSlowServers(flatbuffers::FlatBufferBuilder &_fbb, const SlowServersT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PollReplyT : public flatbuffers::NativeTable {
   typedef PollReply TableType;
   static FLATBUFFERS_CONSTEXPR_CPP11 const char *GetFullyQualifiedName() {
@@ -8683,6 +8875,7 @@
   std::vector<std::unique_ptr<frostline::rpc::TopicChangesT>> topics{};
   uint64_t waited_ms = 0;
   uint64_t store_back_ms_ago = 86400000ULL;
+  std::unique_ptr<frostline::rpc::SlowServersT> slow_servers{};
   PollReplyT() = default;
   PollReplyT(const PollReplyT &o);
   PollReplyT(PollReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -8699,7 +8892,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TOPICS = 4,
     VT_WAITED_MS = 6,
-    VT_STORE_BACK_MS_AGO = 8
+    VT_STORE_BACK_MS_AGO = 8,
+    VT_SLOW_SERVERS = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *topics() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *>(VT_TOPICS);
@@ -8712,6 +8906,10 @@
   uint64_t store_back_ms_ago() const {
     return GetField<uint64_t>(VT_STORE_BACK_MS_AGO, 86400000ULL);
   }
+  /// Slow servers that the answering node knows, the slowest first; absent if there are none.
+  const frostline::rpc::SlowServers *slow_servers() const {
+    return GetPointer<const frostline::rpc::SlowServers *>(VT_SLOW_SERVERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TOPICS) &&
@@ -8719,6 +8917,8 @@
            verifier.VerifyVectorOfTables(topics()) &&
            VerifyField<uint64_t>(verifier, VT_WAITED_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_BACK_MS_AGO, 8) &&
+           VerifyOffset(verifier, VT_SLOW_SERVERS) &&
+           verifier.VerifyTable(slow_servers()) &&
            verifier.EndTable();
   }
   PollReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -8739,6 +8939,9 @@
   void add_store_back_ms_ago(uint64_t store_back_ms_ago) {
     fbb_.AddElement<uint64_t>(PollReply::VT_STORE_BACK_MS_AGO, store_back_ms_ago, 86400000ULL);
   }
+  void add_slow_servers(flatbuffers::Offset<frostline::rpc::SlowServers> slow_servers) {
+    fbb_.AddOffset(PollReply::VT_SLOW_SERVERS, slow_servers);
+  }
   explicit PollReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -8754,10 +8957,12 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<frostline::rpc::TopicChanges>>> topics = 0,
     uint64_t waited_ms = 0,
-    uint64_t store_back_ms_ago = 86400000ULL) {
+    uint64_t store_back_ms_ago = 86400000ULL,
+    flatbuffers::Offset<frostline::rpc::SlowServers> slow_servers = 0) {
   PollReplyBuilder builder_(_fbb);
   builder_.add_store_back_ms_ago(store_back_ms_ago);
   builder_.add_waited_ms(waited_ms);
+  builder_.add_slow_servers(slow_servers);
   builder_.add_topics(topics);
   return builder_.Finish();
 }
@@ -8771,13 +8976,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<flatbuffers::Offset<frostline::rpc::TopicChanges>> *topics = nullptr,
     uint64_t waited_ms = 0,
-    uint64_t store_back_ms_ago = 86400000ULL) {
+    uint64_t store_back_ms_ago = 86400000ULL,
+    flatbuffers::Offset<frostline::rpc::SlowServers> slow_servers = 0) {
   auto topics__ = topics ? _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicChanges>>(*topics) : 0;
   return frostline::rpc::CreatePollReply(
       _fbb,
       topics__,
       waited_ms,
-      store_back_ms_ago);
+      store_back_ms_ago,
+      slow_servers);
 }
 
 flatbuffers::Offset<PollReply> CreatePollReply(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -13128,9 +13335,78 @@
       _parts);
 }
 
+inline SlowServerT *SlowServer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SlowServerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SlowServer::UnPackTo(SlowServerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = pace_percent(); _o->pace_percent = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<SlowServer> SlowServer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlowServerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSlowServer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SlowServer> CreateSlowServer(flatbuffers::FlatBufferBuilder &_fbb, const SlowServerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SlowServerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? _fbb.CreateSharedString("") : _fbb.CreateString(_o->id);
+  auto _pace_percent = _o->pace_percent;
+  auto _age_ms = _o->age_ms;
+  return frostline::rpc::CreateSlowServer(
+      _fbb,
+      _id,
+      _pace_percent,
+      _age_ms);
+}
+
+inline SlowServersT::SlowServersT(const SlowServersT &o) {
+  servers.reserve(o.servers.size());
+  for (const auto &servers_ : o.servers) { servers.emplace_back((servers_) ? new frostline::rpc::SlowServerT(*servers_) : nullptr); }
+}
+
+inline SlowServersT &SlowServersT::operator=(SlowServersT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(servers, o.servers);
+  return *this;
+}
+
+inline SlowServersT *SlowServers::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SlowServersT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SlowServers::UnPackTo(SlowServersT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = std::unique_ptr<frostline::rpc::SlowServerT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<SlowServers> SlowServers::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SlowServersT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSlowServers(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SlowServers> CreateSlowServers(flatbuffers::FlatBufferBuilder &_fbb, const SlowServersT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SlowServersT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _servers = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::SlowServer>> (_o->servers.size(), [](size_t i, _VectorArgs *__va) { return CreateSlowServer(*__va->__fbb, __va->__o->servers[i].get(), __va->__rehasher); }, &_va );
+  return frostline::rpc::CreateSlowServers(
+      _fbb,
+      _servers);
+}
+
 inline PollReplyT::PollReplyT(const PollReplyT &o)
       : waited_ms(o.waited_ms),
-        store_back_ms_ago(o.store_back_ms_ago) {
+        store_back_ms_ago(o.store_back_ms_ago),
+        slow_servers((o.slow_servers) ? new frostline::rpc::SlowServersT(*o.slow_servers) : nullptr) {
   topics.reserve(o.topics.size());
   for (const auto &topics_ : o.topics) { topics.emplace_back((topics_) ? new frostline::rpc::TopicChangesT(*topics_) : nullptr); }
 }
@@ -13139,6 +13415,7 @@
   std::swap(topics, o.topics);
   std::swap(waited_ms, o.waited_ms);
   std::swap(store_back_ms_ago, o.store_back_ms_ago);
+  std::swap(slow_servers, o.slow_servers);
   return *this;
 }
 
@@ -13154,6 +13431,7 @@
   { auto _e = topics(); if (_e) { _o->topics.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->topics[_i] = std::unique_ptr<frostline::rpc::TopicChangesT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = waited_ms(); _o->waited_ms = _e; }
   { auto _e = store_back_ms_ago(); _o->store_back_ms_ago = _e; }
+  { auto _e = slow_servers(); if (_e) _o->slow_servers = std::unique_ptr<frostline::rpc::SlowServersT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<PollReply> PollReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PollReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13167,11 +13445,13 @@
   auto _topics = _fbb.CreateVector<flatbuffers::Offset<frostline::rpc::TopicChanges>> (_o->topics.size(), [](size_t i, _VectorArgs *__va) { return CreateTopicChanges(*__va->__fbb, __va->__o->topics[i].get(), __va->__rehasher); }, &_va );
   auto _waited_ms = _o->waited_ms;
   auto _store_back_ms_ago = _o->store_back_ms_ago;
+  auto _slow_servers = _o->slow_servers ? CreateSlowServers(_fbb, _o->slow_servers.get(), _rehasher) : 0;
   return frostline::rpc::CreatePollReply(
       _fbb,
       _topics,
       _waited_ms,
-      _store_back_ms_ago);
+      _store_back_ms_ago,
+      _slow_servers);
 }
 
 inline RunCountT *RunCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -632,12 +632,27 @@
   selected:bool;
   parts:[GroupPart];
 }
+/// A server that nodes have measured to be slow.
+table SlowServer {
+  /// Identifier of the server's incarnation.
+  id:string;
+  /// Time for an answer, in percent of the typical time of the servers of its service.
+  pace_percent:uint16;
+  /// Time since the newest measurement.
+  age_ms:uint16;
+}
+/// A table of its own, since an empty list in the reply itself would take bytes in each reply.
+table SlowServers {
+  servers:[SlowServer];
+}
 table PollReply {
   topics:[TopicChanges];
   /// How long the call waited here.
   waited_ms:uint64;
   /// How long ago the store answered again after a silence, as far as the answering node knows.
   store_back_ms_ago:uint64 = 86400000;
+  /// Slow servers that the answering node knows, the slowest first; absent if there are none.
+  slow_servers:SlowServers;
 }
 rpc_service RelayService {
   Poll(PollCall):PollReply;
--- /dev/null
+++ b/tests/unit/balancing/pace_allowance_test.cc
@@ -0,0 +1,96 @@
+/// @file Limit on the entries about slow servers that a node sends to all nodes that poll it.
+
+#include "balancing/pace_allowance.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <string>
+
+using namespace frostline;
+using namespace frostline::balancing;
+
+namespace {
+
+constexpr milliseconds k_poll_interval{700};
+constexpr int k_polls = 200;
+
+}  // namespace
+
+TEST_GROUP(pace_allowance_test) {
+  pace_allowance allowance;
+  time_point now = time_point(seconds(1000));
+  /// Entries sent to each node, and the number of replies that held some.
+  std::map<std::string, std::size_t> entries;
+  std::map<std::string, int> lists;
+  std::size_t longest_gap = 0;
+
+  /// Lets `nodes` nodes poll this one, evenly spread over time.
+  void poll_from(int nodes, std::size_t wanted) {
+    std::map<std::string, int> last;
+    for (int poll = 0; poll < k_polls; ++poll) {
+      for (int node = 0; node < nodes; ++node) {
+        std::string const name = "node-" + std::to_string(node);
+        now += k_poll_interval / nodes;
+        std::size_t const sent = allowance.take(name, wanted, now);
+        entries[name] += sent;
+        if (sent == 0) continue;
+        ++lists[name];
+        longest_gap = std::max(longest_gap, static_cast<std::size_t>(poll - last[name]));
+        last[name] = poll;
+      }
+    }
+  }
+
+  double entries_per_second() const {
+    std::size_t sum = 0;
+    for (auto const& [name, count] : entries) sum += count;
+    double const duration = std::chrono::duration<double>(k_poll_interval * k_polls).count();
+    return static_cast<double>(sum) / duration;
+  }
+};
+
+TEST(pace_allowance_test, few_nodes_get_each_list) {
+  poll_from(3, 16);
+  for (auto const& [name, count] : lists) LONGS_EQUAL(k_polls, count);
+}
+
+// Guards against exceeding the limit on control traffic at a relay with many nodes.
+TEST(pace_allowance_test, entries_per_second_are_limited_for_any_number_of_nodes) {
+  for (int const nodes : {3, 16, 100, 250}) {
+    entries.clear();
+    allowance = pace_allowance();
+    poll_from(nodes, 32);
+    // Each node starts with one list, which is at most 32 entries of the first nodes.
+    CHECK(entries_per_second() <= pace_allowance::k_entries_per_second * 1.1);
+    CHECK(entries_per_second() >= pace_allowance::k_entries_per_second * 0.3);
+  }
+}
+
+// Guards against nodes whose polls always come when the others have used up the entries.
+TEST(pace_allowance_test, all_nodes_get_the_same_share) {
+  poll_from(16, 32);
+  LONGS_EQUAL(16, entries.size());
+  for (auto const& [name, count] : entries) {
+    CHECK(count * 10 >= entries.begin()->second * 9);
+    CHECK(count * 9 <= entries.begin()->second * 10);
+  }
+}
+
+// An entry expires after 4 s, so longer gaps would make servers typical between two lists.
+TEST(pace_allowance_test, node_gets_a_list_every_3_s_at_the_latest) {
+  for (int const nodes : {3, 16, 100, 200}) {
+    longest_gap = 0;
+    allowance = pace_allowance();
+    poll_from(nodes, 32);
+    CHECK(longest_gap * k_poll_interval <= milliseconds(3000));
+  }
+}
+
+TEST(pace_allowance_test, node_that_stopped_polling_leaves_its_share_to_the_others) {
+  poll_from(100, 32);
+  entries.clear();
+  now += seconds(5);
+  poll_from(3, 16);
+  for (auto const& [name, count] : entries) LONGS_EQUAL(16 * k_polls, count);
+}
