Poll service includes the exchange's header; count of received entries in the metrics

Cause: poll_service.cc did not compile without the header. Change: the include; frostline_records_slow_servers_received_total; a test with random entries. The relay's tests are not run yet.

--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -70,6 +70,8 @@
     page.set("frostline_records_held", "records that this node holds", static_cast<double>(count),
              {{"topic", topic}});
   }
+  set("slow_servers_received_total", "valid reports of slow servers in answers of other nodes",
+      snapshot.records.slow_servers_received);
   set("claims_total", "claims of the zone's record", snapshot.records.claims);
   set("turns_to_store_total", "times that no relay answered", snapshot.records.store_fallbacks);
 }
--- a/src/relay/poll_service.cc
+++ b/src/relay/poll_service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "balancing/pace_exchange.h"
 #include "relay/subset_codec.h"
 
 namespace frostline::relay {
--- a/tests/unit/balancing/pace_exchange_test.cc
+++ b/tests/unit/balancing/pace_exchange_test.cc
@@ -6,6 +6,8 @@
 #include <CppUTest/TestHarness.h>
 
 #include <limits>
+#include <random>
+#include <set>
 #include <string>
 
 #include "rpc/codec.h"
@@ -170,6 +172,29 @@
   CHECK(decode_slow_servers(nullptr, milliseconds(0)).empty());
 }
 
+// Any node may send any figures.
+TEST(pace_exchange_test, random_entries_are_accepted_only_within_the_bounds) {
+  std::mt19937_64 random(7);
+  for (int round = 0; round < 2000; ++round) {
+    rpc::SlowServersT sent;
+    for (std::size_t count = random() % 80; count > 0; --count) {
+      std::string id(random() % 140, static_cast<char>(random() % 256));
+      auto const pace = static_cast<std::uint16_t>(random() % 12'000);
+      auto const age = static_cast<std::uint16_t>(random() % 6000);
+      sent.servers.push_back(std::move(message(std::move(id), pace, age).servers.front()));
+    }
+    auto const list = decode_slow_servers(&sent, milliseconds(static_cast<int>(random() % 2000)));
+    CHECK(list.size() <= 32);
+    std::set<std::string> ids;
+    for (slow_server const& entry : list) {
+      CHECK(ids.insert(entry.id).second);
+      CHECK(!entry.id.empty() && entry.id.size() <= 128);
+      CHECK(entry.pace >= 1 && entry.pace <= 100);
+      CHECK(entry.age >= milliseconds(0) && entry.age <= milliseconds(4000));
+    }
+  }
+}
+
 // The figures are used in docs/design/slow-server-exchange.md.
 TEST(pace_exchange_test, bytes_by_which_a_reply_grows) {
   LONGS_EQUAL(0, growth({}));
