Stand-ins and soak: slow, failing and misreporting application servers

Cause: the soak had no server that answers slowly, fails part of its requests or sends false load reports (docs/design/hard-load.md, part F).

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -16,6 +16,7 @@
 #include "http/json_fields.h"
 #include "platform_cluster.h"
 #include "poison_requests.h"
+#include "slow_server_faults.h"
 #include "soak_checker.h"
 #include "soak_faults.h"
 
@@ -34,6 +35,9 @@
 DEFINE_bool(all_faults, true,
             "include the faults that were added after the first seeds of tests/soak-seeds.txt; "
             "false replays those seeds");
+DEFINE_bool(slow_server_faults, false,
+            "draw one fault of each pair from those of slow, failing and misreporting application "
+            "servers; all application servers then report their load");
 
 namespace {
 
@@ -85,10 +89,14 @@
         faults_(
             system_, poison_requests_, {k_tenants, k_tenants_with_key_revoked},
             [this] { wait_for_acceptance(); }, FLAGS_all_faults),
+        slow_server_faults_(make_slow_server_faults(system_)),
         schedule_(seed, faults_.all().size()) {
     system_.on_platform([this] {
       for (std::size_t app = 0; app < FLAGS_apps; ++app) {
         system_.app(app).faults().work_time = k_call_service_time;
+        if (FLAGS_slow_server_faults) {
+          system_.app(app).faults().uneven.reports = load_report_kind::correct;
+        }
         system_.app(app).faults().crash_after = milliseconds(FLAGS_crash_after_ms);
       }
       for (std::size_t engine = 0; engine < FLAGS_engines; ++engine) {
@@ -147,7 +155,11 @@
   void cause_random_pair() {
     std::vector<soak_fault> const& faults = faults_.all();
     fault_pair const pair = schedule_.next();
-    cause_pair(faults[pair.first], faults[pair.second], pair.target);
+    // The schedule draws the same numbers with and without the faults of slow servers.
+    soak_fault const& first = FLAGS_slow_server_faults
+                                  ? slow_server_faults_[pair.first % slow_server_faults_.size()]
+                                  : faults[pair.first];
+    cause_pair(first, faults[pair.second], pair.target);
   }
 
   void cause_pair(soak_fault const& first, soak_fault const& second, std::size_t target) {
@@ -387,6 +399,7 @@
   std::vector<violation> route_violations_;
   poison_requests poison_requests_;
   soak_faults faults_;
+  std::vector<soak_fault> slow_server_faults_;
   fault_schedule schedule_;
 };
 
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -11,11 +11,30 @@
 
 namespace json = boost::json;
 
-constexpr seconds k_silence{60};
 constexpr char k_id[] = "X-Frostline-Request-Id";
 constexpr char k_stamp[] = "X-Frostline-Server-Stamp";
 constexpr char k_versions[] = "X-Frostline-Weight-Versions";
 
+constexpr char k_load[] = "X-Frostline-Server-Load";
+constexpr char k_health_path[] = "/healthz";
+
+/// Returns true for paths that are not the gateway's requests.
+bool is_control(std::string_view target) {
+  return target.starts_with("/api/") || target == k_health_path;
+}
+
+/// Counts a running request while it exists, also if the connection is closed meanwhile.
+class running_request {
+ public:
+  explicit running_request(std::uint32_t& count) : count_(count) { ++count_; }
+  ~running_request() { --count_; }
+  running_request(running_request const&) = delete;
+  running_request& operator=(running_request const&) = delete;
+
+ private:
+  std::uint32_t& count_;
+};
+
 void set(http::response& answer, char const* name, std::string const& value) {
   answer.set(name, value);
 }
@@ -87,7 +106,18 @@
   return faults_.full || busy_ || (!expected.empty() && expected != options_.id);
 }
 
-http::response server_standin::refusal(http::request const& message) const {
+void server_standin::add_load(http::response& answer) {
+  server_load load;
+  load.running = std::min(running_, options_.slots);
+  load.waiting = running_ - load.running;
+  load.slots = options_.slots;
+  load.percent = static_cast<std::uint32_t>(
+      100 * uneven_server::work_factor(faults_.uneven, boot_clock::now()));
+  auto const value = uneven_.report(faults_.uneven, load);
+  if (value) set(answer, k_load, *value);
+}
+
+http::response server_standin::refusal(http::request const& message) {
   std::string_view const expected = http::header(message, "X-Frostline-Expect-Instance");
   bool const misdirected = !expected.empty() && expected != options_.id;
   auto const code =
@@ -95,10 +125,11 @@
   http::response answer = http::make_response(code, "", "text/plain");
   set(answer, "X-Frostline-Not-Executed", "1");
   set(answer, k_id, std::string(http::header(message, k_id)));
+  add_load(answer);
   return answer;
 }
 
-http::response server_standin::report() const {
+http::response server_standin::report() {
   json::object model;
   model["name"] = options_.model;
   model["version"] = version_;
@@ -109,7 +140,9 @@
   body["busy"] = busy_;
   body["sequence"] = sequence_;
   body["born"] = born_;
-  return json_response(http::status::ok, body);
+  http::response answer = json_response(http::status::ok, body);
+  add_load(answer);
+  return answer;
 }
 
 bool server_standin::is_poison(http::request const& message) const {
@@ -147,54 +180,9 @@
   if (on_restart_) on_restart_(previous_id);
 }
 
-awaitable<void> server_standin::load(std::uint64_t version) {
-  std::uint64_t const incarnation = born_;
-  co_await wait_for(options_.load_time);
-  if (incarnation != born_) co_return;
-  version_ = version;
-  busy_ = false;
-  if (on_version_) on_version_();
-}
-
-order_arrival server_standin::note_order(std::string const& text) {
-  auto const body = parse_json_object(text);
-  order_arrival entry;
-  if (!body) return entry;
-  entry.holder = json_text(*body, "holder");
-  entry.fence = static_cast<std::uint64_t>(json_number(*body, "fence"));
-  entry.version = static_cast<std::uint64_t>(json_number(*body, "version"));
-  entry.at = boot_clock::now();
-  orders_.push_back(entry);
-  return entry;
-}
-
-awaitable<http::response> server_standin::order(std::string text) {
-  auto const body = parse_json_object(text);
-  if (!body) co_return http::make_response(http::status::bad_request, "", "text/plain");
-  order_arrival const entry = note_order(text);
-  bool const sequence_differs =
-      body->if_contains("expected") != nullptr &&
-      static_cast<std::uint64_t>(json_number(*body, "expected")) != sequence_;
-  if (entry.version == version_ && !busy_) {
-    co_return http::make_response(http::status::ok, "", "text/plain");
-  }
-  if (sequence_differs) ++conflicting_orders_;
-  if (busy_ || sequence_differs) {
-    co_return http::make_response(http::status::conflict, "", "text/plain");
-  }
-  busy_ = true;
-  ++sequence_;
-  spawn(context_, load(entry.version));
-  if (faults_.lost_orders > 0) {
-    --faults_.lost_orders;
-    co_await wait_for(k_silence);
-  }
-  co_return http::make_response(http::status::accepted, "", "text/plain");
-}
-
 awaitable<http::response> server_standin::handle(http::request message) {
   std::string const target(message.target());
-  bool const is_request = !target.starts_with("/api/");
+  bool const is_request = !is_control(target);
   arrival entry = note(message);
   bool const refused = refuses(message);
   entry.ran = !refused;
@@ -207,15 +195,28 @@
   }
   if (target == "/api/report") co_return report();
   if (target == "/api/order") co_return co_await order(message.body());
+  if (target == k_health_path) {
+    http::response healthy = http::make_response(http::status::ok, "", "text/plain");
+    add_load(healthy);
+    co_return healthy;
+  }
   if (refused) co_return refusal(message);
-  co_await wait_for(faults_.work_time);
-  bool const fails = faults_.failures > 0;
-  if (fails) --faults_.failures;
+  co_return co_await run(entry.request);
+}
+
+awaitable<http::response> server_standin::run(std::string request) {
+  running_request const running(running_);
+  double const factor = uneven_server::work_factor(faults_.uneven, boot_clock::now());
+  co_await wait_for(std::chrono::duration_cast<milliseconds>(faults_.work_time * factor));
+  bool const counted = faults_.failures > 0;
+  if (counted) --faults_.failures;
+  bool const fails = counted || uneven_.fails(faults_.uneven, request, boot_clock::now());
   auto const code = fails ? static_cast<http::status>(faults_.failure_status) : http::status::ok;
   http::response answer =
-      http::make_response(code, "answer to " + entry.request + " of " + options_.id, "text/plain");
-  set(answer, k_id, entry.request);
-  set(answer, k_stamp, "stamp-" + entry.request);
+      http::make_response(code, "answer to " + request + " of " + options_.id, "text/plain");
+  set(answer, k_id, request);
+  set(answer, k_stamp, "stamp-" + request);
+  add_load(answer);
   co_return answer;
 }
 
@@ -249,22 +250,21 @@
 awaitable<bool> server_standin::stream(http::request const& message, http::stream_writer& writer) {
   std::string const target(message.target());
   bool const cuts_failure = faults_.cuts_failures && faults_.failures > 0 && !faults_.silent &&
-                            !target.starts_with("/api/") && !refuses(message);
+                            !is_control(target) && !refuses(message);
   if (cuts_failure) {
     co_await cut_failure(message, writer);
     co_return true;
   }
-  bool const cuts =
-      faults_.cuts > 0 && !faults_.silent && !target.starts_with("/api/") && !refuses(message);
+  bool const cuts = faults_.cuts > 0 && !faults_.silent && !is_control(target) && !refuses(message);
   if (cuts) {
     co_await cut_answer(message, writer);
     co_return true;
   }
-  if (is_poison(message) && !target.starts_with("/api/") && !refuses(message)) {
+  if (is_poison(message) && !is_control(target) && !refuses(message)) {
     co_await crash_under(message);
     co_return true;
   }
-  bool const plain = options_.model.empty() || target.starts_with("/api/") || refuses(message) ||
+  bool const plain = options_.model.empty() || is_control(target) || refuses(message) ||
                      faults_.failures > 0 || faults_.silent;
   if (plain) co_return false;
   arrival entry = note(message);
@@ -280,12 +280,14 @@
   set(head, k_id, entry.request);
   set(head, k_stamp, "stamp-" + entry.request);
   set(head, k_versions, std::to_string(version_));
+  add_load(head);
   if (!co_await writer.begin(std::move(head))) co_return true;
   co_return co_await write_events(writer, entry.request, from);
 }
 
 awaitable<bool> server_standin::write_events(http::stream_writer& writer, std::string request,
                                              std::uint64_t from) {
+  running_request const running(running_);
   std::uint64_t announced_version = version_;
   std::uint32_t written = 0;
   for (std::uint64_t id = from; id < options_.events; ++id) {
@@ -294,7 +296,8 @@
       co_await writer.write("id: " + std::to_string(id) + "\nda");
       co_return true;
     }
-    co_await wait_for(options_.event_gap);
+    double const factor = uneven_server::work_factor(faults_.uneven, boot_clock::now());
+    co_await wait_for(std::chrono::duration_cast<milliseconds>(options_.event_gap * factor));
     std::string event;
     if (announced_version != version_) {
       announced_version = version_;
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -11,6 +11,7 @@
 #include "base/asio.h"
 #include "base/endpoint.h"
 #include "http/server.h"
+#include "uneven_server.h"
 
 namespace frostline::testing {
 
@@ -67,6 +68,7 @@
   milliseconds down_time{300};
   /// Time an application server takes to process a request.
   milliseconds work_time{0};
+  uneven_faults uneven;
 };
 
 struct server_options {
@@ -118,6 +120,9 @@
   void on_version(std::function<void()> listener) { on_version_ = std::move(listener); }
 
  private:
+  /// Time for which a silent server keeps a connection open.
+  static constexpr seconds k_silence{60};
+
   awaitable<http::response> handle(http::request message);
   /// Runs a request and cuts off its answer.
   awaitable<void> cut_answer(http::request const& message, http::stream_writer& writer);
@@ -133,10 +138,13 @@
   bool is_poison(http::request const& message) const;
   awaitable<void> crash_under(http::request const& message);
   awaitable<void> start_next_incarnation(milliseconds pause);
-  http::response report() const;
+  http::response report();
+  /// Adds the load report header, if the server sends one.
+  void add_load(http::response& answer);
+  awaitable<http::response> run(std::string request);
   arrival note(http::request const& message);
   bool refuses(http::request const& message) const;
-  http::response refusal(http::request const& message) const;
+  http::response refusal(http::request const& message);
 
   asio::io_context& context_;
   server_options options_;
@@ -154,6 +162,9 @@
   std::function<void(std::string const&)> on_restart_;
   std::uint32_t crashes_ = 0;
   bool down_ = false;
+  uneven_server uneven_;
+  /// Requests that are being run.
+  std::uint32_t running_ = 0;
 };
 
 }  // namespace frostline::testing
