--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -188,6 +188,14 @@
     selector_.note_restart(server.id);
   });
   listen_to_records();
+  feed_.set_slow_servers_source([this](time_point now) { return selector_.slow_servers(now); });
+  feed_.on_slow_servers([this](std::vector<balancing::slow_server> const& received) {
+    for (balancing::slow_server const& server : received) {
+      if (servers_.find(server.id) != nullptr) {
+        selector_.note_received(server, boot_clock::now());
+      }
+    }
+  });
   feed_.on_store_recovered([this] { operator_request_reader_.resynchronize(); });
   feed_.start();
   quarantine_.start();
@@ -338,6 +346,7 @@
   snapshot.role = feed_.role();
   snapshot.records = feed_.counters();
   snapshot.polls_answered = feed_.answers().answered();
+  snapshot.slow_servers_sent = feed_.answers().slow_servers_sent();
   snapshot.snapshot_answers = feed_.answers().snapshot_answers();
   snapshot.snapshot_records = feed_.answers().snapshot_records();
   for (relay::topic const topic : relay::k_topics) {
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -52,6 +52,7 @@
   relay::feed_role role = relay::feed_role::standby;
   relay::feed_counters records;
   std::uint64_t polls_answered = 0;
+  std::uint64_t slow_servers_sent = 0;
   std::uint64_t snapshot_answers = 0;
   std::uint64_t snapshot_records = 0;
   /// Number of records that this node holds, by topic.
