--- a/src/gateway/features.h
+++ b/src/gateway/features.h
@@ -13,7 +13,8 @@
   feature_switch sample_order = feature_switch::automatic;
   feature_switch memory_plan = feature_switch::automatic;
   feature_switch slow_servers = feature_switch::automatic;
-  feature_switch attempt_times = feature_switch::automatic;
+  /// Off unless the operator turns it on: on the days measured so far it gained nothing.
+  feature_switch attempt_times = feature_switch::off;
 };
 
 /// The answers may change with each configuration, so callers must not keep them. No I/O; reads no
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -172,7 +172,7 @@
         "avoid servers that are measured to be slow: auto, on or off; auto: as for "
         "scheduling.order, for all services"},
        feature(&feature_settings::slow_servers)},
-      {{"balancing.attempts", "auto",
+      {{"balancing.attempts", "off",
         "end attempts early by the time that servers usually take: auto, on or off; auto: as for "
         "scheduling.order, for all services"},
        feature(&feature_settings::attempt_times)},
--- a/tests/unit/gateway/gateway_settings_test.cc
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -55,7 +55,10 @@
   STRCMP_CONTAINS("line 2", errors[0].key.c_str());
 }
 
-TEST(gateway_settings_test, features_are_automatic_unless_the_file_says_otherwise) {
+TEST(gateway_settings_test, features_have_their_defaults_unless_the_file_says_otherwise) {
+  LONGS_EQUAL(0, read(k_good).size());
+  CHECK(all.features.slow_servers == feature_switch::automatic);
+  CHECK(all.features.attempt_times == feature_switch::off);
   LONGS_EQUAL(0, read(std::string(k_good) + "[scheduling]\norder = \"off\"\n[balancing]\n"
                                             "attempts = \"on\"\n")
                      .size());
