Planned stops log what their connections wait for

Connections that stand in the listener's queue, that were accepted and not read, that hold a part of a request, or whose bytes the process has not read look alike.

Change: "Listener closes." and "Idle connections close." of a node tell the length of the listener's queue, connections by what they wait for, and those with unread bytes; the gateway's stop tells its queue and its open connections.

--- a/src/calls/ingress.h
+++ b/src/calls/ingress.h
@@ -10,6 +10,7 @@
 #include "base/endpoint.h"
 #include "calls/caller.h"
 #include "calls/route_table.h"
+#include "http/connection_health.h"
 #include "http/message.h"
 
 namespace frostline::calls {
@@ -30,6 +31,10 @@
   void drain() { draining_ = true; }
   void close_listener();
   std::size_t in_flight() const { return in_flight_; }
+  /// Number of open connections.
+  std::size_t connections() const { return connections_; }
+  /// Number of connections that the kernel has established and this process has not accepted.
+  std::size_t queued() { return acceptor_.is_open() ? http::listen_queue_length(acceptor_) : 0; }
 
  private:
   class connection;
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -401,6 +401,10 @@
          (ingress_->in_flight() > 0 && boot_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll_interval);
   }
+  log_line(log_level::info, k_part, "Listener closes.",
+           {{"queued", ingress_->queued()},
+            {"connections", ingress_->connections()},
+            {"in_flight", ingress_->in_flight()}});
   ingress_->close_listener();
   // Recently accepted connections may still send a request.
   time_point const accept_until = std::min(boot_clock::now() + k_final_accept_time, deadline);
@@ -408,7 +412,8 @@
          (ingress_->in_flight() > 0 && boot_clock::now() < deadline)) {
     co_await wait_for(k_stop_poll_interval);
   }
-  log_line(log_level::info, k_part, "Planned stop ends.", {{"cut", ingress_->in_flight()}});
+  log_line(log_level::info, k_part, "Planned stop ends.",
+           {{"cut", ingress_->in_flight()}, {"connections", ingress_->connections()}});
   state_ = application_state::stopped;
   operator_request_reader_.stop();
   flush_logs();
--- a/src/http/connection_health.cc
+++ b/src/http/connection_health.cc
@@ -36,6 +36,20 @@
   socket.set_option(acknowledgement_timeout(static_cast<int>(timeout.count())), ignored);
 }
 
+std::size_t listen_queue_length(tcp::acceptor& acceptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  int const failed = ::getsockopt(acceptor.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  // For a listening socket the kernel reports the length of its queue in this field.
+  return failed == 0 ? info.tcpi_unacked : 0;
+}
+
+std::size_t unread_bytes(tcp::socket const& socket) {
+  boost::system::error_code failure;
+  std::size_t const count = socket.available(failure);
+  return failure ? 0 : count;
+}
+
 bool is_reusable(tcp::socket& socket) {
   boost::system::error_code failure;
   char probe = 0;
--- a/src/http/connection_health.h
+++ b/src/http/connection_health.h
@@ -15,6 +15,13 @@
 /// link also triggers it.
 void set_acknowledgement_timeout(tcp::socket& socket, milliseconds timeout);
 
+/// Returns the number of connections that the kernel has established for a listening socket and the
+/// process has not accepted; 0 if the kernel does not tell.
+std::size_t listen_queue_length(tcp::acceptor& acceptor);
+
+/// Returns the number of bytes that the kernel holds for this process; 0 if the socket is closed.
+std::size_t unread_bytes(tcp::socket const& socket);
+
 /// Returns true if an idle connection may carry another request. A readable idle connection was
 /// closed by the peer or holds unexpected data.
 bool is_reusable(tcp::socket& socket);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -4,12 +4,15 @@
 #include <optional>
 
 #include "base/log.h"
+#include "http/connection_health.h"
 
 namespace frostline::http {
 namespace {
 
 constexpr std::string_view k_part = "http";
 
+enum class connection_phase { first_request, next_request, reading, answering };
+
 /// Returns the response status for a request that could not be read.
 status status_for(beast::error_code const& failure) {
   if (failure == bhttp::error::body_limit) return status::payload_too_large;
@@ -29,7 +32,11 @@
   explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  bool idle = true;
+  connection_phase phase = connection_phase::first_request;
+
+  bool is_idle() const {
+    return phase == connection_phase::first_request || phase == connection_phase::next_request;
+  }
 };
 
 namespace {
@@ -115,8 +122,31 @@
 
 void server::close_idle() {
   for (auto const& peer : connections_) {
-    if (peer->idle) peer->stream.cancel();
+    if (peer->is_idle()) peer->stream.cancel();
+  }
+}
+
+connection_counts server::count_connections() {
+  connection_counts counts;
+  if (acceptor_.is_open()) counts.queued = listen_queue_length(acceptor_);
+  for (auto const& peer : connections_) {
+    switch (peer->phase) {
+      case connection_phase::first_request:
+        ++counts.first_request;
+        break;
+      case connection_phase::next_request:
+        ++counts.next_request;
+        break;
+      case connection_phase::reading:
+        ++counts.reading;
+        break;
+      case connection_phase::answering:
+        ++counts.answering;
+        break;
+    }
+    if (peer->is_idle() && unread_bytes(peer->stream.socket()) > 0) ++counts.unread;
   }
+  return counts;
 }
 
 void server::abort() {
@@ -155,7 +185,6 @@
   bhttp::request_parser<bhttp::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   parser.body_limit(limits_.body_bytes);
-  peer.idle = true;
   if (peer.buffer.size() == 0) {
     peer.stream.expires_after(limits_.idle_timeout);
     auto [failure, count] =
@@ -163,7 +192,7 @@
     if (failure) co_return false;
     peer.buffer.commit(count);
   }
-  peer.idle = false;
+  peer.phase = connection_phase::reading;
   peer.stream.expires_after(limits_.read_timeout);
   auto [failure, count] = co_await bhttp::async_read(peer.stream, peer.buffer, parser, k_as_tuple);
   if (failure) {
@@ -178,9 +207,11 @@
   }
   peer.stream.expires_never();
   ++in_flight_;
+  peer.phase = connection_phase::answering;
   request message = parser.release();
   bool const more = co_await answer_request(peer, std::move(message));
   --in_flight_;
+  peer.phase = connection_phase::next_request;
   co_return more;
 }
 
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -24,6 +24,21 @@
   std::size_t connections = 4096;
 };
 
+/// Connections of a server at one moment, by what they wait for.
+struct connection_counts {
+  /// Established by the kernel and not accepted.
+  std::size_t queued = 0;
+  /// Accepted; no request has been read on them.
+  std::size_t first_request = 0;
+  /// Kept open after an answer.
+  std::size_t next_request = 0;
+  /// A part of a request has been read.
+  std::size_t reading = 0;
+  std::size_t answering = 0;
+  /// Of those that wait for a request, connections with bytes that the process has not read.
+  std::size_t unread = 0;
+};
+
 /// Sends a chunked response to one request.
 class stream_writer {
  public:
@@ -71,6 +86,8 @@
   /// Number of requests in flight.
   std::size_t in_flight() const { return in_flight_; }
 
+  connection_counts count_connections();
+
  private:
   struct connection;
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,6 +41,16 @@
   return self;
 }
 
+void log_connections(std::string_view event, http::connection_counts const& counts) {
+  log_line(log_level::info, k_part, event,
+           {{"queued", counts.queued},
+            {"first_request", counts.first_request},
+            {"next_request", counts.next_request},
+            {"reading", counts.reading},
+            {"answering", counts.answering},
+            {"unread", counts.unread}});
+}
+
 }  // namespace
 
 struct node::components {
@@ -344,8 +354,10 @@
   co_await wait_until_idle(deadline - k_handover_margin);
   rollout_->abandon_runs();
   co_await wait_until_idle(deadline);
+  log_connections("Listener closes.", server_->count_connections());
   server_->close_listener();
   co_await wait_until_idle(deadline);
+  log_connections("Idle connections close.", server_->count_connections());
   server_->close_idle();
   bool const cut = server_->in_flight() > 0;
   log_line(cut ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
