A node's planned stop cuts no request on any connection

Callers saw a request end in "connection failed during the exchange" a few ms after a node's planned stop, although the node said cut: 0; a request that may run once only can't be repeated then.

Cause: once no whole request was in flight, the stop closed the listener, cancelled all connections that waited for a request, and the process ended. It reset (1) connections that the kernel had established and the process had not accepted, (2) connections just accepted whose request was not read, (3) kept connections whose next request lay unread in the kernel. A draining node answers with Connection: close, so callers open a connection for each request just then.

Change: http/listener drops new handshakes by a socket filter, accepts what is established, then closes. http/connection_set knows each connection's phase; a planned end serves what clients have sent, gives new connections 150 ms for their request, and closes the others with status 408 (RFC 9110, 15.5.9: not run, may be repeated), half closed and read to the end, so that a request which crosses the close gets an answer too. A node's log is flushed at its end.

Ruled out: accepting until the queue is empty without the filter leaves a gap up to the close, in which a connection is reset when the process loses its processor; waiting a fixed time alone closes case 2 by luck and neither 1 nor 3.

Tests: stalled_stop_test stops the process for 60 of each 70 ms of its planned stop.

--- /dev/null
+++ b/src/http/connection_set.cc
@@ -0,0 +1,94 @@
+#include "http/connection_set.h"
+
+#include <algorithm>
+
+#include "http/connection_health.h"
+
+namespace frostline::http {
+namespace {
+
+constexpr milliseconds k_poll_interval{10};
+/// Time for clients that have just connected to send their request before the connection is closed.
+constexpr milliseconds k_first_request_time{150};
+/// Longest time that a connection is read after its 408, until the client closes it too. A client
+/// that sends after that is reset, which may reach it before it has read the 408.
+constexpr milliseconds k_linger_time{300};
+static_assert(k_handshake_time + k_first_request_time + k_linger_time <= k_shutdown_time);
+constexpr std::size_t k_discard_bytes = 4096;
+
+}  // namespace
+
+void connection_set::add(std::shared_ptr<served_connection> peer) {
+  ++counts_[index_of(peer->phase)];
+  connections_.insert(std::move(peer));
+}
+
+void connection_set::remove(std::shared_ptr<served_connection> const& peer) {
+  if (connections_.erase(peer) > 0) --counts_[index_of(peer->phase)];
+}
+
+void connection_set::enter(served_connection& peer, connection_phase phase) {
+  --counts_[index_of(peer.phase)];
+  ++counts_[index_of(phase)];
+  peer.phase = phase;
+}
+
+awaitable<bool> connection_set::wait_for_request(served_connection& peer, std::size_t read_bytes,
+                                                 milliseconds idle_timeout) {
+  while (peer.buffer.size() == 0) {
+    if (peer.ends_when_unused && unread_bytes(peer.stream.socket()) == 0) {
+      co_await close_unused(peer);
+      co_return false;
+    }
+    peer.stream.expires_after(idle_timeout);
+    auto [failure, count] =
+        co_await peer.stream.async_read_some(peer.buffer.prepare(read_bytes), k_as_tuple);
+    // Cancelled by shut_down; the client may have sent a request meanwhile.
+    bool const told_to_end = failure == asio::error::operation_aborted && peer.ends_when_unused &&
+                             peer.stream.socket().is_open();
+    if (failure && !told_to_end) co_return false;
+    peer.buffer.commit(count);
+  }
+  enter(peer, connection_phase::reading);
+  co_return true;
+}
+
+awaitable<void> connection_set::close_unused(served_connection& peer) {
+  enter(peer, connection_phase::closing);
+  ++report_.closed_unused;
+  peer.stream.expires_after(k_linger_time);
+  auto [unsent, sent] = co_await bhttp::async_write(peer.stream, closing_notice_, k_as_tuple);
+  if (unsent) co_return;
+  beast::error_code ignored;
+  peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  bool has_crossed = false;
+  while (true) {
+    auto [failure, count] =
+        co_await peer.stream.async_read_some(peer.buffer.prepare(k_discard_bytes), k_as_tuple);
+    if (count > 0 && !has_crossed) ++report_.crossed;
+    has_crossed = has_crossed || count > 0;
+    if (failure) co_return;
+  }
+}
+
+awaitable<shutdown_report> connection_set::shut_down(listener& source, time_point deadline) {
+  report_.accepted_last = co_await source.close_gracefully();
+  time_point const send_until = std::min(boot_clock::now() + k_first_request_time, deadline);
+  while (count(connection_phase::first_request) > 0 && boot_clock::now() < send_until) {
+    co_await wait_for(k_poll_interval);
+  }
+  for (auto const& peer : connections_) {
+    peer->ends_when_unused = true;
+    if (peer->waits_for_request()) peer->stream.cancel();
+  }
+  while (size() > 0 && boot_clock::now() < deadline) co_await wait_for(k_poll_interval);
+  report_.cut = count(connection_phase::reading) + count(connection_phase::answering);
+  co_return report_;
+}
+
+void connection_set::abort() {
+  beast::error_code ignored;
+  for (auto const& peer : connections_) peer->stream.socket().close(ignored);
+}
+
+}  // namespace frostline::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -4,14 +4,26 @@
 #include <optional>
 
 #include "base/log.h"
-#include "http/connection_health.h"
 
 namespace frostline::http {
 namespace {
 
 constexpr std::string_view k_part = "http";
 
-enum class connection_phase { first_request, next_request, reading, answering };
+response make_unread_response(status code, std::string const& title, std::string const& detail) {
+  return make_response(
+      code, "{\"title\":\"" + title + "\",\"detail\":\"" + detail + "\",\"run_state\":\"not_run\"}",
+      k_problem_json);
+}
+
+/// Response that closes a connection on which no request was read.
+response make_closing_notice() {
+  response notice = make_unread_response(status::request_timeout, "draining",
+                                         "no request was read on this connection");
+  notice.keep_alive(false);
+  notice.prepare_payload();
+  return notice;
+}
 
 /// Returns the response status for a request that could not be read.
 status status_for(beast::error_code const& failure) {
@@ -26,21 +38,6 @@
          failure == asio::error::operation_aborted || failure == asio::error::eof;
 }
 
-}  // namespace
-
-struct server::connection {
-  explicit connection(tcp::socket socket) : stream(std::move(socket)) {}
-  beast::tcp_stream stream;
-  beast::flat_buffer buffer;
-  connection_phase phase = connection_phase::first_request;
-
-  bool is_idle() const {
-    return phase == connection_phase::first_request || phase == connection_phase::next_request;
-  }
-};
-
-namespace {
-
 class chunked_writer final : public stream_writer {
  public:
   explicit chunked_writer(beast::tcp_stream& stream) : stream_(stream) {}
@@ -92,130 +89,73 @@
       limits_(limits),
       on_request_(std::move(on_request)),
       on_stream_(std::move(on_stream)),
-      acceptor_(context) {}
+      listener_(context, k_part,
+                [this](tcp::socket socket) { take_connection(std::move(socket)); }),
+      connections_(make_closing_notice()) {}
 
 server::~server() = default;
 
 std::string server::listen(endpoint const& listen_endpoint) {
-  beast::error_code failure;
-  tcp::endpoint const local(asio::ip::make_address(listen_endpoint.address), listen_endpoint.port);
-  acceptor_.open(local.protocol(), failure);
-  if (!failure) acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
-  if (!failure) acceptor_.bind(local, failure);
-  if (!failure) acceptor_.listen(asio::socket_base::max_listen_connections, failure);
-  if (failure) return listen_endpoint.to_string() + ": " + failure.message();
-  spawn(context_, accept_loop());
-  return {};
+  return listener_.listen(listen_endpoint);
 }
 
-std::uint16_t server::port() const {
-  beast::error_code failure;
-  return acceptor_.local_endpoint(failure).port();
-}
+std::uint16_t server::port() const { return listener_.port(); }
 
 void server::drain() { draining_ = true; }
 
-void server::close_listener() {
-  beast::error_code ignored;
-  acceptor_.close(ignored);
-}
-
-void server::close_idle() {
-  for (auto const& peer : connections_) {
-    if (peer->is_idle()) peer->stream.cancel();
-  }
-}
-
-connection_counts server::count_connections() {
-  connection_counts counts;
-  if (acceptor_.is_open()) counts.queued = listen_queue_length(acceptor_);
-  for (auto const& peer : connections_) {
-    switch (peer->phase) {
-      case connection_phase::first_request:
-        ++counts.first_request;
-        break;
-      case connection_phase::next_request:
-        ++counts.next_request;
-        break;
-      case connection_phase::reading:
-        ++counts.reading;
-        break;
-      case connection_phase::answering:
-        ++counts.answering;
-        break;
-    }
-    if (peer->is_idle() && unread_bytes(peer->stream.socket()) > 0) ++counts.unread;
-  }
-  return counts;
+awaitable<shutdown_report> server::shut_down(time_point deadline) {
+  drain();
+  co_return co_await connections_.shut_down(listener_, deadline);
 }
 
 void server::abort() {
-  close_listener();
-  beast::error_code ignored;
-  for (auto const& peer : connections_) peer->stream.socket().close(ignored);
+  listener_.close();
+  connections_.abort();
 }
 
-awaitable<void> server::accept_loop() {
-  while (acceptor_.is_open()) {
-    auto [failure, socket] = co_await acceptor_.async_accept(k_as_tuple);
-    if (failure == asio::error::operation_aborted) co_return;
-    if (failure) {
-      log_line(log_level::warning, k_part, "Accept failed.", {{"error", failure.message()}});
-      co_await wait_for(milliseconds(10));
-      continue;
-    }
-    if (connections_.size() >= limits_.connections) continue;  // the socket closes
-    beast::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto peer = std::make_shared<connection>(std::move(socket));
-    connections_.insert(peer);
-    spawn(context_, serve(peer));
-  }
+void server::take_connection(tcp::socket socket) {
+  if (connections_.size() >= limits_.connections) return;  // the socket closes
+  beast::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto peer = std::make_shared<served_connection>(std::move(socket));
+  connections_.add(peer);
+  spawn(context_, serve(peer));
 }
 
-awaitable<void> server::serve(std::shared_ptr<connection> peer) {
+awaitable<void> server::serve(std::shared_ptr<served_connection> peer) {
   bool more = true;
   while (more) more = co_await serve_request(*peer);
   beast::error_code ignored;
   peer->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-  connections_.erase(peer);
+  connections_.remove(peer);
 }
 
-awaitable<bool> server::serve_request(connection& peer) {
+awaitable<bool> server::serve_request(served_connection& peer) {
+  bool const arrived =
+      co_await connections_.wait_for_request(peer, limits_.header_bytes, limits_.idle_timeout);
+  if (!arrived) co_return false;
   bhttp::request_parser<bhttp::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   parser.body_limit(limits_.body_bytes);
-  if (peer.buffer.size() == 0) {
-    peer.stream.expires_after(limits_.idle_timeout);
-    auto [failure, count] =
-        co_await peer.stream.async_read_some(peer.buffer.prepare(limits_.header_bytes), k_as_tuple);
-    if (failure) co_return false;
-    peer.buffer.commit(count);
-  }
-  peer.phase = connection_phase::reading;
   peer.stream.expires_after(limits_.read_timeout);
   auto [failure, count] = co_await bhttp::async_read(peer.stream, peer.buffer, parser, k_as_tuple);
   if (failure) {
     if (is_disconnect(failure)) co_return false;
-    response refusal = make_response(status_for(failure),
-                                     "{\"title\":\"malformed request\",\"detail\":\"" +
-                                         failure.message() + "\",\"run_state\":\"not_run\"}",
-                                     k_problem_json);
+    response refusal =
+        make_unread_response(status_for(failure), "malformed request", failure.message());
     peer.stream.expires_after(limits_.read_timeout);
     co_await send(peer, std::move(refusal), false, 11);
     co_return false;
   }
   peer.stream.expires_never();
-  ++in_flight_;
-  peer.phase = connection_phase::answering;
+  connections_.enter(peer, connection_phase::answering);
   request message = parser.release();
   bool const more = co_await answer_request(peer, std::move(message));
-  --in_flight_;
-  peer.phase = connection_phase::next_request;
+  connections_.enter(peer, connection_phase::next_request);
   co_return more;
 }
 
-awaitable<bool> server::answer_request(connection& peer, request message) {
+awaitable<bool> server::answer_request(served_connection& peer, request message) {
   bool const wants_keep_alive = message.keep_alive();
   bool const head_only = message.method() == verb::head;
   unsigned const version = message.version();
@@ -230,7 +170,8 @@
   co_return co_await send(peer, std::move(answer), keep_alive, version);
 }
 
-awaitable<bool> server::send(connection& peer, response answer, bool keep_alive, unsigned version) {
+awaitable<bool> server::send(served_connection& peer, response answer, bool keep_alive,
+                             unsigned version) {
   answer.version(version);
   answer.keep_alive(keep_alive);
   answer.prepare_payload();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -4,10 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <set>
 
 #include "base/asio.h"
 #include "base/endpoint.h"
+#include "http/connection_set.h"
+#include "http/listener.h"
 #include "http/message.h"
 
 namespace frostline::http {
@@ -24,21 +25,6 @@
   std::size_t connections = 4096;
 };
 
-/// Connections of a server at one moment, by what they wait for.
-struct connection_counts {
-  /// Established by the kernel and not accepted.
-  std::size_t queued = 0;
-  /// Accepted; no request has been read on them.
-  std::size_t first_request = 0;
-  /// Kept open after an answer.
-  std::size_t next_request = 0;
-  /// A part of a request has been read.
-  std::size_t reading = 0;
-  std::size_t answering = 0;
-  /// Of those that wait for a request, connections with bytes that the process has not read.
-  std::size_t unread = 0;
-};
-
 /// Sends a chunked response to one request.
 class stream_writer {
  public:
@@ -58,7 +44,7 @@
 /// Streams the response to a request. @return false to let the plain handler respond instead.
 using stream_handler = std::function<awaitable<bool>(request const&, stream_writer&)>;
 
-/// Accepts connections until `close_listener` or `abort`.
+/// Accepts connections until `shut_down` or `abort`.
 class server {
  public:
   server(asio::io_context& context, server_limits limits, handler on_request,
@@ -74,36 +60,32 @@
   /// Disables keep-alive: each connection is closed after its next response.
   void drain();
 
-  /// Stops accepting connections; open ones are kept.
-  void close_listener();
-
-  /// Closes connections that wait for a request; those with a request in flight are kept.
-  void close_idle();
+  /// Planned end, which cuts no request: see `connection_set::shut_down`. Requests in flight go on
+  /// until `deadline`.
+  awaitable<shutdown_report> shut_down(time_point deadline);
 
   /// Closes the listener and every connection at once, as if the process had been killed.
   void abort();
 
   /// Number of requests in flight.
-  std::size_t in_flight() const { return in_flight_; }
+  std::size_t in_flight() const { return connections_.count(connection_phase::answering); }
 
-  connection_counts count_connections();
+  /// Number of open connections.
+  std::size_t connections() const { return connections_.size(); }
 
  private:
-  struct connection;
-
-  awaitable<void> accept_loop();
-  awaitable<void> serve(std::shared_ptr<connection> peer);
-  awaitable<bool> serve_request(connection& peer);
-  awaitable<bool> answer_request(connection& peer, request message);
-  awaitable<bool> send(connection& peer, response answer, bool keep_alive, unsigned version);
+  void take_connection(tcp::socket socket);
+  awaitable<void> serve(std::shared_ptr<served_connection> peer);
+  awaitable<bool> serve_request(served_connection& peer);
+  awaitable<bool> answer_request(served_connection& peer, request message);
+  awaitable<bool> send(served_connection& peer, response answer, bool keep_alive, unsigned version);
 
   asio::io_context& context_;
   server_limits limits_;
   handler on_request_;
   stream_handler on_stream_;
-  tcp::acceptor acceptor_;
-  std::set<std::shared_ptr<connection>> connections_;
-  std::size_t in_flight_ = 0;
+  listener listener_;
+  connection_set connections_;
   bool draining_ = false;
 };
 
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -41,16 +41,6 @@
   return self;
 }
 
-void log_connections(std::string_view event, http::connection_counts const& counts) {
-  log_line(log_level::info, k_part, event,
-           {{"queued", counts.queued},
-            {"first_request", counts.first_request},
-            {"next_request", counts.next_request},
-            {"reading", counts.reading},
-            {"answering", counts.answering},
-            {"unread", counts.unread}});
-}
-
 }  // namespace
 
 struct node::components {
@@ -334,8 +324,8 @@
 }
 
 /// Planned stop: announces that the node is leaving, releases ownership, waits for requests and
-/// runs in flight, and closes the listener and idle connections. Runs that are still in flight
-/// shortly before the end of the drain time are interrupted.
+/// runs in flight, and shuts the HTTP server down. Runs that are still in flight shortly before the
+/// end of the drain time are interrupted.
 awaitable<void> node::components::stop(std::function<void()> on_stopped) {
   if (state_ == node_state::draining) co_return;
   state_ = node_state::draining;
@@ -353,15 +343,14 @@
   co_await wait_for(k_leave_notice_wait);
   co_await wait_until_idle(deadline - k_handover_margin);
   rollout_->abandon_runs();
-  co_await wait_until_idle(deadline);
-  log_connections("Listener closes.", server_->count_connections());
-  server_->close_listener();
-  co_await wait_until_idle(deadline);
-  log_connections("Idle connections close.", server_->count_connections());
-  server_->close_idle();
-  bool const cut = server_->in_flight() > 0;
-  log_line(cut ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
-           {{"cut", server_->in_flight()}});
+  co_await wait_until_idle(deadline - http::k_shutdown_time);
+  http::shutdown_report const report = co_await server_->shut_down(deadline);
+  log_line(report.cut > 0 ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
+           {{"cut", report.cut},
+            {"accepted_last", report.accepted_last},
+            {"closed_unused", report.closed_unused},
+            {"crossed", report.crossed}});
+  flush_logs();
   state_ = node_state::stopped;
   on_stopped();
 }
