Connections that were idle for too long close with status 408

The same fault as in planned stops, elsewhere: a server that closes a connection after idle_timeout resets a request that its client sends at that moment, and the client can't tell whether it ran. Nodes, gateways and their servers for peers read this way.

Cause: the idle time was a time limit of the stream, which closes the socket when it passes. Change: the time limit cancels the read; a request that the kernel already holds is read, otherwise the connection is closed like an unused one in a planned stop.

--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -16,6 +16,29 @@
 static_assert(k_handshake_time + k_first_request_time + k_linger_time <= k_shutdown_time);
 constexpr std::size_t k_discard_bytes = 4096;
 
+/// Cancels a connection's read and marks the connection for closing once a time has passed, unless
+/// destroyed before.
+class idle_limit {
+ public:
+  idle_limit(served_connection& peer, milliseconds timeout)
+      : timer_(peer.stream.get_executor(), timeout),
+        peer_(std::make_shared<served_connection*>(&peer)) {
+    timer_.async_wait([watched = peer_](boost::system::error_code cancelled) {
+      if (cancelled || *watched == nullptr) return;
+      (*watched)->ends_when_unused = true;
+      (*watched)->stream.cancel();
+    });
+  }
+  // The handler may have been queued already; it must not touch the connection any more.
+  ~idle_limit() { *peer_ = nullptr; }
+  idle_limit(idle_limit const&) = delete;
+  idle_limit& operator=(idle_limit const&) = delete;
+
+ private:
+  boot_timer timer_;
+  std::shared_ptr<served_connection*> peer_;
+};
+
 }  // namespace
 
 void connection_set::add(std::shared_ptr<served_connection> peer) {
@@ -40,10 +63,12 @@
       co_await close_unused(peer);
       co_return false;
     }
-    peer.stream.expires_after(idle_timeout);
+    // A time limit of the stream itself would close the socket and reset a request in transit.
+    peer.stream.expires_never();
+    idle_limit const limit(peer, idle_timeout);
     auto [failure, count] =
         co_await peer.stream.async_read_some(peer.buffer.prepare(read_bytes), k_as_tuple);
-    // Cancelled by shut_down; the client may have sent a request meanwhile.
+    // Cancelled by shut_down or the time limit; the client may have sent a request meanwhile.
     bool const told_to_end = failure == asio::error::operation_aborted && peer.ends_when_unused &&
                              peer.stream.socket().is_open();
     if (failure && !told_to_end) co_return false;
@@ -72,6 +97,8 @@
 }
 
 awaitable<shutdown_report> connection_set::shut_down(listener& source, time_point deadline) {
+  // Connections that were closed as idle before don't count.
+  report_ = shutdown_report();
   report_.accepted_last = co_await source.close_gracefully();
   time_point const send_until = std::min(boot_clock::now() + k_first_request_time, deadline);
   while (count(connection_phase::first_request) > 0 && boot_clock::now() < send_until) {
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -76,7 +76,8 @@
   /// Waits for the first bytes of a request and reads them; the connection then is in phase
   /// `reading`.
   /// @param read_bytes most bytes to read.
-  /// @return false if the client has left, the time has passed or the connection was closed unused.
+  /// @param idle_timeout time after which the connection is closed unused.
+  /// @return false if the client has left or the connection was closed unused.
   awaitable<bool> wait_for_request(served_connection& peer, std::size_t read_bytes,
                                    milliseconds idle_timeout);
 
--- a/tests/unit/http/server_shutdown_test.cc
+++ b/tests/unit/http/server_shutdown_test.cc
@@ -168,6 +168,31 @@
   CHECK(*outcome == asio::error::connection_refused);
 }
 
+// Guards against doubt about a request that crosses the close of a connection that was idle for too
+// long.
+TEST(server_shutdown_test, request_that_crosses_the_idle_timeout_has_not_run) {
+  http::server_limits limits;
+  limits.idle_timeout = milliseconds(50);
+  http::server impatient(context, limits, [this](http::request) { return answer(); });
+  endpoint const other = testing::free_endpoint(address.address);
+  STRCMP_EQUAL("", impatient.listen(other).c_str());
+  raw_connection client(other);
+  client.send(k_request);
+  run_until([&] { return handled == 1 && impatient.in_flight() == 0; });
+  CHECK_TRUE(is_answered(client.read("whole")));
+  std::string notice;
+  run_until([&] {
+    notice += client.read("\r\n\r\n", milliseconds(1));
+    return !notice.empty();
+  });
+  client.send(k_request);
+  run_until([&] { return impatient.connections() == 0; });
+  CHECK_TRUE(is_not_run(notice + client.read()));
+  LONGS_EQUAL(1, handled);
+  impatient.abort();
+  context.run_for(milliseconds(50));
+}
+
 TEST(server_shutdown_test, request_in_flight_at_the_deadline_is_counted_as_cut) {
   hold_answers = true;
   raw_connection client(address);
