--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -404,6 +404,7 @@
   log_line(report.cut > 0 ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
            {{"cut", report.cut},
             {"accepted_last", report.accepted_last},
+            {"awaited", report.awaited},
             {"closed_unused", report.closed_unused},
             {"crossed", report.crossed}});
   state_ = application_state::stopped;
--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -100,6 +100,7 @@
   // Connections that were closed as idle before don't count.
   report_ = shutdown_report();
   report_.accepted_last = co_await source.close_gracefully();
+  report_.awaited = count(connection_phase::first_request);
   time_point const send_until = std::min(boot_clock::now() + k_first_request_time, deadline);
   while (count(connection_phase::first_request) > 0 && boot_clock::now() < send_until) {
     co_await wait_for(k_poll_interval);
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -49,6 +49,8 @@
 struct shutdown_report {
   /// Connections that the kernel had established and that were accepted while the listener closed.
   std::size_t accepted_last = 0;
+  /// Connections on which no request had been read when the listener was closed.
+  std::size_t awaited = 0;
   /// Connections that were closed unused, with status 408.
   std::size_t closed_unused = 0;
   /// Of these, connections on which a request crossed the 408. It was not run.
--- a/tests/unit/http/server_shutdown_test.cc
+++ b/tests/unit/http/server_shutdown_test.cc
@@ -99,6 +99,8 @@
   client.send(k_request);
   run_to_end();
   CHECK_TRUE(is_answered(client.read()));
+  LONGS_EQUAL(1, report->awaited);
+  LONGS_EQUAL(0, report->closed_unused);
 }
 
 TEST(server_shutdown_test, request_that_was_read_in_part_is_answered) {
