Client connections are known as soon as they are accepted

ingress put a connection into its set from the coroutine that serves it; the planned end counts the connections of the set and returns when it is empty. That is right only while co_spawn runs a coroutine's first part at once. It adds them when they are accepted now, as http::server does. No fault was seen: ingress_shutdown_test, which has the last connections accepted by the closing listener, passes with and without this change.

--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -50,6 +50,10 @@
       : peer_(std::move(socket)), draining_(draining) {}
 
   http::served_connection& peer() { return peer_; }
+  /// Returns a pointer to the peer that keeps this connection alive.
+  std::shared_ptr<http::served_connection> shared_peer(std::shared_ptr<connection> self) {
+    return {std::move(self), &peer_};
+  }
   beast::tcp_stream& stream() { return stream_; }
   beast::flat_buffer& buffer() { return peer_.buffer; }
 
@@ -165,17 +169,17 @@
   if (connections_.size() >= max_connections_) return;  // closes the socket
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  spawn(context_, serve(std::make_shared<connection>(std::move(socket), draining_)));
+  auto client = std::make_shared<connection>(std::move(socket), draining_);
+  connections_.add(client->shared_peer(client));
+  spawn(context_, serve(std::move(client)));
 }
 
 awaitable<void> ingress::serve(std::shared_ptr<connection> client) {
-  std::shared_ptr<http::served_connection> const peer(client, &client->peer());
-  connections_.add(peer);
   bool keep_open = true;
   while (keep_open) keep_open = co_await serve_one(client);
   beast::error_code ignored;
   client->stream().socket().shutdown(tcp::socket::shutdown_send, ignored);
-  connections_.remove(peer);
+  connections_.remove(client->shared_peer(client));
 }
 
 awaitable<bool> ingress::serve_one(std::shared_ptr<connection> client) {
