--- a/review/standin/broken_answers.cc
+++ b/review/standin/broken_answers.cc
@@ -1,6 +1,7 @@
 /// @file A streaming request that may not be repeated runs at a server, which answers with its own
 /// 500 and breaks that answer off. Is it told to its client as not run?
 
+#include <algorithm>
 #include <set>
 
 #include "cases.h"
@@ -47,14 +48,19 @@
   for (std::uint32_t number = 0; number < k_requests; ++number) {
     std::string const request = "bid-" + std::to_string(number);
     std::string const path = "/bids/" + request;
+    std::int64_t const begun = log.now();
     auto const first = all.call(number % all.gateways(), http::verb::post, path, request + "-try-1",
                                 request, k_deadline);
     if (first.status == 200) ++served;
     if (!promises_no_run(first.status)) continue;
     promised.insert(request + "-try-1");
-    // The promise allows the client to try again, with a new identifier and at another node.
+    // The promise allows the client to try again, with a new identifier and at another node. It
+    // waits as it was told to, up to a third of the time that it has left.
+    auto const spent = milliseconds(log.now() - begun);
+    pause(std::min(first.retry_after, (k_deadline - spent) / 3));
+    milliseconds const left = k_deadline - milliseconds(log.now() - begun);
     auto const second = all.call((number + 1) % all.gateways(), http::verb::post, path,
-                                 request + "-try-2", request, k_deadline);
+                                 request + "-try-2", request, left);
     if (promises_no_run(second.status)) promised.insert(request + "-try-2");
   }
   if (served == 0) return verdict::not_run;
--- a/review/standin/configurations.cc
+++ b/review/standin/configurations.cc
@@ -34,9 +34,21 @@
                target);
 }
 
-std::string model_service(std::string const& name) {
-  return R"({"name":")" + name +
-         R"(","health_path":"/health","max_conns":150,"engine":{"slots":4,"kv_capacity":100000,)"
+std::string safe_route(std::string const& path_prefix, std::string const& target) {
+  return route("calls", path_prefix,
+               R"("kind":"safe","timeout_ms":1500,"target_latency_ms":150,"priority":2,)"
+               R"("max_attempts":3)",
+               target);
+}
+
+std::string application_service(std::string const& name) {
+  return R"({"name":")" + name + R"(","health_path":"/health","max_conns":110})";
+}
+
+std::string model_service(std::string const& name, std::uint32_t slots) {
+  return R"({"name":")" + name + R"(","health_path":"/health","max_conns":150,"engine":{"slots":)" +
+         std::to_string(slots) +
+         R"(,"kv_capacity":100000,)"
          R"("models":[{"name":")" +
          k_model + R"("}]}})";
 }
--- a/review/standin/deployment.cc
+++ b/review/standin/deployment.cc
@@ -1,7 +1,10 @@
 #include "deployment.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/filesystem.hpp>
+#include <cstdlib>
 #include <fstream>
 #include <regex>
 #include <set>
@@ -18,7 +21,6 @@
 namespace files = boost::filesystem;
 namespace json = boost::json;
 
-constexpr char k_address[] = "127.0.0.1";
 constexpr std::uint32_t k_zones = 3;
 constexpr milliseconds k_start_timeout{20'000};
 constexpr milliseconds k_poll{20};
@@ -26,6 +28,12 @@
 
 std::string zone_of(std::size_t number) { return "zone-" + std::to_string(number % k_zones); }
 
+std::string own_loopback_address() {
+  auto const process = static_cast<std::uint32_t>(::getpid());
+  auto const part = [](std::uint32_t value) { return std::to_string(1 + value % 250); };
+  return "127." + part(process) + "." + part(process / 250) + ".1";
+}
+
 std::string read_file(std::string const& path) {
   std::ifstream file(path);
   if (!file) throw std::runtime_error("can't read " + path);
@@ -49,6 +57,11 @@
   return text;
 }
 
+/// Reads a number of seconds, which may have a fraction; 0 if there is none.
+milliseconds read_seconds(std::string_view text) {
+  return milliseconds(static_cast<std::int64_t>(1000 * std::atof(std::string(text).c_str())));
+}
+
 }  // namespace
 
 bool wait_until(milliseconds timeout, std::function<bool()> const& condition) {
@@ -66,6 +79,7 @@
     : options_(std::move(options)),
       record_(log),
       folder_((files::temp_directory_path() / files::unique_path("review-%%%%%%%%")).string()),
+      address_(own_loopback_address()),
       store_address_(free_endpoint()) {
   files::create_directories(folder_);
   store_ = std::make_unique<testing::store_standin>(context_, store_address_);
@@ -83,13 +97,13 @@
   files::remove_all(folder_, ignored);
 }
 
-endpoint deployment::free_endpoint() {
+endpoint deployment::free_endpoint() const {
   static std::set<std::uint16_t> given;
   asio::io_context context;
   while (true) {
-    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address(k_address), 0));
+    tcp::acceptor acceptor(context, tcp::endpoint(asio::ip::make_address(address_), 0));
     std::uint16_t const port = acceptor.local_endpoint().port();
-    if (given.insert(port).second) return {k_address, port};
+    if (given.insert(port).second) return {address_, port};
   }
 }
 
@@ -186,10 +200,14 @@
   message.set(http::field::host, k_host);
   if (!request.empty()) message.set("X-Frostline-Request-Id", request);
   message.set("X-Frostline-Deadline-Ms", std::to_string(deadline.count()));
+  message.set("X-Frostline-Model", k_model);
+  message.set("X-Frostline-Token-Usage", "60,40");
+  message.set("X-Frostline-Prompt-Prefix", "9c2e41:60");
   message.body() = body;
   message.prepare_payload();
   std::string const what = std::string(message.method_string()) + " " + path + " " + request +
                            " at frontend-" + std::to_string(gateway);
+  record_.write("client", "sends " + what);
   asio::io_context context(1);
   http::beast::tcp_stream stream(context);
   endpoint const where = addresses_.at(gateway).clients;
@@ -205,7 +223,8 @@
     auto [failure, count] = co_await http::bhttp::async_read(stream, buffer, answer, k_as_tuple);
     if (failure) co_return client_answer();
     co_return client_answer{answer.result_int(), answer.body(),
-                            std::string(http::header(answer, "X-Frostline-Server-Stamp"))};
+                            std::string(http::header(answer, "X-Frostline-Server-Stamp")),
+                            read_seconds(http::header(answer, "Retry-After"))};
   };
   client_answer const answer = rpc::run_blocking(context, exchange());
   std::string shown = answer.body.substr(0, k_shown_bytes);
@@ -215,18 +234,26 @@
 }
 
 client_answer deployment::submit(std::uint32_t gateway, std::string const& path,
-                                 std::string const& job, std::vector<job_item> const& items) {
+                                 std::string const& job, std::vector<job_item> const& items,
+                                 std::string const& scorer_path) {
   json::array list;
   std::set<std::string> groups;
   for (job_item const& item : items) {
     groups.insert(item.group);
-    list.push_back(json::object{{"id", item.id},
-                                {"path", path + item.id},
-                                {"headers", json::object{{"X-Frostline-Model", k_model},
-                                                         {"X-Frostline-Token-Usage", "60,40"}}},
-                                {"body", base64_encode("prompt of " + item.id)},
-                                {"tokens", 100},
-                                {"group", item.group}});
+    json::object entry{{"id", item.id},
+                       {"path", path + item.id},
+                       {"headers", json::object{{"X-Frostline-Model", k_model},
+                                                {"X-Frostline-Token-Usage", "60,40"}}},
+                       {"body", base64_encode("prompt of " + item.id)},
+                       {"tokens", 100},
+                       {"group", item.group}};
+    if (!scorer_path.empty()) {
+      entry["scorer"] = json::object{{"id", "score-" + item.id},
+                                     {"host", k_host},
+                                     {"path", scorer_path + item.id},
+                                     {"body", base64_encode("score of " + item.id)}};
+    }
+    list.push_back(std::move(entry));
   }
   json::object const body{{"step", 0},
                           {"model", k_model},
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -41,6 +41,8 @@
   unsigned status = 0;
   std::string body;
   std::string stamp;
+  /// Time after which the client may try again.
+  milliseconds retry_after{0};
 };
 
 struct job_item {
@@ -69,9 +71,10 @@
   /// Sends one request to a gateway on a new connection and waits for its answer.
   client_answer call(std::uint32_t gateway, http::verb method, std::string const& path,
                      std::string const& request, std::string const& body, milliseconds deadline);
-  /// Submits a job under `path`, without scorers. The trainer waits for all its groups.
+  /// Submits a job under `path`. The trainer waits for all its groups.
+  /// @param scorer_path path under which the items' reward calls are sent; empty for no scorers.
   client_answer submit(std::uint32_t gateway, std::string const& path, std::string const& job,
-                       std::vector<job_item> const& items);
+                       std::vector<job_item> const& items, std::string const& scorer_path = "");
   /// Reads a job's results from a position on; nothing if the status is not 200.
   std::optional<boost::json::object> results(std::uint32_t gateway, std::string const& job,
                                              std::uint64_t after);
@@ -89,11 +92,13 @@
   std::string settings_of(std::uint32_t gateway) const;
   /// Writes the record of a server's current incarnation and removes that of an earlier one.
   void announce(server const& target);
-  static endpoint free_endpoint();
+  endpoint free_endpoint() const;
 
   deployment_options options_;
   record& record_;
   std::string folder_;
+  /// Loopback address of this process alone, so that outgoing connections take none of its ports.
+  std::string address_;
   asio::io_context context_{1};
   endpoint store_address_;
   std::unique_ptr<testing::store_standin> store_;
--- a/review/standin/moved_route.cc
+++ b/review/standin/moved_route.cc
@@ -48,8 +48,8 @@
       engines.push_back(&all.add_server(one));
     }
   }
-  std::vector<std::string> const services = {model_service(k_first_service),
-                                             model_service(k_second_service)};
+  std::vector<std::string> const services = {model_service(k_first_service, k_slots),
+                                             model_service(k_second_service, k_slots)};
   all.put_configuration(
       configuration(1, {rollout_route("/jobs/", target(k_first_service))}, services));
   all.start_gateways();
--- a/review/standin/server.cc
+++ b/review/standin/server.cc
@@ -114,7 +114,7 @@
 }
 
 std::size_t server::begin_run(http::request const& message) {
-  runs_.push_back({id_of(message), record_.now(), 200});
+  runs_.push_back({id_of(message), record_.now(), 200, std::nullopt, false});
   record_.write(id(), "runs " + id_of(message) + " " + std::string(message.target()) +
                           " after event " + std::string(http::header(message, "Last-Event-Id")));
   return runs_.size() - 1;
@@ -131,9 +131,11 @@
   }
   http::status const code = admission(message);
   if (code != http::status::ok) co_return refusal(message, code);
-  begin_run(message);
+  std::size_t const number = begin_run(message);
   std::string const request = id_of(message);
   co_await wait_for(options_.event_gap);
+  runs_[number].ended_ms = record_.now();
+  runs_[number].finished = true;
   http::response whole =
       http::make_response(http::status::ok, "answer to " + request, "text/plain");
   sign(whole, request, id());
@@ -147,7 +149,9 @@
   std::size_t const number = begin_run(message);
   if (fail_each_ > 0 && runs_.size() % fail_each_ == 0) {
     runs_[number].status = 500;
-    co_return co_await fail(message, writer);
+    co_await fail(message, writer);
+    runs_[number].ended_ms = record_.now();
+    co_return true;
   }
   http::response head = http::make_response(http::status::ok, "", "text/event-stream");
   sign(head, runs_[number].request, id());
@@ -156,8 +160,10 @@
   auto const running = requests_.insert(runs_[number].request);
   bool const begun = co_await writer.begin(std::move(head));
   if (begun) {
-    co_await write_events(writer, number, to_number(http::header(message, "Last-Event-Id")));
+    runs_[number].finished =
+        co_await write_events(writer, number, to_number(http::header(message, "Last-Event-Id")));
   }
+  runs_[number].ended_ms = record_.now();
   --running_;
   requests_.erase(running);
   co_return true;
--- a/review/standin/server.h
+++ b/review/standin/server.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,7 +21,7 @@
   std::string service;
   std::string zone;
   endpoint address;
-  std::uint32_t slots = 4;
+  std::uint32_t slots = 8;
   /// Model servers only.
   std::string model;
   std::uint32_t events = 20;
@@ -35,6 +36,10 @@
   std::int64_t began_ms = 0;
   /// Status that the server gave, also if its answer was broken off.
   unsigned status = 0;
+  /// Time at which the server stopped working on it; nothing while it is at work.
+  std::optional<std::int64_t> ended_ms;
+  /// The server made its whole answer.
+  bool finished = false;
 };
 
 /// An order that a server received.
