A request that may have run is never refused as not run

Callers saw 503 with Retry-After, which promises that a request has not run, for a request of an event stream that may not be resumed. A server had run it, given its own 500 and broken that answer off; the caller sent it again and it ran twice.

Cause: run_stream left its loop when the rest of an answer could not be read and answered without setting a reason, and failure_response gave 503 to every reason that it did not name, also to `none`. Whether a request may have run was noted where attempts fail, so any way out of a loop that forgot it made the promise.

Change: an attempt that reached a server marks the request, unless the server states that it has not run it; the reason is worked out from that mark when a failure is answered; only reasons that say "not run" get 503 or 404, by name. The other way weighed, setting the reason in run_stream alone, leaves the promise as the default of the next way out.

--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -13,6 +13,28 @@
 /// next trial may be due later than this.
 constexpr seconds k_max_retry_after{60};
 
+/// Clients take statuses 404 and 503 as a promise that the request has not run, so each reason that
+/// gets one of them is listed.
+http::status status_of(call_failure reason) {
+  switch (reason) {
+    case call_failure::no_route:
+      return http::status::not_found;
+    case call_failure::no_configuration:
+    case call_failure::no_server:
+    case call_failure::servers_full:
+    case call_failure::deadline_not_run:
+    case call_failure::quarantined:
+      return http::status::service_unavailable;
+    case call_failure::deadline_unknown:
+      return http::status::gateway_timeout;
+    case call_failure::none:
+    case call_failure::outcome_unknown:
+    case call_failure::caller_left:
+      break;
+  }
+  return http::status::bad_gateway;
+}
+
 std::string seconds_until(std::optional<milliseconds> retry_delay) {
   seconds const delay = std::chrono::ceil<seconds>(retry_delay.value_or(k_max_retry_after));
   return std::to_string(std::clamp(delay, seconds(1), k_max_retry_after).count());
@@ -47,10 +69,7 @@
 }
 
 http::response failure_response(call_failure reason, std::optional<milliseconds> retry_delay) {
-  http::status code = http::status::service_unavailable;
-  if (reason == call_failure::no_route) code = http::status::not_found;
-  if (reason == call_failure::outcome_unknown) code = http::status::bad_gateway;
-  if (reason == call_failure::deadline_unknown) code = http::status::gateway_timeout;
+  http::status const code = status_of(reason);
   std::string body = "{\"reason\":\"" + std::string(to_string(reason)) + "\"}";
   http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
   if (code == http::status::service_unavailable) {
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -11,6 +11,7 @@
 
 /// Why a request got no answer from a server.
 enum class call_failure {
+  /// A server answered, so there is no failure.
   none,
   /// This node has no configuration or no server directory yet.
   no_configuration,
@@ -33,9 +34,9 @@
 
 std::string_view to_string(call_failure reason);
 
-/// Makes the response for a request without a server's answer: status 404 for no_route, 502 for
-/// outcome_unknown, 504 for deadline_unknown, 503 for all other reasons. Only 503 responses have a
-/// Retry-After header.
+/// Makes the response for a request without a server's answer. Reasons that state that the request
+/// has not run give status 503 with a Retry-After header, or 404 for no_route. All others give 502,
+/// or 504 for deadline_unknown, which promise nothing.
 /// @param retry_delay time until the next trial of a quarantined request; nullopt: the longest
 /// delay is sent. Ignored for other reasons.
 http::response failure_response(call_failure reason,
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -98,12 +98,7 @@
 void forwarder::note_failure(request_state& state, exchange const& upstream,
                              exchange_failure failure) {
   ++counters_.failed_attempts[static_cast<std::size_t>(failure)];
-  bool const not_connected = failure == exchange_failure::not_connected;
-  if (not_connected) {
-    --state.attempts;
-  } else {
-    state.may_have_run = true;
-  }
+  if (failure == exchange_failure::not_connected) --state.attempts;
   if (failure == exchange_failure::aborted) {
     note_caller_left(state, upstream);
   } else {
@@ -189,10 +184,11 @@
     bool const accepted = answered && accepts(state, *upstream);
     bool const refused = answered && !accepted && is_refusal(upstream->head());
     bool const not_connected = failure == exchange_failure::not_connected;
-    if (!refused && !not_connected) state.trial_ran = state.is_trial;
+    bool const may_have_begun = !refused && !not_connected;
+    state.may_have_run = state.may_have_run || may_have_begun;
+    if (may_have_begun) state.trial_ran = state.is_trial;
     if (not_connected && all_failed) state.unreachable.insert(server_id);
-    count_run(state, usage_attempt, !refused && !not_connected,
-              answered && has_events(upstream->head()));
+    count_run(state, usage_attempt, may_have_begun, answered && has_events(upstream->head()));
     if (accepted) co_return upstream;
     if (answered && !refused) co_await discard_answer(state, *upstream);
     if (state.client != nullptr) state.client->on_disconnect(nullptr);
@@ -201,23 +197,17 @@
   if (state.is_trial && !state.trial_ran) {
     co_await dependencies_.quarantine.return_trial(fingerprint_of(state));
   }
-  set_call_failure(state);
   co_return nullptr;
 }
 
-void forwarder::set_call_failure(request_state& state) {
-  if (state.client != nullptr && state.client->is_disconnected()) {
-    state.reason = call_failure::caller_left;
-  } else if (boot_clock::now() >= state.deadline) {
-    state.reason =
-        state.may_have_run ? call_failure::deadline_unknown : call_failure::deadline_not_run;
-  } else if (state.may_have_run) {
-    state.reason = call_failure::outcome_unknown;
-  } else if (state.is_quarantined) {
-    state.reason = call_failure::quarantined;
-  } else {
-    state.reason = state.was_refused ? call_failure::servers_full : call_failure::no_server;
+call_failure forwarder::failure_reason(request_state const& state) const {
+  if (state.client != nullptr && state.client->is_disconnected()) return call_failure::caller_left;
+  if (boot_clock::now() >= state.deadline) {
+    return state.may_have_run ? call_failure::deadline_unknown : call_failure::deadline_not_run;
   }
+  if (state.may_have_run) return call_failure::outcome_unknown;
+  if (state.is_quarantined) return call_failure::quarantined;
+  return state.was_refused ? call_failure::servers_full : call_failure::no_server;
 }
 
 awaitable<void> forwarder::handle(std::shared_ptr<route_table const> table,
@@ -252,33 +242,34 @@
   }
   call_outcome outcome = co_await run_whole(state);
   if (outcome.reason != call_failure::none) {
-    co_await answer_failure(state);
+    co_await answer_failure(state, outcome.reason);
     co_return;
   }
   ++counters_.answered;
-  log_outcome(state, outcome.answer.result_int(), "Answered.");
+  log_outcome(state, outcome.answer.result_int(), call_failure::none, "Answered.");
   co_await client.answer(std::move(outcome.answer));
 }
 
-awaitable<void> forwarder::answer_failure(request_state& state) {
-  if (state.reason == call_failure::caller_left) {
+awaitable<void> forwarder::answer_failure(request_state& state, call_failure reason) {
+  if (reason == call_failure::caller_left) {
     ++counters_.callers_left;
   } else {
     ++counters_.unanswered;
   }
-  http::response failure_answer = failure_response(state.reason, state.retry_delay);
-  log_outcome(state, failure_answer.result_int(), "Request failed.");
+  http::response failure_answer = failure_response(reason, state.retry_delay);
+  log_outcome(state, failure_answer.result_int(), reason, "Request failed.");
   co_await state.client->answer(std::move(failure_answer));
 }
 
-void forwarder::log_outcome(request_state& state, unsigned status, std::string_view log_message) {
-  bool const unanswered = state.reason != call_failure::none;
+void forwarder::log_outcome(request_state& state, unsigned status, call_failure reason,
+                            std::string_view log_message) {
+  bool const unanswered = reason != call_failure::none;
   log_line(log_level::info, k_part, log_message,
            {{"request", http::header(state.message, dependencies_.names.request_id)},
             {"route", state.matched_route->name},
             {"tenant", state.tenant},
             {"status", status},
-            {"reason", to_string(state.reason)},
+            {"reason", to_string(reason)},
             {"server", state.server},
             {"attempts", state.attempts},
             {"fingerprint", unanswered ? fingerprint_of(state).to_string() : std::string()},
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -108,6 +108,8 @@
     bool timed_out_early = false;
     /// Complete answers with status 500.
     std::uint32_t server_errors = 0;
+    /// Set by the first attempt that reached a server, unless the server states that it has not run
+    /// the request.
     bool may_have_run = false;
     bool was_refused = false;
     std::string server;
@@ -132,13 +134,11 @@
     std::shared_ptr<void> unattended_run;
     /// A server may have begun to run the trial.
     bool trial_ran = false;
-    call_failure reason = call_failure::none;
   };
 
   request_state begin(std::shared_ptr<route_table const> table, route const& matched_route,
                       http::request message, time_point deadline, caller* client);
-  /// Makes attempts until a server's answer begins. @return null if the request failed;
-  /// `state.reason` tells why.
+  /// Makes attempts until a server's answer begins. @return null if no further attempt may be made.
   awaitable<std::unique_ptr<exchange>> next_exchange(request_state& state);
   awaitable<exchange_failure> attempt(request_state& state, exchange& upstream);
   /// Returns true if the server states that it has not run the request.
@@ -178,7 +178,8 @@
   void note_whole_answer(request_state& state, exchange const& upstream);
   /// Reports that a server survived the request.
   void clear_suspicion(request_state& state, exchange const& upstream);
-  void set_call_failure(request_state& state);
+  /// Returns why the request got no answer; never `none`.
+  call_failure failure_reason(request_state const& state) const;
   bool may_try_again(request_state const& state) const;
   /// Returns true if the request should be isolated from others, since it may crash its server.
   bool is_suspect(request_state& state) const;
@@ -212,8 +213,9 @@
   /// Forwards complete events. @return false if another server may resume the stream.
   awaitable<bool> forward_events(request_state& state, exchange& upstream, event_splitter& splitter,
                                  bool& begun);
-  awaitable<void> answer_failure(request_state& state);
-  void log_outcome(request_state& state, unsigned status, std::string_view log_message);
+  awaitable<void> answer_failure(request_state& state, call_failure reason);
+  void log_outcome(request_state& state, unsigned status, call_failure reason,
+                   std::string_view log_message);
 
   forwarder_dependencies dependencies_;
   share_picker shares_;
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -40,9 +40,7 @@
   bool const failed = head.result_int() >= 500;
   bool const should_retry = failed && state.matched_route->is_repeatable() &&
                             state.attempts < state.matched_route->max_attempts;
-  if (!should_retry) return true;
-  state.may_have_run = true;
-  return false;
+  return !should_retry;
 }
 
 void forwarder::note_caller_left(request_state& state, exchange const& upstream) {
@@ -178,7 +176,7 @@
     }
     outcome.answer = http::response();
   }
-  outcome.reason = state.reason;
+  outcome.reason = failure_reason(state);
   outcome.server_errors = state.server_errors;
   outcome.attempts = state.attempts;
   outcome.server = state.server;
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -34,7 +34,7 @@
     splitter.reset();
   }
   // After the answer has begun, only a missing end shows the client that it is truncated.
-  if (!begun) co_await answer_failure(state);
+  if (!begun) co_await answer_failure(state, failure_reason(state));
 }
 
 awaitable<bool> forwarder::forward_events(request_state& state, exchange& upstream,
@@ -78,7 +78,7 @@
   dependencies_.selector.note_answer(upstream.server().id);
   upstream.finish();
   ++counters_.answered;
-  log_outcome(state, 200, "Streamed.");
+  log_outcome(state, 200, call_failure::none, "Streamed.");
   co_await state.client->end();
   co_return true;
 }
--- /dev/null
+++ b/tests/support/forwarder_fixture.cc
@@ -0,0 +1,147 @@
+#include "forwarder_fixture.h"
+
+#include <stdexcept>
+
+namespace frostline::testing {
+namespace {
+
+constexpr char k_host[] = "test.example";
+constexpr char k_path[] = "/calls/";
+constexpr char k_service[] = "servers";
+constexpr milliseconds k_deadline{3000};
+constexpr std::uint32_t k_max_attempts = 3;
+constexpr std::string_view k_end_of_head = "\r\n\r\n";
+
+std::shared_ptr<calls::route_table const> make_table(calls::route_kind kind, bool resumable) {
+  calls::route route;
+  route.name = "calls";
+  route.host = k_host;
+  route.path_prefix = k_path;
+  route.kind = kind;
+  route.resumable = resumable;
+  route.timeout = k_deadline;
+  route.target_latency = k_deadline;
+  route.max_attempts = k_max_attempts;
+  route.shares.push_back({k_service, 1});
+  calls::configuration all;
+  all.version = 1;
+  all.routes.push_back(route);
+  all.services[k_service].name = k_service;
+  return std::make_shared<calls::route_table const>(std::move(all));
+}
+
+}  // namespace
+
+scripted_servers::scripted_servers(asio::io_context& context, std::size_t count)
+    : context_(context) {
+  tcp::endpoint const any_port(asio::ip::make_address("127.0.0.1"), 0);
+  for (std::size_t index = 0; index < count; ++index) {
+    acceptors_.push_back(std::make_unique<tcp::acceptor>(context_, any_port));
+    spawn(context_, accept(*acceptors_.back()));
+  }
+}
+
+directory::server scripted_servers::describe(std::size_t index) const {
+  directory::server described;
+  described.id = "server-" + std::to_string(index);
+  described.service = k_service;
+  described.address = {"127.0.0.1", acceptors_.at(index)->local_endpoint().port()};
+  described.zone = "zone";
+  described.slots = 8;
+  return described;
+}
+
+awaitable<void> scripted_servers::accept(tcp::acceptor& acceptor) {
+  while (true) {
+    auto socket = std::make_shared<tcp::socket>(context_);
+    auto [failure] = co_await acceptor.async_accept(*socket, k_as_tuple);
+    if (failure) co_return;
+    spawn(context_, serve(socket));
+  }
+}
+
+awaitable<void> scripted_servers::serve(std::shared_ptr<tcp::socket> socket) {
+  std::string received;
+  while (true) {
+    auto [failure, count] = co_await asio::async_read_until(*socket, asio::dynamic_buffer(received),
+                                                            k_end_of_head, k_as_tuple);
+    if (failure) co_return;
+    received.clear();
+    ++arrivals_;
+    if (next_step_ == script_.size()) continue;
+    scripted_answer const step = script_[next_step_++];
+    co_await asio::async_write(*socket, asio::buffer(step.bytes), k_as_tuple);
+    if (!step.closes) continue;
+    boost::system::error_code ignored;
+    socket->close(ignored);
+    co_return;
+  }
+}
+
+awaitable<void> recording_caller::answer(http::response whole) {
+  if (leaves_during_answer_) disconnect();
+  status_ = whole.result_int();
+  retry_after_ = std::string(http::header(whole, "Retry-After"));
+  body_ = std::move(whole.body());
+  complete_ = true;
+  co_return;
+}
+
+awaitable<bool> recording_caller::begin(http::response head) {
+  status_ = head.result_int();
+  co_return !disconnected_;
+}
+
+awaitable<bool> recording_caller::send(std::string piece) {
+  body_ += piece;
+  co_return !disconnected_;
+}
+
+awaitable<void> recording_caller::end() {
+  complete_ = true;
+  co_return;
+}
+
+void recording_caller::disconnect() {
+  disconnected_ = true;
+  if (!listener_) return;
+  notified_during_answer_ = leaves_during_answer_;
+  listener_();
+}
+
+forwarder_fixture::forwarder_fixture(std::size_t server_count) : servers(context, server_count) {
+  std::vector<directory::server> described;
+  for (std::size_t index = 0; index < server_count; ++index) {
+    described.push_back(servers.describe(index));
+  }
+  directory_.replace_all(std::move(described));
+}
+
+void forwarder_fixture::forward(calls::route_kind kind, bool resumable,
+                                std::vector<scripted_answer> script) {
+  servers.set_script(std::move(script));
+  auto const table = make_table(kind, resumable);
+  calls::route const* const route = table->match(k_host, k_path);
+  http::request message(http::verb::post, k_path, 11);
+  message.set(http::field::host, k_host);
+  message.set(names_.request_id, "r-1");
+  bool handled = false;
+  auto handle = [&]() -> awaitable<void> {
+    co_await forwarder.handle(table, route, message, "", boot_clock::now() + k_deadline, client);
+    handled = true;
+  };
+  spawn(context, handle());
+  time_point const limit = boot_clock::now() + 2 * k_deadline;
+  while (!handled && boot_clock::now() < limit) context.run_one_for(k_deadline);
+  if (!handled) throw std::runtime_error("the request is still being handled");
+}
+
+std::size_t forwarder_fixture::outstanding() const {
+  std::size_t running = 0;
+  for (std::size_t index = 0; index < servers.count(); ++index) {
+    running += selector_.outstanding(servers.describe(index).id);
+  }
+  return running;
+}
+
+}  // namespace frostline::testing
