An answer that is too large counts as an attempt that may have run

Callers saw 503 for a request that may run once only and whose server answered with more than 64 MiB; it was sent to the next server before. The server of the first attempt counted as running it for good.

Cause: read_whole gave up such an answer without noting a failure. Change: the failure has a name of its own (answer_too_large, counted and logged like the others) and is noted as every other one; a size that the head announces is refused before the body is read.

Evidence: forwarder_failures_test.unsafe_request_with_an_oversized_answer_is_sent_once got 503 on, announced_oversized_answer_is_given_up_before_it_is_read 504 after its whole deadline; both pass now.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -57,6 +57,8 @@
       return "foreign_answer";
     case exchange_failure::aborted:
       return "aborted";
+    case exchange_failure::answer_too_large:
+      return "answer_too_large";
   }
   return "unknown";
 }
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -35,9 +35,11 @@
   foreign_answer,
   /// `exchange::abort` was called.
   aborted,
+  /// The answer is larger than this node keeps in memory; the request has run.
+  answer_too_large,
 };
 
-inline constexpr std::size_t k_exchange_failures = 7;
+inline constexpr std::size_t k_exchange_failures = 8;
 
 std::string_view to_string(exchange_failure failure);
 
@@ -123,6 +125,11 @@
   /// Reads more of the body into `piece`, which is empty at the end of the body.
   awaitable<exchange_failure> read_piece(std::string& piece, time_point deadline);
   bool is_whole() const { return parser_ && parser_->is_done(); }
+  /// Size of the body in bytes as the head announces it; nullopt if it does not.
+  std::optional<std::uint64_t> announced_body_size() const {
+    auto const size = parser_->content_length();
+    return size ? std::optional<std::uint64_t>(*size) : std::nullopt;
+  }
   /// Returns true if the answer was read to its end and carries the id of the request. Only such an
   /// answer proves that the server ended this request with the answer's status.
   bool is_whole_own_answer() const;
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -206,7 +206,10 @@
   /// Reports an attempt that timed out.
   void note_timeout(request_state& state, exchange const& upstream);
   awaitable<call_outcome> run_whole(request_state& state);
-  /// Reads the rest of an answer. @return false if it failed or is too large.
+  /// Appends the rest of an answer's body to `body`, up to the size that this node keeps.
+  awaitable<exchange_failure> read_body(request_state const& state, exchange& upstream,
+                                        std::string& body);
+  /// Reads the rest of an answer. @return false if the attempt failed, which is noted.
   awaitable<bool> read_whole(request_state& state, exchange& upstream,
                              http::response& whole_answer);
   awaitable<void> run_stream(request_state& state);
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -139,20 +139,31 @@
   upstream.finish();
 }
 
+awaitable<exchange_failure> forwarder::read_body(request_state const& state, exchange& upstream,
+                                                 std::string& body) {
+  bool const is_read = upstream.is_whole();
+  if (!is_read && upstream.announced_body_size().value_or(0) > k_max_answer_bytes) {
+    co_return exchange_failure::answer_too_large;
+  }
+  std::string piece;
+  while (!upstream.is_whole() || !upstream.head().body().empty()) {
+    exchange_failure const failure = co_await upstream.read_piece(piece, state.deadline);
+    if (failure != exchange_failure::none) co_return failure;
+    body += piece;
+    if (body.size() > k_max_answer_bytes) co_return exchange_failure::answer_too_large;
+  }
+  co_return exchange_failure::none;
+}
+
 awaitable<bool> forwarder::read_whole(request_state& state, exchange& upstream,
                                       http::response& whole_answer) {
   whole_answer.base() = upstream.head().base();
   state.attempt_timeout =
       std::chrono::duration_cast<milliseconds>(state.deadline - state.attempt_started_at);
-  std::string piece;
-  while (!upstream.is_whole() || !upstream.head().body().empty()) {
-    exchange_failure const failure = co_await upstream.read_piece(piece, state.deadline);
-    if (failure != exchange_failure::none) {
-      note_failure(state, upstream, failure);
-      co_return false;
-    }
-    whole_answer.body() += piece;
-    if (whole_answer.body().size() > k_max_answer_bytes) co_return false;
+  exchange_failure const failure = co_await read_body(state, upstream, whole_answer.body());
+  if (failure != exchange_failure::none) {
+    note_failure(state, upstream, failure);
+    co_return false;
   }
   count_server_error(state, upstream);
   note_whole_answer(state, upstream);
