A client's disconnect reaches no exchange that has ended

Seen as the end of the gateway's process: a client that left while the failure of its request was being sent called the abort of an exchange that was destroyed.

Cause: each path had to remove the listener by hand before its exchange ended; the paths that leave the loops of event streams early did not. Change: the exchange holds the subscription, which removes the listener with it.

--- a/src/calls/caller.h
+++ b/src/calls/caller.h
@@ -27,4 +27,18 @@
   virtual void on_disconnect(std::function<void()> listener) = 0;
 };
 
+/// Listens for a client's disconnect while it exists; the client must outlive it.
+class disconnect_subscription {
+ public:
+  disconnect_subscription(caller& client, std::function<void()> listener) : client_(client) {
+    client_.on_disconnect(std::move(listener));
+  }
+  ~disconnect_subscription() { client_.on_disconnect(nullptr); }
+  disconnect_subscription(disconnect_subscription const&) = delete;
+  disconnect_subscription& operator=(disconnect_subscription const&) = delete;
+
+ private:
+  caller& client_;
+};
+
 }  // namespace frostline::calls
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "base/asio.h"
 #include "calls/header_names.h"
@@ -144,7 +145,7 @@
   /// Closes the connection; the operation in progress fails as if its deadline had passed.
   void expire();
   /// Keeps `resource` alive until the exchange is destroyed.
-  void hold(std::shared_ptr<void> resource) { held_resource_ = std::move(resource); }
+  void hold(std::shared_ptr<void> resource) { held_resources_.push_back(std::move(resource)); }
   bool is_aborted() const { return aborted_; }
   /// Returns true if a pooled connection of this exchange gave no byte of an answer in time. Other
   /// pooled connections may have failed with it.
@@ -203,7 +204,7 @@
   bool saw_silent_connection_ = false;
   std::optional<milliseconds> idle_time_;
   time_point opened_at_{};
-  std::shared_ptr<void> held_resource_;
+  std::vector<std::shared_ptr<void>> held_resources_;
 };
 
 }  // namespace frostline::calls
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -175,8 +175,10 @@
     if (state.client == nullptr && dependencies_.quarantine.has_suspects()) {
       state.unattended_run = dependencies_.quarantine.begin_unattended_run(fingerprint_of(state));
     }
-    if (state.client != nullptr)
-      state.client->on_disconnect([active_exchange = upstream.get()] { active_exchange->abort(); });
+    if (state.client != nullptr) {
+      upstream->hold(std::make_shared<disconnect_subscription>(
+          *state.client, [active = upstream.get()] { active->abort(); }));
+    }
     if (is_suspect(state)) upstream->hold(dependencies_.selector.isolate(selected->id));
     auto const usage_attempt = dependencies_.runs.begin_attempt(state.attempt_started_at);
     exchange_failure const failure = co_await attempt(state, *upstream);
@@ -191,7 +193,6 @@
     count_run(state, usage_attempt, may_have_begun, answered && has_events(upstream->head()));
     if (accepted) co_return upstream;
     if (answered && !refused) co_await discard_answer(state, *upstream);
-    if (state.client != nullptr) state.client->on_disconnect(nullptr);
     if (failure != exchange_failure::none) note_failure(state, *upstream, failure);
   }
   if (state.is_trial && !state.trial_ran) {
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -175,9 +175,7 @@
   call_outcome outcome;
   times_.note_call(state.service);
   while (auto upstream = co_await next_exchange(state)) {
-    bool const whole = co_await read_whole(state, *upstream, outcome.answer);
-    if (state.client != nullptr) state.client->on_disconnect(nullptr);
-    if (whole) {
+    if (co_await read_whole(state, *upstream, outcome.answer)) {
       strip_hop_by_hop(outcome.answer);
       outcome.answer.erase(http::field::content_length);
       outcome.attempts = state.attempts;
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -18,7 +18,6 @@
     if (!begun && !has_events(upstream->head())) {
       http::response whole;
       if (!co_await read_whole(state, *upstream, whole)) break;
-      state.client->on_disconnect(nullptr);
       strip_hop_by_hop(whole);
       whole.erase(http::field::content_length);
       co_await state.client->answer(std::move(whole));
@@ -29,7 +28,6 @@
       break;
     }
     bool const finished = co_await forward_events(state, *upstream, splitter, begun);
-    state.client->on_disconnect(nullptr);
     if (finished) co_return;
     splitter.reset();
   }
--- a/tests/unit/calls/forwarder_failures_test.cc
+++ b/tests/unit/calls/forwarder_failures_test.cc
@@ -70,3 +70,10 @@
   LONGS_EQUAL(502, system.client.status());
   LONGS_EQUAL(0, system.outstanding());
 }
+
+// Guards against a listener that outlives its exchange.
+TEST(forwarder_failures_test, client_that_leaves_while_its_failure_is_sent_notifies_nobody) {
+  system.client.leave_during_answer();
+  system.forward(route_kind::streaming, false, {{k_cut_error, true}});
+  CHECK_FALSE(system.client.notified_during_answer());
+}
