Event streams go on after an answer that can't be used, and truncation is told

Callers saw a stream that may be resumed end, or 503, although other servers could be tried: when the first answer was no stream and broke off, when a server answered the continuation with something that is no stream, and when a stream ended inside an event. The last two left no line in the log, no counter, and the last one a request that counted as running at its server for good.

Cause: these cases left the loop of run_stream or returned before the outcome was noted. Change: they are attempts like others, and next_exchange decides whether another one is allowed. A stream that a client has only a part of is logged ("Stream truncated.") and counted (frostline_streams_truncated_total). Whole answers on routes of event streams are logged and counted as answered. A write to a client that fails counts as its disconnect, so that no server resumes a stream for nobody.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -59,6 +59,8 @@
       return "aborted";
     case exchange_failure::answer_too_large:
       return "answer_too_large";
+    case exchange_failure::partial_event:
+      return "partial_event";
   }
   return "unknown";
 }
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -38,9 +38,11 @@
   aborted,
   /// The answer is larger than this node keeps in memory; the request has run.
   answer_too_large,
+  /// The answer's event stream ended in the middle of an event.
+  partial_event,
 };
 
-inline constexpr std::size_t k_exchange_failures = 8;
+inline constexpr std::size_t k_exchange_failures = 9;
 
 std::string_view to_string(exchange_failure failure);
 
--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -246,9 +246,13 @@
     co_await answer_failure(state, outcome.reason);
     co_return;
   }
+  co_await pass_on(state, std::move(outcome.answer));
+}
+
+awaitable<void> forwarder::pass_on(request_state& state, http::response whole_answer) {
   ++counters_.answered;
-  log_outcome(state, outcome.answer.result_int(), call_failure::none, "Answered.");
-  co_await client.answer(std::move(outcome.answer));
+  log_outcome(state, whole_answer.result_int(), call_failure::none, "Answered.");
+  co_await state.client->answer(std::move(whole_answer));
 }
 
 awaitable<void> forwarder::answer_failure(request_state& state, call_failure reason) {
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -41,6 +41,8 @@
   std::uint64_t unanswered = 0;
   std::uint64_t retries = 0;
   std::uint64_t callers_left = 0;
+  /// Event streams that a client got only a part of, since no further attempt was allowed.
+  std::uint64_t truncated_streams = 0;
   /// Failed attempts, indexed by exchange_failure.
   std::array<std::uint64_t, k_exchange_failures> failed_attempts{};
   /// Attempts that ended at a limit that was early for the service's usual response times.
@@ -209,14 +211,19 @@
   /// Appends the rest of an answer's body to `body`, up to the size that this node keeps.
   awaitable<exchange_failure> read_body(request_state const& state, exchange& upstream,
                                         std::string& body);
-  /// Reads the rest of an answer. @return false if the attempt failed, which is noted.
+  /// Reads the rest of an answer, and removes the headers of its connection. @return false if the
+  /// attempt failed, which is noted.
   awaitable<bool> read_whole(request_state& state, exchange& upstream,
                              http::response& whole_answer);
   awaitable<void> run_stream(request_state& state);
-  /// Forwards complete events. @return false if another server may resume the stream.
+  /// Forwards complete events. @return false if the stream did not come to its end.
   awaitable<bool> forward_events(request_state& state, exchange& upstream, event_splitter& splitter,
                                  bool& begun);
+  /// Sends a server's complete answer to the client.
+  awaitable<void> pass_on(request_state& state, http::response whole_answer);
   awaitable<void> answer_failure(request_state& state, call_failure reason);
+  /// Counts and logs a stream that ends although the client has only a part of it.
+  void note_truncated(request_state& state);
   void log_outcome(request_state& state, unsigned status, call_failure reason,
                    std::string_view log_message);
 
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -165,6 +165,8 @@
     note_failure(state, upstream, failure);
     co_return false;
   }
+  strip_hop_by_hop(whole_answer);
+  whole_answer.erase(http::field::content_length);
   count_server_error(state, upstream);
   note_whole_answer(state, upstream);
   upstream.finish();
@@ -176,8 +178,6 @@
   times_.note_call(state.service);
   while (auto upstream = co_await next_exchange(state)) {
     if (co_await read_whole(state, *upstream, outcome.answer)) {
-      strip_hop_by_hop(outcome.answer);
-      outcome.answer.erase(http::field::content_length);
       outcome.attempts = state.attempts;
       outcome.server_errors = state.server_errors;
       outcome.server = state.server;
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -15,24 +15,24 @@
   event_splitter splitter(dependencies_.names.versions);
   bool begun = false;
   while (auto upstream = co_await next_exchange(state)) {
-    if (!begun && !has_events(upstream->head())) {
+    if (has_events(upstream->head())) {
+      if (co_await forward_events(state, *upstream, splitter, begun)) co_return;
+      splitter.reset();
+    } else if (begun) {
+      // The client has the head of another answer, so that this one can't be passed on.
+      co_await discard_answer(state, *upstream);
+    } else {
       http::response whole;
-      if (!co_await read_whole(state, *upstream, whole)) break;
-      strip_hop_by_hop(whole);
-      whole.erase(http::field::content_length);
-      co_await state.client->answer(std::move(whole));
+      if (!co_await read_whole(state, *upstream, whole)) continue;
+      co_await pass_on(state, std::move(whole));
       co_return;
     }
-    if (begun && !has_events(upstream->head())) {
-      dependencies_.selector.note_answer(upstream->server().id);
-      break;
-    }
-    bool const finished = co_await forward_events(state, *upstream, splitter, begun);
-    if (finished) co_return;
-    splitter.reset();
   }
-  // After the answer has begun, only a missing end shows the client that it is truncated.
-  if (!begun) co_await answer_failure(state, failure_reason(state));
+  if (begun) {
+    note_truncated(state);
+  } else {
+    co_await answer_failure(state, failure_reason(state));
+  }
 }
 
 awaitable<bool> forwarder::forward_events(request_state& state, exchange& upstream,
@@ -45,7 +45,7 @@
     begun = true;
     if (!co_await state.client->begin(std::move(head))) {
       note_caller_left(state, upstream);
-      co_return true;
+      co_return false;
     }
   }
   state.attempt_timeout = k_stream_idle_timeout;
@@ -55,9 +55,9 @@
     time_point const idle_deadline = boot_clock::now() + k_stream_idle_timeout;
     exchange_failure const failure = co_await upstream.read_piece(piece, idle_deadline);
     if (failure != exchange_failure::none) {
+      // Only complete events were forwarded, so another server can resume after the last one.
       note_failure(state, upstream, failure);
-      // Only complete events were forwarded, so the next server can resume after the last one.
-      co_return state.client->is_disconnected() || !state.matched_route->resumable;
+      co_return false;
     }
     std::string whole_events;
     for (stream_event const& event : splitter.feed(piece)) {
@@ -67,10 +67,13 @@
     if (whole_events.empty()) continue;
     if (!co_await state.client->send(std::move(whole_events))) {
       note_caller_left(state, upstream);
-      co_return true;
+      co_return false;
     }
   }
-  if (!splitter.is_between_events()) co_return !state.matched_route->resumable;
+  if (!splitter.is_between_events()) {
+    note_failure(state, upstream, exchange_failure::partial_event);
+    co_return false;
+  }
   clear_suspicion(state, upstream);
   measure_answer(state, upstream);
   dependencies_.selector.note_answer(upstream.server().id);
@@ -81,4 +84,15 @@
   co_return true;
 }
 
+void forwarder::note_truncated(request_state& state) {
+  call_failure const reason = failure_reason(state);
+  if (reason == call_failure::caller_left) {
+    ++counters_.callers_left;
+  } else {
+    ++counters_.truncated_streams;
+  }
+  // Without an end of its body, the client sees that the answer is truncated.
+  log_outcome(state, 200, reason, "Stream truncated.");
+}
+
 }  // namespace frostline::calls
--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -89,7 +89,8 @@
     bhttp::response_serializer<bhttp::empty_body> serializer(chunked);
     stream_.expires_after(k_write_timeout);
     auto [failure, count] = co_await bhttp::async_write_header(stream_, serializer, k_as_tuple);
-    co_return !failure && !disconnected_;
+    if (failure) disconnected_ = true;
+    co_return !disconnected_;
   }
 
   awaitable<bool> send(std::string piece) override {
@@ -97,7 +98,8 @@
     stream_.expires_after(k_write_timeout);
     auto const chunk = bhttp::make_chunk(asio::buffer(piece));
     auto [failure, count] = co_await asio::async_write(stream_, chunk, k_as_tuple);
-    co_return !failure && !disconnected_;
+    if (failure) disconnected_ = true;
+    co_return !disconnected_;
   }
 
   awaitable<void> end() override {
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -173,6 +173,8 @@
            static_cast<double>(snapshot.calls.retries));
   page.set("frostline_callers_left_total", "requests whose caller left",
            static_cast<double>(snapshot.calls.callers_left));
+  page.set("frostline_streams_truncated_total", "event streams of which clients got only a part",
+           static_cast<double>(snapshot.calls.truncated_streams));
   for (std::size_t kind = 0; kind < snapshot.calls.failed_attempts.size(); ++kind) {
     auto const failure = static_cast<calls::exchange_failure>(kind);
     if (failure == calls::exchange_failure::none) continue;
