A refusal after a connection that broke does not mean "not run"

A request that may be repeated was sent again on a new connection to the same server when its kept connection broke. If the server refused it then, callers got 503 "not run", although the server may have run what it got the first time.

Change: an exchange that has sent a request twice may have run, whatever the answer to the second time. 502 instead of 503 costs such callers the Retry-After; the statement is true.

Evidence: forwarder_failures_test.refusal_after_a_connection_that_broke_does_not_mean_not_run got 503 on and gets 502 now.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -186,7 +186,8 @@
     bool const accepted = answered && accepts(state, *upstream);
     bool const refused = answered && !accepted && is_refusal(upstream->head());
     bool const not_connected = failure == exchange_failure::not_connected;
-    bool const may_have_begun = !refused && !not_connected;
+    // If the request was sent twice, a refusal says nothing of the first time.
+    bool const may_have_begun = !not_connected && (!refused || upstream->is_resent());
     state.may_have_run = state.may_have_run || may_have_begun;
     if (may_have_begun) state.trial_ran = state.is_trial;
     if (not_connected && all_failed) state.unreachable.insert(server_id);
--- a/tests/unit/calls/forwarder_failures_test.cc
+++ b/tests/unit/calls/forwarder_failures_test.cc
@@ -17,6 +17,7 @@
     "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr char k_announced_oversized_answer[] =
     "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 67108865\r\n\r\n";
+constexpr char k_answer[] = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 2\r\n\r\nok";
 constexpr char k_refusal[] =
     "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r-1\r\nRequest-Not-Run: 1\r\n"
     "Content-Length: 0\r\n\r\n";
@@ -77,3 +78,10 @@
   system.forward(route_kind::streaming, false, {{k_cut_error, true}});
   CHECK_FALSE(system.client.notified_during_answer());
 }
+
+TEST(forwarder_failures_test, refusal_after_a_connection_that_broke_does_not_mean_not_run) {
+  system.forward(route_kind::safe, false, {{k_answer}});
+  LONGS_EQUAL(200, system.client.status());
+  system.forward(route_kind::safe, false, {{"", true}, {k_refusal}, {k_refusal}, {k_refusal}});
+  LONGS_EQUAL(502, system.client.status());
+}
