The node's calls: a refusal by the last back end does not hide an earlier run

Callers of repeatable routes got 503 no_back_end or cut_off with run_state not_run, although an earlier attempt of the same call may have run.

Cause: send_with_retries returned the problem of the last attempt. Change: once an attempt may have run, only problems that say so are returned.

--- a/src/routing/proxy.cc
+++ b/src/routing/proxy.cc
@@ -122,6 +122,7 @@
 
 awaitable<proxy::call_reply> proxy::send_with_retries(call& current, route_state& state) {
   bool claimed = false;
+  bool may_have_run = false;
   state.budget.note_first_try();
   rpc::problem last_problem = rpc::unavailable(rpc::reason::no_back_end,
                                                "no back end takes this route", k_no_back_end_retry);
@@ -138,13 +139,16 @@
       continue;
     }
     if (hooks_.is_cut_off()) {
+      if (may_have_run) co_return last_problem;
       co_return rpc::unavailable(rpc::reason::cut_off, "this node may be cut off", k_cut_off_retry);
     }
     machines::machine const server = *found;
     current.tried.insert(server.id);
     try_outcome outcome = co_await try_once(current, server);
     if (outcome.answer) co_return std::move(*outcome.answer);
-    last_problem = outcome.issue;
+    // A refusal by one back end does not tell whether an earlier one has run the request.
+    if (!outcome.not_run || !may_have_run) last_problem = outcome.issue;
+    may_have_run = may_have_run || !outcome.not_run;
     if (!current.route.repeatable && !outcome.not_run) co_return last_problem;
     if (!state.budget.try_spend()) {
       log_line(log_level::warning, k_part, "Retry budget exhausted.",
--- a/tests/integration/at_most_once_test.cc
+++ b/tests/integration/at_most_once_test.cc
@@ -154,6 +154,23 @@
   CHECK(unknown > 0);
 }
 
+// Guards against "not run" by the last of several back ends, after another one may have run it.
+TEST(at_most_once_test, refusal_after_an_attempt_that_may_have_run_is_reported_as_unknown) {
+  int ran = 0;
+  for (int call = 0; call < 40; ++call) {
+    system.set_faults(system.app(0), {{"truncate_answers", 1}});
+    system.set_faults(system.app(1), {{"refuse", 1}});
+    std::string const key = "refused-" + std::to_string(call);
+    auto message = http::make_post("/lookup/lot", "", "text/plain");
+    message.set("Idempotency-Key", key);
+    auto const outcome = send(0, std::move(message));
+    if (runs(key) == 0) continue;
+    ++ran;
+    if (outcome.status != 200) STRCMP_EQUAL("unknown", outcome.run_state.c_str());
+  }
+  CHECK(ran > 0);
+}
+
 TEST(at_most_once_test, node_killed_after_sending) {
   system.set_faults(system.app(0), {{"delay_ms", 1000}});
   system.set_faults(system.app(1), {{"delay_ms", 1000}});
