Problems between nodes say "not run" only where somebody states it

rpc::problem took "not run" as its default, so an error that nobody classified would have promised it. No untrue one was found: the dispatcher's two, which relied on the default and are true, now say it themselves. The default is "unknown".

Evidence: rpc_codec_test.problem_says_not_run_only_if_told_so (a check of the default, false before by the code; not run there), call_of_an_unknown_method_was_not_run.

--- a/src/rpc/dispatcher.cc
+++ b/src/rpc/dispatcher.cc
@@ -12,11 +12,11 @@
   auto const found = methods_.find(http::to_string_view(message.target()));
   if (found == methods_.end()) {
     co_return to_response({http::status::not_found, reason::unknown_method,
-                           "no such method: " + std::string(message.target())});
+                           "no such method: " + std::string(message.target()), run_state::not_run});
   }
   if (message.method() != http::verb::post) {
-    auto answer = to_response(
-        {http::status::method_not_allowed, reason::malformed_request, "methods take POST"});
+    auto answer = to_response({http::status::method_not_allowed, reason::malformed_request,
+                               "methods take POST", run_state::not_run});
     answer.set(http::field::allow, "POST");
     co_return answer;
   }
--- a/src/rpc/problem.h
+++ b/src/rpc/problem.h
@@ -51,7 +51,8 @@
   http::status code = http::status::internal_server_error;
   reason why = reason::internal_error;
   std::string detail;
-  run_state state = run_state::not_run;
+  /// Callers may repeat a request that was not run, so that is never the default.
+  run_state state = run_state::unknown;
   /// Suggested delay before a retry; zero if no retry is suggested.
   milliseconds retry_after{0};
 };
--- a/tests/unit/rpc/rpc_codec_test.cc
+++ b/tests/unit/rpc/rpc_codec_test.cc
@@ -1,6 +1,7 @@
 #include <CppUTest/TestHarness.h>
 
 #include "operators/service.h"
+#include "rpc/blocking.h"
 #include "rpc/codec.h"
 #include "rpc/dispatcher.h"
 #include "rpc/problem.h"
@@ -66,6 +67,21 @@
   LONGS_EQUAL(1200, read.retry_after.count());
 }
 
+// Guards against "not run" where nobody has stated it.
+TEST(rpc_codec_test, problem_says_not_run_only_if_told_so) {
+  CHECK(rpc::problem().state == rpc::run_state::unknown);
+}
+
+TEST(rpc_codec_test, call_of_an_unknown_method_was_not_run) {
+  asio::io_context context{1};
+  rpc::dispatcher methods;
+  auto const state = rpc::run_blocking(context, [&]() -> awaitable<rpc::run_state> {
+    auto const answer = co_await methods.handle(http::make_post("/rpc/None/None", "", ""));
+    co_return rpc::from_response(answer).state;
+  }());
+  CHECK(state == rpc::run_state::not_run);
+}
+
 TEST(rpc_codec_test, response_without_a_problem_is_an_unknown_outcome) {
   auto const answer = http::make_response(http::status::bad_gateway, "<html>", "text/html");
   CHECK(rpc::from_response(answer).state == rpc::run_state::unknown);
