A long body that could not be sent in time is a time-out, not a broken connection

An exchange that was writing a body over 16 KiB when its time was over ended as `broken`: counted as such, and taken for evidence that the request ends its server.

Cause: while such a body is written the socket is also watched for an early answer. The time limit closes the socket, the watch ends first, and its error was dropped, so that the closed socket was read for an answer. Change: a watch that fails means that this side has closed the socket; without an abort that is the time limit.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -208,7 +208,11 @@
   auto first =
       co_await (bhttp::async_write(connection_->stream, message, k_as_tuple) ||
                 connection_->stream.socket().async_wait(tcp::socket::wait_read, k_as_tuple));
-  if (first.index() == 1) co_return beast::error_code();
+  if (first.index() == 1) {
+    // The wait itself fails only if this side closes the socket, at the latest at the time limit.
+    beast::error_code const closed = std::get<0>(std::get<1>(first));
+    co_return closed ? beast::error_code(beast::error::timeout) : beast::error_code();
+  }
   beast::error_code const failure = std::get<0>(std::get<0>(first));
   request_sent_ = !failure;
   co_return failure;
