A request that is given up never reaches its server later

Servers ran what nobody wanted any more: a scorer's call of a job that had ended 4.7 s before (bound 3 s), after a partition between gateway and server healed.

Cause: a request that is given up closes its connection. After an orderly close the kernel goes on sending what the peer has not acknowledged, also after the end of the process.

Change: http/request_stream, the connection of every request that this code sends (calls/exchange and http/client, so also orders, calls to the record store and between nodes). From the first byte of a request until its answer every close is a reset, which drops the bytes; idle connections and those whose answer has begun close in order. Writing begins a request, so no path can forget it.

--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -245,6 +245,8 @@
   if (!answered.empty() && !request_id_.empty() && answered != request_id_) {
     co_return exchange_failure::foreign_answer;
   }
+  // An early answer to a long body leaves the rest of the request unsent.
+  if (request_sent_) connection_->stream.end_request();
   co_return exchange_failure::none;
 }
 
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -17,6 +17,7 @@
 #include "calls/header_names.h"
 #include "directory/server_directory.h"
 #include "http/message.h"
+#include "http/request_stream.h"
 
 namespace frostline::calls {
 
@@ -66,7 +67,7 @@
   struct connection {
     explicit connection(asio::io_context& context) : stream(context) {}
     explicit connection(http::beast::tcp_stream opened) : stream(std::move(opened)) {}
-    http::beast::tcp_stream stream;
+    http::request_stream stream;
     http::beast::flat_buffer buffer;
     time_point opened_at{};
     time_point idle_since{};
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -46,7 +46,7 @@
 
 awaitable<result<client::connection>> client::connect(endpoint const& peer_endpoint,
                                                       milliseconds timeout) {
-  auto stream = std::make_unique<beast::tcp_stream>(context_);
+  auto stream = std::make_unique<request_stream>(context_);
   stream->expires_after(std::min(timeout, k_connect_timeout));
   beast::error_code bad_address;
   auto const address = asio::ip::make_address(peer_endpoint.address, bad_address);
@@ -84,6 +84,7 @@
   auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, parser, k_as_tuple);
   traffic_.received += read;
   if (read_failure) co_return note_failure(peer_endpoint, read_failure);
+  stream->end_request();
   bool const reusable = parser.get().keep_alive() && buffer.size() == 0;
   if (reusable && use == connection_use::pooled) return_to_pool(peer_endpoint, std::move(stream));
   co_return parser.release();
@@ -107,6 +108,7 @@
       co_await bhttp::async_read_header(*stream, buffer, parser, k_as_tuple);
   traffic_.received += head;
   if (head_failure) co_return classify(head_failure);
+  stream->end_request();
   bool const forward_body = parser.get().result() == status::ok;
   while (!parser.is_done()) {
     stream->expires_after(idle_timeout);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -10,6 +10,7 @@
 #include "base/endpoint.h"
 #include "http/errc.h"
 #include "http/message.h"
+#include "http/request_stream.h"
 
 namespace frostline::http {
 
@@ -33,7 +34,7 @@
 using body_sink = std::function<bool(std::string_view)>;
 
 /// A connection returns to its pool only after a complete response; after a timeout or an error it
-/// is closed.
+/// is reset, so that a request that was given up does not reach the peer later.
 class client {
  public:
   explicit client(asio::io_context& context, std::size_t answer_limit = 64 * 1024 * 1024)
@@ -57,7 +58,7 @@
   byte_count const& traffic() const { return traffic_; }
 
  private:
-  using connection = std::unique_ptr<beast::tcp_stream>;
+  using connection = std::unique_ptr<request_stream>;
 
   awaitable<result<connection>> connect(endpoint const& peer_endpoint, milliseconds timeout);
   connection take_pooled(endpoint const& peer_endpoint);
