--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -1,5 +1,8 @@
 #include "forwarder_fixture.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <stdexcept>
 
 namespace frostline::testing {
