--- a/src/engines/engine_board.cc
+++ b/src/engines/engine_board.cc
@@ -19,8 +19,31 @@
 /// Cost reduction for an engine that has the group's prompt cached.
 constexpr double k_group_bonus = 0.3;
 
+/// A load only blocks runs of the same model.
+bool is_loading(engine_entry const& engine, std::string const& model) {
+  return engine.load == load_state::ordered && engine.ordered_model == model;
+}
+
 }  // namespace
 
+std::string_view to_string(run_obstacle obstacle) {
+  switch (obstacle) {
+    case run_obstacle::no_engine:
+      return "no_engine";
+    case run_obstacle::no_version:
+      return "no_version";
+    case run_obstacle::loading:
+      return "loading";
+    case run_obstacle::blocked:
+      return "blocked";
+    case run_obstacle::no_slot:
+      return "no_slot";
+    case run_obstacle::no_memory:
+      return "no_memory";
+  }
+  return "unknown";
+}
+
 void engine_board::reset_for_restart(engine_entry& engine) {
   engine.versions.clear();
   engine.event_gap_ms = 0;
@@ -140,18 +163,41 @@
                            time_point now) const {
   if (engine.server.service != requirements.service) return false;
   if (engine.server.state != directory::server_state::ready) return false;
-  // A load only blocks runs of the same model.
-  bool const loading =
-      engine.load == load_state::ordered && engine.ordered_model == requirements.model;
-  if (loading || engine.blocked_until > now) return false;
+  if (is_loading(engine, requirements.model) || engine.blocked_until > now) return false;
   if (requirements.excluded.contains(engine.server.id)) return false;
   if (engine.in_flight >= engine.server.slots) return false;
+  return has_version(engine, requirements);
+}
+
+bool engine_board::has_version(engine_entry const& engine, run_requirements const& requirements) {
   auto const version = engine.versions.find(requirements.model);
   if (version == engine.versions.end()) return false;
   if (requirements.exact_version) return version->second == *requirements.exact_version;
   return version->second >= requirements.min_version;
 }
 
+run_obstacle engine_board::find_obstacle(engine_entry const& engine,
+                                         run_requirements const& requirements, time_point now) {
+  bool const serves = engine.server.service == requirements.service &&
+                      engine.server.state == directory::server_state::ready &&
+                      engine.versions.contains(requirements.model);
+  if (!serves) return run_obstacle::no_engine;
+  if (!has_version(engine, requirements)) return run_obstacle::no_version;
+  if (is_loading(engine, requirements.model)) return run_obstacle::loading;
+  if (engine.blocked_until > now) return run_obstacle::blocked;
+  bool const full = engine.in_flight >= engine.server.slots;
+  return full ? run_obstacle::no_slot : run_obstacle::no_memory;
+}
+
+run_obstacle engine_board::find_obstacle(run_requirements const& requirements,
+                                         time_point now) const {
+  run_obstacle obstacle = run_obstacle::no_engine;
+  for (auto const& [id, engine] : engines_) {
+    obstacle = std::max(obstacle, find_obstacle(engine, requirements, now));
+  }
+  return obstacle;
+}
+
 double engine_board::cost_of(engine_entry const& engine, run_requirements const& requirements,
                              time_point now) const {
   double const load = static_cast<double>(engine.in_flight) / std::max(engine.server.slots, 1U);
--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -64,6 +64,25 @@
   std::set<std::string> excluded;
 };
 
+/// Why no engine can run a request. Each value means that some engine passes all checks of the
+/// values before it.
+enum class run_obstacle {
+  /// No ready engine of the service has the model.
+  no_engine,
+  /// No engine has a version that may run the request.
+  no_version,
+  /// The engines with such a version are loading another one.
+  loading,
+  /// They failed or refused a run a moment ago.
+  blocked,
+  no_slot,
+  no_memory,
+};
+
+inline constexpr std::size_t k_run_obstacles = 6;
+
+std::string_view to_string(run_obstacle obstacle);
+
 struct memory_counters {
   /// Runs that were started although the sum of the final sizes exceeded the KV cache.
   std::uint64_t admitted_over_sum = 0;
@@ -114,6 +133,8 @@
   /// if the engine runs samples of the same group and so has the prompt cached. Returns null if no
   /// engine qualifies.
   engine_entry const* choose(run_requirements const& requirements, time_point now);
+  /// Returns why `choose` finds no engine. Examines all engines.
+  run_obstacle find_obstacle(run_requirements const& requirements, time_point now) const;
   /// @param run identifies the run in the memory plan; must be unique among the runs in flight.
   /// Without it, the run only counts in the sum of the final sizes.
   /// @param memory the run's memory, of which `tokens` is the final size.
@@ -153,6 +174,10 @@
                                 bool& lacks_memory);
   /// Resets the state of a restarted engine. Its runs stay counted until they end.
   static void reset_for_restart(engine_entry& engine);
+  static bool has_version(engine_entry const& engine, run_requirements const& requirements);
+  /// Returns the check that the engine fails first; no_memory if it passes all others.
+  static run_obstacle find_obstacle(engine_entry const& engine,
+                                    run_requirements const& requirements, time_point now);
   /// Does not check the engine's memory.
   bool can_run(engine_entry const& engine, run_requirements const& requirements,
                time_point now) const;
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -37,6 +37,12 @@
   set("runs_completed_total", "runs whose text is whole", static_cast<double>(pool.runs.completed));
   set("runs_broken_total", "runs that broke off", static_cast<double>(pool.runs.broken));
   set("runs_moved_total", "runs moved off slow engines", static_cast<double>(pool.runs.moved));
+  for (std::size_t index = 0; index < engines::k_run_obstacles; ++index) {
+    std::string const reason(to_string(static_cast<engines::run_obstacle>(index)));
+    page.set("frostline_pool_long_waits_total", "samples found to wait for an engine for long",
+             static_cast<double>(pool.runs.long_waits[index]),
+             {{"pool", pool.name}, {"reason", reason}});
+  }
   set("scored_total", "samples scored", static_cast<double>(pool.scoring.scored));
   set("dead_total", "samples given up", static_cast<double>(pool.runs.dead + pool.scoring.dead));
   set("orders_total", "orders sent to engines", static_cast<double>(pool.orders));
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -282,6 +282,7 @@
 void job_table::requeue(sample_entry& sample, time_point not_before) {
   sample.state = sample_state::waiting;
   sample.not_before = not_before;
+  sample.waiting_since = not_before;
   sample.engine.clear();
   ++sample.attempt;
 }
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -69,6 +69,10 @@
   std::uint32_t failures = 0;
   std::uint32_t scoring_failures = 0;
   time_point not_before = time_point::min();
+  /// Since when the sample has been in the queue; time_point::min() before its first run.
+  time_point waiting_since = time_point::min();
+  /// When it was last logged that the sample waits; time_point::min() if it never was.
+  time_point wait_logged_at = time_point::min();
   /// Start of the first run by this owner.
   std::optional<time_point> started_at;
   /// Time at which the text was complete.
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -32,6 +32,9 @@
 constexpr milliseconds k_quarantine_recheck_interval{500};
 /// Limit of runs started in one iteration, so that other work such as lease renewal is not delayed.
 constexpr std::size_t k_max_starts_per_iteration = 24;
+/// A sample that waits longer than this is logged, and again at this interval. Less than half of
+/// the time after which a waiting sample counts as lost.
+constexpr milliseconds k_long_wait{2'000};
 /// Deadline of a run, sent to the engine.
 constexpr milliseconds k_run_deadline{60'000};
 
@@ -135,7 +138,14 @@
     engines::run_requirements need = make_run_need(job, sample);
     if (isolated) need.excluded = isolating_engines_;
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
-    if (engine == nullptr || !may_start(job, next.index, now)) continue;
+    if (engine == nullptr) {
+      note_no_engine(next, need, now);
+      continue;
+    }
+    if (!may_start(job, next.index, now)) {
+      if (is_wait_due(next, now)) log_wait(next, "quarantine", now);
+      continue;
+    }
     start(next, *engine, need, isolated);
     ++started;
   }
@@ -185,6 +195,39 @@
   log_line(log_level::info, k_part, "Run started.", fields);
 }
 
+void sample_runner::note_no_engine(run_candidate const& next,
+                                   engines::run_requirements const& need, time_point now) {
+  if (!is_wait_due(next, now)) return;
+  engines::run_obstacle const obstacle = dependencies_.board.find_obstacle(need, now);
+  bool const pool_is_full = obstacle >= engines::run_obstacle::no_slot;
+  bool const has_begun = next.job->samples[next.index].runs > 0;
+  // Samples that have not begun queue up under load as a matter of course.
+  if (pool_is_full && !has_begun) return;
+  ++counters_.long_waits[static_cast<std::size_t>(obstacle)];
+  log_wait(next, to_string(obstacle), now);
+}
+
+bool sample_runner::is_wait_due(run_candidate const& next, time_point now) {
+  sample_entry const& sample = next.job->samples[next.index];
+  return now >= waiting_since(next) + k_long_wait && now >= sample.wait_logged_at + k_long_wait;
+}
+
+time_point sample_runner::waiting_since(run_candidate const& next) {
+  return std::max(next.job->accepted_at, next.job->samples[next.index].waiting_since);
+}
+
+void sample_runner::log_wait(run_candidate const& next, std::string_view reason, time_point now) {
+  sample_entry& sample = next.job->samples[next.index];
+  sample.wait_logged_at = now;
+  log_line(log_level::info, k_part, "Sample waits.",
+           {{"request", sample.spec->id},
+            {"job", next.job->record.id},
+            {"reason", reason},
+            {"waited_ms", std::chrono::duration_cast<milliseconds>(now - waiting_since(next)).count()},
+            {"runs", sample.runs},
+            {"events", sample.events}});
+}
+
 void sample_runner::move_slow_runs(time_point now) {
   open_run* best = nullptr;
   milliseconds best_gain{0};
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -1,12 +1,14 @@
 /// @file Runs the samples of a pool's jobs on its engines.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "base/asio.h"
 #include "calls/exchange.h"
@@ -51,6 +53,9 @@
   /// Runs that started when less than their expected time was left until their job was due. Counted
   /// while samples are ordered by due time.
   std::uint64_t started_without_slack = 0;
+  /// Times at which a sample was found to wait for long although it had begun, or although engines
+  /// had room, by the obstacle.
+  std::array<std::uint64_t, engines::k_run_obstacles> long_waits{};
 };
 
 class sample_runner {
@@ -127,6 +132,13 @@
   /// @param isolated result of must_be_isolated.
   void start(run_candidate const& next, engines::engine_entry const& engine,
              engines::run_requirements const& need, bool isolated);
+  /// Logs, at intervals, that no engine can run the sample, if it has waited for long.
+  void note_no_engine(run_candidate const& next, engines::run_requirements const& need,
+                      time_point now);
+  /// Returns true if the sample has waited for long and this was not logged lately.
+  static bool is_wait_due(run_candidate const& next, time_point now);
+  static time_point waiting_since(run_candidate const& next);
+  static void log_wait(run_candidate const& next, std::string_view reason, time_point now);
   void move_slow_runs(time_point now);
   /// Reports broken and abandoned runs to the quarantine service, which checks whether the engine
   /// crashes.
