--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -165,6 +165,15 @@
   return silenced;
 }
 
+void platform_cluster::add_crash_budget(std::string const& text, std::uint32_t count) {
+  crash_budget const budget{text, std::make_shared<std::uint32_t>(count)};
+  on_platform([&] {
+    for (auto const& server : apps_) server->faults().crash_budgets.push_back(budget);
+    for (auto const& server : engines_) server->faults().crash_budgets.push_back(budget);
+    return 0;
+  });
+}
+
 void platform_cluster::set_crash_text(std::string const& text) {
   on_platform([&] {
     for (auto const& server : apps_) server->faults().crash_text = text;
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -92,6 +92,9 @@
   std::size_t silence_connections(connected_part part);
   /// Makes requests whose body contains `text` crash the server that runs them; empty for none.
   void set_crash_text(std::string const& text);
+  /// Makes requests whose body contains `text` crash the servers that run them, `count` in all;
+  /// further runs end like others.
+  void add_crash_budget(std::string const& text, std::uint32_t count);
   void announce(server_standin const& server, std::string const& state);
   void withdraw(server_standin const& server);
   void put_config(std::uint64_t version, std::string const& extra_routes = "");
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -151,7 +151,16 @@
 
 bool server_standin::is_poison(http::request const& message) const {
   std::string const& text = faults_.crash_text;
-  return !text.empty() && message.body().find(text) != std::string::npos;
+  bool const always = !text.empty() && message.body().find(text) != std::string::npos;
+  return always || find_budget(message) != nullptr;
+}
+
+crash_budget const* server_standin::find_budget(http::request const& message) const {
+  for (crash_budget const& budget : faults_.crash_budgets) {
+    bool const applies = message.body().find(budget.text) != std::string::npos;
+    if (applies && *budget.crashes_left > 0) return &budget;
+  }
+  return nullptr;
 }
 
 void server_standin::crash() {
@@ -167,6 +176,8 @@
   entry.ran = true;
   entry.crashed = true;
   arrivals_.push_back(entry);
+  crash_budget const* const budget = find_budget(message);
+  if (budget != nullptr) --*budget->crashes_left;
   std::uint32_t const incarnation = crashes_;
   co_await wait_for(faults_.crash_after);
   if (incarnation == crashes_) crash();
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <vector>
@@ -41,6 +42,13 @@
   time_point at{};
 };
 
+/// A limited number of crashes, shared by several servers.
+struct crash_budget {
+  /// Requests whose body contains this text crash the server that starts to run them.
+  std::string text;
+  std::shared_ptr<std::uint32_t> crashes_left;
+};
+
 struct server_faults {
   /// Refuses every request as full.
   bool full = false;
@@ -62,6 +70,8 @@
   /// Requests whose body contains this text crash the server that starts to run them; empty for
   /// none.
   std::string crash_text;
+  /// Requests that crash a limited number of servers before they run like others.
+  std::vector<crash_budget> crash_budgets;
   /// Time from the start of a request that crashes the server to the crash.
   milliseconds crash_after{20};
   /// Time from a crash to the restart.
@@ -138,6 +148,8 @@
   awaitable<void> load(std::uint64_t version);
   /// Returns true if running the request crashes the server.
   bool is_poison(http::request const& message) const;
+  /// Returns the budget of the crash that running the request causes; null if there is none.
+  crash_budget const* find_budget(http::request const& message) const;
   awaitable<void> crash_under(http::request const& message);
   awaitable<void> start_next_incarnation(milliseconds pause);
   http::response report();
