--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -102,7 +102,7 @@
       [this] { return records_age(); }, [this] { return features_.times_attempts(); }}};
   pool_registry pools_{pool_registry_dependencies{context_, settings_, adapter_, transport_,
                                                   configuration_, features_, servers_, connections_,
-                                                  forwarder_, quarantine_}};
+                                                  forwarder_}};
   /// Empty if the platform has no duty service, or if usage is not reported.
   std::optional<duties> duties_;
   directory_updater directory_updater_{context_, adapter_, servers_, settings_.leave_time,
--- a/src/gateway/pool_registry.cc
+++ b/src/gateway/pool_registry.cc
@@ -21,8 +21,8 @@
   pool.owner = std::make_unique<jobs::pool_owner>(jobs::pool_owner_dependencies{
       dependencies_.context, dependencies_.adapter.store(), node_settings.store_limits,
       dependencies_.configuration, dependencies_.servers, dependencies_.connections,
-      dependencies_.forwarder, dependencies_.quarantine, dependencies_.adapter.names(),
-      dependencies_.adapter.engines(), *pool.lease, dependencies_.transport, node_settings.id,
+      dependencies_.forwarder, dependencies_.adapter.names(), dependencies_.adapter.engines(),
+      *pool.lease, dependencies_.transport, node_settings.id,
       node_settings.zone, node_settings.retention,
       [this, name] { return dependencies_.enabled_features.orders_by_due_time(name); },
       [this, name] { return dependencies_.enabled_features.plans_memory(name); }});
--- a/src/gateway/pool_registry.h
+++ b/src/gateway/pool_registry.h
@@ -26,7 +26,6 @@
   directory::server_directory const& servers;
   calls::connection_pool& connections;
   calls::forwarder& forwarder;
-  quarantine::service& quarantine;
 };
 
 class pool_registry {
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -92,20 +92,6 @@
   return memory;
 }
 
-quarantine::fingerprint const& fingerprint_of(job_entry& job, std::uint32_t index) {
-  sample_entry& sample = job.samples[index];
-  if (sample.cached_fingerprint) return *sample.cached_fingerprint;
-  rpc::JobItemT const& item = *sample.spec;
-  quarantine::request_parts parts;
-  parts.caller = job.record.tenant;
-  parts.host = job.record.host;
-  parts.method = "POST";
-  parts.target = item.path;
-  parts.body = std::string_view(reinterpret_cast<char const*>(item.body.data()), item.body.size());
-  sample.cached_fingerprint = quarantine::fingerprint::of(parts);
-  return *sample.cached_fingerprint;
-}
-
 void sample_entry::drop_text() {
   text.clear();
   ++generation;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -11,7 +11,6 @@
 
 #include "base/time.h"
 #include "calls/event_stream.h"
-#include "quarantine/fingerprint.h"
 #include "scheduling/memory_plan.h"
 #include "scheduling/sample_order.h"
 #include "schema/frostline_generated.h"
@@ -67,6 +66,8 @@
   /// The item was left unfinished by a job that ended earlier, so it is scheduled first.
   bool resubmitted = false;
   std::uint32_t failures = 0;
+  /// Runs by this owner that broke off.
+  std::uint32_t broken_runs = 0;
   std::uint32_t scoring_failures = 0;
   time_point not_before = time_point::min();
   /// Since when the sample has been in the queue; time_point::min() before its first run.
@@ -87,10 +88,6 @@
   sent_progress stored;
   /// Time at which the first event of the text arrived.
   time_point first_event_at{};
-  /// Computed on first use by fingerprint_of.
-  std::optional<quarantine::fingerprint> cached_fingerprint;
-  /// True once the sample was held back as a possible poison request.
-  bool held_back = false;
 
   /// Discards the text and starts a new generation, of which nothing has been sent.
   void drop_text();
@@ -146,9 +143,6 @@
 /// no events, neither expected nor received.
 scheduling::run_memory expected_memory(rpc::JobItemT const& item);
 
-/// Fingerprint of a sample's request; equal requests have the same fingerprint in all jobs.
-quarantine::fingerprint const& fingerprint_of(job_entry& job, std::uint32_t index);
-
 /// Identifies one run of a sample.
 struct run_key {
   std::string job;
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -52,7 +52,7 @@
       runner_(runner_dependencies{dependencies_.context, dependencies_.configuration,
                                   dependencies_.servers, dependencies_.connections,
                                   dependencies_.forwarder, dependencies_.names, board_,
-                                  dependencies_.quarantine, table_, estimates_,
+                                  table_, estimates_,
                                   [this] { return may_resend(); }, [this] { notify(); }}),
       progress_(dependencies_.context, dependencies_.transport, dependencies_.lease.resource(),
                 dependencies_.zone),
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -40,7 +40,6 @@
   directory::server_directory const& servers;
   calls::connection_pool& connections;
   calls::forwarder& forwarder;
-  quarantine::service& quarantine;
   calls::header_names const& names;
   engines::engine_control& control;
   ownership::owner_lease& lease;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -20,16 +20,15 @@
 /// Runs pause while their engine loads weights.
 constexpr milliseconds k_event_timeout_during_load{3500};
 constexpr milliseconds k_refused_retry_delay{80};
-constexpr milliseconds k_broken_retry_delay{10};
+/// Delay after a run that ended without a failure of its engine.
+constexpr milliseconds k_restart_delay{10};
 constexpr milliseconds k_failed_retry_delay{100};
-/// Delay after an engine crashed during a sample's run. Covers the time in which the quarantine
-/// service learns of another crash (about 30 ms).
-constexpr milliseconds k_suspect_retry_delay{40};
-/// Number of crashes after which a sample's runs are isolated from those of other suspects: one
-/// more crash would quarantine all suspects that share the engine.
-constexpr std::size_t k_isolation_crash_count = quarantine::k_crash_threshold - 1;
-/// Interval at which a quarantined sample is checked again.
-constexpr milliseconds k_quarantine_recheck_interval{500};
+/// Delay after the first broken run of a sample; it doubles with each further one.
+constexpr milliseconds k_first_broken_retry_delay{10};
+/// Limit of that delay. Engines that crash in turn may break many runs of a sample, which must not
+/// wait for long once they have room. If the sample itself crashes them, which only its submitter
+/// could know, others keep most of the engines.
+constexpr milliseconds k_max_broken_retry_delay{2'000};
 /// Limit of runs started in one iteration, so that other work such as lease renewal is not delayed.
 constexpr std::size_t k_max_starts_per_iteration = 24;
 /// A sample that waits longer than this is logged, and again at this interval. Less than half of
@@ -38,6 +37,15 @@
 /// Deadline of a run, sent to the engine.
 constexpr milliseconds k_run_deadline{60'000};
 
+/// @param broken_runs number of broken runs of the sample, at least 1.
+milliseconds retry_delay_after_break(std::uint32_t broken_runs) {
+  milliseconds delay = k_first_broken_retry_delay;
+  for (std::uint32_t run = 1; run < broken_runs && delay < k_max_broken_retry_delay; ++run) {
+    delay *= 2;
+  }
+  return std::min(delay, k_max_broken_retry_delay);
+}
+
 std::uint64_t parse_number(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -49,10 +57,15 @@
 std::string_view sample_runner::name_of(run_outcome outcome) const {
   constexpr std::string_view k_names[] = {"completed",   "refused",    "broken",
                                           "failed",      "impossible", "unusable",
-                                          "old_version", "moved",      "unwanted"};
+                                          "old_version", "moved",      "unwanted",
+                                          "unreachable"};
   return k_names[static_cast<std::size_t>(outcome)];
 }
 
+bool sample_runner::is_break(run_outcome outcome) {
+  return outcome == run_outcome::broken || outcome == run_outcome::unreachable;
+}
+
 engines::run_requirements sample_runner::make_run_need(job_entry const& job,
                                                        sample_entry const& sample) const {
   engines::run_requirements need;
@@ -76,46 +89,6 @@
   });
 }
 
-bool sample_runner::must_be_isolated(job_entry& job, std::uint32_t index, time_point now) const {
-  if (!dependencies_.quarantine.has_suspects()) return false;
-  quarantine::fingerprint const& request = fingerprint_of(job, index);
-  return dependencies_.quarantine.crashes_seen(request) >= k_isolation_crash_count ||
-         dependencies_.quarantine.check(request, now) != quarantine::verdict::allowed;
-}
-
-bool sample_runner::may_start(job_entry& job, std::uint32_t index, time_point now) {
-  if (!dependencies_.quarantine.has_suspects()) return true;
-  sample_entry& sample = job.samples[index];
-  quarantine::fingerprint const& request = fingerprint_of(job, index);
-  if (trials_.contains(request)) return true;
-  if (dependencies_.quarantine.should_wait(request, now)) {
-    sample.not_before = now + k_suspect_retry_delay;
-    return false;
-  }
-  quarantine::verdict const verdict = dependencies_.quarantine.check(request, now);
-  if (verdict == quarantine::verdict::allowed) return true;
-  sample.not_before = now + k_quarantine_recheck_interval;
-  if (verdict == quarantine::verdict::trial) {
-    spawn(dependencies_.context, request_trial(request));
-  } else if (!sample.held_back) {
-    dependencies_.quarantine.note_refused(request);
-    log_line(log_level::warning, k_part, "Sample held back: its request may crash engines.",
-             {{"request", sample.spec->id},
-              {"job", job.record.id},
-              {"fingerprint", request.to_string()}});
-  }
-  sample.held_back = true;
-  return false;
-}
-
-awaitable<void> sample_runner::request_trial(quarantine::fingerprint request) {
-  // Not within the condition: GCC 12 then loses the coroutine's parameters.
-  bool const granted = co_await dependencies_.quarantine.claim_trial(request);
-  if (!granted) co_return;
-  trials_.insert(request);
-  dependencies_.notify();
-}
-
 void sample_runner::advance(time_point now, scheduling::sample_order const* order) {
   auto const table = dependencies_.configuration.table();
   if (!table) return;
@@ -134,26 +107,20 @@
         route->shares.begin(), route->shares.end(),
         [&](calls::service_share const& share) { return share.service == sample.service; });
     if (!share_exists) sample.service = shares_.pick(*route);
-    bool const isolated = must_be_isolated(job, next.index, now);
-    engines::run_requirements need = make_run_need(job, sample);
-    if (isolated) need.excluded = isolating_engines_;
+    engines::run_requirements const need = make_run_need(job, sample);
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
     if (engine == nullptr) {
       note_no_engine(next, need, now);
       continue;
     }
-    if (!may_start(job, next.index, now)) {
-      if (is_wait_due(next, now)) log_wait(next, "quarantine", now);
-      continue;
-    }
-    start(next, *engine, need, isolated);
+    start(next, *engine, need);
     ++started;
   }
   move_slow_runs(now);
 }
 
 void sample_runner::start(run_candidate const& next, engines::engine_entry const& engine,
-                          engines::run_requirements const& need, bool isolated) {
+                          engines::run_requirements const& need) {
   job_entry& job = *next.job;
   std::uint32_t const index = next.index;
   sample_entry& sample = job.samples[index];
@@ -161,30 +128,20 @@
   run_id const id = next_run_++;
   dependencies_.board.note_started(engine.server.id, need.tokens, need.group, id, need.memory);
   ++counters_.runs;
-  if (isolated) isolating_engines_.insert(engine.server.id);
   if (next.outlook && next.outlook->slack < milliseconds(0)) ++counters_.started_without_slack;
-  log_start(next, key, engine, isolated);
-  run_context context;
-  context.isolated = isolated;
-  context.trial = take_trial(job, index);
-  if (dependencies_.quarantine.has_suspects()) {
-    context.unattended_run =
-        dependencies_.quarantine.begin_unattended_run(fingerprint_of(job, index));
-  }
-  spawn(dependencies_.context,
-        run(id, key, engine.server, need.tokens, need.group, std::move(context)));
+  log_start(next, key, engine);
+  spawn(dependencies_.context, run(id, key, engine.server, need.tokens, need.group));
 }
 
 void sample_runner::log_start(run_candidate const& next, run_key const& key,
-                              engines::engine_entry const& engine, bool isolated) const {
+                              engines::engine_entry const& engine) const {
   sample_entry const& sample = next.job->samples[next.index];
   std::vector<log_field> fields = {{"request", sample.spec->id},
                                    {"job", key.job},
                                    {"server", engine.server.id},
                                    {"run", key.attempt},
                                    {"events", sample.events},
-                                   {"in_flight", engine.in_flight},
-                                   {"isolated", isolated ? "yes" : "no"}};
+                                   {"in_flight", engine.in_flight}};
   if (next.outlook) {
     fields.emplace_back("slack_ms", next.outlook->slack.count());
     fields.emplace_back("remaining_ms", next.outlook->remaining.count());
@@ -251,64 +208,16 @@
 
 void sample_runner::abort_runs(std::string const& job) {
   for (auto& [id, open] : runs_) {
-    if (job.empty() || keys_[id].job == job) abort(id, open);
+    if (job.empty() || keys_[id].job == job) open.exchange->abort();
   }
 }
 
 void sample_runner::abort_run(std::string const& job, std::uint32_t index) {
   for (auto& [id, open] : runs_) {
-    if (keys_[id].job == job && keys_[id].index == index) abort(id, open);
+    if (keys_[id].job == job && keys_[id].index == index) open.exchange->abort();
   }
 }
 
-void sample_runner::report_outcome(run_id id, run_key const& key, directory::server const& engine,
-                                   run_outcome outcome, bool has_broken) {
-  bool const broken = outcome == run_outcome::broken && has_broken;
-  bool const abandoned = !broken && is_abandoned(outcome);
-  if (!broken && !abandoned) return;
-  open_run const& open = runs_.at(id);
-  job_entry* const job = dependencies_.table.find(key.job);
-  std::optional<quarantine::fingerprint> request = open.request;
-  if (!request && job != nullptr) request = fingerprint_of(*job, key.index);
-  if (!request) return;
-  if (broken) {
-    dependencies_.quarantine.note_broken(engine, *request, open.sent_at);
-  } else {
-    dependencies_.quarantine.note_abandoned_run(engine, *request, open.sent_at);
-  }
-}
-
-bool sample_runner::is_abandoned(run_outcome outcome) {
-  switch (outcome) {
-    case run_outcome::broken:
-    case run_outcome::unusable:
-    case run_outcome::old_version:
-    case run_outcome::moved:
-    case run_outcome::unwanted:
-      return true;
-    case run_outcome::completed:
-    case run_outcome::refused:
-    case run_outcome::failed:
-    case run_outcome::impossible:
-      return false;
-  }
-  return false;
-}
-
-void sample_runner::abort(run_id id, open_run& open) {
-  run_key const& key = keys_[id];
-  // The job may be removed from the table before the run ends.
-  job_entry* const job = dependencies_.table.find(key.job);
-  if (job != nullptr) open.request = fingerprint_of(*job, key.index);
-  open.exchange->abort();
-}
-
-milliseconds sample_runner::retry_delay_after_break(job_entry& job, std::uint32_t index) const {
-  if (!dependencies_.quarantine.has_suspects()) return k_broken_retry_delay;
-  bool const suspect = dependencies_.quarantine.crashes_seen(fingerprint_of(job, index)) > 0;
-  return suspect ? k_suspect_retry_delay : k_broken_retry_delay;
-}
-
 http::request sample_runner::make_request(job_entry const& job, sample_entry const& sample) const {
   http::request message(http::verb::post, sample.spec->path, 11);
   message.set(http::field::host, job.record.host);
@@ -330,27 +239,20 @@
 }
 
 awaitable<void> sample_runner::run(run_id id, run_key key, directory::server engine,
-                                   std::uint64_t tokens, std::string group, run_context context) {
+                                   std::uint64_t tokens, std::string group) {
   calls::exchange exchange(dependencies_.connections, dependencies_.names, engine);
   job_entry const* const job = dependencies_.table.find(key.job);
   open_run open;
   open.exchange = &exchange;
   open.engine = engine.id;
-  open.sent_at = boot_clock::now();
   open.single_version = job != nullptr && job->policy.single_version;
   runs_[id] = open;
   keys_[id] = key;
   run_outcome outcome = co_await execute(id, key, exchange);
-  if (outcome == run_outcome::broken && runs_[id].moving) outcome = run_outcome::moved;
+  if (is_break(outcome) && runs_[id].moving) outcome = run_outcome::moved;
   if (outcome == run_outcome::completed) exchange.finish();
-  if (exchange.may_have_reached_server())
-    report_outcome(id, key, engine, outcome, exchange.has_broken());
-  bool const ran = exchange.may_have_reached_server() && outcome != run_outcome::refused;
-  if (context.trial && !ran) trials_.insert(*context.trial);
   runs_.erase(id);
   keys_.erase(id);
-  if (context.isolated) isolating_engines_.erase(engine.id);
-  context.unattended_run.reset();
   dependencies_.board.note_ended(engine.id, tokens, group, id);
   finish_run(key, engine.id, outcome);
   dependencies_.notify();
@@ -374,6 +276,7 @@
       failure = co_await exchange.read_head(head_deadline);
   }
   if (dependencies_.table.find_running(key) == nullptr) co_return run_outcome::unwanted;
+  if (!exchange.may_have_reached_server()) co_return run_outcome::unreachable;
   if (failure != calls::exchange_failure::none) co_return run_outcome::broken;
   run_outcome const head = classify_response(exchange);
   bool const failed = head == run_outcome::failed || head == run_outcome::impossible;
@@ -393,13 +296,6 @@
   co_return exchange.is_whole_own_answer() ? outcome : run_outcome::broken;
 }
 
-std::optional<quarantine::fingerprint> sample_runner::take_trial(job_entry& job,
-                                                                 std::uint32_t index) {
-  if (trials_.empty()) return std::nullopt;
-  auto const trial = trials_.extract(fingerprint_of(job, index));
-  return trial.empty() ? std::nullopt : std::optional(trial.value());
-}
-
 sample_runner::run_outcome sample_runner::classify_response(calls::exchange const& exchange) const {
   http::response const& head = exchange.head();
   unsigned const status = head.result_int();
@@ -491,17 +387,15 @@
   time_point const now = boot_clock::now();
   job_entry* const job = dependencies_.table.find(key.job);
   sample_entry* const sample = dependencies_.table.find_running(key);
-  bool const log_fingerprint = job != nullptr && outcome == run_outcome::broken;
   log_line(log_level::info, k_part, "Run ended.",
            {{"request", job == nullptr ? "" : job->samples[key.index].spec->id},
             {"job", key.job},
             {"server", engine},
             {"run", key.attempt},
             {"end", name_of(outcome)},
-            {"fingerprint",
-             log_fingerprint ? fingerprint_of(*job, key.index).to_string() : std::string()},
+            {"broken_runs", sample == nullptr ? 0 : sample->broken_runs},
             {"events", sample == nullptr ? 0 : sample->events}});
-  if (outcome == run_outcome::broken) {
+  if (is_break(outcome)) {
     ++counters_.broken;
     dependencies_.board.note_failure(engine, now);
   }
@@ -509,22 +403,23 @@
   switch (outcome) {
     case run_outcome::completed:
       ++counters_.completed;
-      if (dependencies_.quarantine.has_suspects()) {
-        dependencies_.quarantine.note_answer(fingerprint_of(*job, key.index));
-      }
       if (dependencies_.table.complete_text(*job, key.index, now))
         scorer_.start(key.job, key.index);
       break;
     case run_outcome::refused:
       dependencies_.board.block(engine, now + k_refused_retry_delay);
-      dependencies_.table.requeue(*sample, now + k_broken_retry_delay);
+      dependencies_.table.requeue(*sample, now + k_restart_delay);
       break;
     case run_outcome::moved:
       ++counters_.moved;
       dependencies_.table.requeue(*sample, now);
       break;
     case run_outcome::broken:
-      dependencies_.table.requeue(*sample, now + retry_delay_after_break(*job, key.index));
+      ++sample->broken_runs;
+      dependencies_.table.requeue(*sample, now + retry_delay_after_break(sample->broken_runs));
+      break;
+    case run_outcome::unreachable:
+      dependencies_.table.requeue(*sample, now + k_restart_delay);
       break;
     case run_outcome::failed:
       finish_failed_run(*job, key, *sample);
@@ -534,11 +429,11 @@
       dependencies_.table.mark_dead(*job, key.index, now);
       break;
     case run_outcome::unusable:
-      dependencies_.table.restart(*sample, now + k_broken_retry_delay);
+      dependencies_.table.restart(*sample, now + k_restart_delay);
       break;
     case run_outcome::old_version: {
       dependencies_.board.set_version(engine, job->record.model, 0);
-      dependencies_.table.requeue(*sample, now + k_broken_retry_delay);
+      dependencies_.table.requeue(*sample, now + k_restart_delay);
       break;
     }
     case run_outcome::unwanted:
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -18,7 +17,6 @@
 #include "engines/engine_board.h"
 #include "jobs/job_table.h"
 #include "jobs/sample_scorer.h"
-#include "quarantine/service.h"
 #include "scheduling/run_estimate.h"
 #include "scheduling/sample_order.h"
 
@@ -33,7 +31,6 @@
   calls::forwarder& forwarder;
   calls::header_names const& names;
   engines::engine_board& board;
-  quarantine::service& quarantine;
   job_table& table;
   /// Learns from completed runs.
   scheduling::run_estimate& estimates;
@@ -81,7 +78,7 @@
     completed,
     /// The engine refused the request without running it.
     refused,
-    /// No valid response, a timeout, or the connection broke off.
+    /// No valid response, a timeout, or the connection broke off after the request was sent.
     broken,
     /// The engine reported a failure.
     failed,
@@ -95,6 +92,8 @@
     moved,
     /// The job ended or the run was superseded.
     unwanted,
+    /// No connection could be opened.
+    unreachable,
   };
 
   struct open_run {
@@ -102,36 +101,14 @@
     bool moving = false;
     bool single_version = false;
     std::string engine;
-    time_point sent_at{};
-    /// Fingerprint of the request. Set only when the run is aborted, since the job may be removed
-    /// from the table before the run ends.
-    std::optional<quarantine::fingerprint> request;
   };
   using run_id = scheduling::run_id;
 
-  /// What the quarantine requires of a run.
-  struct run_context {
-    /// Result of must_be_isolated.
-    bool isolated = false;
-    /// Set if the run is a trial, which is granted again if no engine runs it.
-    std::optional<quarantine::fingerprint> trial;
-    /// Held during the run, while the quarantine has suspects.
-    std::shared_ptr<void> unattended_run;
-  };
-
   engines::run_requirements make_run_need(job_entry const& job, sample_entry const& sample) const;
-  /// Returns true if the sample must not share an engine with another such sample: it is
-  /// quarantined, or would be after one more engine crash.
-  bool must_be_isolated(job_entry& job, std::uint32_t index, time_point now) const;
-  /// Returns true if the sample may be sent to an engine. Poison requests may be sent only as a
-  /// trial.
-  bool may_start(job_entry& job, std::uint32_t index, time_point now);
-  awaitable<void> request_trial(quarantine::fingerprint request);
   /// Starts a run of the sample on `engine`.
   /// @param need requirements by which the engine was chosen.
-  /// @param isolated result of must_be_isolated.
   void start(run_candidate const& next, engines::engine_entry const& engine,
-             engines::run_requirements const& need, bool isolated);
+             engines::run_requirements const& need);
   /// Logs, at intervals, that no engine can run the sample, if it has waited for long.
   void note_no_engine(run_candidate const& next, engines::run_requirements const& need,
                       time_point now);
@@ -140,19 +117,8 @@
   static time_point waiting_since(run_candidate const& next);
   static void log_wait(run_candidate const& next, std::string_view reason, time_point now);
   void move_slow_runs(time_point now);
-  /// Reports broken and abandoned runs to the quarantine service, which checks whether the engine
-  /// crashes.
-  void report_outcome(run_id id, run_key const& key, directory::server const& engine,
-                      run_outcome outcome, bool has_broken);
-  /// Returns true if this node closed the connection while the engine may still have been running
-  /// the request.
-  static bool is_abandoned(run_outcome outcome);
-  void abort(run_id id, open_run& open);
-  milliseconds retry_delay_after_break(job_entry& job, std::uint32_t index) const;
-  /// Removes and returns the trial that the next run of the sample is, if any.
-  std::optional<quarantine::fingerprint> take_trial(job_entry& job, std::uint32_t index);
   awaitable<void> run(run_id id, run_key key, directory::server engine, std::uint64_t tokens,
-                      std::string group, run_context context);
+                      std::string group);
   awaitable<run_outcome> execute(run_id id, run_key const& key, calls::exchange& exchange);
   awaitable<run_outcome> read_events(run_id id, run_key const& key, calls::exchange& exchange);
   run_outcome classify_response(calls::exchange const& exchange) const;
@@ -168,10 +134,12 @@
   void finish_run(run_key const& key, std::string const& engine, run_outcome outcome);
   /// Logs the start of a run; with its slack while samples are ordered by due time, and with the
   /// engine's expected peak usage while memory is planned.
-  void log_start(run_candidate const& next, run_key const& key, engines::engine_entry const& engine,
-                 bool isolated) const;
+  void log_start(run_candidate const& next, run_key const& key,
+                 engines::engine_entry const& engine) const;
   void finish_failed_run(job_entry& job, run_key const& key, sample_entry& sample);
   std::string_view name_of(run_outcome outcome) const;
+  /// Returns true if the engine, or the path to it, failed.
+  static bool is_break(run_outcome outcome);
 
   runner_dependencies dependencies_;
   std::map<run_id, open_run> runs_;
@@ -182,10 +150,6 @@
                                             dependencies_.names, dependencies_.table,
                                             dependencies_.may_resend, dependencies_.notify}};
   calls::share_picker shares_;
-  /// Quarantined requests that this node may send once, as a trial.
-  std::set<quarantine::fingerprint> trials_;
-  /// Engines that are running an isolated sample.
-  std::set<std::string> isolating_engines_;
   runner_counters counters_;
 };
 
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -1,5 +1,7 @@
 /// @file Detects poison requests, which crash the servers that run them, and keeps them from
-/// reaching more servers.
+/// reaching more servers. Covers calls of clients and of scorers. Samples have no part in it: they
+/// are taken not to crash engines, so they are never held, and crashes under them prove nothing
+/// about other requests.
 ///
 /// Each node records which of its requests were running on a server when the server crashed, and
 /// reports them to the collectors, which are the relays of some zones. Once a request that was
@@ -97,7 +99,7 @@
   bool may_lack_evidence() const { return horizon_.may_lack_evidence(boot_clock::now()); }
   /// Returns whether a request may be sent to a server now; `trial` requires `claim_trial` first.
   verdict check(fingerprint const& request, time_point now) const;
-  /// Returns true if a run that no caller waits for, such as that of a sample, should be postponed
+  /// Returns true if a run that no caller waits for, that of a scorer's call, should be postponed
   /// for a moment: because evidence is being stored, because the request has reached the crash
   /// threshold and its record is not in effect yet, or because evidence from previous nodes is
   /// being resolved. While evidence may be lost, also because another such run is in progress.
--- a/tests/platform/unlucky_samples_test.cc
+++ b/tests/platform/unlucky_samples_test.cc
@@ -150,6 +150,13 @@
 
 // Guards against waits for evidence that can't be stored during an outage of the store.
 TEST(unlucky_samples_test, sample_runs_again_during_an_outage_of_the_store) {
+  // Nodes learn of other identifiers only from the store.
+  system.on_platform([&] {
+    for (std::size_t index = 0; index < system.engines(); ++index) {
+      system.engine(index).set_keeps_id(true);
+    }
+    return 0;
+  });
   LONGS_EQUAL(202, system.submit(0, "first", {{"first", "group"}}));
   system.wait_for_results(0, "first", 1);
   set_crash_after(milliseconds(200));
@@ -234,3 +241,52 @@
     CHECK(times[index] - times[index - 1] < k_idle_limit);
   }
 }
+
+// Guards against a text that must not mix versions and waits for an engine that still has its own:
+// once no engine has it, the sample must start over.
+TEST(unlucky_samples_test, text_whose_version_no_engine_has_any_more_is_made_again) {
+  platform_options options;
+  options.single_version = true;
+  options.events = 60;
+  options.event_gap = milliseconds(40);
+  platform_cluster pair{options};
+  auto const engine_of_run = [&]() -> std::optional<std::size_t> {
+    for (std::size_t index = 0; index < pair.engines(); ++index) {
+      for (arrival const& entry : pair.engine(index).arrivals()) {
+        if (entry.request == unlucky.id && entry.ran) return index;
+      }
+    }
+    return std::nullopt;
+  };
+  LONGS_EQUAL(202, pair.submit(0, "job", {unlucky}));
+  platform_cluster::wait_until("the sample runs", [&] {
+    return pair.on_platform([&] { return engine_of_run().has_value(); });
+  });
+  std::size_t const first = pair.on_platform([&] { return *engine_of_run(); });
+  std::size_t const second = 1 - first;
+  pair.on_platform([&] {
+    pair.name_version(2);
+    return 0;
+  });
+  platform_cluster::wait_until("the other engine has the new version", [&] {
+    return pair.on_platform([&] { return pair.engine(second).version() == 2; });
+  });
+  pair.on_platform([&] {
+    pair.engine(first).faults().down_time = seconds(60);
+    pair.engine(first).crash();
+    pair.withdraw(pair.engine(first));
+    return 0;
+  });
+  time_point const lost = boot_clock::now();
+  platform_cluster::wait_until("the sample runs at the other engine", [&] {
+    return pair.on_platform([&] {
+      auto const& all = pair.engine(second).arrivals();
+      return std::any_of(all.begin(), all.end(), [&](arrival const& entry) {
+        return entry.request == unlucky.id && entry.ran && entry.last_event.empty();
+      });
+    });
+  });
+  CHECK(boot_clock::now() - lost < k_idle_limit);
+  platform_cluster::wait_until(
+      "the sample is completed", [&] { return is_completed(pair.results(1, "job"), unlucky.id); });
+}
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -25,7 +25,7 @@
 constexpr std::uint64_t k_prompt_tokens = 50;
 
 std::string config_text(std::uint64_t version, std::string const& extra_routes,
-                        std::string const& tenants, std::uint64_t cache_tokens) {
+                        platform_options const& options) {
   std::ostringstream text;
   text << R"({"version":)" << version << R"(,"routes":[)"
        << R"({"name":"calls","host":"test.example","path_prefix":"/calls/","kind":"safe",)"
@@ -39,17 +39,18 @@
        << R"("max_attempts":3,"resumable":true},)"
        << R"({"name":"jobs","host":"test.example","path_prefix":"/jobs/","kind":"rollout",)"
        << R"("timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"engines",)"
-       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40},)"
+       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40,"single_version":)"
+       << (options.single_version ? "true" : "false") << "},"
        << R"({"name":"open","host":"test.example","path_prefix":"/open/","kind":"safe",)"
        << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
        << R"("max_attempts":3,"public":true})" << extra_routes
        << R"(],"services":[{"name":"engines","health_path":"/health","max_conns":150,)"
-       << R"("engine":{"slots":8,"kv_capacity":)" << cache_tokens
+       << R"("engine":{"slots":8,"kv_capacity":)" << options.cache_tokens
        << R"(,"models":[{"name":"model"}]}},)"
        << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
        << R"("limits":{"max_header_bytes":16384,"max_body_bytes":33554432,)"
        << R"("header_timeout_ms":3000,"idle_timeout_ms":15000})";
-  if (!tenants.empty()) text << R"(,"tenants":)" << tenants;
+  if (!options.tenants.empty()) text << R"(,"tenants":)" << options.tenants;
   text << "}";
   return text.str();
 }
@@ -192,7 +193,7 @@
 
 void platform_cluster::put_config(std::uint64_t version, std::string const& extra_routes) {
   store_->put("op/config",
-              config_text(version, extra_routes, options_.tenants, options_.cache_tokens));
+              config_text(version, extra_routes, options_));
 }
 
 void platform_cluster::name_version(std::uint64_t version) {
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -41,6 +41,8 @@
   bool suspendable = false;
   /// Size of each engine's KV cache in tokens.
   std::uint64_t cache_tokens = 100'000;
+  /// Samples of jobs must not mix weight versions.
+  bool single_version = false;
   /// Text appended to the settings file of each node, in TOML.
   std::string extra_settings;
 };
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -176,11 +176,15 @@
   entry.ran = true;
   entry.crashed = true;
   arrivals_.push_back(entry);
-  crash_budget const* const budget = find_budget(message);
-  if (budget != nullptr) --*budget->crashes_left;
+  crash_budget const* const found = find_budget(message);
+  std::shared_ptr<std::uint32_t> const crashes_left = found ? found->crashes_left : nullptr;
   std::uint32_t const incarnation = crashes_;
   co_await wait_for(faults_.crash_after);
-  if (incarnation == crashes_) crash();
+  if (incarnation != crashes_) co_return;
+  // Runs at other servers may have used up the budget meanwhile.
+  if (crashes_left && *crashes_left == 0) co_return;
+  if (crashes_left) --*crashes_left;
+  crash();
 }
 
 awaitable<void> server_standin::start_next_incarnation(milliseconds pause) {
