--- a/src/calls/event_stream.cc
+++ b/src/calls/event_stream.cc
@@ -55,8 +55,10 @@
       if (!first_data) event.data += '\n';
       event.data += value;
       first_data = false;
+      event.has_content = true;
     } else if (name == "id") {
       event.id = parse_number(value);
+      event.has_content = true;
     } else if (name == version_field_) {
       event.version = parse_number(value);
     }
--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -232,15 +232,16 @@
 }
 
 awaitable<exchange_failure> exchange::read_head(time_point deadline) {
-  parser_.emplace();
-  parser_->body_limit(boost::none);
-  parser_->eager(true);
-  if (head_only_) parser_->skip(true);
   timed_wait const wait(*this, deadline);
-  auto [failure, count] = co_await bhttp::async_read_header(
-      connection_->stream, connection_->buffer, *parser_, k_as_tuple);
-  answer_begun_ = count > 0 || connection_->buffer.size() > 0;
-  if (failure) co_return classify(failure);
+  http::head_outcome const read =
+      co_await http::read_final_head(connection_->stream, connection_->buffer, parser_,
+                                     [this](http::response_parser& created) {
+                                       created.body_limit(boost::none);
+                                       created.eager(true);
+                                       created.skip(head_only_);
+                                     });
+  answer_begun_ = read.bytes_received > 0 || connection_->buffer.size() > 0;
+  if (read.failure) co_return classify(read.failure);
   std::string_view const answered = http::header(parser_->get(), names_.request_id);
   if (!answered.empty() && !request_id_.empty() && answered != request_id_) {
     co_return exchange_failure::foreign_answer;
--- a/src/calls/exchange.h
+++ b/src/calls/exchange.h
@@ -18,6 +18,7 @@
 #include "directory/server_directory.h"
 #include "http/message.h"
 #include "http/request_stream.h"
+#include "http/response_reader.h"
 
 namespace frostline::calls {
 
@@ -68,7 +69,7 @@
     explicit connection(asio::io_context& context) : stream(context) {}
     explicit connection(http::beast::tcp_stream opened) : stream(std::move(opened)) {}
     http::request_stream stream;
-    http::beast::flat_buffer buffer;
+    http::beast::flat_buffer buffer{http::k_max_unparsed_bytes};
     time_point opened_at{};
     time_point idle_since{};
     /// Longest idle time in the pool. Replaced if the server announces a timeout in a Keep-Alive
@@ -193,7 +194,7 @@
   directory::server server_;
   std::string request_id_;
   std::unique_ptr<connection_pool::connection> connection_;
-  std::optional<http::bhttp::response_parser<http::bhttp::string_body>> parser_;
+  std::optional<http::response_parser> parser_;
   /// Deadline of the operation in progress, if any.
   std::optional<time_point> deadline_;
   bool overdue_ = false;
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "balancing/attempt_times.h"
+#include "calls/answer_memory.h"
 #include "calls/call_failure.h"
 #include "calls/caller.h"
 #include "calls/event_stream.h"
@@ -231,6 +232,7 @@
   share_picker shares_;
   balancing::attempt_times times_;
   call_counters counters_;
+  answer_memory answers_;
 };
 
 }  // namespace frostline::calls
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -12,7 +12,6 @@
 /// preferred for later requests. An attempt that takes longer leaves no time for a second one
 /// within the target.
 constexpr int k_fast_answer_divisor = 2;
-constexpr std::size_t k_max_answer_bytes = 64 * 1024 * 1024;
 /// Time to read the rest of a failed answer before the next attempt. The head has arrived, so a
 /// sound server needs little more; a longer wait would delay the next attempt.
 constexpr milliseconds k_discard_timeout{100};
@@ -92,7 +91,9 @@
   if (timed_out) measure_late(state, upstream);
   // A deadline that is earlier than the target says nothing about the server.
   bool const late = timed_out && time_spent(state) >= state.matched_route->target_latency;
-  if (!late && failure != exchange_failure::broken) return;
+  bool const unusable =
+      failure == exchange_failure::broken || failure == exchange_failure::answer_too_large;
+  if (!late && !unusable) return;
   dependencies_.selector.paces().note_result(upstream.server().id, true, boot_clock::now());
 }
 
@@ -145,12 +146,14 @@
   if (!is_read && upstream.announced_body_size().value_or(0) > k_max_answer_bytes) {
     co_return exchange_failure::answer_too_large;
   }
+  answer_memory::reader memory(answers_);
   std::string piece;
   while (!upstream.is_whole() || !upstream.head().body().empty()) {
     exchange_failure const failure = co_await upstream.read_piece(piece, state.deadline);
     if (failure != exchange_failure::none) co_return failure;
+    bool const fits = memory.add(piece.size());
     body += piece;
-    if (body.size() > k_max_answer_bytes) co_return exchange_failure::answer_too_large;
+    if (!fits) co_return exchange_failure::answer_too_large;
   }
   co_return exchange_failure::none;
 }
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -1,12 +1,14 @@
 /// @file The forwarder's handling of event streams.
 
+#include <algorithm>
+
 #include "calls/forwarder.h"
 #include "calls/message_fields.h"
 
 namespace frostline::calls {
 namespace {
 
-/// An event stream that sends no data for this long counts as failed.
+/// An event stream that sends no event for this long counts as failed.
 constexpr milliseconds k_stream_idle_timeout{1800};
 
 }  // namespace
@@ -49,21 +51,29 @@
     }
   }
   state.attempt_timeout = k_stream_idle_timeout;
+  time_point last_event_at = boot_clock::now();
   std::string piece;
   while (true) {
     if (upstream.is_whole() && upstream.head().body().empty()) break;
-    time_point const idle_deadline = boot_clock::now() + k_stream_idle_timeout;
-    exchange_failure const failure = co_await upstream.read_piece(piece, idle_deadline);
-    if (failure != exchange_failure::none) {
-      // Only complete events were forwarded, so another server can resume after the last one.
-      note_failure(state, upstream, failure);
-      co_return false;
-    }
+    time_point const idle_deadline =
+        std::min(boot_clock::now() + k_stream_idle_timeout, state.deadline);
+    exchange_failure failure = co_await upstream.read_piece(piece, idle_deadline);
     std::string whole_events;
     for (stream_event const& event : splitter.feed(piece)) {
       if (event.id) state.message.set(dependencies_.names.last_event_id, std::to_string(*event.id));
+      if (event.has_content) last_event_at = boot_clock::now();
       whole_events += event.raw;
     }
+    // Bytes without an event, which a faulty server may send without end, don't count as progress.
+    bool const idle =
+        !upstream.is_whole() && boot_clock::now() > last_event_at + k_stream_idle_timeout;
+    if (failure == exchange_failure::none && idle) failure = exchange_failure::timed_out;
+    if (splitter.is_overlong()) failure = exchange_failure::answer_too_large;
+    if (failure != exchange_failure::none) {
+      // Only complete events were forwarded, so another server can resume after the last one.
+      note_failure(state, upstream, failure);
+      co_return false;
+    }
     if (whole_events.empty()) continue;
     if (!co_await state.client->send(std::move(whole_events))) {
       note_caller_left(state, upstream);
--- a/src/engines/engine_client.cc
+++ b/src/engines/engine_client.cc
@@ -16,6 +16,8 @@
 /// engine has not sent when it fails are generated again.
 constexpr std::uint32_t k_stream_interval = 16;
 constexpr std::string_view k_stream_end = "[DONE]";
+/// Limit of the size of an event, to bound the memory that a faulty engine can take up.
+constexpr std::size_t k_max_event_bytes = 1024 * 1024;
 
 std::uint32_t json_uint32(json::object const& object, std::string_view key) {
   return static_cast<std::uint32_t>(json_number(object, key));
@@ -77,8 +79,18 @@
   bool finished = false;
   bool ended = false;
   std::string failure;
+  time_point last_event_at = boot_clock::now();
   auto sink = [&](std::string_view piece) {
-    for (std::string const& payload : parser.feed(piece)) {
+    auto const payloads = parser.feed(piece);
+    time_point const now = boot_clock::now();
+    if (!payloads.empty()) last_event_at = now;
+    // Bytes without an event don't count as progress.
+    bool const idle = now > last_event_at + k_stream_idle_timeout;
+    if (idle || parser.pending() > k_max_event_bytes) {
+      failure = idle ? "no event in time" : "event is over the size limit";
+      return false;
+    }
+    for (std::string const& payload : payloads) {
       if (payload == k_stream_end) {
         ended = true;
         continue;
--- a/src/engines/sse_parser.cc
+++ b/src/engines/sse_parser.cc
@@ -18,10 +18,12 @@
 }  // namespace
 
 std::vector<std::string> sse_parser::feed(std::string_view piece) {
+  // The blank line that ends an event may have begun in the piece before.
+  std::size_t const search_from = pending_.empty() ? 0 : pending_.size() - 1;
   pending_.append(piece);
   std::vector<std::string> payloads;
   std::size_t begin = 0;
-  std::size_t end = pending_.find(k_event_end);
+  std::size_t end = pending_.find(k_event_end, search_from);
   while (end != std::string::npos) {
     std::string_view const event = std::string_view(pending_).substr(begin, end - begin);
     if (event.starts_with(k_data_prefix)) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,6 +1,7 @@
 #include "http/client.h"
 
 #include "http/connection_health.h"
+#include "http/response_reader.h"
 
 namespace frostline::http {
 namespace {
@@ -77,17 +78,23 @@
   auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
   traffic_.sent += written;
   if (write_failure) co_return note_failure(peer_endpoint, write_failure);
-  bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(answer_limit_);
-  if (message.method() == verb::head) parser.skip(true);
-  beast::flat_buffer buffer;
-  auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, parser, k_as_tuple);
+  std::optional<response_parser> parser;
+  beast::flat_buffer buffer(k_max_unparsed_bytes);
+  bool const head_only = message.method() == verb::head;
+  head_outcome const head =
+      co_await read_final_head(*stream, buffer, parser, [&](response_parser& created) {
+        created.body_limit(answer_limit_);
+        created.skip(head_only);
+      });
+  traffic_.received += head.bytes_received;
+  if (head.failure) co_return note_failure(peer_endpoint, head.failure);
+  auto [read_failure, read] = co_await bhttp::async_read(*stream, buffer, *parser, k_as_tuple);
   traffic_.received += read;
   if (read_failure) co_return note_failure(peer_endpoint, read_failure);
   stream->end_request();
-  bool const reusable = parser.get().keep_alive() && buffer.size() == 0;
+  bool const reusable = parser->get().keep_alive() && buffer.size() == 0;
   if (reusable && use == connection_use::pooled) return_to_pool(peer_endpoint, std::move(stream));
-  co_return parser.release();
+  co_return parser->release();
 }
 
 awaitable<result<response>> client::stream(endpoint peer_endpoint, request message,
@@ -101,26 +108,27 @@
   auto [write_failure, written] = co_await bhttp::async_write(*stream, message, k_as_tuple);
   traffic_.sent += written;
   if (write_failure) co_return classify(write_failure);
-  bhttp::response_parser<bhttp::string_body> parser;
-  parser.body_limit(answer_limit_);
-  beast::flat_buffer buffer;
-  auto [head_failure, head] =
-      co_await bhttp::async_read_header(*stream, buffer, parser, k_as_tuple);
-  traffic_.received += head;
-  if (head_failure) co_return classify(head_failure);
+  std::optional<response_parser> parser;
+  beast::flat_buffer buffer(k_max_unparsed_bytes);
+  head_outcome const head =
+      co_await read_final_head(*stream, buffer, parser, [&](response_parser& created) {
+        created.body_limit(answer_limit_);
+      });
+  traffic_.received += head.bytes_received;
+  if (head.failure) co_return classify(head.failure);
   stream->end_request();
-  bool const forward_body = parser.get().result() == status::ok;
-  while (!parser.is_done()) {
+  bool const forward_body = parser->get().result() == status::ok;
+  while (!parser->is_done()) {
     stream->expires_after(idle_timeout);
-    auto [failure, count] = co_await bhttp::async_read_some(*stream, buffer, parser, k_as_tuple);
+    auto [failure, count] = co_await bhttp::async_read_some(*stream, buffer, *parser, k_as_tuple);
     traffic_.received += count;
     if (failure) co_return classify(failure);
-    std::string& body = parser.get().body();
+    std::string& body = parser->get().body();
     if (!forward_body || body.empty()) continue;
     if (!sink(body)) co_return std::error_code(errc::exchange_failed);
     body.clear();
   }
-  co_return parser.release();
+  co_return parser->release();
 }
 
 }  // namespace frostline::http
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -328,9 +328,13 @@
     auto const failure = co_await exchange.read_piece(piece, boot_clock::now() + timeout);
     if (dependencies_.table.find_running(key) == nullptr) co_return run_outcome::unwanted;
     if (failure != calls::exchange_failure::none) co_return run_outcome::broken;
-    auto const events = splitter.feed(piece);
-    if (events.empty()) continue;
+    auto events = splitter.feed(piece);
+    std::erase_if(events, [](calls::stream_event const& event) { return !event.has_content; });
     time_point const now = boot_clock::now();
+    // Bytes without an event, which a faulty engine may send without end, don't count as progress.
+    bool const idle = events.empty() && !exchange.is_whole() && now > last_event_at + timeout;
+    if (idle || splitter.is_overlong()) co_return run_outcome::broken;
+    if (events.empty()) continue;
     if (!awaiting_first_event && !loading) {
       auto const gap = std::chrono::duration_cast<milliseconds>(now - last_event_at);
       dependencies_.board.note_event_gap(engine, gap / static_cast<int>(events.size()), now);
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -14,6 +14,8 @@
 /// Far above what a busy machine needs for an answer of 64 MiB.
 constexpr milliseconds k_deadline{60'000};
 constexpr std::uint32_t k_max_attempts = 3;
+/// For a local peer to notice a closed connection.
+constexpr milliseconds k_settling_time{200};
 constexpr std::string_view k_end_of_head = "\r\n\r\n";
 
 std::shared_ptr<calls::route_table const> make_table(calls::route_kind kind, bool resumable) {
@@ -75,13 +77,29 @@
     if (next_step_ == script_.size()) continue;
     scripted_answer const step = script_[next_step_++];
     co_await asio::async_write(*socket, asio::buffer(step.bytes), k_as_tuple);
-    if (!step.closes) continue;
+    if (!step.endless.empty()) {
+      co_await send_endlessly(*socket, step);
+      co_return;
+    }
+    if (!step.closes && !step.resets) continue;
     boost::system::error_code ignored;
+    if (step.resets) socket->set_option(tcp::socket::linger(true, 0), ignored);
     socket->close(ignored);
     co_return;
   }
 }
 
+awaitable<void> scripted_servers::send_endlessly(tcp::socket& socket, scripted_answer const& step) {
+  while (true) {
+    auto [failure, count] =
+        co_await asio::async_write(socket, asio::buffer(step.endless), k_as_tuple);
+    endless_bytes_ += count;
+    if (failure) break;
+    if (step.pause > milliseconds(0)) co_await wait_for(step.pause);
+  }
+  ++endless_ended_;
+}
+
 awaitable<void> recording_caller::answer(http::response whole) {
   if (leaves_during_answer_) disconnect();
   status_ = whole.result_int();
@@ -140,6 +158,22 @@
   if (!handled) throw std::runtime_error("the request is still being handled");
 }
 
+void forwarder_fixture::forward_until_client_leaves(calls::route_kind kind,
+                                                    std::vector<scripted_answer> script,
+                                                    milliseconds patience) {
+  auto leave = [&]() -> awaitable<void> {
+    co_await wait_for(patience);
+    client.disconnect();
+  };
+  spawn(context, leave());
+  forward(kind, false, std::move(script));
+}
+
+void forwarder_fixture::settle() {
+  context.restart();
+  context.run_for(k_settling_time);
+}
+
 std::size_t forwarder_fixture::outstanding() const {
   std::size_t running = 0;
   for (std::size_t index = 0; index < servers.count(); ++index) {
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -15,6 +15,12 @@
   std::string bytes;
   /// Closes the connection behind the bytes.
   bool closes = false;
+  /// Closes the connection with a reset.
+  bool resets = false;
+  /// Sent again and again behind the bytes, until the other side closes; empty for none.
+  std::string endless = {};
+  /// Pause between two of these; 0 to send as fast as the connection takes them.
+  milliseconds pause{0};
 };
 
 /// Runs a script, one step for each request, in the order in which requests arrive at any of its
@@ -31,8 +37,13 @@
   }
   /// Number of requests that have arrived.
   std::size_t arrivals() const { return arrivals_; }
+  /// Bytes of endless answers that were sent.
+  std::uint64_t endless_bytes() const { return endless_bytes_; }
+  /// Endless answers that the other side ended.
+  std::size_t endless_ended() const { return endless_ended_; }
 
  private:
+  awaitable<void> send_endlessly(tcp::socket& socket, scripted_answer const& step);
   awaitable<void> accept(tcp::acceptor& acceptor);
   awaitable<void> serve(std::shared_ptr<tcp::socket> socket);
 
@@ -41,6 +52,8 @@
   std::vector<scripted_answer> script_;
   std::size_t next_step_ = 0;
   std::size_t arrivals_ = 0;
+  std::uint64_t endless_bytes_ = 0;
+  std::size_t endless_ended_ = 0;
 };
 
 /// A client that records what it gets.
@@ -86,6 +99,11 @@
   /// Forwards one request on a route of this kind and waits until it is handled. Throws
   /// std::runtime_error if that takes too long.
   void forward(calls::route_kind kind, bool resumable, std::vector<scripted_answer> script);
+  /// As `forward`, but the client disconnects after `patience`.
+  void forward_until_client_leaves(calls::route_kind kind, std::vector<scripted_answer> script,
+                                   milliseconds patience);
+  /// Lets the servers notice that connections have been closed.
+  void settle();
   /// Requests at all servers that the selector counts as running.
   std::size_t outstanding() const;
 
