--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -162,6 +162,23 @@
   if (pool_is_full && !has_begun) return;
   ++counters_.long_waits[static_cast<std::size_t>(obstacle)];
   log_wait(next, to_string(obstacle), now);
+  if (obstacle == engines::run_obstacle::no_version && need.exact_version)
+    restart_if_version_is_gone(next, need, now);
+}
+
+void sample_runner::restart_if_version_is_gone(run_candidate const& next,
+                                               engines::run_requirements need, time_point now) {
+  need.exact_version.reset();
+  bool const others_can_run =
+      dependencies_.board.find_obstacle(need, now) > engines::run_obstacle::no_version;
+  if (!others_can_run) return;
+  sample_entry& sample = next.job->samples[next.index];
+  log_line(log_level::info, k_part, "Text is dropped: no engine has its version any more.",
+           {{"request", sample.spec->id},
+            {"job", next.job->record.id},
+            {"version", sample.versions.front()},
+            {"events", sample.events}});
+  dependencies_.table.restart(sample, now);
 }
 
 bool sample_runner::is_wait_due(run_candidate const& next, time_point now) {
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -112,6 +112,10 @@
   /// Logs, at intervals, that no engine can run the sample, if it has waited for long.
   void note_no_engine(run_candidate const& next, engines::run_requirements const& need,
                       time_point now);
+  /// Drops the sample's text, which must not mix versions, if engines with other versions can run
+  /// the sample. @param need requirements with the text's version, which no engine has.
+  void restart_if_version_is_gone(run_candidate const& next, engines::run_requirements need,
+                                  time_point now);
   /// Returns true if the sample has waited for long and this was not logged lately.
   static bool is_wait_due(run_candidate const& next, time_point now);
   static time_point waiting_since(run_candidate const& next);
