--- a/src/engines/version_planner.cc
+++ b/src/engines/version_planner.cc
@@ -117,6 +117,9 @@
     bool const too_old =
         plan->candidates.version() + plan->demand.allowed_lag < plan->demand.newest;
     plan->candidates.pop();
+    bool const is_own =
+        options.service.empty() || board.find(id)->server.service == options.service;
+    if (!is_own) continue;
     // Skips an engine that was assigned to a more urgent model in this pass.
     if (!assigned.insert(id).second) continue;
     ++plan->up_to_date;
--- a/src/engines/version_planner.h
+++ b/src/engines/version_planner.h
@@ -15,6 +15,9 @@
 namespace frostline::engines {
 
 struct planner_options {
+  /// Service whose engines get orders; empty for all engines. A pool's samples may also run on
+  /// engines of other services, which have pools, and owners, of their own.
+  std::string service;
   /// Number of engines that may load concurrently, unless `parallel_fraction` allows more.
   std::uint32_t parallel_loads = 2;
   /// Fraction of a pool's engines that may load concurrently, unless `parallel_loads` allows more.
--- a/src/engines/weight_orders.cc
+++ b/src/engines/weight_orders.cc
@@ -34,7 +34,9 @@
 
 weight_orders::weight_orders(asio::io_context& context, engine_board& board,
                              engine_control& control, order_authority authority)
-    : context_(context), board_(board), control_(control), authority_(std::move(authority)) {}
+    : context_(context), board_(board), control_(control), authority_(std::move(authority)) {
+  options_.service = authority_.service;
+}
 
 void weight_orders::name_version(std::string const& model, std::uint64_t version) {
   model_demand& demand = demands_[model];
--- a/src/engines/weight_orders.h
+++ b/src/engines/weight_orders.h
@@ -18,6 +18,8 @@
 struct order_authority {
   /// Machine that sends the orders.
   std::string holder;
+  /// Service whose engines may be ordered; empty for all.
+  std::string service;
   /// Returns true if this node may send an order now.
   std::function<bool()> may_order;
   /// Returns the fencing token of the current lease.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -31,6 +31,7 @@
                                         sample_runner const& runner) {
   engines::order_authority authority;
   authority.holder = dependencies.node;
+  authority.service = dependencies.lease.resource();
   ownership::owner_lease& lease = dependencies.lease;
   authority.may_order = [&lease] { return lease.may_order(boot_clock::now()); };
   authority.fence = [&lease] { return lease.epoch(); };
--- a/tests/unit/engines/version_planner_test.cc
+++ b/tests/unit/engines/version_planner_test.cc
@@ -270,6 +270,22 @@
   STRCMP_EQUAL("e2", board.choose(requirements, now)->server.id.c_str());
 }
 
+// Guards against orders of several owners to one engine: each service's pool orders its own.
+TEST(version_planner_test, engines_of_other_services_get_no_orders) {
+  set_engines(4, {{"m", 1}});
+  servers[1].service = "other";
+  servers[3].service = "other";
+  refresh();
+  options.service = "pool";
+  demands["m"].newest = 2;
+  demands["m"].allowed_lag = 0;
+  auto const orders = plan_orders(board, demands, options);
+  LONGS_EQUAL(2, orders.size());
+  for (planned_order const& order : orders) {
+    STRCMP_EQUAL("pool", board.find(order.engine)->server.service.c_str());
+  }
+}
+
 TEST(version_planner_test, restart_ends_the_load_of_an_engine) {
   set_engines(2, {{"m", 1}});
   board.begin_load("e0", "m", 2, now);
