--- a/src/gateway/pool_registry.cc
+++ b/src/gateway/pool_registry.cc
@@ -24,6 +24,7 @@
       dependencies_.forwarder, dependencies_.adapter.names(), dependencies_.adapter.engines(),
       *pool.lease, dependencies_.transport, node_settings.id,
       node_settings.zone, node_settings.retention,
+      [this, name] { return other_pools(name); },
       [this, name] { return dependencies_.enabled_features.orders_by_due_time(name); },
       [this, name] { return dependencies_.enabled_features.plans_memory(name); }});
   pool.owner->start();
@@ -67,6 +68,14 @@
   }
 }
 
+std::vector<std::string> pool_registry::other_pools(std::string const& name) const {
+  std::vector<std::string> others;
+  for (auto const& [other, pool] : all_) {
+    if (other != name) others.push_back(other);
+  }
+  return others;
+}
+
 bool pool_registry::owns_any() const {
   return std::any_of(all_.begin(), all_.end(), [](auto const& entry) {
     return entry.second.lease->state() == ownership::lease_state::owner;
--- a/src/gateway/pool_registry.h
+++ b/src/gateway/pool_registry.h
@@ -61,6 +61,8 @@
 
  private:
   jobs::pool& make(std::string const& name);
+  /// Names of all pools but this one.
+  std::vector<std::string> other_pools(std::string const& name) const;
 
   pool_registry_dependencies dependencies_;
   jobs::pool_map all_;
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -100,7 +100,16 @@
                                              time_point deadline) {
   auto const found = pools_.find(pool_name);
   if (found == pools_.end()) co_return unavailable();
-  co_return co_await call_owner(found->second, call, deadline);
+  rpc::JobReplyT reply = co_await call_owner(found->second, call, deadline);
+  if (reply.status != rpc::JobStatus::UNKNOWN_JOB) co_return reply;
+  // Another pool has accepted the job before its route moved.
+  for (auto& [name, target] : pools_) {
+    if (name == pool_name) continue;
+    reply = co_await call_owner(target, call, deadline);
+    if (reply.status == rpc::JobStatus::OK) co_return reply;
+  }
+  // UNAVAILABLE would tell the caller that no part of the job runs.
+  co_return outcome_unknown();
 }
 
 awaitable<rpc::JobReplyT> job_client::ask(rpc::JobCallT call, time_point deadline) {
--- a/src/jobs/job_client.h
+++ b/src/jobs/job_client.h
@@ -44,7 +44,7 @@
         pools_(pools),
         node_(std::move(node)) {}
 
-  /// Submits a job to the owner of `pool_name`.
+  /// Submits a job to the owner of `pool_name`, or of the pool that has accepted it before.
   awaitable<rpc::JobReplyT> submit(std::string pool_name, rpc::JobCallT call, time_point deadline);
   /// Calls the owners of all pools in turn until one answers OK, since a job's identifier does not
   /// name the job's pool.
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -93,6 +93,7 @@
   ++term_;
   log_.close();
   submitting_.clear();
+  held_elsewhere_.clear();
   written_.notify_all();
   bool const was_loaded = state_ == owner_state::active || state_ == owner_state::suspended;
   state_ = was_loaded ? owner_state::suspended : owner_state::standby;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -49,6 +49,9 @@
   /// Time after a job's acceptance or loading from which on the job is deleted, if it is closed
   /// (ended, or with all results listed).
   milliseconds retention{140'000};
+  /// Names of all pools but this one. A configuration may move a route to another pool while its
+  /// jobs are open.
+  std::function<std::vector<std::string>()> other_pools = [] { return std::vector<std::string>(); };
   /// Returns true if samples are ordered by the time that is left until they are due.
   std::function<bool()> orders_by_due_time = [] { return false; };
   /// Returns true if runs are admitted by the memory that they hold over time.
@@ -153,6 +156,8 @@
   awaitable<void> run_before_recorded(std::uint64_t term, std::shared_ptr<rpc::JobRecordT> record);
   /// Drops old jobs whose record was not stored and is no longer being written.
   void drop_unrecorded(time_point now);
+  /// Drops a job that another pool has accepted. Its submission is answered with UNKNOWN_JOB.
+  void drop_held_elsewhere(std::string const& id);
   /// Returns the job if its record is known to be stored, null otherwise.
   job_entry* find_recorded(std::string const& id);
   void accept(std::shared_ptr<rpc::JobRecordT> const& record);
@@ -189,6 +194,8 @@
   std::map<std::string, std::shared_ptr<write_outcome const>> end_writes_;
   /// Jobs whose record is being written.
   std::map<std::string, bool> submitting_;
+  /// Jobs submitted in this term that another pool has accepted.
+  std::set<std::string> held_elsewhere_;
   /// Ended jobs whose data is not loaded, with the contents of their marks.
   std::map<std::string, std::optional<rpc::JobEndT>> unloaded_ended_jobs_;
   /// Jobs of `unloaded_ended_jobs_` that are queued for loading.
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -159,16 +159,27 @@
   std::string const id = record->id;
   std::uint64_t const term = term_;
   submitting_[id] = true;
-  log_.write_record(*record, [this, term, id, record](write_outcome outcome) {
+  held_elsewhere_.erase(id);
+  auto const on_done = [this, term, id, record](write_outcome outcome) {
     if (term == term_) {
       submitting_.erase(id);
       if (outcome == write_outcome::stored) accept(record);
+      if (outcome == write_outcome::held_elsewhere) drop_held_elsewhere(id);
     }
     written_.notify_all();
-  });
+  };
+  log_.write_record(*record, on_done, dependencies_.other_pools());
   if (submitting_.contains(id)) spawn(dependencies_.context, run_before_recorded(term, record));
 }
 
+void pool_owner::drop_held_elsewhere(std::string const& id) {
+  log_line(log_level::info, k_part, "Job is held by another pool.",
+           {{"job", id}, {"pool", dependencies_.lease.resource()}});
+  held_elsewhere_.insert(id);
+  runner_.abort_runs(id);
+  table_.forget(id);
+}
+
 job_entry* pool_owner::find_recorded(std::string const& id) {
   job_entry* const found = table_.find(id);
   return found != nullptr && found->recorded ? found : nullptr;
@@ -197,6 +208,8 @@
     co_await written_.wait_until(deadline);
   }
   if (find_recorded(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
+  if (held_elsewhere_.contains(id))
+    co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, "another pool has accepted it");
   co_return reply_with(rpc::JobStatus::OUTCOME_UNKNOWN, "the record store has not answered");
 }
 
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -163,17 +163,22 @@
   spawn(context_, write_loop(session_));
 }
 
-void record_log::write_record(rpc::JobRecordT const& record, completion_handler on_done) {
+void record_log::write_record(rpc::JobRecordT const& record, completion_handler on_done,
+                              std::vector<std::string> const& other_pools) {
   std::string const bytes = rpc::encode(record);
   entry new_entry;
   new_entry.on_done = std::move(on_done);
+  for (std::string const& pool : other_pools) {
+    new_entry.absent_keys.push_back(record_keys::accepted_mark(pool, record.id));
+  }
   std::size_t const limit = value_limit();
   for (std::size_t part = 0; part * limit < bytes.size(); ++part) {
     new_entry.operations.push_back(
         put(record_keys::record(pool_, record.id, part), bytes.substr(part * limit, limit)));
   }
   new_entry.operations.push_back(put(record_keys::accepted_mark(pool_, record.id), k_mark_value));
-  if (new_entry.operations.size() + 1 > limits_.operations_per_transaction / 2) {
+  std::size_t const checked = new_entry.operations.size() + new_entry.absent_keys.size() / 2;
+  if (checked + 1 > limits_.operations_per_transaction / 2) {
     new_entry.on_done(write_outcome::too_large);
     return;
   }
@@ -224,7 +229,7 @@
   std::size_t bytes = 0;
   while (!queue_.empty()) {
     entry& next = queue_.front();
-    std::size_t const needed = next.operations.size() * 2;
+    std::size_t const needed = next.operations.size() * 2 + next.absent_keys.size();
     if (!group.empty() && (needed > operations_left || bytes + next.bytes > k_group_bytes)) break;
     operations_left -= std::min(needed, operations_left);
     bytes += next.bytes;
@@ -238,6 +243,7 @@
   kv::transaction change;
   change.compares.push_back({owner_key_, epoch_});
   for (entry const& queued : group) {
+    for (std::string const& key : queued.absent_keys) change.compares.push_back({key, 0});
     for (kv::operation const& operation : queued.operations) {
       if (operation.kind == kv::operation_kind::put) change.compares.push_back({operation.key, 0});
       change.on_success.push_back(operation);
@@ -250,7 +256,10 @@
                                   std::vector<kv::key_value> const& current) const {
   std::map<std::string, kv::key_value const*> by_key;
   for (kv::key_value const& record : current) by_key[record.key] = &record;
+  std::set<std::string_view> written;
+  for (kv::operation const& operation : change.on_success) written.insert(operation.key);
   for (kv::compare const& compare : change.compares) {
+    if (compare.key != owner_key_ && !written.contains(compare.key)) continue;
     auto const found = by_key.find(compare.key);
     bool const exists = found != by_key.end() && found->second->mod_revision != 0;
     if (compare.key == owner_key_) {
@@ -262,23 +271,24 @@
   return true;
 }
 
-awaitable<bool> record_log::apply_until_known(kv::transaction change, std::size_t bytes,
-                                              std::uint64_t session) {
+awaitable<record_log::group_outcome> record_log::apply_until_known(kv::transaction change,
+                                                                   std::size_t bytes,
+                                                                   std::uint64_t session) {
+  group_outcome result;
   for (std::size_t tries = 0; session == session_; ++tries) {
     ++transactions_;
     time_point const sent_at = boot_clock::now();
     auto outcome = co_await store_.apply(change, write_timeout_.timeout_for(bytes, tries));
-    if (session != session_) co_return false;
+    if (session != session_) co_return result;
     auto const spent = std::chrono::duration_cast<milliseconds>(boot_clock::now() - sent_at);
     if (outcome) {
       write_timeout_.note_answer(spent);
-      bool const stored =
-          outcome.value().succeeded || proves_own_write(change, outcome.value().read);
-      if (!stored) {
-        log_line(log_level::warning, k_part, "Write rejected: no longer the owner.",
-                 {{"pool", pool_}, {"epoch", epoch_}});
+      auto const& read = outcome.value().read;
+      result.stored = outcome.value().succeeded || proves_own_write(change, read);
+      for (kv::key_value const& record : read) {
+        if (record.mod_revision != 0) result.existing_keys.insert(record.key);
       }
-      co_return stored;
+      co_return result;
     }
     log_line(log_level::warning, k_part, "Write outcome unknown; retrying.",
              {{"pool", pool_},
@@ -290,20 +300,48 @@
     bool const waited = spent >= write_timeout_estimator::k_min_timeout;
     co_await wait_for(waited ? k_retry_delay_after_timeout : with_jitter(k_retry_delay));
   }
-  co_return false;
+  co_return result;
 }
 
-awaitable<void> record_log::write_loop(std::uint64_t session) {
-  while (session == session_ && !queue_.empty()) {
-    std::vector<entry> group = take_group();
+std::vector<record_log::entry> record_log::reject_held_elsewhere(
+    std::vector<entry> group, std::set<std::string> const& existing_keys) {
+  std::vector<entry> others;
+  for (entry& queued : group) {
+    bool const held =
+        std::any_of(queued.absent_keys.begin(), queued.absent_keys.end(),
+                    [&](std::string const& key) { return existing_keys.contains(key); });
+    if (held) {
+      queued.on_done(write_outcome::held_elsewhere);
+    } else {
+      others.push_back(std::move(queued));
+    }
+  }
+  return others;
+}
+
+awaitable<void> record_log::write_group(std::vector<entry> group, std::uint64_t session) {
+  group_outcome outcome;
+  while (!group.empty()) {
     std::size_t bytes = 0;
     for (entry const& queued : group) bytes += queued.bytes;
-    bool const stored = co_await apply_until_known(make_transaction(group), bytes, session);
-    for (entry& queued : group) {
-      if (!queued.on_done) continue;
-      queued.on_done(stored ? write_outcome::stored : write_outcome::ownership_lost);
-    }
+    outcome = co_await apply_until_known(make_transaction(group), bytes, session);
+    std::size_t const tried = group.size();
+    if (!outcome.stored && session == session_)
+      group = reject_held_elsewhere(std::move(group), outcome.existing_keys);
+    if (group.size() == tried) break;
+  }
+  if (!group.empty() && !outcome.stored && session == session_) {
+    log_line(log_level::warning, k_part, "Write rejected: no longer the owner.",
+             {{"pool", pool_}, {"epoch", epoch_}});
+  }
+  for (entry& queued : group) {
+    if (!queued.on_done) continue;
+    queued.on_done(outcome.stored ? write_outcome::stored : write_outcome::ownership_lost);
   }
+}
+
+awaitable<void> record_log::write_loop(std::uint64_t session) {
+  while (session == session_ && !queue_.empty()) co_await write_group(take_group(), session);
   if (session == session_) writing_ = false;
 }
 
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   ownership_lost,
   /// The entry exceeds the store's limits; nothing was written.
   too_large,
+  /// Another pool has a job with this identifier; nothing was written.
+  held_elsewhere,
 };
 
 /// Keys of a pool's records. Marks are small, so all marks of a pool are listed at once; the data
@@ -75,7 +78,10 @@
   void close();
 
   using completion_handler = std::function<void(write_outcome)>;
-  void write_record(rpc::JobRecordT const& record, completion_handler on_done);
+  /// @param other_pools pools that may have accepted the job before its route moved; the job is
+  /// stored only if none of them has.
+  void write_record(rpc::JobRecordT const& record, completion_handler on_done,
+                    std::vector<std::string> const& other_pools = {});
   void write_results(rpc::ResultBatchT const& batch, completion_handler on_done);
   void write_end(std::string const& job, rpc::JobEndT const& end, completion_handler on_done);
   /// Writes the progress of one job's samples. The caller is not told whether the write succeeded,
@@ -92,17 +98,31 @@
  private:
   struct entry {
     std::vector<kv::operation> operations;
+    /// Keys that must not exist, besides those that are written.
+    std::vector<std::string> absent_keys;
     std::size_t bytes = 0;
     completion_handler on_done;
   };
 
+  /// How a transaction ended.
+  struct group_outcome {
+    bool stored = false;
+    /// Keys that the comparisons found to exist, if it was not stored.
+    std::set<std::string> existing_keys;
+  };
+
   void enqueue(entry new_entry);
   awaitable<void> write_loop(std::uint64_t session);
   std::vector<entry> take_group();
+  /// Writes entries in one transaction, and again without those that another pool holds.
+  awaitable<void> write_group(std::vector<entry> group, std::uint64_t session);
   kv::transaction make_transaction(std::vector<entry> const& group) const;
-  /// Retries the transaction until its outcome is known. @return true if it is stored.
+  /// Completes the entries whose `absent_keys` exist. @return the other entries.
+  static std::vector<entry> reject_held_elsewhere(std::vector<entry> group,
+                                                  std::set<std::string> const& existing_keys);
+  /// Retries the transaction until its outcome is known.
   /// @param bytes total size of the transaction's values.
-  awaitable<bool> apply_until_known(kv::transaction change, std::size_t bytes,
+  awaitable<group_outcome> apply_until_known(kv::transaction change, std::size_t bytes,
                                     std::uint64_t session);
   /// Returns true if the comparisons failed because an earlier try of the same transaction took
   /// effect.
--- a/tests/unit/jobs/record_log_test.cc
+++ b/tests/unit/jobs/record_log_test.cc
@@ -4,6 +4,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+
 #include "memory_record_store.h"
 #include "rpc/blocking.h"
 #include "rpc/codec.h"
@@ -146,6 +148,28 @@
   }
 }
 
+// Guards against a job that two pools accept, since a configuration moved its route between two
+// submissions.
+TEST(record_log_test, job_that_another_pool_has_accepted_is_not_stored) {
+  store.put_now(record_keys::accepted_mark("other", "held"), "1");
+  log.write_record(make_job("first"), record_outcome(), {"other"});
+  log.write_record(make_job("held"), record_outcome(), {"other"});
+  log.write_record(make_job("last"), record_outcome(), {"other"});
+  run_until_idle();
+  LONGS_EQUAL(3, outcomes.size());
+  CHECK(std::count(outcomes.begin(), outcomes.end(), write_outcome::held_elsewhere) == 1);
+  CHECK(std::count(outcomes.begin(), outcomes.end(), write_outcome::stored) == 2);
+  LONGS_EQUAL(0, store.writes_of(record_keys::accepted_mark(k_pool, "held")));
+  LONGS_EQUAL(1, store.writes_of(record_keys::accepted_mark(k_pool, "last")));
+}
+
+TEST(record_log_test, lost_answer_of_a_write_that_checks_other_pools_is_no_rejection) {
+  store.lose_answers(1);
+  log.write_record(make_job("job"), record_outcome(), {"other"});
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::stored);
+}
+
 TEST(record_log_test, previous_owner_writes_nothing) {
   store.put_now(k_owner_key, "another");
   log.write_end("job", rpc::JobEndT(), record_outcome());
