--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -68,13 +68,14 @@
   static constexpr milliseconds k_suspicion_effect_delay{1'500};
   /// Delay of each trial after this node received the record's last change. Every trial of a real
   /// poison request crashes a server, so there are only two. The first comes early, to clear
-  /// requests that merely ran on servers that other requests crashed.
-  static constexpr milliseconds k_trial_delays[] = {milliseconds(1'500), milliseconds(300'000)};
+  /// requests that merely ran on servers that other requests crashed; the second when a burst of
+  /// crashes, which the first may have met, is over.
+  static constexpr milliseconds k_trial_delays[] = {milliseconds(1'500), milliseconds(20'000)};
   /// Delays for a provisional record while it has only one crash, so that the outcome of earlier
   /// trials is unknown. The second is longer than most calls run, and than a crash under the first
   /// trial takes to be added to the record.
   static constexpr milliseconds k_provisional_trial_delays[] = {
-      milliseconds(0), milliseconds(2'000), milliseconds(300'000)};
+      milliseconds(0), milliseconds(2'000), milliseconds(20'000)};
   /// Limit of stored records; beyond it the least recently changed one is evicted.
   static constexpr std::size_t k_max_entries = 256;
 
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -17,6 +17,9 @@
 /// How long after the last crash a node refuses a request by its own evidence while it receives no
 /// records. Afterwards the request is allowed again, until it crashes another server.
 constexpr milliseconds k_local_refusal_time{5'000};
+/// Trials that are due later than this are not announced to callers, who are told to stay away for
+/// longer: most requests whose first trial failed do crash their servers.
+constexpr milliseconds k_max_announced_delay{2'000};
 constexpr milliseconds k_write_timeout{400};
 /// Number of servers that must crash in sequence in runs of this node before a suspicion is
 /// recorded.
@@ -65,7 +68,10 @@
 std::optional<milliseconds> service::time_until_retry(fingerprint const& request,
                                                       time_point now) const {
   bool const listed = list_.check(request, now) != verdict::allowed;
-  if (listed) return list_.time_until_trial(request, now);
+  if (listed) {
+    auto const delay = list_.time_until_trial(request, now);
+    return delay && *delay <= k_max_announced_delay ? delay : std::nullopt;
+  }
   return refuses_locally(request, now) ? std::optional(k_local_refusal_time) : std::nullopt;
 }
 
