--- a/rehearsal/poison_requests.cc
+++ b/rehearsal/poison_requests.cc
@@ -29,9 +29,7 @@
   return std::string(k_crash_text) + "-call-" + std::to_string(call) + ".";
 }
 
-std::string sample_marker(std::size_t job) {
-  return "unlucky-sample-" + std::to_string(job) + ".";
-}
+std::string sample_marker(std::size_t job) { return "unlucky-sample-" + std::to_string(job) + "."; }
 
 std::string scorer_marker(std::size_t job) {
   return std::string(k_crash_text) + "-scorer-" + std::to_string(job) + ".";
--- a/src/calls/exchange.cc
+++ b/src/calls/exchange.cc
@@ -233,13 +233,12 @@
 
 awaitable<exchange_failure> exchange::read_head(time_point deadline) {
   timed_wait const wait(*this, deadline);
-  http::head_outcome const read =
-      co_await http::read_final_head(connection_->stream, connection_->buffer, parser_,
-                                     [this](http::response_parser& created) {
-                                       created.body_limit(boost::none);
-                                       created.eager(true);
-                                       created.skip(head_only_);
-                                     });
+  http::head_outcome const read = co_await http::read_final_head(
+      connection_->stream, connection_->buffer, parser_, [this](http::response_parser& created) {
+        created.body_limit(boost::none);
+        created.eager(true);
+        created.skip(head_only_);
+      });
   answer_begun_ = read.bytes_received > 0 || connection_->buffer.size() > 0;
   if (read.failure) co_return classify(read.failure);
   std::string_view const answered = http::header(parser_->get(), names_.request_id);
--- a/src/gateway/pool_registry.cc
+++ b/src/gateway/pool_registry.cc
@@ -22,9 +22,8 @@
       dependencies_.context, dependencies_.adapter.store(), node_settings.store_limits,
       dependencies_.configuration, dependencies_.servers, dependencies_.connections,
       dependencies_.forwarder, dependencies_.adapter.names(), dependencies_.adapter.engines(),
-      *pool.lease, dependencies_.transport, node_settings.id,
-      node_settings.zone, node_settings.retention,
-      [this, name] { return other_pools(name); },
+      *pool.lease, dependencies_.transport, node_settings.id, node_settings.zone,
+      node_settings.retention, [this, name] { return other_pools(name); },
       [this, name] { return dependencies_.enabled_features.orders_by_due_time(name); },
       [this, name] { return dependencies_.enabled_features.plans_memory(name); }});
   pool.owner->start();
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -110,10 +110,9 @@
   if (write_failure) co_return classify(write_failure);
   std::optional<response_parser> parser;
   beast::flat_buffer buffer(k_max_unparsed_bytes);
-  head_outcome const head =
-      co_await read_final_head(*stream, buffer, parser, [&](response_parser& created) {
-        created.body_limit(answer_limit_);
-      });
+  head_outcome const head = co_await read_final_head(
+      *stream, buffer, parser,
+      [&](response_parser& created) { created.body_limit(answer_limit_); });
   traffic_.received += head.bytes_received;
   if (head.failure) co_return classify(head.failure);
   stream->end_request();
--- a/src/http/response_reader.h
+++ b/src/http/response_reader.h
@@ -39,9 +39,8 @@
     auto [failure, count] = co_await bhttp::async_read_header(stream, buffer, *parser, k_as_tuple);
     outcome.bytes_received += count;
     outcome.failure = failure;
-    bool const interim =
-        !failure && bhttp::to_status_class(parser->get().result_int()) ==
-                        bhttp::status_class::informational;
+    bool const interim = !failure && bhttp::to_status_class(parser->get().result_int()) ==
+                                         bhttp::status_class::informational;
     if (!interim) co_return outcome;
   }
   outcome.failure = bhttp::error::header_limit;
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -123,7 +123,7 @@
   /// Retries the transaction until its outcome is known.
   /// @param bytes total size of the transaction's values.
   awaitable<group_outcome> apply_until_known(kv::transaction change, std::size_t bytes,
-                                    std::uint64_t session);
+                                             std::uint64_t session);
   /// Returns true if the comparisons failed because an earlier try of the same transaction took
   /// effect.
   bool proves_own_write(kv::transaction const& change,
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -55,10 +55,9 @@
 }  // namespace
 
 std::string_view sample_runner::name_of(run_outcome outcome) const {
-  constexpr std::string_view k_names[] = {"completed",   "refused",    "broken",
-                                          "failed",      "impossible", "unusable",
-                                          "old_version", "moved",      "unwanted",
-                                          "unreachable"};
+  constexpr std::string_view k_names[] = {"completed",  "refused",    "broken",      "failed",
+                                          "impossible", "unusable",   "old_version", "moved",
+                                          "unwanted",   "unreachable"};
   return k_names[static_cast<std::size_t>(outcome)];
 }
 
@@ -136,12 +135,9 @@
 void sample_runner::log_start(run_candidate const& next, run_key const& key,
                               engines::engine_entry const& engine) const {
   sample_entry const& sample = next.job->samples[next.index];
-  std::vector<log_field> fields = {{"request", sample.spec->id},
-                                   {"job", key.job},
-                                   {"server", engine.server.id},
-                                   {"run", key.attempt},
-                                   {"events", sample.events},
-                                   {"in_flight", engine.in_flight}};
+  std::vector<log_field> fields = {{"request", sample.spec->id}, {"job", key.job},
+                                   {"server", engine.server.id}, {"run", key.attempt},
+                                   {"events", sample.events},    {"in_flight", engine.in_flight}};
   if (next.outlook) {
     fields.emplace_back("slack_ms", next.outlook->slack.count());
     fields.emplace_back("remaining_ms", next.outlook->remaining.count());
@@ -152,8 +148,8 @@
   log_line(log_level::info, k_part, "Run started.", fields);
 }
 
-void sample_runner::note_no_engine(run_candidate const& next,
-                                   engines::run_requirements const& need, time_point now) {
+void sample_runner::note_no_engine(run_candidate const& next, engines::run_requirements const& need,
+                                   time_point now) {
   if (!is_wait_due(next, now)) return;
   engines::run_obstacle const obstacle = dependencies_.board.find_obstacle(need, now);
   bool const pool_is_full = obstacle >= engines::run_obstacle::no_slot;
@@ -193,13 +189,14 @@
 void sample_runner::log_wait(run_candidate const& next, std::string_view reason, time_point now) {
   sample_entry& sample = next.job->samples[next.index];
   sample.wait_logged_at = now;
-  log_line(log_level::info, k_part, "Sample waits.",
-           {{"request", sample.spec->id},
-            {"job", next.job->record.id},
-            {"reason", reason},
-            {"waited_ms", std::chrono::duration_cast<milliseconds>(now - waiting_since(next)).count()},
-            {"runs", sample.runs},
-            {"events", sample.events}});
+  log_line(
+      log_level::info, k_part, "Sample waits.",
+      {{"request", sample.spec->id},
+       {"job", next.job->record.id},
+       {"reason", reason},
+       {"waited_ms", std::chrono::duration_cast<milliseconds>(now - waiting_since(next)).count()},
+       {"runs", sample.runs},
+       {"events", sample.events}});
 }
 
 void sample_runner::move_slow_runs(time_point now) {
--- a/tests/platform/crashing_request_test.cc
+++ b/tests/platform/crashing_request_test.cc
@@ -175,13 +175,11 @@
   auto items = make_items("job", 12);
   items[3].prompt = k_unlucky_text;
   LONGS_EQUAL(202, system.submit(0, "job", items));
-  platform_cluster::wait_until("engines have crashed under it", [&] {
-    return poison_arrivals(system).size() == k_sample_crashes;
-  });
+  platform_cluster::wait_until("engines have crashed under it",
+                               [&] { return poison_arrivals(system).size() == k_sample_crashes; });
   time_point const last_crash = boot_clock::now();
-  platform_cluster::wait_until("it runs again", [&] {
-    return count_runs(system, items[3].id) > k_sample_crashes;
-  });
+  platform_cluster::wait_until("it runs again",
+                               [&] { return count_runs(system, items[3].id) > k_sample_crashes; });
   CHECK(boot_clock::now() - last_crash < k_sample_idle_limit);
   LONGS_EQUAL(12, completed(system.wait_for_results(1, "job", 12)).size());
   // The same sample in a later job is the same request.
--- a/tests/platform/cut_runs_test.cc
+++ b/tests/platform/cut_runs_test.cc
@@ -170,9 +170,8 @@
   test_item item{"sampled", "group"};
   item.prompt = k_poison_text;
   LONGS_EQUAL(202, system.submit(0, "job", {item}));
-  platform_cluster::wait_until("more engines have crashed than put a call under quarantine", [&] {
-    return poison_arrivals(system).size() == k_sample_crashes;
-  });
+  platform_cluster::wait_until("more engines have crashed than put a call under quarantine",
+                               [&] { return poison_arrivals(system).size() == k_sample_crashes; });
   // Further jobs with the same sample, as after a step that ended without it.
   LONGS_EQUAL(202, system.submit(1, "again", {item}));
   LONGS_EQUAL(202, system.submit(2, "once-more", {item}));
--- a/tests/platform/unlucky_samples_test.cc
+++ b/tests/platform/unlucky_samples_test.cc
@@ -287,6 +287,6 @@
     });
   });
   CHECK(boot_clock::now() - lost < k_idle_limit);
-  platform_cluster::wait_until(
-      "the sample is completed", [&] { return is_completed(pair.results(1, "job"), unlucky.id); });
+  platform_cluster::wait_until("the sample is completed",
+                               [&] { return is_completed(pair.results(1, "job"), unlucky.id); });
 }
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -192,8 +192,7 @@
 }
 
 void platform_cluster::put_config(std::uint64_t version, std::string const& extra_routes) {
-  store_->put("op/config",
-              config_text(version, extra_routes, options_));
+  store_->put("op/config", config_text(version, extra_routes, options_));
 }
 
 void platform_cluster::name_version(std::uint64_t version) {
--- a/tests/unit/calls/endless_answers_test.cc
+++ b/tests/unit/calls/endless_answers_test.cc
@@ -1,6 +1,6 @@
-/// @file Servers that send bytes which are no answer, without end. Guards against requests that such
-/// a server holds, against memory that grows until the deadline, and against a server that goes on
-/// sending after the client has left.
+/// @file Servers that send bytes which are no answer, without end. Guards against requests that
+/// such a server holds, against memory that grows until the deadline, and against a server that
+/// goes on sending after the client has left.
 
 #include <CppUTest/TestHarness.h>
 
@@ -74,8 +74,8 @@
 }
 
 TEST(endless_answers_test, trailer_without_end_is_given_up) {
-  forward_once(route_kind::unsafe,
-               endless(std::string(k_head) + "0\r\n", "X-Filler: " + std::string(900, 'x') + "\r\n"));
+  forward_once(route_kind::unsafe, endless(std::string(k_head) + "0\r\n",
+                                           "X-Filler: " + std::string(900, 'x') + "\r\n"));
   LONGS_EQUAL(502, system.client.status());
 }
 
@@ -127,8 +127,8 @@
 TEST(endless_answers_test, server_learns_that_the_client_has_left) {
   for (route_kind const kind : {route_kind::unsafe, route_kind::streaming}) {
     forwarder_fixture separate{1};
-    separate.forward_until_client_leaves(
-        kind, {endless(k_head, "1\r\nx\r\n", milliseconds(20))}, milliseconds(300));
+    separate.forward_until_client_leaves(kind, {endless(k_head, "1\r\nx\r\n", milliseconds(20))},
+                                         milliseconds(300));
     separate.settle();
     LONGS_EQUAL(1, separate.servers.endless_ended());
     LONGS_EQUAL(0, separate.outstanding());
--- a/tests/unit/http/endless_responses_test.cc
+++ b/tests/unit/http/endless_responses_test.cc
@@ -1,6 +1,7 @@
 /// @file Peers of http::client, such as the record store, other nodes and servers that get orders,
-/// that send bytes which are no answer without end, or break their answer off. Guards against memory
-/// that grows until the deadline, and against a part of an answer that is taken for the whole.
+/// that send bytes which are no answer without end, or break their answer off. Guards against
+/// memory that grows until the deadline, and against a part of an answer that is taken for the
+/// whole.
 
 #include <CppUTest/TestHarness.h>
 
