--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -34,6 +34,9 @@
 /// A sample that waits longer than this is logged, and again at this interval. Less than half of
 /// the time after which a waiting sample counts as lost.
 constexpr milliseconds k_long_wait{2'000};
+/// Limit of waiting samples that are examined and logged, since all may wait when no engine is
+/// left.
+constexpr std::uint32_t k_max_wait_reports_per_second = 32;
 /// Deadline of a run, sent to the engine.
 constexpr milliseconds k_run_deadline{60'000};
 
@@ -151,6 +154,7 @@
 void sample_runner::note_no_engine(run_candidate const& next, engines::run_requirements const& need,
                                    time_point now) {
   if (!is_wait_due(next, now)) return;
+  if (!need.exact_version && !may_report_wait(now)) return;
   engines::run_obstacle const obstacle = dependencies_.board.find_obstacle(need, now);
   bool const pool_is_full = obstacle >= engines::run_obstacle::no_slot;
   bool const has_begun = next.job->samples[next.index].runs > 0;
@@ -177,6 +181,14 @@
   dependencies_.table.restart(sample, now);
 }
 
+bool sample_runner::may_report_wait(time_point now) {
+  if (now >= wait_reports_since_ + seconds(1)) {
+    wait_reports_since_ = now;
+    wait_reports_ = 0;
+  }
+  return ++wait_reports_ <= k_max_wait_reports_per_second;
+}
+
 bool sample_runner::is_wait_due(run_candidate const& next, time_point now) {
   sample_entry const& sample = next.job->samples[next.index];
   return now >= waiting_since(next) + k_long_wait && now >= sample.wait_logged_at + k_long_wait;
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -50,8 +50,8 @@
   /// Runs that started when less than their expected time was left until their job was due. Counted
   /// while samples are ordered by due time.
   std::uint64_t started_without_slack = 0;
-  /// Times at which a sample was found to wait for long although it had begun, or although engines
-  /// had room, by the obstacle.
+  /// Reported long waits, by the obstacle: of samples that had begun, or for which the pool had
+  /// room.
   std::array<std::uint64_t, engines::k_run_obstacles> long_waits{};
 };
 
@@ -116,6 +116,8 @@
   /// the sample. @param need requirements with the text's version, which no engine has.
   void restart_if_version_is_gone(run_candidate const& next, engines::run_requirements need,
                                   time_point now);
+  /// Returns true if another sample's wait may be reported in this second.
+  bool may_report_wait(time_point now);
   /// Returns true if the sample has waited for long and this was not logged lately.
   static bool is_wait_due(run_candidate const& next, time_point now);
   static time_point waiting_since(run_candidate const& next);
@@ -155,6 +157,9 @@
                                             dependencies_.may_resend, dependencies_.notify}};
   calls::share_picker shares_;
   runner_counters counters_;
+  /// Waits reported since this time.
+  time_point wait_reports_since_ = time_point::min();
+  std::uint32_t wait_reports_ = 0;
 };
 
 }  // namespace frostline::jobs
