--- a/rehearsal/poison_requests.cc
+++ b/rehearsal/poison_requests.cc
@@ -169,7 +169,7 @@
   for (std::string const& item : {harmless_item_id(number), unlucky_item_id(number)}) {
     while (!is_completed(job, number, item)) {
       if (boot_clock::now() < limit) continue;
-      broken.push_back({"sample is completed", item + " of " + job});
+      broken.push_back({"sample is completed", item});
       break;
     }
   }
