--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -241,6 +241,42 @@
   return lost > 0 && most_busy < 16 ? 1 : 0;
 }
 
+/// One of two services behind a split route loses its server for good.
+int dead_part(deployment& all, record& log) {
+  all.split_rollouts();
+  for (std::size_t index = 0; index < all.engines(); ++index) {
+    all.engine(index).gap = milliseconds(100);
+  }
+  all.second_engine().gap = milliseconds(100);
+  // Longer than config_apply_ms and contact_ms.
+  pause(milliseconds(4000));
+  std::string const job = "7c41e09b52d6a3f8";
+  std::vector<item_spec> items;
+  for (int index = 0; index < 40; ++index) {
+    items.push_back(
+        {"e5b2907c14da6f" + std::to_string(10 + index), "g" + std::to_string(index / 4), {}});
+  }
+  auto const begin = steady::now();
+  if (submit(all, log, job, job_body(items), milliseconds(3000)) != 202) return 2;
+  pause(milliseconds(300));
+  if (trouble()) all.second_engine().crash();
+  std::size_t most_busy = 0;
+  while (steady::now() < begin + k_step_time) {
+    pause(milliseconds(100));
+    if (steady::now() < begin + k_step_time - k_idle_time) continue;
+    std::size_t busy = 0;
+    for (std::size_t index = 0; index < all.engines(); ++index) {
+      for (run const& one : all.engine(index).runs()) busy += one.ended_at > steady::now() ? 1 : 0;
+    }
+    most_busy = std::max(most_busy, busy);
+  }
+  int const lost = count_lost(all, log, items);
+  log.line("when the step's time is out: " + std::to_string(lost) +
+           " of 40 items are lost; in the last 5 s at most " + std::to_string(most_busy) +
+           " of the 40 places of the other servers were taken");
+  return lost > 0 && most_busy < 20 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -263,6 +299,8 @@
     code = base64_id(all, log);
   } else if (name == "idle_servers") {
     code = idle_servers(all, log);
+  } else if (name == "dead_part") {
+    code = dead_part(all, log);
   } else if (name == "planned_stop") {
     code = planned_stop(all, log);
   }
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -22,6 +22,7 @@
 
 constexpr char k_alphabet[] = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 constexpr char k_engine_service[] = "huvo11a";
+constexpr char k_second_engine_service[] = "dele69a";
 constexpr char k_app_service[] = "wuno96b";
 constexpr milliseconds k_drain_after{20};
 
@@ -246,11 +247,13 @@
   thread_ = std::thread([this] { accept_all(); });
 }
 
-http_server::~http_server() {
-  ended_ = true;
+void http_server::end() {
+  if (ended_.exchange(true)) return;
   ::shutdown(listener_, SHUT_RDWR);
   thread_.join();
   ::close(listener_);
+  std::lock_guard const lock(mutex_);
+  for (int descriptor : open_) ::shutdown(descriptor, SHUT_RDWR);
 }
 
 void http_server::accept_all() {
@@ -259,12 +262,18 @@
     if (accepted < 0) continue;
     int const yes = 1;
     ::setsockopt(accepted, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof yes);
+    {
+      std::lock_guard const lock(mutex_);
+      open_.insert(accepted);
+    }
     std::thread([this, accepted] {
       peer client(accepted);
       message request;
       while (!ended_ && client.read(request, false)) {
         if (ended_ || !serve_(request, client)) break;
       }
+      std::lock_guard const lock(mutex_);
+      open_.erase(accepted);
     }).detach();
   }
 }
@@ -295,6 +304,11 @@
   return found;
 }
 
+void store::remove(std::string const& key) {
+  std::lock_guard const lock(mutex_);
+  remove_locked(key);
+}
+
 void store::put_locked(std::string const& key, std::string const& value, std::uint64_t lease) {
   item& stored = items_[key];
   stored.revision = ++revision_;
@@ -484,6 +498,16 @@
   platform_.put("servers/" + id_, json::serialize(entry));
 }
 
+void server::crash() {
+  log_.line("server " + id_ + " crashes for good");
+  http_->end();
+  std::thread([this] {
+    pause(milliseconds(3600));
+    platform_.remove("servers/" + id_);
+    log_.line("the entry of server " + id_ + " has gone");
+  }).detach();
+}
+
 std::vector<run> server::runs() {
   std::lock_guard const lock(mutex_);
   return runs_;
@@ -698,17 +722,17 @@
 }
 
 void deployment::put_config(int version) {
-  json::object const rollout{{"name", "r-rollout"},
-                             {"host", k_host},
-                             {"path_prefix", "/pule252/"},
-                             {"kind", "rollout"},
-                             {"service", k_engine_service},
-                             {"timeout_ms", 10000},
-                             {"target_latency_ms", 400},
-                             {"due_ms", 7500},
-                             {"max_attempts", 3},
-                             {"max_queue_s", 40},
-                             {"priority", 1}};
+  json::object rollout{{"name", "r-rollout"},
+                       {"host", k_host},
+                       {"path_prefix", "/pule252/"},
+                       {"kind", "rollout"},
+                       {"service", k_engine_service},
+                       {"timeout_ms", 10000},
+                       {"target_latency_ms", 400},
+                       {"due_ms", 7500},
+                       {"max_attempts", 3},
+                       {"max_queue_s", 40},
+                       {"priority", 1}};
   json::object const reward{
       {"name", "r-reward"},       {"host", k_host},           {"path_prefix", "/pufi791/"},
       {"kind", "safe"},           {"service", k_app_service}, {"timeout_ms", 1500},
@@ -738,13 +762,30 @@
                             {"max_body_bytes", 33554432},
                             {"header_timeout_ms", 3000},
                             {"idle_timeout_ms", 15000}};
+  json::array services{models, apps};
+  if (second_engine_) {
+    json::object second = models;
+    second["name"] = k_second_engine_service;
+    services.push_back(second);
+    rollout["split"] =
+        json::array{json::object{{"service", k_engine_service}, {"weight", 80}},
+                    json::object{{"service", k_second_engine_service}, {"weight", 20}}};
+    rollout.erase("service");
+  }
   json::object const config{{"version", version},
                             {"routes", json::array{rollout, reward, bid, talk}},
-                            {"services", json::array{models, apps}},
+                            {"services", services},
                             {"limits", limits}};
   store_.put("op/config", json::serialize(config));
 }
 
+void deployment::split_rollouts() {
+  engines_.push_back(std::make_unique<server>(store_, log_, "i-engine4", k_engine_service, true));
+  second_engine_ =
+      std::make_unique<server>(store_, log_, "i-second0", k_second_engine_service, true);
+  put_config(2);
+}
+
 bool deployment::start() {
   for (auto const& each : gateways_) each->start();
   auto const until = steady::now() + std::chrono::seconds(20);
@@ -801,6 +842,9 @@
       for (run const& one : each->runs()) all.push_back(one);
     }
   }
+  if (second_engine_) {
+    for (run const& one : second_engine_->runs()) all.push_back(one);
+  }
   return all;
 }
 
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -82,7 +83,9 @@
  public:
   using handler = std::function<bool(message const&, peer&)>;
   http_server(std::uint16_t port, handler serve);
-  ~http_server();
+  ~http_server() { end(); }
+  /// Closes all connections and takes no more.
+  void end();
   std::uint16_t port() const { return port_; }
 
  private:
@@ -91,6 +94,8 @@
   handler serve_;
   int listener_ = -1;
   std::atomic<bool> ended_{false};
+  std::mutex mutex_;
+  std::set<int> open_;
   std::thread thread_;
 };
 
@@ -103,6 +108,7 @@
   store();
   std::uint16_t port() const { return server_->port(); }
   void put(std::string const& key, std::string const& value);
+  void remove(std::string const& key);
   std::map<std::string, std::string> values(std::string const& prefix);
   /// The store answers nothing while this is set.
   std::atomic<bool> silent{false};
@@ -153,6 +159,8 @@
  public:
   server(store& platform, record& log, std::string id, std::string service, bool is_engine);
   std::vector<run> runs();
+  /// The process of the server ends without a word. Its entry goes after three heartbeats.
+  void crash();
   std::string const& id() const { return id_; }
   std::uint16_t port() const { return http_->port(); }
   int events = 8;
@@ -229,6 +237,11 @@
   store& platform() { return store_; }
   server& engine(std::size_t index) { return *engines_.at(index); }
   server& app(std::size_t index) { return *apps_.at(index); }
+  std::size_t engines() const { return engines_.size(); }
+  /// Adds a model server, and splits the rollout route between all of them and a second service
+  /// with a single server.
+  void split_rollouts();
+  server& second_engine() { return *second_engine_; }
   std::vector<run> all_runs();
   void put_config(int version);
 
@@ -238,6 +251,7 @@
   store store_;
   std::vector<std::unique_ptr<server>> engines_;
   std::vector<std::unique_ptr<server>> apps_;
+  std::unique_ptr<server> second_engine_;
   std::vector<std::unique_ptr<gateway>> gateways_;
   std::mutex mutex_;
   std::atomic<bool> ended_{false};
