--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -277,6 +277,40 @@
   return lost > 0 && most_busy < 20 ? 1 : 0;
 }
 
+/// A configuration moves the route of a batch job and no longer lists the service that had it;
+/// later all gateways lose power at once.
+int dropped_service(deployment& all, record& log) {
+  all.split_rollouts();
+  all.move_rollouts(true);
+  all.keep_running();
+  // Longer than config_apply_ms and contact_ms.
+  pause(milliseconds(4000));
+  std::string const job = "7c41e09b52d6a3f8";
+  std::vector<item_spec> items;
+  for (int index = 0; index < 8; ++index) {
+    items.push_back({"e5b2907c14da6f" + std::to_string(10 + index), "g1", {}});
+  }
+  if (submit(all, log, job, job_body(items), milliseconds(15000)) != 202) return 2;
+  if (read_results(all, log, job, items.size(), milliseconds(15000)) < 8) return 2;
+  log.line("the route moves to the other service, the one that had it is gone");
+  all.move_rollouts(false);
+  pause(milliseconds(4000));
+  if (trouble()) all.power_off(milliseconds(1400));
+  // Longer than recovery_s.
+  pause(milliseconds(15000));
+  int lost = 0;
+  for (std::size_t node = 0; node < all.nodes(); ++node) {
+    message const answer = call(all.node(node).clients(), "GET",
+                                "/api/lots/" + job + "?after_rev=0", "", "", milliseconds(2500));
+    std::size_t const count =
+        answer.status == 200 ? json::parse(answer.body).at("results").as_array().size() : 0;
+    log.line("client reads batch job " + job + " at " + all.node(node).name() + ": " +
+             std::to_string(answer.status) + ", " + std::to_string(count) + " of 8 results");
+    if (answer.status == 404 || (answer.status == 200 && count < items.size())) ++lost;
+  }
+  return lost > 0 ? 1 : 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -301,6 +335,8 @@
     code = idle_servers(all, log);
   } else if (name == "dead_part") {
     code = dead_part(all, log);
+  } else if (name == "dropped_service") {
+    code = dropped_service(all, log);
   } else if (name == "planned_stop") {
     code = planned_stop(all, log);
   }
--- a/review/standin-2/platform.cc
+++ b/review/standin-2/platform.cc
@@ -721,7 +721,7 @@
   for (auto const& each : gateways_) each->kill();
 }
 
-void deployment::put_config(int version) {
+void deployment::put_config(int version, int first_weight) {
   json::object rollout{{"name", "r-rollout"},
                        {"host", k_host},
                        {"path_prefix", "/pule252/"},
@@ -763,13 +763,16 @@
                             {"header_timeout_ms", 3000},
                             {"idle_timeout_ms", 15000}};
   json::array services{models, apps};
-  if (second_engine_) {
+  if (second_engine_ && first_weight < 100) {
     json::object second = models;
     second["name"] = k_second_engine_service;
     services.push_back(second);
-    rollout["split"] =
-        json::array{json::object{{"service", k_engine_service}, {"weight", 80}},
-                    json::object{{"service", k_second_engine_service}, {"weight", 20}}};
+    json::array split;
+    if (first_weight > 0)
+      split.push_back(json::object{{"service", k_engine_service}, {"weight", first_weight}});
+    split.push_back(
+        json::object{{"service", k_second_engine_service}, {"weight", 100 - first_weight}});
+    rollout["split"] = split;
     rollout.erase("service");
   }
   json::object const config{{"version", version},
@@ -786,6 +789,10 @@
   put_config(2);
 }
 
+void deployment::move_rollouts(bool to_second) {
+  put_config(to_second ? 3 : 4, to_second ? 0 : 100);
+}
+
 bool deployment::start() {
   for (auto const& each : gateways_) each->start();
   auto const until = steady::now() + std::chrono::seconds(20);
@@ -818,6 +825,7 @@
   keeper_ = std::thread([this] {
     while (!ended_) {
       pause(milliseconds(20));
+      if (dark_) continue;
       for (auto const& each : gateways_) {
         std::lock_guard const lock(mutex_);
         if (!each->restart_if_ended()) continue;
@@ -828,6 +836,14 @@
   });
 }
 
+void deployment::power_off(milliseconds down) {
+  dark_ = true;
+  log_.line("all gateways lose power");
+  for (auto const& each : gateways_) each->strike();
+  pause(down);
+  dark_ = false;
+}
+
 int deployment::own_ends() {
   std::lock_guard const lock(mutex_);
   int all = 0;
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -230,6 +230,8 @@
   bool start();
   /// The platform restarts processes that end by themselves, after a second.
   void keep_running();
+  /// All gateways lose power at once, for `down`. Requires keep_running.
+  void power_off(milliseconds down);
   int own_ends();
   std::string owner();
   gateway& node(std::size_t index) { return *gateways_.at(index); }
@@ -241,9 +243,13 @@
   /// Adds a model server, and splits the rollout route between all of them and a second service
   /// with a single server.
   void split_rollouts();
+  /// Moves the rollout route to the second service alone, or back and takes that service out of the
+  /// configuration.
+  void move_rollouts(bool to_second);
   server& second_engine() { return *second_engine_; }
   std::vector<run> all_runs();
-  void put_config(int version);
+  /// @param first_weight of the rollout route's split in hundredths; 100: no second service.
+  void put_config(int version, int first_weight = 80);
 
  private:
   std::string folder_;
@@ -255,6 +261,8 @@
   std::vector<std::unique_ptr<gateway>> gateways_;
   std::mutex mutex_;
   std::atomic<bool> ended_{false};
+  /// No gateway is started while this is set.
+  std::atomic<bool> dark_{false};
   std::thread keeper_;
 };
 
