--- a/review/standin-2/main.cc
+++ b/review/standin-2/main.cc
@@ -182,6 +182,8 @@
     all.engine(index).put_back_time = milliseconds(2500);
   }
   all.keep_running();
+  // Longer than contact_ms.
+  pause(milliseconds(4000));
   gateway& node = all.node(0);
   std::vector<std::thread> clients;
   std::atomic<int> cut{0};
