Review: cases 6 to 8 in the order of their gravity

The hidden request goes before the split route and the planned stop, as it may be an order to a model server.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/../.."
 [ -x target/frostline-gateway ] && [ -x target/review-2/cases ] || exit 2
 folder=$(mktemp -d)
-timeout -k 2 115 target/review-2/cases planned_stop "$folder" review/7/record.txt
+timeout -k 2 115 target/review-2/cases dead_part "$folder" review/7/record.txt
 code=$?
 rm -rf "$folder"
 [ "$code" -le 1 ] && exit "$code"
