--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -14,6 +14,7 @@
 
 #include "fault_schedule.h"
 #include "http/json_fields.h"
+#include "odd_entries.h"
 #include "platform_cluster.h"
 #include "poison_requests.h"
 #include "slow_server_faults.h"
@@ -78,6 +79,9 @@
 /// Each thread draws from a generator of its own, so that its draws do not depend on the others.
 constexpr std::uint64_t k_caller_stream = 1;
 constexpr std::uint64_t k_trainer_stream = 2;
+constexpr std::uint64_t k_entries_stream = 3;
+/// More than two pages of the store.
+constexpr std::size_t k_odd_entries = 120;
 
 class soak {
  public:
@@ -104,6 +108,7 @@
       }
       return 0;
     });
+    write_odd_entries(system_, make_generator(seed, k_entries_stream), k_odd_entries);
   }
 
   /// @return true if every guarantee held.
--- a/src/kv/prefix_watcher.cc
+++ b/src/kv/prefix_watcher.cc
@@ -38,7 +38,7 @@
   std::uint32_t failures = 0;
   while (generation == generation_) {
     bool const succeeded =
-        listed ? co_await watch_once(generation) : co_await list_once(generation);
+        listed ? co_await watch_once(generation) : co_await list_once(generation, failures == 0);
     if (generation != generation_) co_return;
     current_ = succeeded;
     // A failed watch does not increase the backoff; only consecutive failed lists do.
@@ -50,10 +50,19 @@
   }
 }
 
-awaitable<bool> prefix_watcher::list_once(std::uint64_t generation) {
+awaitable<bool> prefix_watcher::list_once(std::uint64_t generation, bool logs_failure) {
   time_point const sent_at = boot_clock::now();
   auto answer = co_await store_.list(prefix_);
-  if (generation != generation_ || !answer) co_return false;
+  if (generation != generation_) co_return false;
+  if (!answer) {
+    if (logs_failure) {
+      log_line(log_level::info, k_part, "Records not read; trying again.",
+               {{"prefix", prefix_},
+                {"waited_ms", milliseconds_since(sent_at)},
+                {"cause", answer.error().message()}});
+    }
+    co_return false;
+  }
   answered_at_ = sent_at;
   // Applying an answer that is older than the current view would revert changes.
   if (answer.value().store_revision < revision_) co_return false;
--- a/src/kv/prefix_watcher.h
+++ b/src/kv/prefix_watcher.h
@@ -70,7 +70,8 @@
 
  private:
   awaitable<void> run(std::shared_ptr<prefix_watcher> self, std::uint64_t generation);
-  awaitable<bool> list_once(std::uint64_t generation);
+  /// @param logs_failure false if the previous list failed as well.
+  awaitable<bool> list_once(std::uint64_t generation, bool logs_failure);
   awaitable<bool> watch_once(std::uint64_t generation);
 
   asio::io_context& context_;
--- a/tests/platform_standin/store_standin.cc
+++ b/tests/platform_standin/store_standin.cc
@@ -1,5 +1,7 @@
 #include "store_standin.h"
 
+#include <boost/url/encoding_opts.hpp>
+#include <boost/url/pct_string_view.hpp>
 #include <charconv>
 #include <stdexcept>
 
@@ -14,13 +16,26 @@
 constexpr milliseconds k_expiry_tick{20};
 constexpr seconds k_silence{60};
 
+/// Largest key that the store accepts, in bytes.
+constexpr std::size_t k_max_key_bytes = 200;
+
+/// Decodes percent-encoding, and `+` as a space. @return the text itself if it is malformed.
+std::string decode(std::string const& text) {
+  auto const encoded = boost::urls::make_pct_string_view(text);
+  if (!encoded) return text;
+  boost::urls::encoding_opts options;
+  options.space_as_plus = true;
+  return encoded.value().decode(options);
+}
+
 std::string query_value(std::string const& target, std::string const& name) {
-  std::string const query = target.substr(std::min(target.find('?') + 1, target.size()));
+  std::string const whole = target.substr(0, target.find('#'));
+  std::string const query = whole.substr(std::min(whole.find('?') + 1, whole.size()));
   std::size_t begin = 0;
   while (begin < query.size()) {
     std::size_t const end = std::min(query.find('&', begin), query.size());
     std::string const part = query.substr(begin, end - begin);
-    if (part.starts_with(name + "=")) return part.substr(name.size() + 1);
+    if (part.starts_with(name + "=")) return decode(part.substr(name.size() + 1));
     begin = end + 1;
   }
   return {};
@@ -251,6 +266,7 @@
     return answer(412, refusal);
   }
   for (json::value const& operation : body->at("put").as_array()) {
+    if (json_text(operation.as_object(), "key").size() > k_max_key_bytes) return answer(400, {});
     std::uint64_t const lease = field(operation.as_object(), "lease");
     if (lease != 0 && !leases_.contains(lease)) return answer(404, {});
   }
