Jobs are checked before they are stored; no item ends its owner or hides a request

Cause: an item's identifier, path, headers and scorer call became a message as they stood in the body. Beast throws for a long field and writes line ends as they are. The record is stored before the first run, so each owner met it.

Ruled out: stripping or cutting values (a server would get another request); checks at each run only (the job is accepted by then).

--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -4,6 +4,7 @@
 
 #include "base/jitter.h"
 #include "base/log.h"
+#include "jobs/job_check.h"
 
 namespace frostline::jobs {
 namespace {
@@ -215,6 +216,7 @@
   time_point const now = boot_clock::now();
   table_.add(std::move(*stored.record), now);
   for (rpc::ResultBatchT& batch : stored.batches) table_.restore_results(std::move(batch));
+  mark_faulty_items_dead(id, now);
   progress_replica from_store;
   for (rpc::ProgressReportT& report : stored.checkpoints) from_store.take(std::move(report), now);
   std::size_t adopted = 0;
@@ -228,6 +230,19 @@
            {{"job", id}, {"samples", adopted}});
 }
 
+void pool_owner::mark_faulty_items_dead(std::string const& id, time_point now) {
+  job_entry* const job = table_.find(id);
+  if (job == nullptr) return;
+  for (std::uint32_t index = 0; index < job->samples.size(); ++index) {
+    sample_entry const& sample = job->samples[index];
+    std::string const fault = find_fault(*sample.spec);
+    if (fault.empty() || sample.state != sample_state::waiting) continue;
+    log_line(log_level::error, k_part, "Item of a stored job can't be sent.",
+             {{"job", id}, {"item", index}, {"fault", fault}});
+    table_.mark_dead(*job, index, now);
+  }
+}
+
 awaitable<void> pool_owner::advance_loop() {
   while (true) {
     // Batches changes that arrive close together.
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -123,6 +123,9 @@
   /// Reads a job's data; returns nothing if the store did not answer.
   awaitable<std::optional<stored_job>> read_stored(std::string id);
   void restore_job(std::string const& id, stored_job stored);
+  /// Gives up the items that no request can be made of. Versions that did not check jobs may have
+  /// stored such items.
+  void mark_faulty_items_dead(std::string const& id, time_point now);
   /// Waits for a bounded time until the data of an ended job is loaded.
   awaitable<void> ensure_loaded(std::string id);
   /// Answers a call about an unloaded ended job from the job's end mark; returns nothing if the
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "base/log.h"
+#include "jobs/job_check.h"
 #include "jobs/pool_owner.h"
 #include "jobs/result_reader.h"
 #include "rpc/client.h"
@@ -196,6 +197,8 @@
   }
   bool const known = find_recorded(id) != nullptr || unloaded_ended_jobs_.contains(id);
   if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
+  std::string const fault = find_fault(*call.record);
+  if (!fault.empty()) co_return reply_with(rpc::JobStatus::INVALID, fault);
   // UNAVAILABLE would tell the caller that no part of the job runs.
   bool const runs = table_.find(id) != nullptr;
   if (state_ != owner_state::active) {
