Names of tenants fit into a header

A name with a line end, or of over 65,533 bytes, is reported with its entry, as other faults of tenants are. tenants_test passes; its new case asks for what the check before did not have, and was not run on it.

--- a/src/calls/tenants.cc
+++ b/src/calls/tenants.cc
@@ -3,6 +3,8 @@
 #include <boost/algorithm/string/predicate.hpp>
 #include <set>
 
+#include "http/syntax.h"
+
 namespace frostline::calls {
 namespace {
 
@@ -18,6 +20,10 @@
   for (std::size_t index = 0; index < tenants.size(); ++index) {
     tenant const& current = tenants[index];
     if (current.name.empty()) return entry_name(index) + " has no name";
+    // Servers get the name in a header.
+    if (!http::is_identifier(current.name)) {
+      return entry_name(index) + " has a name that can't be sent in a header";
+    }
     if (!names.insert(current.name).second) {
       return entry_name(index) + " has the name of an earlier tenant: " + current.name;
     }
--- a/tests/unit/calls/tenants_test.cc
+++ b/tests/unit/calls/tenants_test.cc
@@ -37,6 +37,13 @@
 
 TEST_GROUP(tenants_test){};
 
+TEST(tenants_test, name_that_would_begin_another_header_is_reported) {
+  for (std::string const& name :
+       {std::string("a\r\nX: b"), std::string(" a"), std::string(70'000, 'a')}) {
+    CHECK_FALSE(validate_tenants({{name, 1, {"key"}}}).empty());
+  }
+}
+
 TEST(tenants_test, each_key_identifies_its_tenant) {
   auto const tenants = two_tenants();
   tenant_index const index(tenants);
