Samples and calls leave a service of a split route that has no server

Cause: sample_runner chose a sample's service once and kept it as long as the route named it; the forwarder's share_picker looked at weights alone.

Each change of service is logged with its cause.

Ruled out: choosing at each start (the weights would not hold between working services).

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -24,7 +24,9 @@
   state.message = std::move(message);
   state.deadline = deadline;
   state.client = client;
-  state.service = shares_.pick(matched_route);
+  state.service = shares_.pick(matched_route, [this](std::string const& service) {
+    return !dependencies_.servers.ready_servers(service).empty();
+  });
   strip_hop_by_hop(state.message);
   state.message.version(11);
   state.message.keep_alive(true);
--- a/src/calls/route_table.cc
+++ b/src/calls/route_table.cc
@@ -85,12 +85,18 @@
   return found == all_.services.end() ? nullptr : &found->second;
 }
 
-std::string const& share_picker::pick(route const& matched_route) {
-  if (matched_route.shares.size() == 1) return matched_route.shares.front().service;
+std::string const& share_picker::pick(
+    route const& matched_route, std::function<bool(std::string const& service)> const& can_serve) {
+  auto const& shares = matched_route.shares;
+  if (shares.size() == 1) return shares.front().service;
+  bool const any_serves =
+      std::any_of(shares.begin(), shares.end(),
+                  [&](service_share const& share) { return can_serve(share.service); });
   auto& credits = credits_[matched_route.name];
   std::int64_t total = 0;
   service_share const* best = nullptr;
-  for (service_share const& share : matched_route.shares) {
+  for (service_share const& share : shares) {
+    if (any_serves && !can_serve(share.service)) continue;
     std::int64_t& credit = credits[share.service];
     credit += share.weight;
     total += share.weight;
--- a/src/calls/route_table.h
+++ b/src/calls/route_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -132,7 +133,11 @@
 /// the shares also hold over short intervals.
 class share_picker {
  public:
-  std::string const& pick(route const& matched_route);
+  /// @param can_serve returns whether a service has a server. Services without one are passed over
+  /// as long as another has one; their shares go to the others.
+  std::string const& pick(
+      route const& matched_route, std::function<bool(std::string const& service)> const& can_serve =
+                                      [](auto const&) { return true; });
 
  private:
   std::map<std::string, std::map<std::string, std::int64_t>> credits_;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -56,7 +56,7 @@
   std::uint64_t events = 0;
   std::optional<std::uint64_t> last_event;
   std::vector<std::uint64_t> versions;
-  /// Service whose engines run the sample, chosen once by the route's shares.
+  /// Service whose engines run the sample, chosen by the route's shares.
   std::string service;
   std::string engine;
   /// Incremented when a run starts or ends; events of older attempts are ignored.
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -95,6 +95,7 @@
   auto const table = dependencies_.configuration.table();
   if (!table) return;
   std::size_t started = 0;
+  services_.begin_iteration(now);
   for (run_candidate const& next : dependencies_.table.runnable(now, order)) {
     if (started == k_max_starts_per_iteration) {
       // The remaining runs start in the next iteration.
@@ -105,12 +106,13 @@
     sample_entry& sample = job.samples[next.index];
     auto const* route = table->match(job.record.host, job.record.path);
     if (route == nullptr) continue;
-    bool const share_exists = std::any_of(
-        route->shares.begin(), route->shares.end(),
-        [&](calls::service_share const& share) { return share.service == sample.service; });
-    if (!share_exists) sample.service = shares_.pick(*route);
-    engines::run_requirements const need = make_run_need(job, sample);
+    set_service(next, services_.choose(*route, job.record.model, sample.service), "no engine left");
+    engines::run_requirements need = make_run_need(job, sample);
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
+    if (engine == nullptr && now >= waiting_since(next) + k_long_wait) {
+      engine = services_.choose_other_engine(*route, need);
+      if (engine != nullptr) set_service(next, need.service, "waited long");
+    }
     if (engine == nullptr) {
       note_no_engine(next, need, now);
       continue;
@@ -121,6 +123,22 @@
   move_slow_runs(now);
 }
 
+void sample_runner::set_service(run_candidate const& next, std::string const& service,
+                                std::string_view cause) {
+  sample_entry& sample = next.job->samples[next.index];
+  if (sample.service == service) return;
+  if (!sample.service.empty()) {
+    log_line(log_level::info, k_part, "Sample goes to another service of its route.",
+             {{"request", sample.spec->id},
+              {"job", next.job->record.id},
+              {"service", service},
+              {"before", sample.service},
+              {"cause", cause},
+              {"events", sample.events}});
+  }
+  sample.service = service;
+}
+
 void sample_runner::start(run_candidate const& next, engines::engine_entry const& engine,
                           engines::run_requirements const& need) {
   job_entry& job = *next.job;
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -17,6 +17,7 @@
 #include "engines/engine_board.h"
 #include "jobs/job_table.h"
 #include "jobs/sample_scorer.h"
+#include "jobs/service_chooser.h"
 #include "scheduling/run_estimate.h"
 #include "scheduling/sample_order.h"
 
@@ -58,7 +59,7 @@
 class sample_runner {
  public:
   explicit sample_runner(runner_dependencies dependencies)
-      : dependencies_(std::move(dependencies)) {}
+      : dependencies_(std::move(dependencies)), services_(dependencies_.board) {}
 
   /// Starts runnable samples and moves at most one run off a slow engine.
   /// @param order see `job_table::runnable`.
@@ -107,6 +108,7 @@
   engines::run_requirements make_run_need(job_entry const& job, sample_entry const& sample) const;
   /// Starts a run of the sample on `engine`.
   /// @param need requirements by which the engine was chosen.
+  void set_service(run_candidate const& next, std::string const& service, std::string_view cause);
   void start(run_candidate const& next, engines::engine_entry const& engine,
              engines::run_requirements const& need);
   /// Logs, at intervals, that no engine can run the sample, if it has waited for long.
@@ -155,7 +157,7 @@
                                             dependencies_.servers, dependencies_.forwarder,
                                             dependencies_.names, dependencies_.table,
                                             dependencies_.may_resend, dependencies_.notify}};
-  calls::share_picker shares_;
+  service_chooser services_;
   runner_counters counters_;
   /// Waits reported since this time.
   time_point wait_reports_since_ = time_point::min();
--- a/tests/unit/calls/route_table_test.cc
+++ b/tests/unit/calls/route_table_test.cc
@@ -70,6 +70,29 @@
   LONGS_EQUAL(20, small);
 }
 
+TEST(route_table_test, share_of_a_service_without_servers_goes_to_the_others) {
+  route split_route = make_route("split", "a", "/");
+  split_route.shares = {{"large", 50}, {"small", 25}, {"gone", 25}};
+  share_picker picker;
+  std::map<std::string, int> picked;
+  for (int number = 0; number < 300; ++number) {
+    ++picked[picker.pick(split_route, [](std::string const& name) { return name != "gone"; })];
+  }
+  LONGS_EQUAL(200, picked["large"]);
+  LONGS_EQUAL(100, picked["small"]);
+}
+
+TEST(route_table_test, shares_hold_while_no_service_has_servers) {
+  route split_route = make_route("split", "a", "/");
+  split_route.shares = {{"large", 90}, {"small", 10}};
+  share_picker picker;
+  int small = 0;
+  for (int number = 0; number < 100; ++number) {
+    if (picker.pick(split_route, [](std::string const&) { return false; }) == "small") ++small;
+  }
+  LONGS_EQUAL(10, small);
+}
+
 TEST(route_table_test, events_are_parsed_across_piece_boundaries) {
   std::string const stream =
       "id: 0\ndata: a\n\nx-weight-versions: 7\nid: 1\ndata: b\ndata: c\n\nid: 2\r\ndata: d\r\n\r\n";
