Base64 with other characters, or padding inside, is refused

A record or an item with such text counts as malformed now, as the doc comment says. encoding_test: of its cases one failed with a first mend that missed '=' before the last character; the whole test was not run on the code before.

--- a/src/base/encoding.cc
+++ b/src/base/encoding.cc
@@ -25,7 +25,11 @@
   auto const* input = reinterpret_cast<const unsigned char*>(text.data());
   auto* output = reinterpret_cast<unsigned char*>(bytes.data());
   int const length = EVP_DecodeBlock(output, input, static_cast<int>(text.size()));
-  if (length < 0) return std::nullopt;
+  // OpenSSL skips spaces and line ends around the text.
+  if (length < 0 || static_cast<std::size_t>(length) != bytes.size()) return std::nullopt;
+  std::size_t const content_end = text.find('=');
+  if (content_end < text.size() - 2) return std::nullopt;
+  if (content_end == text.size() - 2 && !text.ends_with('=')) return std::nullopt;
   std::size_t padding = 0;
   if (text.ends_with("==")) {
     padding = 2;
