A stopping gateway refuses what may outlast it, and answers what it has taken

Callers saw: in a planned stop, requests that came late on open connections were passed on to servers and cut without an answer at the end, among them requests that may not be repeated.

Cause: a draining ingress only ends keep-alive; requests were taken at any moment, with their own deadline.

From 2.6 s after the signal (until then clients are led here) a request whose deadline lies behind the stop's end gets 503 (stopping), Retry-After 0 and a closed connection at once; it has not run. Requests and calls about jobs that are taken during the stop have a deadline no later than its end.

--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -6,9 +6,11 @@
 namespace frostline::calls {
 namespace {
 
-/// Retry-After in seconds of all 503 responses except those for quarantined requests. A full server
-/// usually has a free slot by then.
+/// Retry-After in seconds of all 503 responses except those for quarantined requests and of a
+/// stopping node. A full server usually has a free slot by then.
 constexpr std::string_view k_full_server_retry_after = "0.3";
+/// A new connection goes to another node, which can serve the request at once.
+constexpr std::string_view k_stopping_retry_after = "0";
 /// Upper bound of Retry-After for quarantined requests, also sent if no trial is scheduled. The
 /// next trial may be due later than this.
 constexpr seconds k_max_retry_after{60};
@@ -24,6 +26,7 @@
     case call_failure::servers_full:
     case call_failure::deadline_not_run:
     case call_failure::quarantined:
+    case call_failure::stopping:
       return http::status::service_unavailable;
     case call_failure::deadline_unknown:
       return http::status::gateway_timeout;
@@ -40,6 +43,12 @@
   return std::to_string(std::clamp(delay, seconds(1), k_max_retry_after).count());
 }
 
+std::string retry_after(call_failure reason, std::optional<milliseconds> retry_delay) {
+  if (reason == call_failure::quarantined) return seconds_until(retry_delay);
+  return std::string(reason == call_failure::stopping ? k_stopping_retry_after
+                                                      : k_full_server_retry_after);
+}
+
 }  // namespace
 
 std::string_view to_string(call_failure reason) {
@@ -64,6 +73,8 @@
       return "caller_left";
     case call_failure::quarantined:
       return "quarantined";
+    case call_failure::stopping:
+      return "stopping";
   }
   return "unknown";
 }
@@ -73,9 +84,7 @@
   std::string body = "{\"reason\":\"" + std::string(to_string(reason)) + "\"}";
   http::response answer = http::make_response(code, std::move(body), http::k_problem_json);
   if (code == http::status::service_unavailable) {
-    bool const is_quarantined = reason == call_failure::quarantined;
-    answer.set(http::field::retry_after, is_quarantined ? seconds_until(retry_delay)
-                                                        : std::string(k_full_server_retry_after));
+    answer.set(http::field::retry_after, retry_after(reason, retry_delay));
   }
   return answer;
 }
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -30,6 +30,8 @@
   caller_left,
   /// The quarantine forbids sending the request, since it may crash servers; it has not run.
   quarantined,
+  /// This node stops before the request's deadline; it has not run.
+  stopping,
 };
 
 std::string_view to_string(call_failure reason);
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -35,6 +35,8 @@
 constexpr milliseconds k_leave_notice{2600};
 constexpr milliseconds k_stop_margin{700};
 constexpr milliseconds k_stop_poll_interval{20};
+/// Time to send the answers of requests that were taken during the stop and reach its end.
+constexpr milliseconds k_answer_reserve{200};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 /// Number of nodes that collect crash reports. One suffices; the others provide redundancy.
 constexpr std::size_t k_evidence_collectors = 3;
@@ -393,6 +395,7 @@
   time_point const begin = boot_clock::now();
   time_point const deadline = begin + settings_.stop_time - k_stop_margin;
   ingress_->drain();
+  client_calls_.begin_stop(begin + k_leave_notice, deadline - k_answer_reserve);
   spawn(context_, feed_.leave());
   co_await pools_.release(begin + k_leave_notice / 2);
   if (duties_) co_await duties_->release(begin + k_leave_notice);
--- a/src/gateway/client_calls.cc
+++ b/src/gateway/client_calls.cc
@@ -64,12 +64,28 @@
   std::string const deadline_header(http::header(message, names.deadline));
   if (!deadline_header.empty())
     deadline = arrived_at + milliseconds(std::strtoll(deadline_header.c_str(), nullptr, 10));
+  if (matched_route != nullptr) {
+    time_point const answered_by = std::min(deadline, arrived_at + matched_route->timeout);
+    if (!admission_.admits(arrived_at, answered_by)) {
+      co_await refuse_while_stopping(http::header(message, names.request_id), matched_route->name,
+                                     answered_by, client);
+      co_return;
+    }
+  }
   co_await dependencies_.forwarder.handle(table, matched_route, std::move(message), tenant,
-                                          deadline, client);
+                                          admission_.limit(deadline), client);
   auto const elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - arrived_at);
   dependencies_.request_metrics.note_call(elapsed);
 }
 
+awaitable<void> client_calls::refuse_while_stopping(std::string_view request,
+                                                    std::string_view route, time_point deadline,
+                                                    calls::caller& client) {
+  log_line(log_level::info, k_part, "Request refused: this node stops before its deadline.",
+           {{"request", request}, {"route", route}, {"deadline_ms", time_left(deadline).count()}});
+  co_await client.answer(calls::failure_response(calls::call_failure::stopping));
+}
+
 awaitable<bool> client_calls::admit_job_call(calls::route_table const* table,
                                              http::request const& message, job_request& request,
                                              calls::caller& client) {
@@ -107,7 +123,7 @@
   milliseconds max_wait =
       is_end ? k_end_deadline : milliseconds(request.call.wait_ms) + k_list_margin;
   if (request.deadline) max_wait = std::min(max_wait, answer_timeout(*request.deadline));
-  time_point const deadline = boot_clock::now() + max_wait;
+  time_point const deadline = admission_.limit(boot_clock::now() + max_wait);
   rpc::JobReplyT const reply = co_await dependencies_.jobs.ask(request.call, deadline);
   if (reply.status != rpc::JobStatus::OK) {
     log_line(log_level::info, k_part, "Job call not answered.",
@@ -149,7 +165,12 @@
   submitted_call.job = request->call.job;
   milliseconds const max_wait = std::min(route_timeout, request->deadline.value_or(route_timeout));
   time_point const deadline = arrived_at + answer_timeout(max_wait);
-  reply = co_await dependencies_.jobs.submit(pool, std::move(request->call), deadline);
+  if (!admission_.admits(arrived_at, deadline)) {
+    co_await refuse_while_stopping(submitted_call.job, matched_route.name, deadline, client);
+    co_return;
+  }
+  reply = co_await dependencies_.jobs.submit(pool, std::move(request->call),
+                                             admission_.limit(deadline));
   auto const elapsed = std::chrono::duration_cast<milliseconds>(boot_clock::now() - arrived_at);
   dependencies_.request_metrics.note_submission(elapsed);
   log_line(log_level::info, k_part, "Submission answered.",
