--- a/src/gateway/client_calls.cc
+++ b/src/gateway/client_calls.cc
@@ -1,6 +1,7 @@
 #include "gateway/client_calls.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "base/log.h"
 #include "calls/access.h"
@@ -23,6 +24,15 @@
 /// Returned as retry_after_ms for calls about jobs that arrive before the first configuration.
 constexpr milliseconds k_unconfigured_retry_delay{300};
 
+/// Longest time that a client can ask to wait. Longer ones would overflow the clock.
+constexpr std::chrono::hours k_max_wait{24};
+
+/// Parses a number of milliseconds; 0 if `text` does not begin with a number.
+milliseconds parse_wait(std::string const& text) {
+  long long const number = std::strtoll(text.c_str(), nullptr, 10);
+  return std::clamp(milliseconds(number), milliseconds(0), milliseconds(k_max_wait));
+}
+
 /// Returns how long an answer may take if the caller waits for `max_wait`.
 milliseconds answer_timeout(milliseconds max_wait) {
   milliseconds const reserve =
@@ -62,8 +72,7 @@
   }
   time_point deadline = arrived_at + k_default_deadline;
   std::string const deadline_header(http::header(message, names.deadline));
-  if (!deadline_header.empty())
-    deadline = arrived_at + milliseconds(std::strtoll(deadline_header.c_str(), nullptr, 10));
+  if (!deadline_header.empty()) deadline = arrived_at + parse_wait(deadline_header);
   if (matched_route != nullptr) {
     time_point const answered_by = std::min(deadline, arrived_at + matched_route->timeout);
     if (!admission_.admits(arrived_at, answered_by)) {
