Identifiers of jobs fit into keys; jobs too large for the store are refused at once

Cause: identifiers were parts of keys as they stood, read back up to the first slash, and made keys that the store refuses for good, which the log repeats; too_large was answered as an unknown outcome.

Change: identifiers are percent-encoded in keys (hexadecimal ones are the same as before); the owner refuses with 400 and the reason what does not fit.

--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -94,6 +94,7 @@
   log_.close();
   submitting_.clear();
   held_elsewhere_.clear();
+  too_large_.clear();
   written_.notify_all();
   bool const was_loaded = state_ == owner_state::active || state_ == owner_state::suspended;
   state_ = was_loaded ? owner_state::suspended : owner_state::standby;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -199,6 +199,8 @@
   std::map<std::string, bool> submitting_;
   /// Jobs submitted in this term that another pool has accepted.
   std::set<std::string> held_elsewhere_;
+  /// Jobs whose record the store can't take, until their submitter is answered.
+  std::set<std::string> too_large_;
   /// Ended jobs whose data is not loaded, with the contents of their marks.
   std::map<std::string, std::optional<rpc::JobEndT>> unloaded_ended_jobs_;
   /// Jobs of `unloaded_ended_jobs_` that are queued for loading.
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -161,11 +161,13 @@
   std::uint64_t const term = term_;
   submitting_[id] = true;
   held_elsewhere_.erase(id);
+  too_large_.erase(id);
   auto const on_done = [this, term, id, record](write_outcome outcome) {
     if (term == term_) {
       submitting_.erase(id);
       if (outcome == write_outcome::stored) accept(record);
       if (outcome == write_outcome::held_elsewhere) drop_held_elsewhere(id);
+      if (outcome == write_outcome::too_large) too_large_.insert(id);
     }
     written_.notify_all();
   };
@@ -197,7 +199,10 @@
   }
   bool const known = find_recorded(id) != nullptr || unloaded_ended_jobs_.contains(id);
   if (known && can_read()) co_return reply_with(rpc::JobStatus::OK, {});
-  std::string const fault = find_fault(*call.record);
+  std::string fault = find_fault(*call.record);
+  if (record_keys::longest(dependencies_.lease.resource(), id) > dependencies_.limits.key_bytes) {
+    fault = "the identifier is too long for the record store";
+  }
   if (!fault.empty()) co_return reply_with(rpc::JobStatus::INVALID, fault);
   // UNAVAILABLE would tell the caller that no part of the job runs.
   bool const runs = table_.find(id) != nullptr;
@@ -213,6 +218,8 @@
   if (find_recorded(id) != nullptr) co_return reply_with(rpc::JobStatus::OK, {});
   if (held_elsewhere_.contains(id))
     co_return reply_with(rpc::JobStatus::UNKNOWN_JOB, "another pool has accepted it");
+  if (too_large_.erase(id) > 0)
+    co_return reply_with(rpc::JobStatus::INVALID, "the job is too large for the record store");
   co_return reply_with(rpc::JobStatus::OUTCOME_UNKNOWN, "the record store has not answered");
 }
 
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -1,12 +1,16 @@
 #include "jobs/record_log.h"
 
 #include <algorithm>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <cstdio>
+#include <limits>
 #include <map>
 #include <set>
 
 #include "base/jitter.h"
 #include "base/log.h"
+#include "http/target.h"
 #include "rpc/codec.h"
 
 namespace frostline::jobs {
@@ -34,6 +38,12 @@
   return text;
 }
 
+/// Returns a job's identifier as one part of a key: without slashes, which end the part.
+std::string key_part(std::string const& job) {
+  constexpr auto k_literal = boost::urls::unreserved_chars + "!$&'()*+,;=:@";
+  return boost::urls::encode(job, k_literal);
+}
+
 kv::operation put(std::string key, std::string value) {
   kv::operation operation;
   operation.key = std::move(key);
@@ -48,15 +58,15 @@
 }
 
 std::string record_keys::accepted_mark(std::string const& pool, std::string const& job) {
-  return marks_prefix(pool) + job + std::string(k_accepted);
+  return marks_prefix(pool) + key_part(job) + std::string(k_accepted);
 }
 
 std::string record_keys::ended_mark(std::string const& pool, std::string const& job) {
-  return marks_prefix(pool) + job + std::string(k_ended);
+  return marks_prefix(pool) + key_part(job) + std::string(k_ended);
 }
 
 std::string record_keys::data_prefix(std::string const& pool, std::string const& job) {
-  return std::string(k_prefix) + pool + std::string(k_data_part) + job + "/";
+  return std::string(k_prefix) + pool + std::string(k_data_part) + key_part(job) + "/";
 }
 
 std::string record_keys::record(std::string const& pool, std::string const& job, std::size_t part) {
@@ -78,6 +88,11 @@
          padded(sequence);
 }
 
+std::size_t record_keys::longest(std::string const& pool, std::string const& job) {
+  constexpr std::uint64_t k_largest = std::numeric_limits<std::uint64_t>::max();
+  return std::max(progress(pool, job, k_largest, k_largest).size(), ended_mark(pool, job).size());
+}
+
 stored_marks read_marks(std::string const& pool, std::vector<kv::key_value> const& records) {
   std::size_t const prefix = record_keys::marks_prefix(pool).size();
   // Jobs accepted in one transaction have the same revision.
@@ -85,7 +100,7 @@
   std::map<std::string, std::optional<rpc::JobEndT>> ended;
   for (kv::key_value const& record : records) {
     std::string const rest = record.key.substr(std::min(prefix, record.key.size()));
-    std::string const job = rest.substr(0, rest.find('/'));
+    std::string const job = http::percent_decode(rest.substr(0, rest.find('/')));
     if (rest.ends_with(k_accepted)) accepted.emplace(record.create_revision, job);
     if (rest.ends_with(k_ended)) ended[job] = rpc::decode<rpc::JobEndT>(record.value);
   }
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -43,6 +43,8 @@
   /// @param sequence number of the checkpoint within the owner's epoch.
   static std::string progress(std::string const& pool, std::string const& job, std::uint64_t epoch,
                               std::uint64_t sequence);
+  /// Returns the size of the job's longest possible key, in bytes.
+  static std::size_t longest(std::string const& pool, std::string const& job);
 };
 
 /// A pool's jobs according to their marks; open jobs in the order of acceptance.
--- a/src/kv/record_store.h
+++ b/src/kv/record_store.h
@@ -12,6 +12,7 @@
 /// Limits of a store, taken from the settings.
 struct store_limits {
   std::size_t value_bytes = 1 << 20;
+  std::size_t key_bytes = 200;
   std::size_t operations_per_transaction = 32;
   milliseconds shortest_lease{1000};
 };
--- a/tests/platform/odd_jobs_test.cc
+++ b/tests/platform/odd_jobs_test.cc
@@ -204,3 +204,35 @@
   check_no_node_ended();
   LONGS_EQUAL(0, hidden_requests());
 }
+
+TEST(odd_jobs_test, job_with_a_slash_in_its_identifier_outlasts_its_owner) {
+  std::string const job = "a/b+c==%41";
+  std::string const encoded = "a%2Fb%2Bc%3D%3D%2541";
+  LONGS_EQUAL(202, system.submit(0, job, {{"odd-1", "g"}, {"odd-2", "g"}}));
+  system.wait_for_results(1, encoded, 2);
+  std::size_t const owner = system.owner();
+  system.node(owner).kill();
+  std::size_t const reader = (owner + 1) % system.nodes();
+  platform_cluster::wait_until("another node owns the pool", [&] {
+    auto const found = system.find_owner();
+    return found && *found != owner;
+  });
+  auto const listed = system.wait_for_results(reader, encoded, 2);
+  LONGS_EQUAL(2, listed.at("results").as_array().size());
+  LONGS_EQUAL(200, system.end_job(reader, encoded));
+}
+
+TEST(odd_jobs_test, job_whose_identifier_does_not_fit_into_a_key_is_refused) {
+  LONGS_EQUAL(400, system.submit(0, std::string(190, 'j'), {{"odd-1", "g"}}));
+  check_sound_job_is_whole("sound");
+}
+
+TEST(odd_jobs_test, job_that_is_too_large_for_the_store_is_refused) {
+  std::vector<test_item> items;
+  for (int number = 0; number < 12; ++number) {
+    items.push_back({"large-" + std::to_string(number), "g"});
+    items.back().prompt = std::string(1 << 20, 'p');
+  }
+  LONGS_EQUAL(400, system.submit(0, "large", items));
+  check_sound_job_is_whole("sound");
+}
