A silent stream is ended only if another server can go on with it

Callers saw: in a planned stop, and without one, streams that can't be resumed were cut once their servers had put them back and were silent for 1.8 s.

Cause: the limit of 1.8 s without an event, which makes room for another server, was applied where none can be tried.

Change: it holds while a further attempt is allowed; otherwise the stream waits for its deadline or its client. Bytes without an event still end it.

--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -217,6 +217,8 @@
   awaitable<bool> read_whole(request_state& state, exchange& upstream,
                              http::response& whole_answer);
   awaitable<void> run_stream(request_state& state);
+  /// Returns true if a stream that fails now may be sent to another server.
+  static bool can_go_on_elsewhere(request_state const& state);
   /// Forwards complete events. @return false if the stream did not come to its end.
   awaitable<bool> forward_events(request_state& state, exchange& upstream, event_splitter& splitter,
                                  bool& begun);
--- a/src/calls/forwarder_streams.cc
+++ b/src/calls/forwarder_streams.cc
@@ -8,11 +8,19 @@
 namespace frostline::calls {
 namespace {
 
-/// An event stream that sends no event for this long counts as failed.
+/// An event stream that sends no event for this long counts as failed if another server can go on
+/// with it. If none can, silence is no reason to end it: the server may have put the request back.
 constexpr milliseconds k_stream_idle_timeout{1800};
+/// Time without a byte after which a server counts as silent, not as one that sends bytes without
+/// an event.
+constexpr milliseconds k_min_silence{1000};
 
 }  // namespace
 
+bool forwarder::can_go_on_elsewhere(request_state const& state) {
+  return state.matched_route->is_repeatable() && state.attempts < state.matched_route->max_attempts;
+}
+
 awaitable<void> forwarder::run_stream(request_state& state) {
   event_splitter splitter(dependencies_.names.versions);
   bool begun = false;
@@ -50,24 +58,30 @@
       co_return false;
     }
   }
-  state.attempt_timeout = k_stream_idle_timeout;
+  bool const ends_when_silent = can_go_on_elsewhere(state);
+  if (ends_when_silent) state.attempt_timeout = k_stream_idle_timeout;
   time_point last_event_at = boot_clock::now();
   std::string piece;
   while (true) {
     if (upstream.is_whole() && upstream.head().body().empty()) break;
+    time_point const read_begun_at = boot_clock::now();
     time_point const idle_deadline =
-        std::min(boot_clock::now() + k_stream_idle_timeout, state.deadline);
+        ends_when_silent ? std::min(read_begun_at + k_stream_idle_timeout, state.deadline)
+                         : state.deadline;
     exchange_failure failure = co_await upstream.read_piece(piece, idle_deadline);
+    time_point const now = boot_clock::now();
+    bool const was_silent = now > read_begun_at + k_min_silence;
+    if (was_silent && !ends_when_silent) last_event_at = now;
     std::string whole_events;
     for (stream_event const& event : splitter.feed(piece)) {
       if (event.id) state.message.set(dependencies_.names.last_event_id, std::to_string(*event.id));
-      if (event.has_content) last_event_at = boot_clock::now();
+      if (event.has_content) last_event_at = now;
       whole_events += event.raw;
     }
     // Bytes without an event, which a faulty server may send without end, don't count as progress.
-    bool const idle =
-        !upstream.is_whole() && boot_clock::now() > last_event_at + k_stream_idle_timeout;
-    if (failure == exchange_failure::none && idle) failure = exchange_failure::timed_out;
+    bool const idle = now > last_event_at + k_stream_idle_timeout;
+    if (failure == exchange_failure::none && idle && !upstream.is_whole())
+      failure = exchange_failure::timed_out;
     if (splitter.is_overlong()) failure = exchange_failure::answer_too_large;
     if (failure != exchange_failure::none) {
       // Only complete events were forwarded, so another server can resume after the last one.
--- a/tests/unit/calls/forwarder_streams_test.cc
+++ b/tests/unit/calls/forwarder_streams_test.cc
@@ -75,6 +75,19 @@
   LONGS_EQUAL(1, system.forwarder.counters().truncated_streams);
 }
 
+// Guards against streams that are cut although nothing else can be tried: their server may have put
+// them back.
+TEST(forwarder_streams_test, silent_stream_that_may_not_be_resumed_goes_on) {
+  scripted_answer slow{stream_of(0, 0)};
+  slow.endless = chunk(event(1));
+  slow.pause = milliseconds(2400);
+  system.forward_until_client_leaves(route_kind::streaming, {slow}, milliseconds(6000));
+  std::string const& body = system.client.body();
+  // The first of these comes at once, the next one after the pause.
+  CHECK_TRUE(body.find(event(1)) != body.rfind(event(1)));
+  LONGS_EQUAL(1, system.servers.arrivals());
+}
+
 TEST(forwarder_streams_test, stream_that_ends_inside_an_event_is_resumed) {
   system.forward(route_kind::streaming, true,
                  {{stream_of(0, 0) + chunk("id: 1\nda") + k_end}, {stream_of(1, 1) + k_end}});
