--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -25,6 +25,9 @@
 /// Limit of the total size of the texts in a checkpoint, in bytes; the last text may exceed the
 /// limit.
 constexpr std::size_t k_checkpoint_bytes = 256 * 1024;
+/// Time after which a job whose results are all listed is removed although its submitter has not
+/// ended it. A submitter that was lost never does, and results must not pile up for ever.
+constexpr std::chrono::hours k_max_unended_time{24};
 /// How long calls wait for a loading or suspended owner, to avoid repeated retries.
 constexpr milliseconds k_max_ready_wait{400};
 
@@ -399,8 +402,9 @@
 void pool_owner::forget_expired_jobs(time_point now) {
   std::vector<std::string> old;
   for (auto const& [id, job] : table_.jobs()) {
-    if (job->recorded && !job->is_open() && now - job->accepted_at > dependencies_.retention)
-      old.push_back(id);
+    if (job->is_open()) continue;
+    milliseconds const kept = job->ended ? dependencies_.retention : k_max_unended_time;
+    if (job->recorded && now - job->accepted_at > kept) old.push_back(id);
   }
   for (std::string const& id : old) {
     table_.forget(id);
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -149,7 +149,8 @@
   /// Stores the progress of long runs periodically, in case this node and its replicas are lost
   /// together.
   void write_checkpoint(time_point now);
-  /// Deletes closed jobs that are past their retention.
+  /// Deletes ended jobs that are past their retention. A job is kept until its submitter ends it,
+  /// also when all of its results are listed: the submitter may read them late.
   void forget_expired_jobs(time_point now);
   awaitable<void> erase(std::string id);
   awaitable<rpc::JobReplyT> submit(rpc::JobCallT call);
--- a/tests/platform/jobs_test.cc
+++ b/tests/platform/jobs_test.cc
@@ -388,3 +388,21 @@
     }
   }
 }
+
+// Guards against results that go although nobody has ended their job, because all are listed.
+TEST(jobs_test, whole_job_is_kept_until_it_is_ended) {
+  platform_options options;
+  options.extra_settings = "[jobs]\nretention_seconds = 1\n";
+  platform_cluster system{options};
+  LONGS_EQUAL(202, system.submit(0, "kept", make_items("kept", 4)));
+  time_point const accepted = boot_clock::now();
+  system.wait_for_results(0, "kept", 4);
+  platform_cluster::wait_until("the retention is over",
+                               [&] { return boot_clock::now() > accepted + seconds(3); });
+  for (std::size_t node = 0; node < system.nodes(); ++node) {
+    LONGS_EQUAL(200, system.results_status(node, "kept"));
+  }
+  LONGS_EQUAL(200, system.end_job(0, "kept"));
+  platform_cluster::wait_until("the ended job is removed",
+                               [&] { return system.results_status(0, "kept") == 404; });
+}
