A sample that waits for long may take an engine that is less than half full

Cause: without a hint a run is expected to need all tokens that it may make, and the plan of the engines' memory admits nothing beside a few of these.

Change: after 2 s of waiting, four times a second, a sample is offered to engines that are less than half full whatever the plan says.

--- a/src/engines/engine_board.h
+++ b/src/engines/engine_board.h
@@ -62,6 +62,9 @@
   std::string group;
   /// Engines that must not be chosen.
   std::set<std::string> excluded;
+  /// An engine that is less than half full may be chosen whatever memory its runs are expected to
+  /// need. Expectations may be far too high; an engine whose memory does run out puts runs back.
+  bool may_exceed_memory = false;
 };
 
 /// Why no engine can run a request. Each value means that some engine passes all checks of the
--- a/src/engines/engine_board_runs.cc
+++ b/src/engines/engine_board_runs.cc
@@ -56,6 +56,8 @@
 bool engine_board::has_memory(engine_entry const& engine, run_requirements const& requirements,
                               time_point now) const {
   if (cache_tokens_ == 0 || engine.in_flight == 0) return true;
+  bool const half_full = engine.in_flight * 2 >= engine.server.slots;
+  if (requirements.may_exceed_memory && !half_full) return true;
   // Without a recent event gap, nothing shows that runs make progress.
   bool const pace_known = typical_gap_ms_ > 0 || has_recent_gap(engine, now);
   if (!plans_memory_ || !pace_known) return !exceeds_sum(engine, requirements.tokens);
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -58,6 +58,8 @@
   std::vector<std::uint64_t> versions;
   /// Service whose engines run the sample, chosen by the route's shares.
   std::string service;
+  /// When the sample was last offered to engines that it would not get otherwise.
+  time_point reconsidered_at = time_point::min();
   std::string engine;
   /// Incremented when a run starts or ends; events of older attempts are ignored.
   std::uint64_t attempt = 0;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -34,6 +34,9 @@
 /// A sample that waits longer than this is logged, and again at this interval. Less than half of
 /// the time after which a waiting sample counts as lost.
 constexpr milliseconds k_long_wait{2'000};
+/// Interval at which a sample that waits for long is offered to engines that it would not get
+/// otherwise. Choosing an engine examines most of the pool.
+constexpr milliseconds k_reconsideration_interval{250};
 /// Limit of waiting samples that are examined and logged, since all may wait when no engine is
 /// left.
 constexpr std::uint32_t k_max_wait_reports_per_second = 32;
@@ -109,10 +112,7 @@
     set_service(next, services_.choose(*route, job.record.model, sample.service), "no engine left");
     engines::run_requirements need = make_run_need(job, sample);
     engines::engine_entry const* engine = dependencies_.board.choose(need, now);
-    if (engine == nullptr && now >= waiting_since(next) + k_long_wait) {
-      engine = services_.choose_other_engine(*route, need);
-      if (engine != nullptr) set_service(next, need.service, "waited long");
-    }
+    if (engine == nullptr) engine = reconsider(next, *route, need, now);
     if (engine == nullptr) {
       note_no_engine(next, need, now);
       continue;
@@ -123,6 +123,23 @@
   move_slow_runs(now);
 }
 
+engines::engine_entry const* sample_runner::reconsider(run_candidate const& next,
+                                                       calls::route const& route,
+                                                       engines::run_requirements& need,
+                                                       time_point now) {
+  sample_entry& sample = next.job->samples[next.index];
+  bool const due = now >= waiting_since(next) + k_long_wait &&
+                   now - k_reconsideration_interval >= sample.reconsidered_at;
+  if (!due) return nullptr;
+  sample.reconsidered_at = now;
+  need.may_exceed_memory = true;
+  engines::engine_entry const* engine = dependencies_.board.choose(need, now);
+  if (engine != nullptr) return engine;
+  engine = services_.choose_other_engine(route, need);
+  if (engine != nullptr) set_service(next, need.service, "waited long");
+  return engine;
+}
+
 void sample_runner::set_service(run_candidate const& next, std::string const& service,
                                 std::string_view cause) {
   sample_entry& sample = next.job->samples[next.index];
--- a/src/jobs/sample_runner.h
+++ b/src/jobs/sample_runner.h
@@ -108,6 +108,12 @@
   engines::run_requirements make_run_need(job_entry const& job, sample_entry const& sample) const;
   /// Starts a run of the sample on `engine`.
   /// @param need requirements by which the engine was chosen.
+  /// Chooses an engine for a sample that has waited for long: also one of another service of its
+  /// route, or one whose memory may not suffice but that is less than half full.
+  /// @param need changed to what the engine was chosen for.
+  /// @return null if there is none, or if the sample is not due.
+  engines::engine_entry const* reconsider(run_candidate const& next, calls::route const& route,
+                                          engines::run_requirements& need, time_point now);
   void set_service(run_candidate const& next, std::string const& service, std::string_view cause);
   void start(run_candidate const& next, engines::engine_entry const& engine,
              engines::run_requirements const& need);
--- a/tests/unit/engines/engine_memory_test.cc
+++ b/tests/unit/engines/engine_memory_test.cc
@@ -77,6 +77,17 @@
   CHECK_FALSE(admits(make_requirements(1000)));
 }
 
+// Guards against runs that wait beside idle slots because none of them has a length hint.
+TEST(engine_memory_test, run_that_may_exceed_the_memory_starts_while_less_than_half_is_taken) {
+  run_requirements need = make_requirements(5000);
+  need.may_exceed_memory = true;
+  for (int run = 0; run < 4; ++run) {
+    CHECK(admits(need));
+    start(need);
+  }
+  CHECK_FALSE(admits(need));
+}
+
 TEST(engine_memory_test, early_end_of_a_run_frees_its_memory) {
   run_requirements const need = make_requirements(1000);
   scheduling::run_id const run = start(need);
