--- a/tests/support/process_cost.cc
+++ b/tests/support/process_cost.cc
@@ -4,8 +4,24 @@
 
 #include <fstream>
 #include <string>
+#include <string_view>
 
 namespace frostline::testing {
+namespace {
+
+/// Reads a field of /proc/PID/status that is in KiB.
+double read_mib(pid_t process, std::string_view field) {
+  std::ifstream file("/proc/" + std::to_string(process) + "/status");
+  std::string word;
+  double kib = 0;
+  while (file >> word) {
+    if (word == field) file >> kib;
+  }
+  constexpr double k_kib_a_mib = 1024;
+  return kib / k_kib_a_mib;
+}
+
+}  // namespace
 
 double cpu_seconds(pid_t process) {
   std::ifstream file("/proc/" + std::to_string(process) + "/stat");
@@ -19,15 +35,8 @@
   return ticks / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
-double resident_mib(pid_t process) {
-  std::ifstream file("/proc/" + std::to_string(process) + "/status");
-  std::string word;
-  double kib = 0;
-  while (file >> word) {
-    if (word == "VmRSS:") file >> kib;
-  }
-  constexpr double k_kib_a_mib = 1024;
-  return kib / k_kib_a_mib;
-}
+double resident_mib(pid_t process) { return read_mib(process, "VmRSS:"); }
+
+double peak_resident_mib(pid_t process) { return read_mib(process, "VmHWM:"); }
 
 }  // namespace frostline::testing
--- a/tests/support/process_cost.h
+++ b/tests/support/process_cost.h
@@ -9,5 +9,7 @@
 double cpu_seconds(pid_t process);
 /// Resident memory in MiB; 0 if the process does not exist.
 double resident_mib(pid_t process);
+/// Largest resident memory so far in MiB; 0 if the process does not exist.
+double peak_resident_mib(pid_t process);
 
 }  // namespace frostline::testing
