Each soak submits twelve odd jobs, which must be refused

Drawn from a stream of its own, so schedules of faults stay as they are; a job that is not refused with 400 is a violation.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -80,6 +80,8 @@
 constexpr std::uint64_t k_caller_stream = 1;
 constexpr std::uint64_t k_trainer_stream = 2;
 constexpr std::uint64_t k_entries_stream = 3;
+constexpr std::uint64_t k_jobs_stream = 4;
+constexpr std::size_t k_odd_jobs = 12;
 /// More than two pages of the store.
 constexpr std::size_t k_odd_entries = 120;
 
@@ -116,6 +118,8 @@
     time_point const end =
         boot_clock::now() + milliseconds(static_cast<std::int64_t>(minutes * 60'000));
     system_.use_key(k_first_key);
+    std::size_t const odd_jobs_taken =
+        submit_odd_jobs(system_, make_generator(FLAGS_seed, k_jobs_stream), k_odd_jobs);
     std::thread caller([this] { call_loop(); });
     start_training(k_max_reads_under_faults);
     // Every soak has this pair; the others are random.
@@ -131,7 +135,9 @@
     finish_training();
     calling_ = false;
     caller.join();
-    return collect_and_report(recovered);
+    if (odd_jobs_taken > 0)
+      std::cout << "odd jobs that were not refused: " << odd_jobs_taken << "\n";
+    return collect_and_report(recovered) && odd_jobs_taken == 0;
   }
 
  private:
