Soak: poison requests are judged by the servers that ended, not by the runs on them

Cause: the check is wrong. It counted runs on servers that end. When all nodes go on after a suspension they pass on the calls that waited in their sockets within 3 ms, so several runs share one server. The calls of the check then ended the third server, and all that came before the record took effect counted as late.

Change: servers that ended are counted (platform_standin/crash_count). The check is no weaker: a call that ended one or two servers is now sent until it has ended three, and is then judged like the others, where it was passed over. The limits are as they were. The message names each run's server and time.

--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -89,6 +89,7 @@
 arrival server_standin::note(http::request const& message) {
   arrival entry;
   entry.at = boot_clock::now();
+  entry.server = options_.id + "/" + std::to_string(crashes_);
   entry.request = std::string(http::header(message, k_id));
   entry.path = std::string(message.target());
   entry.body = message.body();
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -32,6 +32,8 @@
   bool ran = false;
   /// The request crashed the server.
   bool crashed = false;
+  /// Incarnation of the server, also if it keeps its identifier when it starts again.
+  std::string server;
 };
 
 /// One order that reached a model server.
