Pools that have jobs are marked in the store; a dropped service loses none

Cause: nodes learned of pools from the configuration and from the owners' records, which go with their leases. After all nodes had ended nothing named the pool, so nobody read its records, and a job that no pool knows counts as one that does not exist. A job submitted again was accepted by the second pool.

Change: jobs/pool_mark, a record without a lease for each pool that has jobs, stored no later than the first job and removed when the pool has none and the configuration does not name it. Nodes that read it compete for the pool's lease.

--- a/src/gateway/pool_registry.cc
+++ b/src/gateway/pool_registry.cc
@@ -2,7 +2,15 @@
 
 #include <algorithm>
 
+#include "base/log.h"
+#include "jobs/pool_mark.h"
+
 namespace frostline::gateway {
+namespace {
+
+constexpr std::string_view k_part = "gateway";
+
+}  // namespace
 
 jobs::pool& pool_registry::make(std::string const& name) {
   jobs::pool& pool = all_[name];
@@ -26,20 +34,43 @@
       node_settings.retention, [this, name] { return other_pools(name); },
       [this, name] { return dependencies_.enabled_features.orders_by_due_time(name); },
       [this, name] { return dependencies_.enabled_features.plans_memory(name); }});
+  pool.owner->note_pool_mark(marked_.contains(name));
   pool.owner->start();
   return pool;
 }
 
+void pool_registry::ensure_pool(std::string const& name) {
+  if (all_.contains(name)) return;
+  jobs::pool& pool = make(name);
+  if (owners_known_ && !pool.lease->owner()) pool.lease->note_record(nullptr);
+  pool.lease->start();
+}
+
+void pool_registry::take_mark(std::string const& pool, bool exists) {
+  if (exists) {
+    marked_.insert(pool);
+    if (!all_.contains(pool)) {
+      log_line(log_level::info, k_part, "Pool is known by its jobs.", {{"pool", pool}});
+    }
+    ensure_pool(pool);
+  } else {
+    marked_.erase(pool);
+  }
+  auto const known = all_.find(pool);
+  if (known != all_.end()) known->second.owner->note_pool_mark(exists);
+}
+
 void pool_registry::ensure(calls::configuration const& wanted) {
   for (auto const& [name, service] : wanted.services) {
-    if (!service.engines || all_.contains(name)) continue;
-    jobs::pool& pool = make(name);
-    if (owners_known_ && !pool.lease->owner()) pool.lease->note_record(nullptr);
-    pool.lease->start();
+    if (service.engines) ensure_pool(name);
   }
 }
 
 void pool_registry::take_owner(std::string const& key, kv::key_value const* record) {
+  if (auto const pool = jobs::pool_of_mark(key)) {
+    take_mark(*pool, record != nullptr);
+    return;
+  }
   std::string const name = key.substr(ownership::owner_lease::owners_prefix().size());
   if (name.starts_with(ownership::k_duties_prefix)) return;
   if (auto const pool = ownership::owner_lease::resource_of_orderer_key(key)) {
@@ -58,6 +89,8 @@
 
 void pool_registry::take_owners(kv::range_answer const& records) {
   owners_known_ = true;
+  marked_.clear();
+  for (auto& [name, pool] : all_) pool.owner->note_pool_mark(false);
   for (kv::key_value const& record : records.entries) take_owner(record.key, &record);
   for (auto& [name, pool] : all_) {
     std::string const key = ownership::owner_lease::key_of(name);
--- a/src/gateway/pool_registry.h
+++ b/src/gateway/pool_registry.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 
 #include "base/asio.h"
@@ -38,6 +39,7 @@
   /// Creates the pools that the configuration names, and starts their leases.
   void ensure(calls::configuration const& wanted);
   /// Takes a complete snapshot of the owners' records. Pools without a record have no owner.
+  /// Creates the pools that have jobs, also if the configuration does not name them.
   void take_owners(kv::range_answer const& records);
   /// @param record null if the owner's record was deleted.
   void take_owner(std::string const& key, kv::key_value const* record);
@@ -61,6 +63,10 @@
 
  private:
   jobs::pool& make(std::string const& name);
+  /// Creates a pool and starts its lease, unless the pool exists.
+  void ensure_pool(std::string const& name);
+  /// Takes a pool's mark. @param exists false if the mark was deleted.
+  void take_mark(std::string const& pool, bool exists);
   /// Names of all pools but this one.
   std::vector<std::string> other_pools(std::string const& name) const;
 
@@ -68,6 +74,8 @@
   jobs::pool_map all_;
   /// Latest orderer record of each pool, by pool name, also of pools that are not in `all_` yet.
   std::map<std::string, kv::key_value> orderers_;
+  /// Pools that have jobs according to their marks.
+  std::set<std::string> marked_;
   /// True once a complete snapshot of the owners' records was received.
   bool owners_known_ = false;
 };
--- a/src/jobs/pool_owner.cc
+++ b/src/jobs/pool_owner.cc
@@ -300,9 +300,28 @@
   commit_results(false);
   write_checkpoint(now);
   forget_expired_jobs(now);
+  update_pool_mark();
   timer.mark("records", boot_clock::now());
 }
 
+void pool_owner::ensure_pool_mark() {
+  if (has_pool_mark_) return;
+  has_pool_mark_ = true;
+  log_.write_pool_mark();
+}
+
+void pool_owner::update_pool_mark() {
+  if (!table_.jobs().empty() || !unloaded_ended_jobs_.empty()) {
+    ensure_pool_mark();
+    return;
+  }
+  auto const table = dependencies_.configuration.table();
+  bool const is_named = !table || table->find_service(dependencies_.lease.resource()) != nullptr;
+  if (is_named || !has_pool_mark_ || !submitting_.empty() || !log_.is_idle()) return;
+  has_pool_mark_ = false;
+  log_.remove_pool_mark();
+}
+
 void pool_owner::log_slow_iteration(iteration_timer const& timer) {
   longest_iteration_ = std::max(longest_iteration_, timer.total());
   if (timer.total() < k_slow_iteration) return;
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -93,6 +93,8 @@
   /// Marks these servers as added, changed or removed, so that the owner's loop updates its list of
   /// engines. On a node in standby, the whole list is rebuilt when the node becomes owner.
   void note_servers(std::vector<std::string> const& ids);
+  /// @param exists whether the store has the mark that this pool has jobs.
+  void note_pool_mark(bool exists) { has_pool_mark_ = exists; }
   /// Commits finished results and replicates progress before the lease is handed over. Waits for
   /// the commits until `deadline`.
   awaitable<void> flush(time_point deadline);
@@ -149,6 +151,10 @@
   /// Stores the progress of long runs periodically, in case this node and its replicas are lost
   /// together.
   void write_checkpoint(time_point now);
+  /// Writes the mark that the pool has jobs, if there is none.
+  void ensure_pool_mark();
+  /// Keeps the pool's mark as long as the pool has jobs or the configuration names it.
+  void update_pool_mark();
   /// Deletes ended jobs that are past their retention. A job is kept until its submitter ends it,
   /// also when all of its results are listed: the submitter may read them late.
   void forget_expired_jobs(time_point now);
@@ -207,6 +213,8 @@
   /// Jobs of `unloaded_ended_jobs_` that are queued for loading.
   std::deque<std::string> requested_ended_jobs_;
   bool loading_ended_jobs_ = false;
+  /// The store has the mark that this pool has jobs, or the mark is being written.
+  bool has_pool_mark_ = false;
   /// Limits the results of closed jobs sent to other nodes.
   read_budget read_budget_{k_read_bytes_per_second};
   async_condition work_;
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -171,6 +171,9 @@
     }
     written_.notify_all();
   };
+  // Without the mark, nodes that start after the configuration has dropped the pool would not know
+  // that it has jobs.
+  ensure_pool_mark();
   log_.write_record(*record, on_done, dependencies_.other_pools());
   if (submitting_.contains(id)) spawn(dependencies_.context, run_before_recorded(term, record));
 }
--- a/src/jobs/record_log.cc
+++ b/src/jobs/record_log.cc
@@ -11,6 +11,7 @@
 #include "base/jitter.h"
 #include "base/log.h"
 #include "http/target.h"
+#include "jobs/pool_mark.h"
 #include "rpc/codec.h"
 
 namespace frostline::jobs {
@@ -216,6 +217,15 @@
   enqueue(std::move(new_entry));
 }
 
+void record_log::write_pool_mark() {
+  entry new_entry;
+  new_entry.operations.push_back(put(pool_mark_key(pool_), k_mark_value));
+  new_entry.overwrites = true;
+  enqueue(std::move(new_entry));
+}
+
+void record_log::remove_pool_mark() { remove({pool_mark_key(pool_)}); }
+
 void record_log::write_checkpoint(rpc::ProgressReportT const& report) {
   entry new_entry;
   std::string key = record_keys::progress(pool_, report.jobs.front(), epoch_, ++checkpoints_);
@@ -260,7 +270,8 @@
   for (entry const& queued : group) {
     for (std::string const& key : queued.absent_keys) change.compares.push_back({key, 0});
     for (kv::operation const& operation : queued.operations) {
-      if (operation.kind == kv::operation_kind::put) change.compares.push_back({operation.key, 0});
+      bool const is_new = operation.kind == kv::operation_kind::put && !queued.overwrites;
+      if (is_new) change.compares.push_back({operation.key, 0});
       change.on_success.push_back(operation);
     }
   }
--- a/src/jobs/record_log.h
+++ b/src/jobs/record_log.h
@@ -86,6 +86,10 @@
                     std::vector<std::string> const& other_pools = {});
   void write_results(rpc::ResultBatchT const& batch, completion_handler on_done);
   void write_end(std::string const& job, rpc::JobEndT const& end, completion_handler on_done);
+  /// Writes the mark that the pool has jobs (jobs/pool_mark). Entries queued later are stored no
+  /// earlier.
+  void write_pool_mark();
+  void remove_pool_mark();
   /// Writes the progress of one job's samples. The caller is not told whether the write succeeded,
   /// because a lost checkpoint only means that samples may have to run again.
   void write_checkpoint(rpc::ProgressReportT const& report);
@@ -100,6 +104,8 @@
  private:
   struct entry {
     std::vector<kv::operation> operations;
+    /// The records that are written may exist.
+    bool overwrites = false;
     /// Keys that must not exist, besides those that are written.
     std::vector<std::string> absent_keys;
     std::size_t bytes = 0;
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -35,16 +35,17 @@
        << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
        << R"("max_attempts":3},)"
        << R"({"name":"stream","host":"test.example","path_prefix":"/stream/","kind":"streaming",)"
-       << R"("timeout_ms":5000,"target_latency_ms":400,"priority":1,"service":"engines",)"
-       << R"("max_attempts":3,"resumable":true},)"
+       << R"("timeout_ms":5000,"target_latency_ms":400,"priority":1,"service":")"
+       << options.engine_service << R"(","max_attempts":3,"resumable":true},)"
        << R"({"name":"jobs","host":"test.example","path_prefix":"/jobs/","kind":"rollout",)"
-       << R"("timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":"engines",)"
-       << R"("max_attempts":3,"due_ms":7500,"max_queue_s":40,"single_version":)"
+       << R"("timeout_ms":10000,"target_latency_ms":400,"priority":1,"service":")"
+       << options.engine_service
+       << R"(","max_attempts":3,"due_ms":7500,"max_queue_s":40,"single_version":)"
        << (options.single_version ? "true" : "false") << "},"
        << R"({"name":"open","host":"test.example","path_prefix":"/open/","kind":"safe",)"
        << R"("timeout_ms":2000,"target_latency_ms":150,"priority":2,"service":"apps",)"
-       << R"("max_attempts":3,"public":true})" << extra_routes
-       << R"(],"services":[{"name":"engines","health_path":"/health","max_conns":150,)"
+       << R"("max_attempts":3,"public":true})" << extra_routes << R"(],"services":[{"name":")"
+       << options.engine_service << R"(","health_path":"/health","max_conns":150,)"
        << R"("engine":{"slots":8,"kv_capacity":)" << options.cache_tokens
        << R"(,"models":[{"name":"model"}]}},)"
        << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -41,6 +41,8 @@
   bool suspendable = false;
   /// Size of each engine's KV cache in tokens.
   std::uint64_t cache_tokens = 100'000;
+  /// Service in the configuration whose servers are engines.
+  std::string engine_service = "engines";
   /// Samples of jobs must not mix weight versions.
   bool single_version = false;
   /// Text appended to the settings file of each node, in TOML.
@@ -100,6 +102,9 @@
   void announce(server_standin const& server, std::string const& state);
   void withdraw(server_standin const& server);
   void put_config(std::uint64_t version, std::string const& extra_routes = "");
+  /// Replaces the service of the engines in the configuration, with the next put_config. The
+  /// engines keep announcing themselves as "engines".
+  void use_engine_service(std::string const& name) { options_.engine_service = name; }
   /// Takes effect with the next put_config. @param tenants as JSON.
   void set_tenants(std::string const& tenants) { options_.tenants = tenants; }
   /// Sets the API key sent with subsequent calls; empty for none.
--- a/tests/unit/jobs/record_log_test.cc
+++ b/tests/unit/jobs/record_log_test.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "jobs/pool_mark.h"
 #include "memory_record_store.h"
 #include "rpc/blocking.h"
 #include "rpc/codec.h"
@@ -84,6 +85,33 @@
   CHECK(log.transactions() <= 2);
 }
 
+// Guards against a job that is acknowledged while nodes that start would not know its pool.
+TEST(record_log_test, pool_mark_is_stored_no_later_than_the_record) {
+  log.write_pool_mark();
+  log.write_record(make_job("a"), [&](write_outcome outcome) {
+    record_outcome()(outcome);
+    CHECK(store.revision_of(pool_mark_key(k_pool)) != 0);
+  });
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::stored);
+}
+
+TEST(record_log_test, pool_mark_that_exists_does_not_fail_the_record) {
+  store.put_now(pool_mark_key(k_pool), "1");
+  log.write_pool_mark();
+  log.write_record(make_job("a"), record_outcome());
+  log.remove_pool_mark();
+  run_until_idle();
+  CHECK(outcomes.at(0) == write_outcome::stored);
+  LONGS_EQUAL(0, store.revision_of(pool_mark_key(k_pool)));
+}
+
+TEST(record_log_test, pool_is_parsed_from_the_key_of_its_mark) {
+  STRCMP_EQUAL("engines", pool_of_mark(pool_mark_key("engines"))->c_str());
+  CHECK_FALSE(pool_of_mark(pool_mark_key("")).has_value());
+  CHECK_FALSE(pool_of_mark("frostline/owners/engines").has_value());
+}
+
 TEST(record_log_test, large_record_is_stored_in_parts_and_read_back) {
   kv::store_limits small;
   small.value_bytes = 4096;
