Quarantine: a provisional record waits for the age of the evidence

What callers saw: a request that stood on a crashing server was refused after one crash, where three are needed, if the node that ran it had just started.

Cause: a node that starts takes evidence for lost until a running node tells how far back its evidence reaches, and recorded a crash in this time provisionally while that query was in progress.

Its logs: records read at 497 ms, crash noted at 548 ms, evidence complete at 548 ms, provisional record written at 558 ms.

Why it works: after the loss of all nodes nobody answers the query, which ends at once, and the record is written as before; where a node answers, the crash counts as one of three.

--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -46,6 +46,7 @@
       evidence_writer_({dependencies_.context, dependencies_.store, dependencies_.node,
                         dependencies_.self, incarnation_, [this] { return select_evidence(); }}),
       evidence_added_(dependencies_.context),
+      evidence_age_query_ended_(dependencies_.context),
       provisional_write_ended_(dependencies_.context) {}
 
 verdict service::check(fingerprint const& request, time_point now) const {
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -205,6 +205,11 @@
   /// Asks running nodes how far back their evidence reaches, until it is complete or the attempts
   /// are used up.
   awaitable<void> query_evidence_age();
+  /// Asks each of these nodes once.
+  awaitable<void> query_evidence_age_once();
+  /// Waits for the answers to a query in progress, which may show that no evidence is lost. Bounded
+  /// by the timeout of one answer.
+  awaitable<void> wait_for_evidence_age();
   /// Takes over how far back the evidence of a collector reaches.
   void take_evidence_age(rpc::CrashReportReplyT const& reply);
   /// Nodes that may have older evidence than this one.
@@ -212,7 +217,8 @@
   /// Starts to write a provisional record of a request that has just crashed a server, or to add
   /// the crash to its record.
   void start_provisional_write(fingerprint const& request);
-  /// Returns true if the request has no record, or a provisional one that lacks a crash.
+  /// Returns true if a known crash of the request lacks in its provisional record, or if it has no
+  /// record and evidence may be lost.
   bool needs_provisional_record(fingerprint const& request) const;
   awaitable<void> write_provisional_record(fingerprint request);
   awaitable<void> wait_for_provisional_record(fingerprint request);
@@ -257,6 +263,8 @@
   bool received_snapshot_ = false;
   time_point started_at_ = boot_clock::now();
   evidence_horizon horizon_;
+  bool evidence_age_query_in_progress_ = false;
+  async_condition evidence_age_query_ended_;
   /// The node that stored the run marker, which may still be running.
   std::optional<endpoint> run_marker_writer_;
   /// Requests with a run in progress that no caller waits for.
--- a/src/quarantine/service_horizon.cc
+++ b/src/quarantine/service_horizon.cc
@@ -78,12 +78,10 @@
 awaitable<void> service::query_evidence_age() {
   milliseconds delay = k_first_age_query_delay;
   for (int query = 0; query < k_max_age_queries && may_lack_evidence(); ++query) {
-    for (endpoint const& peer : evidence_peers()) {
-      auto const reply = co_await rpc::call<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
-          dependencies_.transport, peer, "QuarantineService", "Report", rpc::CrashReportCallT(),
-          k_age_query_timeout);
-      if (reply) take_evidence_age(reply.value());
-    }
+    evidence_age_query_in_progress_ = true;
+    co_await query_evidence_age_once();
+    evidence_age_query_in_progress_ = false;
+    evidence_age_query_ended_.notify_all();
     if (!may_lack_evidence()) co_return;
     co_await wait_for(with_jitter(delay));
     delay *= 2;
@@ -93,6 +91,23 @@
             {"running_for_ms", milliseconds_since(started_at_)}});
 }
 
+awaitable<void> service::query_evidence_age_once() {
+  for (endpoint const& peer : evidence_peers()) {
+    auto const reply = co_await rpc::call<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
+        dependencies_.transport, peer, "QuarantineService", "Report", rpc::CrashReportCallT(),
+        k_age_query_timeout);
+    if (reply) take_evidence_age(reply.value());
+    if (!may_lack_evidence()) co_return;
+  }
+}
+
+awaitable<void> service::wait_for_evidence_age() {
+  time_point const limit = boot_clock::now() + k_age_query_timeout;
+  while (evidence_age_query_in_progress_ && boot_clock::now() < limit) {
+    co_await evidence_age_query_ended_.wait_until(limit);
+  }
+}
+
 void service::take_evidence_age(rpc::CrashReportReplyT const& reply) {
   time_point const now = boot_clock::now();
   bool const extended = horizon_.extend(milliseconds(reply.evidence_age_ms), now);
@@ -125,7 +140,7 @@
   crash_history const* const evidence = collected_.find(request);
   if (evidence == nullptr) return false;
   quarantine_entry const* const known = list_.find(request);
-  if (known == nullptr) return true;
+  if (known == nullptr) return may_lack_evidence();
   return known->is_provisional && known->servers.size() < evidence->servers.size();
 }
 
@@ -140,6 +155,7 @@
 
 awaitable<void> service::write_provisional_record(fingerprint request) {
   co_await wait_for(k_provisional_write_delay);
+  co_await wait_for_evidence_age();
   while (needs_provisional_record(request)) {
     bool const wide = is_wide_crash(boot_clock::now());
     if (wide || is_explained_by_others(request)) {
@@ -150,6 +166,11 @@
     co_await try_to_write(request, record_kind::provisional);
     if (needs_provisional_record(request)) co_await wait_for(with_jitter(k_retry_delay));
   }
+  if (list_.find(request) == nullptr && !may_lack_evidence()) {
+    log_line(log_level::info, k_part,
+             "Crash is not recorded provisionally, as evidence of earlier crashes is complete.",
+             {{"fingerprint", request.to_string()}});
+  }
   provisional_writes_.erase(request);
   provisional_write_ended_.notify_all();
 }
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -15,6 +15,9 @@
 
 constexpr milliseconds k_wait_timeout{1500};
 constexpr milliseconds k_beyond_retention{601'000};
+/// Longer than the examination of a crash and the delay before its provisional record take.
+constexpr milliseconds k_answer_delay{100};
+constexpr milliseconds k_beyond_query_timeout{3'000};
 
 }  // namespace
 
@@ -95,11 +98,14 @@
 
   /// Starts another collector, which accepts reports.
   /// @param evidence_age how far back its evidence reaches.
-  endpoint start_other_collector(milliseconds evidence_age = milliseconds(0)) {
+  /// @param delay time that it takes to answer.
+  endpoint start_other_collector(milliseconds evidence_age = milliseconds(0),
+                                 milliseconds delay = milliseconds(0)) {
     other_methods.add<rpc::CrashReportCallT, rpc::CrashReportReplyT>(
         "QuarantineService", "Report",
-        [this, evidence_age](
-            rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
+        [this, evidence_age,
+         delay](rpc::CrashReportCallT call) -> awaitable<rpc::reply<rpc::CrashReportReplyT>> {
+          co_await wait_for(delay);
           reported += call.evidence.size();
           rpc::CrashReportReplyT reply;
           reply.incarnation = "other";
@@ -377,6 +383,23 @@
   CHECK(run_until([&] { return !collector.may_lack_evidence(); }));
 }
 
+// Guards against a node that has just started and takes evidence for lost while another node is
+// about to tell that it is complete.
+TEST(quarantine_service_test, crash_before_the_age_of_the_evidence_is_known_is_not_recorded) {
+  start_after_previous_run(start_other_collector(k_evidence_retention, k_answer_delay));
+  CHECK(collector.may_lack_evidence());
+  observe_crash("one", request);
+  CHECK(collector.may_lack_evidence());
+  CHECK_FALSE(becomes_recorded());
+  CHECK_FALSE(collector.may_lack_evidence());
+}
+
+TEST(quarantine_service_test, one_crash_is_recorded_if_the_age_of_the_evidence_stays_unknown) {
+  start_after_previous_run(start_other_collector(k_evidence_retention, k_beyond_query_timeout));
+  observe_crash("one", request);
+  CHECK(becomes_provisional());
+}
+
 // Guards against refusing a harmless request that ran on a crashing server.
 TEST(quarantine_service_test, answered_request_is_not_recorded_after_one_crash) {
   start_after_previous_run(free_endpoint(address));
