Calls wait for the trial of their request's provisional record

Cause: a provisional record refuses at once; only the one call that runs the trial could get through.

Change: a call waits while such a trial is open, for at most half of the time that its caller has left, and is checked again when the record changes.

Why it works: the outcome reaches all nodes with the record, so the wait ends with it. No run is added: a call that has waited passes the same check as one that arrives then.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -61,26 +61,47 @@
   co_await dependencies_.quarantine.record_before_next_run(fingerprint_of(state));
 }
 
+awaitable<bool> forwarder::may_run(request_state& state) {
+  quarantine::fingerprint const& request = fingerprint_of(state);
+  quarantine::verdict const verdict = dependencies_.quarantine.check(request, boot_clock::now());
+  if (verdict == quarantine::verdict::allowed) co_return true;
+  // A trial needs a request that has not run yet, since its outcome decides the quarantine. A
+  // provisional record may be due to this request's own attempt, which the trial then repeats.
+  bool const suitable = state.attempts == 0 || dependencies_.quarantine.is_provisional(request);
+  bool const can_be_trial = verdict == quarantine::verdict::trial && suitable;
+  if (can_be_trial) state.is_trial = co_await dependencies_.quarantine.claim_trial(request);
+  co_return state.is_trial;
+}
+
 awaitable<bool> forwarder::is_blocked_by_quarantine(request_state& state) {
   if (state.is_trial || !dependencies_.quarantine.has_suspects()) co_return false;
   quarantine::fingerprint const& request = fingerprint_of(state);
-  time_point const now = boot_clock::now();
-  quarantine::verdict const verdict = dependencies_.quarantine.check(request, now);
+  time_point now = boot_clock::now();
   bool const must_wait =
       state.client == nullptr && dependencies_.quarantine.should_wait(request, now);
   if (must_wait) state.is_quarantined = true;
   if (must_wait) co_return true;
-  if (verdict == quarantine::verdict::allowed) co_return false;
-  // A trial needs a request that has not run yet, since its outcome decides the quarantine. A
-  // provisional record may be due to this request's own attempt, which the trial then repeats.
-  bool const suitable = state.attempts == 0 || dependencies_.quarantine.is_provisional(request);
-  bool const can_be_trial = verdict == quarantine::verdict::trial && suitable;
-  if (can_be_trial) state.is_trial = co_await dependencies_.quarantine.claim_trial(request);
-  if (state.is_trial) co_return false;
+  // Half of the time is left for the run itself.
+  time_point const limit = now + (state.deadline - now) / 2;
+  while (!co_await may_run(state)) {
+    now = boot_clock::now();
+    bool const waits = state.client != nullptr && now < limit &&
+                       dependencies_.quarantine.is_trial_open(request, now);
+    if (!waits) {
+      note_quarantined(state);
+      co_return true;
+    }
+    co_await dependencies_.quarantine.wait_for_trial(request, limit);
+    if (state.client->is_disconnected()) co_return true;
+  }
+  co_return false;
+}
+
+void forwarder::note_quarantined(request_state& state) {
+  quarantine::fingerprint const& request = fingerprint_of(state);
   state.is_quarantined = true;
   state.retry_delay = dependencies_.quarantine.time_until_retry(request, boot_clock::now());
   dependencies_.quarantine.note_refused(request);
-  co_return true;
 }
 
 quarantine::fingerprint const& forwarder::fingerprint_of(request_state& state) const {
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -122,6 +122,8 @@
       snapshot.quarantine.crashes);
   set("refused_total", "requests kept from servers", snapshot.quarantine.refused);
   set("trials_total", "trials that this node made", snapshot.quarantine.trials);
+  set("trial_waits_total", "waits of requests for the outcome of a trial",
+      snapshot.quarantine.trial_waits);
   set("written_total", "records that this node wrote", snapshot.quarantine.records_written);
   set("taken_back_total", "records taken back here after an answer", snapshot.quarantine.revoked);
 }
--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -74,14 +74,25 @@
 
 std::optional<time_point> quarantine_list::trial_time(known_entry const& known) {
   std::size_t const trials = known.record.trials;
-  bool const one_crash = known.record.is_provisional && known.record.servers.size() < 2;
   using delay_list = std::span<milliseconds const>;
-  delay_list const delays =
-      one_crash ? delay_list(k_provisional_trial_delays) : delay_list(k_trial_delays);
+  delay_list const delays = has_one_crash(known.record) ? delay_list(k_provisional_trial_delays)
+                                                        : delay_list(k_trial_delays);
   if (trials >= delays.size()) return std::nullopt;
   return known.changed_at + delays[trials];
 }
 
+bool quarantine_list::has_one_crash(quarantine_entry const& entry) {
+  return entry.is_provisional && entry.servers.size() < 2;
+}
+
+std::optional<time_point> quarantine_list::trial_outcome_due(fingerprint const& request) const {
+  auto const found = entries_.find(request);
+  if (found == entries_.end()) return std::nullopt;
+  known_entry const& known = found->second;
+  if (!has_one_crash(known.record) || known.record.trials == 0) return std::nullopt;
+  return known.changed_at + k_trial_outcome_timeout;
+}
+
 std::optional<milliseconds> quarantine_list::time_until_trial(fingerprint const& request,
                                                               time_point now) const {
   auto const found = entries_.find(request);
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -76,6 +76,8 @@
   /// trial takes to be added to the record.
   static constexpr milliseconds k_provisional_trial_delays[] = {
       milliseconds(0), milliseconds(2'000), milliseconds(20'000)};
+  /// Time after the claim of a trial in which its outcome is expected.
+  static constexpr milliseconds k_trial_outcome_timeout = k_provisional_trial_delays[1];
   /// Limit of stored records; beyond it the least recently changed one is evicted.
   static constexpr std::size_t k_max_entries = 256;
 
@@ -93,6 +95,10 @@
   bool remove(fingerprint const& request);
 
   verdict check(fingerprint const& request, time_point now) const;
+  /// End of the time in which the outcome of a claimed trial is expected: an answer removes the
+  /// record, a crash adds a server to it. Only for provisional records with one crash, since most
+  /// other requests crash the server again. nullopt if no such trial was claimed.
+  std::optional<time_point> trial_outcome_due(fingerprint const& request) const;
   /// Time until the next trial; 0 if it is due, nullopt if there is no record or no trial is left.
   std::optional<milliseconds> time_until_trial(fingerprint const& request, time_point now) const;
   /// Null if there is no record.
@@ -110,6 +116,7 @@
  private:
   struct known_entry;
   static std::optional<time_point> trial_time(known_entry const& known);
+  static bool has_one_crash(quarantine_entry const& entry);
   static time_point effective_time(quarantine_entry const& entry, time_point now,
                                    discovery discovered);
 
--- a/src/quarantine/service.cc
+++ b/src/quarantine/service.cc
@@ -43,6 +43,7 @@
       incarnation_(make_unique_token()),
       crash_watch_(dependencies_.context, dependencies_.servers,
                    [this](std::vector<crash> crashes) { note_crashes(crashes); }),
+      list_changed_(dependencies_.context),
       evidence_writer_({dependencies_.context, dependencies_.store, dependencies_.node,
                         dependencies_.self, incarnation_, [this] { return select_evidence(); }}),
       evidence_added_(dependencies_.context),
@@ -233,44 +234,10 @@
   }
   entry.revision = outcome.value().store_revision;
   list_.put(std::move(entry), boot_clock::now());
+  list_changed_.notify_all();
   co_return true;
 }
 
-awaitable<bool> service::claim_trial(fingerprint request) {
-  quarantine_entry const* const known = list_.find(request);
-  if (known == nullptr || !claiming_.insert(request).second) co_return false;
-  quarantine_entry entry = *known;
-  ++entry.trials;
-  entry.is_suspicion = false;
-  kv::operation put;
-  put.key = quarantine_list::key_of(request);
-  put.value = quarantine_list::encode(entry, dependencies_.node);
-  std::uint32_t const number = entry.trials;
-  bool const claimed = co_await apply(std::move(entry), std::move(put));
-  claiming_.erase(request);
-  log_line(log_level::info, k_part, "Trial requested.",
-           {{"fingerprint", request.to_string()},
-            {"number", number},
-            {"granted", claimed ? "yes" : "no"}});
-  if (claimed) ++counters_.trials;
-  if (claimed) own_trials_.insert(request);
-  co_return claimed;
-}
-
-awaitable<void> service::return_trial(fingerprint request) {
-  quarantine_entry const* const known = list_.find(request);
-  bool const own = own_trials_.erase(request) > 0;
-  if (!own || known == nullptr || known->trials == 0) co_return;
-  quarantine_entry entry = *known;
-  --entry.trials;
-  kv::operation put;
-  put.key = quarantine_list::key_of(request);
-  put.value = quarantine_list::encode(entry, "");
-  bool const returned = co_await apply(std::move(entry), std::move(put));
-  log_line(log_level::info, k_part, "Trial was not run and is returned.",
-           {{"fingerprint", request.to_string()}, {"done", returned ? "yes" : "no"}});
-}
-
 void service::note_answer(fingerprint const& request) {
   seen_here_.clear(request);
   collected_.clear(request);
@@ -338,6 +305,7 @@
   }
   time_point const now = boot_clock::now();
   if (!list_.put(*entry, now, discovered)) return;
+  list_changed_.notify_all();
   log_record(*entry);
   if (recent_answers_.has(entry->request, now)) {
     start_revocation(entry->request);
@@ -359,6 +327,7 @@
   }
   own_trials_.erase(request);
   if (!list_.remove(request)) return;
+  list_changed_.notify_all();
   log_line(log_level::info, k_part, "Quarantine ended.",
            {{"fingerprint", request.to_string()}, {"cause", cause}});
 }
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -71,6 +71,8 @@
   std::uint64_t crashes = 0;
   std::uint64_t refused = 0;
   std::uint64_t trials = 0;
+  /// Waits of requests for the outcome of a trial.
+  std::uint64_t trial_waits = 0;
   /// Records written by this node, including suspicions.
   std::uint64_t records_written = 0;
   /// Records that this node removed, because the request was answered or because there were more
@@ -111,6 +113,12 @@
   std::optional<milliseconds> time_until_retry(fingerprint const& request, time_point now) const;
   /// Claims a trial, which only one node may run. @return true if this node may run it.
   awaitable<bool> claim_trial(fingerprint request);
+  /// Returns true while the outcome of a trial of a provisional record is expected, here or at
+  /// another node. It tells whether the request is harmless.
+  bool is_trial_open(fingerprint const& request, time_point now) const;
+  /// Waits until the request's record has changed, its claim has ended, or the outcome of its trial
+  /// is overdue, but not beyond `limit`.
+  awaitable<void> wait_for_trial(fingerprint request, time_point limit);
   /// Gives back a claimed trial that no server has run.
   awaitable<void> return_trial(fingerprint request);
   /// Returns true if a request that has crashed servers may be tried again by the call that saw the
@@ -238,6 +246,7 @@
   /// Crashes reported by all nodes, including this one.
   suspect_table collected_;
   quarantine_list list_;
+  async_condition list_changed_;
   recent_answers recent_answers_;
   report_outbox outbox_;
   evidence_writer evidence_writer_;
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -18,6 +18,14 @@
 constexpr milliseconds k_settling_time{200};
 constexpr std::string_view k_end_of_head = "\r\n\r\n";
 
+quarantine::fingerprint request_fingerprint() {
+  quarantine::request_parts parts;
+  parts.host = k_host;
+  parts.method = "POST";
+  parts.target = k_path;
+  return quarantine::fingerprint::of(parts);
+}
+
 std::shared_ptr<calls::route_table const> make_table(calls::route_kind kind, bool resumable) {
   calls::route route;
   route.name = "calls";
@@ -169,6 +177,27 @@
   forward(kind, false, std::move(script));
 }
 
+void forwarder_fixture::receive_provisional_record(std::uint32_t trials) {
+  quarantine::quarantine_entry const entry{request_fingerprint(), 0, {"gone"}, trials, false, true};
+  kv::watch_event event;
+  event.entry.key = quarantine::quarantine_list::key_of(entry.request);
+  event.entry.value = quarantine::quarantine_list::encode(entry, "");
+  event.entry.mod_revision = 1;
+  quarantine_.listener().event(event);
+}
+
+void forwarder_fixture::receive_removal_after(milliseconds delay) {
+  spawn(context, remove_record_after(delay));
+}
+
+awaitable<void> forwarder_fixture::remove_record_after(milliseconds delay) {
+  co_await wait_for(delay);
+  kv::watch_event event;
+  event.deleted = true;
+  event.entry.key = quarantine::quarantine_list::key_of(request_fingerprint());
+  quarantine_.listener().event(event);
+}
+
 void forwarder_fixture::settle() {
   context.restart();
   context.run_for(k_settling_time);
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -102,6 +102,11 @@
   /// As `forward`, but the client disconnects after `patience`.
   void forward_until_client_leaves(calls::route_kind kind, std::vector<scripted_answer> script,
                                    milliseconds patience);
+  /// Delivers a provisional record of the request that `forward` sends. The store has none.
+  /// @param trials number of trials that other nodes have claimed.
+  void receive_provisional_record(std::uint32_t trials);
+  /// Delivers the removal of that record after a while.
+  void receive_removal_after(milliseconds delay);
   /// Lets the servers notice that connections have been closed.
   void settle();
   /// Requests at all servers that the selector counts as running.
@@ -112,6 +117,8 @@
   recording_caller client;
 
  private:
+  awaitable<void> remove_record_after(milliseconds delay);
+
   memory_record_store store_{context};
   http::client transport_{context};
   directory::server_directory directory_;
--- /dev/null
+++ b/tests/unit/calls/forwarder_quarantine_test.cc
@@ -0,0 +1,42 @@
+/// @file Requests with a provisional record whose trial another node runs. Guards against refusing
+/// harmless ones, which only ran on a crashing server.
+
+#include <CppUTest/TestHarness.h>
+
+#include "forwarder_fixture.h"
+
+using namespace frostline;
+using namespace frostline::calls;
+using namespace frostline::testing;
+
+namespace {
+
+constexpr char k_answer[] = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 2\r\n\r\nok";
+constexpr milliseconds k_trial_time{100};
+
+}  // namespace
+
+TEST_GROUP(forwarder_quarantine_test) { forwarder_fixture system; };
+
+TEST(forwarder_quarantine_test, request_waits_for_a_trial_that_another_node_runs) {
+  system.receive_provisional_record(1);
+  system.receive_removal_after(k_trial_time);
+  system.forward(route_kind::safe, false, {{k_answer}});
+  LONGS_EQUAL(200, system.client.status());
+}
+
+TEST(forwarder_quarantine_test, request_is_refused_if_the_trial_has_no_outcome) {
+  // The next trial is due long after this one's outcome.
+  system.receive_provisional_record(2);
+  system.forward(route_kind::safe, false, {{k_answer}});
+  LONGS_EQUAL(503, system.client.status());
+  LONGS_EQUAL(0, system.servers.arrivals());
+}
+
+TEST(forwarder_quarantine_test, request_whose_client_leaves_during_the_trial_reaches_no_server) {
+  system.receive_provisional_record(1);
+  system.receive_removal_after(k_trial_time);
+  system.forward_until_client_leaves(route_kind::safe, {{k_answer}}, k_trial_time / 2);
+  system.settle();
+  LONGS_EQUAL(0, system.servers.arrivals());
+}
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -174,6 +174,26 @@
   CHECK(is(verdict::trial, start + quarantine_list::k_trial_delays[1]));
 }
 
+TEST(quarantine_list_test, outcome_of_a_provisional_trial_is_due_until_it_crashed_a_server) {
+  quarantine_entry entry{request, 5, {"s1"}, 0, false, true};
+  list.put(entry, start);
+  CHECK_FALSE(list.trial_outcome_due(request));
+  entry.revision = 6;
+  entry.trials = 1;
+  list.put(entry, start + seconds(1));
+  CHECK(list.trial_outcome_due(request) ==
+        start + seconds(1) + quarantine_list::k_trial_outcome_timeout);
+  entry.revision = 7;
+  entry.servers.push_back("s2");
+  list.put(entry, start + seconds(2));
+  CHECK_FALSE(list.trial_outcome_due(request));
+}
+
+TEST(quarantine_list_test, no_outcome_is_due_after_a_trial_of_a_proven_record) {
+  put(5, 1, start);
+  CHECK_FALSE(list.trial_outcome_due(request));
+}
+
 TEST(quarantine_list_test, trials_of_a_provisional_record_end) {
   std::uint32_t const trials = std::size(quarantine_list::k_provisional_trial_delays);
   list.put({request, 5, {"s1"}, trials, false, true}, start);
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -18,6 +18,7 @@
 /// Longer than the examination of a crash and the delay before its provisional record take.
 constexpr milliseconds k_answer_delay{100};
 constexpr milliseconds k_beyond_query_timeout{3'000};
+constexpr milliseconds k_long_wait{10'000};
 
 }  // namespace
 
@@ -34,6 +35,7 @@
   std::string address = unique_loopback_address();
   /// Number of crashes received by the other collector.
   std::size_t reported = 0;
+  bool trial_wait_ended = false;
   rpc::dispatcher other_methods;
   http::server other{context, http::server_limits(), [this](http::request message) {
                        return other_methods.handle(std::move(message));
@@ -77,6 +79,21 @@
     static_cast<void>(co_await collector.claim_trial(request));
   }
 
+  /// Records one crash provisionally and claims the trial.
+  void start_trial() {
+    start_after_previous_run(free_endpoint(address));
+    observe_crash("one", request);
+    CHECK(becomes_provisional());
+    CHECK(run_until([&] { return collector.check(request, boot_clock::now()) == verdict::trial; }));
+    spawn(context, claim_trial());
+    CHECK(run_until([&] { return collector.counters().trials == 1; }));
+  }
+
+  awaitable<void> wait_for_trial(milliseconds limit) {
+    co_await collector.wait_for_trial(request, boot_clock::now() + limit);
+    trial_wait_ended = true;
+  }
+
   bool becomes_removed() {
     return run_until([&] { return store.list_now(quarantine_list::records_prefix()).empty(); });
   }
@@ -434,6 +451,34 @@
   }));
 }
 
+TEST(quarantine_service_test, wait_for_a_trial_ends_with_its_outcome) {
+  start_trial();
+  CHECK(collector.is_trial_open(request, boot_clock::now()));
+  spawn(context, wait_for_trial(k_long_wait));
+  CHECK_FALSE(run_until([&] { return trial_wait_ended; }));
+  collector.note_answer(request);
+  CHECK(run_until([&] { return trial_wait_ended; }));
+  CHECK(collector.check(request, boot_clock::now()) == verdict::allowed);
+}
+
+TEST(quarantine_service_test, wait_for_a_trial_ends_with_a_crash) {
+  start_trial();
+  spawn(context, wait_for_trial(k_long_wait));
+  observe_crash("two", request);
+  CHECK(run_until([&] { return trial_wait_ended; }));
+  CHECK(collector.check(request, boot_clock::now()) == verdict::refused);
+  CHECK_FALSE(collector.is_trial_open(request, boot_clock::now()));
+}
+
+// Guards against callers that wait for a node that ended during the trial.
+TEST(quarantine_service_test, wait_for_a_trial_without_outcome_is_bounded) {
+  start_trial();
+  spawn(context, wait_for_trial(milliseconds(100)));
+  CHECK(run_until([&] { return trial_wait_ended; }));
+  time_point const overdue = boot_clock::now() + quarantine_list::k_trial_outcome_timeout;
+  CHECK_FALSE(collector.is_trial_open(request, overdue));
+}
+
 TEST(quarantine_service_test, trial_that_was_not_run_is_returned) {
   start_after_previous_run(free_endpoint(address));
   observe_crash("one", request);
