Calls are checked again after a claim of a trial failed

What callers saw: a popular call that stood beside a crash was refused although another node's trial had been answered and the record was gone.

Cause: a claim that failed was taken for a trial that another call runs. It fails as well if the record has been removed.

Change: after a failed claim the request is checked again.

Failed before: forwarder_quarantine_test.request_whose_record_is_gone_ when_it_claims_the_trial_is_served (503 instead of 200).

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -70,7 +70,10 @@
   bool const suitable = state.attempts == 0 || dependencies_.quarantine.is_provisional(request);
   bool const can_be_trial = verdict == quarantine::verdict::trial && suitable;
   if (can_be_trial) state.is_trial = co_await dependencies_.quarantine.claim_trial(request);
-  co_return state.is_trial;
+  if (state.is_trial) co_return true;
+  // The claim fails as well if the record has been removed.
+  co_return dependencies_.quarantine.check(request, boot_clock::now()) ==
+      quarantine::verdict::allowed;
 }
 
 awaitable<bool> forwarder::is_blocked_by_quarantine(request_state& state) {
--- a/tests/unit/calls/forwarder_quarantine_test.cc
+++ b/tests/unit/calls/forwarder_quarantine_test.cc
@@ -18,6 +18,13 @@
 
 TEST_GROUP(forwarder_quarantine_test) { forwarder_fixture system; };
 
+// Guards against refusing a request because of a record that another node has removed.
+TEST(forwarder_quarantine_test, request_whose_record_is_gone_when_it_claims_the_trial_is_served) {
+  system.receive_provisional_record(0);
+  system.forward(route_kind::safe, false, {{k_answer}});
+  LONGS_EQUAL(200, system.client.status());
+}
+
 TEST(forwarder_quarantine_test, request_waits_for_a_trial_that_another_node_runs) {
   system.receive_provisional_record(1);
   system.receive_removal_after(k_trial_time);
