Quarantine: the next run waits until a slow provisional write is done

A run after a first crash waits for its provisional record, 0.4 s at most. Since that record first waits up to 0.25 s for the age of the evidence, so with a node that doesn't answer and a slow store the next run came before the record: with all nodes ended by it, the crash would be lost. Seen by reading, not by callers.

Change: the wait is 0.65 s, for calls and for scorers' calls. It ends with the record, so only a store that is away costs the longer time.

--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -157,6 +157,11 @@
  private:
   enum class record_kind { proven, suspicion, provisional };
 
+  /// How long the next run of a request waits for the provisional record of a crash. Longer than a
+  /// query for the age of the evidence (0.25 s) and a write (0.4 s) take; runs continue while the
+  /// store is unavailable.
+  static constexpr milliseconds k_provisional_write_wait{650};
+
   void note_crashes(std::vector<crash> const& crashes);
   /// Adds evidence seen by this node or reported by another one.
   void collect(crash const& event);
--- a/src/quarantine/service_evidence.cc
+++ b/src/quarantine/service_evidence.cc
@@ -62,7 +62,7 @@
   if (unattended_runs_.contains(request) || !crash_watch_.is_examined(request)) return true;
   crash_history const* const seen = seen_here_.find(request);
   bool const writing = seen != nullptr && provisional_writes_.contains(request);
-  return writing && now < seen->last_crash_at + k_evidence_write_wait;
+  return writing && now < seen->last_crash_at + k_provisional_write_wait;
 }
 
 bool service::should_wait(fingerprint const& request, time_point now) {
--- a/src/quarantine/service_horizon.cc
+++ b/src/quarantine/service_horizon.cc
@@ -29,9 +29,6 @@
 constexpr milliseconds k_wide_crash_window{1'000};
 /// Limit of records in the list beyond which no provisional ones are added.
 constexpr std::size_t k_max_provisional_records = 32;
-/// How long a call waits for the provisional record of a crash that it has seen. Longer than a
-/// write takes; calls continue while the store is unavailable.
-constexpr milliseconds k_provisional_write_wait{400};
 
 }  // namespace
 
--- a/tests/support/memory_record_store.cc
+++ b/tests/support/memory_record_store.cc
@@ -114,6 +114,7 @@
 awaitable<result<kv::transaction_answer>> memory_record_store::apply(kv::transaction change,
                                                                      milliseconds) {
   if (down_) co_return std::error_code(kv::errc::unavailable);
+  if (write_time_ > milliseconds(0)) co_await wait_for(write_time_);
   if (delay_next_) {
     delay_next_ = false;
     delayed_ = std::move(change);
--- a/tests/support/memory_record_store.h
+++ b/tests/support/memory_record_store.h
@@ -41,6 +41,8 @@
   void apply_delayed();
   /// Runs `action` once, after the next transaction is applied and before it is answered.
   void before_next_answer(std::function<void()> action) { before_answer_ = std::move(action); }
+  /// Time that each transaction takes before it is applied.
+  void set_write_time(milliseconds duration) { write_time_ = duration; }
   /// Expires all leases and removes their records.
   void expire_leases();
   /// Sets the number of records above which exceeds_one_page() returns true.
@@ -67,6 +69,7 @@
   bool delay_next_ = false;
   std::function<void()> before_answer_;
   bool down_ = false;
+  milliseconds write_time_{0};
   std::size_t page_ = 500;
   std::uint64_t watches_ = 0;
   std::optional<kv::transaction> delayed_;
--- a/tests/unit/quarantine/quarantine_service_test.cc
+++ b/tests/unit/quarantine/quarantine_service_test.cc
@@ -417,6 +417,22 @@
   CHECK(becomes_provisional());
 }
 
+// Guards against a next run that ends a server, and the nodes with it, before the first crash is
+// recorded.
+TEST(quarantine_service_test, next_run_waits_for_the_age_of_the_evidence_and_a_slow_write) {
+  start_after_previous_run(start_other_collector(k_evidence_retention, k_beyond_query_timeout));
+  store.set_write_time(milliseconds(250));
+  observe_crash("one", request);
+  bool runs = false;
+  auto const wait = [&]() -> awaitable<void> {
+    co_await collector.record_before_next_run(request);
+    runs = true;
+  };
+  spawn(context, wait());
+  CHECK(run_until([&] { return runs; }));
+  CHECK(stored_record().has_value());
+}
+
 // Guards against refusing a harmless request that ran on a crashing server.
 TEST(quarantine_service_test, answered_request_is_not_recorded_after_one_crash) {
   start_after_previous_run(free_endpoint(address));
