--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -188,12 +188,14 @@
   bool is_suspect(request_state& state) const;
   /// Stores the evidence against a suspect request before its next run.
   awaitable<void> record_suspicion(request_state& state);
-  /// Returns true if the quarantine allows sending the request now. May claim the request's trial.
+  /// Returns true if the quarantine allows sending the request now, possibly as its trial, which
+  /// this claims.
   awaitable<bool> may_run(request_state& state);
   /// Returns true if the quarantine forbids sending the request. May claim the request's trial.
   /// Waits for the outcome of a trial in progress, for up to half of the time that is left to the
   /// caller.
   awaitable<bool> is_blocked_by_quarantine(request_state& state);
+  /// Counts and logs the refusal, and sets what the answer to the caller needs.
   void note_quarantined(request_state& state);
   /// Until when an attempt may wait for the head of its answer.
   struct attempt_deadlines {
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -218,7 +218,7 @@
   /// Asks running nodes how far back their evidence reaches, until it is complete or the attempts
   /// are used up.
   awaitable<void> query_evidence_age();
-  /// Asks each of these nodes once.
+  /// Asks each of `evidence_peers` once.
   awaitable<void> query_evidence_age_once();
   /// Waits for the answers to a query in progress, which may show that no evidence is lost. Bounded
   /// by the timeout of one answer.
@@ -230,8 +230,8 @@
   /// Starts to write a provisional record of a request that has just crashed a server, or to add
   /// the crash to its record.
   void start_provisional_write(fingerprint const& request);
-  /// Returns true if a known crash of the request lacks in its provisional record, or if it has no
-  /// record and evidence may be lost.
+  /// Returns true if a known crash of the request is missing from its provisional record, or if
+  /// there is no record and evidence may be lost.
   bool needs_provisional_record(fingerprint const& request) const;
   awaitable<void> write_provisional_record(fingerprint request);
   awaitable<void> wait_for_provisional_record(fingerprint request);
@@ -251,6 +251,7 @@
   /// Crashes reported by all nodes, including this one.
   suspect_table collected_;
   quarantine_list list_;
+  /// Notified when a record has changed or the claim of a trial has ended.
   async_condition list_changed_;
   recent_answers recent_answers_;
   report_outbox outbox_;
