--- a/tests/platform/trial_callers_test.cc
+++ b/tests/platform/trial_callers_test.cc
@@ -67,8 +67,8 @@
   LONGS_EQUAL(k_callers + 1, served);
 }
 
-// Guards against calls that wait for a trial longer than until it has crashed a server, and that
-// run the request after it.
+// Guards against callers that go on waiting after the trial has crashed a server, or that run the
+// request then.
 TEST(trial_callers_test, calls_during_the_trial_of_a_poison_request_are_refused_at_its_crash) {
   restart_all_nodes();
   system.on_platform([&] {
