Logs: the start of a process, and exceptions that end it

Change: each process logs that it starts; spawn logs an exception with its message and the function that started the coroutine before it lets it through. What a process does is unchanged.

--- a/src/base/asio.h
+++ b/src/base/asio.h
@@ -12,8 +12,10 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <list>
+#include <source_location>
 
 #include "base/time.h"
+#include "base/unhandled_exception.h"
 
 namespace frostline {
 
@@ -71,11 +73,15 @@
   std::list<boot_timer*> waiters_;
 };
 
-/// Starts a detached coroutine. An exception that leaves it propagates out of io_context::run.
+/// Starts a detached coroutine. An exception that leaves it is logged with the place that started
+/// the coroutine, and propagates out of io_context::run.
 template <class Coroutine>
-void spawn(asio::io_context& context, Coroutine coroutine) {
-  asio::co_spawn(context, std::move(coroutine), [](std::exception_ptr failure) {
-    if (failure) std::rethrow_exception(failure);
+void spawn(asio::io_context& context, Coroutine coroutine,
+           std::source_location origin = std::source_location::current()) {
+  asio::co_spawn(context, std::move(coroutine), [origin](std::exception_ptr failure) {
+    if (!failure) return;
+    log_unhandled_exception(failure, origin);
+    std::rethrow_exception(failure);
   });
 }
 
--- /dev/null
+++ b/src/base/unhandled_exception.h
@@ -0,0 +1,17 @@
+/// @file Reports of exceptions that nothing has handled.
+#pragma once
+
+#include <exception>
+#include <source_location>
+#include <string>
+
+namespace frostline {
+
+/// Returns the message of an exception.
+std::string describe(std::exception_ptr const& failure);
+
+/// Logs an exception that left the coroutine or handler that `origin` started, and writes all
+/// buffered lines, since the process may end.
+void log_unhandled_exception(std::exception_ptr const& failure, std::source_location origin);
+
+}  // namespace frostline
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -1,6 +1,7 @@
 /// @file Entry point of `frostline`, a rollout node: flags, settings and signal handling.
 
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
@@ -106,5 +107,7 @@
     return 0;
   }
   frostline::start_logging(node_settings.id, node_settings.log_level);
+  frostline::log_line(frostline::log_level::info, "process", "Starting.", {{"pid", ::getpid()}});
+  frostline::flush_logs();
   return serve(std::move(node_settings));
 }
