Known red: processes that end while they start, or by one request's exception

A preloaded library raises signals as the program's main function begins; addresses are held by the test; settings files are written in parts; handlers throw. They wait on conditions, not on times.

--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -203,9 +203,17 @@
   store_->put("op/version/" + std::string(k_model), json::serialize(body));
 }
 
+std::string platform_cluster::settings_path(std::size_t index) const {
+  return folder_ + "/node-" + std::to_string(index) + ".toml";
+}
+
 void platform_cluster::write_settings(std::size_t index) {
+  std::ofstream(settings_path(index)) << settings_text(index);
+}
+
+std::string platform_cluster::settings_text(std::size_t index) const {
   node_addresses const& where = addresses_.at(index);
-  std::ofstream file(folder_ + "/node-" + std::to_string(index) + ".toml");
+  std::ostringstream file;
   endpoint const store =
       options_.proxied_store ? store_proxies_.at(index)->listen() : store_address_;
   file << "[node]\nrole = \"gateway\"\nid = \"node-" << index << "\"\nzone = \"zone-"
@@ -221,25 +229,29 @@
          << "\nlate_seconds = " << static_cast<double>(options_.usage_delay.count()) / 1000 << "\n";
   }
   file << options_.extra_settings;
+  return file.str();
 }
 
 void platform_cluster::touch_settings(std::size_t index) {
   write_settings(index);
-  boost::filesystem::path const file = folder_ + "/node-" + std::to_string(index) + ".toml";
+  boost::filesystem::path const file = settings_path(index);
   // File systems may store modification times in whole seconds.
   boost::filesystem::last_write_time(file, boost::filesystem::last_write_time(file) + 2);
 }
 
 void platform_cluster::start_node(std::size_t index) {
-  suspended_at_.erase(index);
   write_settings(index);
-  std::string const name = folder_ + "/node-" + std::to_string(index);
-  std::vector<std::string> const arguments = {"--config=" + name + ".toml"};
+  start_node_as_configured(
+      index, options_.suspendable ? program_path("tests/libfrostline-suspension.so") : "");
+}
+
+void platform_cluster::start_node_as_configured(std::size_t index, std::string const& preload) {
+  suspended_at_.erase(index);
+  std::vector<std::string> const arguments = {"--config=" + settings_path(index)};
   // Each process writes its own log file.
   static std::size_t starts = 0;
-  logs_[index] = name + "." + std::to_string(++starts) + ".log";
-  std::string const preload =
-      options_.suspendable ? program_path("tests/libfrostline-suspension.so") : std::string();
+  logs_[index] =
+      folder_ + "/node-" + std::to_string(index) + "." + std::to_string(++starts) + ".log";
   nodes_.at(index) = std::make_unique<child_process>(program_path("frostline-gateway"), arguments,
                                                      logs_.at(index), preload);
 }
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -117,6 +117,12 @@
   void name_version(std::uint64_t version);
 
   void start_node(std::size_t index);
+  /// Starts a node with the settings file as it is. @param preload path of a library for
+  /// LD_PRELOAD; empty for none.
+  void start_node_as_configured(std::size_t index, std::string const& preload = "");
+  std::string settings_path(std::size_t index) const;
+  /// Returns the text of a node's settings file as start_node writes it.
+  std::string settings_text(std::size_t index) const;
   /// Rewrites a node's settings file with a later modification time.
   void touch_settings(std::size_t index);
   child_process& node(std::size_t index) { return *nodes_.at(index); }
@@ -149,6 +155,10 @@
   std::string call_text(http::verb method, std::string const& path, std::string const& request_id,
                         std::string const& body = "") const;
   endpoint const& client_address(std::size_t node) const { return addresses_.at(node).clients; }
+  endpoint const& readiness_address(std::size_t node) const {
+    return addresses_.at(node).readiness;
+  }
+  endpoint const& peers_address(std::size_t node) const { return addresses_.at(node).peers; }
   /// Sends a request with a deadline of 5 s, but closes the connection after `read_timeout`.
   void call_and_disconnect(std::size_t node, std::string const& path, std::string const& request_id,
                            std::string const& body, milliseconds read_timeout);
