Signals that come while a program starts wait for their handlers

What callers saw: processes that were told to reload, or to stop, right after their start ended by the signal; a stop cut what the process had just accepted, and a supervisor saw an end by itself. Cause: from exec until the end of application::start() SIGHUP, SIGINT and SIGTERM had their default action; in a spare until it stood by; the node with its own interface had no handler for SIGHUP at all. Class: a process takes a condition that passes for a reason to end. Change: base/process_signals blocks the three before static initializers run; programs deliver them once the handlers are installed. The node ignores SIGHUP, with a log line. Why it works: a blocked signal stays pending until the handler of a running process gets it.

--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "base/log.h"
+#include "base/process_signals.h"
 #include "node/node.h"
 
 DEFINE_string(config, "", "settings file (TOML)");
@@ -82,6 +83,16 @@
   signals.async_wait([&](boost::system::error_code failed, int) {
     if (!failed) local_node.stop([&context] { context.stop(); });
   });
+  frostline::asio::signal_set hangups(context, SIGHUP);
+  std::function<void(boost::system::error_code, int)> on_hangup =
+      [&](boost::system::error_code failed, int) {
+        if (failed) return;
+        frostline::log_line(frostline::log_level::info, "process",
+                            "SIGHUP ignored: settings are read at the start only.");
+        hangups.async_wait(on_hangup);
+      };
+  hangups.async_wait(on_hangup);
+  frostline::deliver_signals();
   context.run();
   return 0;
 }
