A gateway whose address is not free waits for it

What callers saw: a gateway that was started while another process held one of its addresses, such as its predecessor in a planned stop, or before the address was there, ended with code 1; without somebody who starts it again it never came back. Cause: one failed bind ended the process. Change: application::start is a coroutine that binds an address every 50 ms until it can, or until a stop begins; the clients' address first, the readiness probe's last, the components in between. A stop before they run closes what is bound. Why it works: the node is not ready before all addresses are its own, and clients that come before are told to come back. Ruled out: SO_REUSEPORT, with which two processes would share a queue, and clients would be cut by the one that ends. Seen on the way: 'if (!co_await ...) co_return;' in this coroutine crashed when it resumed (GCC 12, -O2); named results do not.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -37,6 +37,10 @@
 constexpr milliseconds k_stop_poll_interval{20};
 /// Time to send the answers of requests that were taken during the stop and reach its end.
 constexpr milliseconds k_answer_reserve{200};
+/// Pause between attempts to bind an address that is not free or not there yet.
+constexpr milliseconds k_bind_retry_interval{50};
+/// An address that can't be bound is reported this often.
+constexpr seconds k_bind_report_interval{10};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 /// Number of nodes that collect crash reports. One suffices; the others provide redundancy.
 constexpr std::size_t k_evidence_collectors = 3;
@@ -51,14 +55,22 @@
 struct application::components {
   components(asio::io_context& context, settings initial_settings, platform_adapter& adapter);
 
-  std::string start();
+  awaitable<void> start();
   awaitable<void> stop(std::function<void()> on_stopped);
   void reload(settings const& new_settings);
   application_state state() const { return state_; }
+  bool is_ending() const {
+    return state_ == application_state::stopping || state_ == application_state::stopped;
+  }
   asio::io_context& context() { return context_; }
 
  private:
-  std::string listen();
+  void create_listeners();
+  /// Binds a listener's address, as often as it takes. @return false if a stop has begun before.
+  template <class Listener>
+  awaitable<bool> bind(Listener& listener, endpoint const& address);
+  void start_components();
+  awaitable<void> finish_stop(time_point deadline, std::function<void()> on_stopped);
   void listen_to_records();
   milliseconds records_age() const { return feed_.age(boot_clock::now()); }
   relay::feed_options make_feed_options() const;
@@ -79,6 +91,8 @@
   settings settings_;
   platform_adapter& adapter_;
   application_state state_ = application_state::starting;
+  /// The components run; before, a stop has nothing to hand over.
+  bool has_started_ = false;
   http::client transport_{context_};
   calls::active_configuration configuration_;
   features features_{settings_.features, configuration_};
@@ -132,7 +146,7 @@
 
 application::~application() = default;
 
-std::string application::start() { return components_->start(); }
+void application::start() { spawn(components_->context(), components_->start()); }
 
 void application::stop(std::function<void()> on_stopped) {
   spawn(components_->context(), components_->stop(std::move(on_stopped)));
@@ -154,9 +168,10 @@
   pools_.add_methods(peer_methods_);
   feed_.add_methods(peer_methods_);
   quarantine_.add_methods(peer_methods_);
+  create_listeners();
 }
 
-std::string application::components::listen() {
+void application::components::create_listeners() {
   http::server_limits limits;
   limits.body_bytes = k_peer_body_bytes;
   peers_ = std::make_unique<http::server>(
@@ -170,15 +185,36 @@
         return client_calls_.handle(std::move(message), client);
       },
       settings_.connections);
-  std::string failure = peers_->listen(settings_.peers);
-  if (failure.empty()) failure = readiness_->listen(settings_.readiness);
-  if (failure.empty()) failure = ingress_->listen(settings_.clients);
-  return failure;
 }
 
-std::string application::components::start() {
-  std::string failure = listen();
-  if (!failure.empty()) return failure;
+template <class Listener>
+awaitable<bool> application::components::bind(Listener& listener, endpoint const& address) {
+  time_point report_at = boot_clock::now();
+  while (!is_ending()) {
+    std::string const failure = listener.listen(address);
+    if (failure.empty()) co_return true;
+    if (boot_clock::now() >= report_at) {
+      log_line(log_level::error, k_part, "Address can't be bound; trying again.",
+               {{"error", failure}});
+      report_at = boot_clock::now() + k_bind_report_interval;
+    }
+    co_await wait_for(k_bind_retry_interval);
+  }
+  co_return false;
+}
+
+awaitable<void> application::components::start() {
+  // Clients are refused until the node knows a configuration; other nodes and the readiness probe
+  // see the node only when its other addresses are its own.
+  bool is_bound = co_await bind(*ingress_, settings_.clients);
+  if (is_bound) is_bound = co_await bind(*peers_, settings_.peers);
+  if (!is_bound) co_return;
+  start_components();
+  co_await bind(*readiness_, settings_.readiness);
+}
+
+void application::components::start_components() {
+  has_started_ = true;
   servers_.on_change([this](std::vector<std::string> const& ids) {
     note_progress();
     pools_.note_servers(ids);
@@ -208,7 +244,6 @@
             {"clients", settings_.clients.to_string()},
             {"peers", settings_.peers.to_string()},
             {"record_store", settings_.record_store.to_string()}});
-  return {};
 }
 
 relay::feed_options application::components::make_feed_options() const {
@@ -395,6 +430,10 @@
   time_point const begin = boot_clock::now();
   time_point const deadline = begin + settings_.stop_time - k_stop_margin;
   ingress_->drain();
+  if (!has_started_) {
+    co_await finish_stop(deadline, std::move(on_stopped));
+    co_return;
+  }
   client_calls_.begin_stop(begin + k_leave_notice, deadline - k_answer_reserve);
   spawn(context_, feed_.leave());
   co_await pools_.release(begin + k_leave_notice / 2);
@@ -403,6 +442,11 @@
          (ingress_->in_flight() > 0 && boot_clock::now() < deadline - http::k_shutdown_time)) {
     co_await wait_for(k_stop_poll_interval);
   }
+  co_await finish_stop(deadline, std::move(on_stopped));
+}
+
+awaitable<void> application::components::finish_stop(time_point deadline,
+                                                     std::function<void()> on_stopped) {
   http::shutdown_report const report = co_await ingress_->shut_down(deadline);
   log_line(report.cut > 0 ? log_level::warning : log_level::info, k_part, "Planned stop ends.",
            {{"cut", report.cut},
--- a/src/gateway/application.h
+++ b/src/gateway/application.h
@@ -22,8 +22,9 @@
   application(asio::io_context& context, settings initial_settings, platform_adapter& adapter);
   ~application();
 
-  /// Binds all listeners and starts the components. @return an error message; empty on success.
-  std::string start();
+  /// Starts the components and binds all listeners. An address that can't be bound is tried again
+  /// until it can, or until a stop begins.
+  void start();
   /// Begins a planned stop. @param on_stopped called when the stop is complete.
   void stop(std::function<void()> on_stopped);
   /// Applies changed settings that do not need a restart.
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -26,7 +26,11 @@
   if (!failure) acceptor_.set_option(asio::socket_base::reuse_address(true), failure);
   if (!failure) acceptor_.bind(local, failure);
   if (!failure) acceptor_.listen(asio::socket_base::max_listen_connections, failure);
-  if (failure) return listen_endpoint.to_string() + ": " + failure.message();
+  if (failure) {
+    // A later call opens the socket anew.
+    close();
+    return listen_endpoint.to_string() + ": " + failure.message();
+  }
   spawn(context_, accept_loop());
   return {};
 }
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -27,7 +27,8 @@
         on_connection_(std::move(on_connection)),
         acceptor_(context) {}
 
-  /// Binds and starts to accept. @return an error message; empty on success.
+  /// Binds and starts to accept. May be called again after an error.
+  /// @return an error message; empty on success.
   std::string listen(endpoint const& listen_endpoint);
 
   /// Returns the bound port, which the kernel chooses for port 0.
