--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -59,6 +59,7 @@
   std::string reason;
 
   std::string to_string() const { return source + ": " + key + ": " + reason; }
+  bool operator==(settings_error const&) const = default;
 };
 
 struct setting_description {
