An exception in one request's handler ends that request only

What callers saw: one request whose handler threw ended the process, and with it all requests on that gateway. Cause: spawn lets an exception out of io_context::run, and a connection's coroutine ran the handler without a boundary. Change: http/server and calls/ingress catch what a handler throws, log and count it, answer 500 (or cut an answer that has begun, so that it can't look complete), and close that connection. frostline_unhandled_exceptions_total shows it. Why it works: what the handler owned is unwound, and no other request shares its connection. 500 promises nothing. Not changed: an exception of work that belongs to no request still ends the process, now with a line; its state can't be trusted after it.

--- a/src/base/unhandled_exception.cc
+++ b/src/base/unhandled_exception.cc
@@ -3,6 +3,14 @@
 #include "base/log.h"
 
 namespace frostline {
+namespace {
+
+std::uint64_t& counter() {
+  static std::uint64_t count = 0;
+  return count;
+}
+
+}  // namespace
 
 std::string describe(std::exception_ptr const& failure) {
   try {
@@ -15,6 +23,7 @@
 }
 
 void log_unhandled_exception(std::exception_ptr const& failure, std::source_location origin) {
+  ++counter();
   log_line(log_level::error, "process", "Unhandled exception.",
            {{"error", describe(failure)},
             {"origin", origin.function_name()},
@@ -23,4 +32,6 @@
   flush_logs();
 }
 
+std::uint64_t unhandled_exceptions() { return counter(); }
+
 }  // namespace frostline
--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -78,6 +78,15 @@
     ended_ = !failure;
   }
 
+  /// Answers a request whose handler has failed, unless an answer has begun. The connection is not
+  /// used again.
+  awaitable<void> answer_failure() {
+    keep_alive_ = false;
+    if (begun_ || ended_) co_return;
+    co_await answer(http::make_response(http::status::internal_server_error,
+                                        "{\"reason\":\"internal error\"}", http::k_problem_json));
+  }
+
   awaitable<bool> begin(http::response head) override {
     if (disconnected_) co_return false;
     begun_ = true;
@@ -177,8 +186,11 @@
 }
 
 awaitable<void> ingress::serve(std::shared_ptr<connection> client) {
-  bool keep_open = true;
-  while (keep_open) keep_open = co_await serve_one(client);
+  try {
+    while (co_await serve_one(client)) continue;
+  } catch (...) {
+    log_unhandled_exception(std::current_exception());
+  }
   beast::error_code ignored;
   client->stream().socket().shutdown(tcp::socket::shutdown_send, ignored);
   connections_.remove(client->shared_peer(client));
@@ -220,7 +232,14 @@
   client->begin_request(message);
   connections_.enter(client->peer(), http::connection_phase::answering);
   spawn(context_, client->watch_disconnect(client));
-  co_await on_request_(std::move(message), *client);
+  bool has_failed = false;
+  try {
+    co_await on_request_(std::move(message), *client);
+  } catch (...) {
+    log_unhandled_exception(std::current_exception());
+    has_failed = true;
+  }
+  if (has_failed) co_await client->answer_failure();
   client->stop_watching();
   connections_.enter(client->peer(), http::connection_phase::next_request);
   co_return client->can_continue();
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -374,6 +374,7 @@
   snapshot.quarantine_records = quarantine_.records();
   snapshot.connections_opened = connections_.opened();
   snapshot.logs_dropped = dropped_log_lines();
+  snapshot.unhandled_exceptions = unhandled_exceptions();
   snapshot.tenants_requests = runs_.total();
   if (duties_) {
     snapshot.usage = usage_snapshot{duties_->is_holder(), duties_->reporter().counters(),
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -195,6 +195,9 @@
            static_cast<double>(snapshot.connections_opened));
   page.set("frostline_log_lines_dropped_total", "log lines dropped",
            static_cast<double>(snapshot.logs_dropped));
+  page.set("frostline_unhandled_exceptions_total",
+           "exceptions that ended the handling of a request",
+           static_cast<double>(snapshot.unhandled_exceptions));
   page.set("frostline_access_refused_total", "requests refused for their key",
            static_cast<double>(access_refused_));
   page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -49,6 +49,7 @@
   std::size_t quarantine_records = 0;
   std::uint64_t connections_opened = 0;
   std::uint64_t logs_dropped = 0;
+  std::uint64_t unhandled_exceptions = 0;
   relay::feed_role role = relay::feed_role::standby;
   relay::feed_counters records;
   std::uint64_t polls_answered = 0;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -25,6 +25,12 @@
   return notice;
 }
 
+/// Response to a request whose handler has failed.
+response make_failed_response() {
+  return make_response(status::internal_server_error,
+                       "{\"title\":\"internal error\",\"run_state\":\"unknown\"}", k_problem_json);
+}
+
 /// Returns the response status for a request that could not be read.
 status status_for(beast::error_code const& failure) {
   if (failure == bhttp::error::body_limit) return status::payload_too_large;
@@ -123,8 +129,11 @@
 }
 
 awaitable<void> server::serve(std::shared_ptr<served_connection> peer) {
-  bool more = true;
-  while (more) more = co_await serve_request(*peer);
+  try {
+    while (co_await serve_request(*peer)) continue;
+  } catch (...) {
+    log_unhandled_exception(std::current_exception());
+  }
   beast::error_code ignored;
   peer->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
   connections_.remove(peer);
@@ -164,8 +173,16 @@
     bool const streamed = co_await on_stream_(message, writer);
     if (streamed) co_return writer.finished() && wants_keep_alive && !draining_;
   }
-  response answer = co_await on_request_(std::move(message));
-  bool const keep_alive = wants_keep_alive && !draining_;
+  response answer;
+  bool has_failed = false;
+  try {
+    answer = co_await on_request_(std::move(message));
+  } catch (...) {
+    log_unhandled_exception(std::current_exception());
+    answer = make_failed_response();
+    has_failed = true;
+  }
+  bool const keep_alive = wants_keep_alive && !draining_ && !has_failed;
   if (head_only) answer.body().clear();
   co_return co_await send(peer, std::move(answer), keep_alive, version);
 }
