--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -49,7 +49,7 @@
        << R"("engine":{"slots":8,"kv_capacity":)" << options.cache_tokens
        << R"(,"models":[{"name":"model"}]}},)"
        << R"({"name":"apps","health_path":"/health","max_conns":100}],)"
-       << R"("limits":{"max_header_bytes":16384,"max_body_bytes":33554432,)"
+       << R"("limits":{"max_header_bytes":16384,"max_body_bytes":)" << options.max_body_bytes << ","
        << R"("header_timeout_ms":3000,"idle_timeout_ms":15000})";
   if (!options.tenants.empty()) text << R"(,"tenants":)" << options.tenants;
   text << "}";
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -43,6 +43,8 @@
   std::uint64_t cache_tokens = 100'000;
   /// Service in the configuration whose servers are engines.
   std::string engine_service = "engines";
+  /// Largest body of a client's request that the initial configuration allows.
+  std::size_t max_body_bytes = 32 << 20;
   /// Samples of jobs must not mix weight versions.
   bool single_version = false;
   /// Text appended to the settings file of each node, in TOML.
