Logs: exceptions that leave a handler outside any coroutine of spawn

Cause: found in the review of ended-at-start: an exception that leaves a timer's or a library's handler passes the coroutines' boundary, and ended the process without a line, although the postmortem said that only a signal does. Change: run_logged logs what leaves io_context::run before it is thrown on. The counter's help says what it counts; a comment names the form that GCC 12 miscompiles in application::start. What a process does is unchanged.

--- a/src/base/asio.h
+++ b/src/base/asio.h
@@ -85,4 +85,8 @@
   });
 }
 
+/// Runs the context until it is stopped. An exception that leaves a handler, of a timer or of a
+/// library, is logged and thrown on; those of coroutines are logged by `spawn` as well.
+void run_logged(asio::io_context& context);
+
 }  // namespace frostline
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -206,6 +206,7 @@
 awaitable<void> application::components::start() {
   // Clients are refused until the node knows a configuration; other nodes and the readiness probe
   // see the node only when its other addresses are its own.
+  // GCC 12 compiles `if (!co_await ...) co_return;` here into a coroutine that crashes.
   bool is_bound = co_await bind(*ingress_, settings_.clients);
   if (is_bound) is_bound = co_await bind(*peers_, settings_.peers);
   if (!is_bound) co_return;
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -196,7 +196,7 @@
   page.set("frostline_log_lines_dropped_total", "log lines dropped",
            static_cast<double>(snapshot.logs_dropped));
   page.set("frostline_unhandled_exceptions_total",
-           "exceptions that ended the handling of a request",
+           "exceptions that nothing handled; each ended a request or the process",
            static_cast<double>(snapshot.unhandled_exceptions));
   page.set("frostline_access_refused_total", "requests refused for their key",
            static_cast<double>(access_refused_));
--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -93,7 +93,7 @@
       };
   hangups.async_wait(on_hangup);
   frostline::deliver_signals();
-  context.run();
+  frostline::run_logged(context);
   return 0;
 }
 
