Records with keys of another topic are ignored

Cause: records that come from a peer were not checked for their topic's prefix, as those of the store are; readers cut the prefix off, and a shorter key throws in a coroutine that belongs to no request, so that the process ends, again at each poll of that peer. Why it works: every record passes topic_views before a reader sees it.

--- a/src/relay/topic_views.cc
+++ b/src/relay/topic_views.cc
@@ -4,13 +4,17 @@
 
 namespace frostline::relay {
 
-topic_views::topic_views(trait_reader servers_traits) {
+topic_views::topic_views(trait_reader servers_traits, topic_prefixes prefixes)
+    : prefixes_(std::move(prefixes)) {
   views_[index_of(topic::SERVERS)] = record_view(std::move(servers_traits));
   confirmed_at_.fill(time_point::min());
 }
 
-void topic_views::take_snapshot(topic topic_id, kv::range_answer const& all,
+void topic_views::take_snapshot(topic topic_id, kv::range_answer const& received,
                                 record_selection const& selection) {
+  kv::range_answer all = received;
+  std::erase_if(all.entries,
+                [&](kv::key_value const& entry) { return !belongs_to(topic_id, entry.key); });
   record_view& view = views_[index_of(topic_id)];
   bool const first = !view.is_loaded();
   bool const reselected = !(view.selection() == selection);
@@ -28,6 +32,7 @@
 }
 
 void topic_views::take_event(topic topic_id, kv::watch_event const& event) {
+  if (!belongs_to(topic_id, event.entry.key)) return;
   auto change = views_[index_of(topic_id)].take_event(event);
   if (change) notify_events(topic_id, {std::move(*change)});
 }
--- a/src/relay/topic_views.h
+++ b/src/relay/topic_views.h
@@ -16,7 +16,9 @@
 class topic_views {
  public:
   /// @param servers_traits if null, every selection includes all servers' records.
-  explicit topic_views(trait_reader servers_traits);
+  /// @param prefixes what the keys of each topic's records begin with. Other records, which a peer
+  /// of another version may send, are ignored: readers of a topic rely on its prefix.
+  explicit topic_views(trait_reader servers_traits, topic_prefixes prefixes = {});
 
   /// Sets the listener of a topic. It receives a snapshot at first and whenever the selection
   /// changes, and otherwise each change once as an event.
@@ -27,7 +29,7 @@
   void on_change(std::function<void()> listener) { changed_ = std::move(listener); }
 
   /// @param selection the records that the view holds from now on.
-  void take_snapshot(topic topic_id, kv::range_answer const& all,
+  void take_snapshot(topic topic_id, kv::range_answer const& received,
                      record_selection const& selection = {});
   void take_event(topic topic_id, kv::watch_event const& event);
   /// Reduces the view to `selection` if its present selection covers that.
@@ -49,9 +51,13 @@
   std::uint64_t changes() const { return changes_; }
 
  private:
+  bool belongs_to(topic topic_id, std::string const& key) const {
+    return key.starts_with(prefixes_[index_of(topic_id)]);
+  }
   void notify_events(topic topic_id, std::vector<kv::watch_event> const& events);
   void notify_dropped(topic topic_id, std::vector<std::string> const& keys);
 
+  topic_prefixes prefixes_;
   std::array<record_view, k_topics.size()> views_;
   std::array<kv::prefix_watcher_callbacks, k_topics.size()> listeners_;
   std::array<time_point, k_topics.size()> confirmed_at_;
