A run's key is not looked up behind the samples of its job

Cause: a job that has been forgotten may be submitted again under its id with fewer items while a run or a scorer's call of the first one is open; its index was used unchecked, which reads behind the samples and may end the process. Change: job_table and sample_scorer find no sample there; the log line of the run's end takes the sample that was found. Evidence: job_table_test.run_of_an_earlier_and_longer_submission_is_not_found; failed before, passes with the index checked.

--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -200,6 +200,8 @@
 sample_entry* job_table::find_running(run_key const& key) {
   job_entry* const job = find(key.job);
   if (job == nullptr || job->ended) return nullptr;
+  // A job that has been forgotten may have been submitted again with fewer items.
+  if (key.index >= job->samples.size()) return nullptr;
   sample_entry& sample = job->samples[key.index];
   if (sample.attempt != key.attempt || sample.state != sample_state::running) return nullptr;
   return &sample;
--- a/src/jobs/sample_runner.cc
+++ b/src/jobs/sample_runner.cc
@@ -453,7 +453,7 @@
   job_entry* const job = dependencies_.table.find(key.job);
   sample_entry* const sample = dependencies_.table.find_running(key);
   log_line(log_level::info, k_part, "Run ended.",
-           {{"request", job == nullptr ? "" : job->samples[key.index].spec->id},
+           {{"request", sample == nullptr ? "" : sample->spec->id},
             {"job", key.job},
             {"server", engine},
             {"run", key.attempt},
--- a/src/jobs/sample_scorer.cc
+++ b/src/jobs/sample_scorer.cc
@@ -39,7 +39,7 @@
 
 sample_entry* sample_scorer::find_scoring(std::string const& job_id, std::uint32_t index) {
   auto* const job = dependencies_.table.find(job_id);
-  if (job == nullptr || job->ended) return nullptr;
+  if (job == nullptr || job->ended || index >= job->samples.size()) return nullptr;
   sample_entry& sample = job->samples[index];
   return sample.state == sample_state::scoring ? &sample : nullptr;
 }
--- a/tests/unit/jobs/job_table_test.cc
+++ b/tests/unit/jobs/job_table_test.cc
@@ -317,3 +317,13 @@
   LONGS_EQUAL(30, times->ran.count());
   LONGS_EQUAL(20, times->scored.count());
 }
+
+// Guards against reading behind the samples of a job that was submitted again with fewer items
+// while a run of its first submission was open.
+TEST(job_table_test, run_of_an_earlier_and_longer_submission_is_not_found) {
+  job_entry& first = add("job", 3, 1);
+  run_key const key = table.start(first, 2, "engine", now);
+  table.forget("job");
+  add("job", 1, 1);
+  CHECK(table.find_running(key) == nullptr);
+}
