A connection whose coroutine fails is no longer watched

Cause: where an exception left a connection's coroutine outside the handler, the watcher of its disconnect kept the socket open until the client closed it, while the connection was no longer counted. Change: the watcher is stopped wherever the coroutine ends. Evidence: read; no test reaches this place, since the handler's exceptions are caught before.

--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -191,6 +191,7 @@
   } catch (...) {
     log_unhandled_exception(std::current_exception());
   }
+  client->stop_watching();
   beast::error_code ignored;
   client->stream().socket().shutdown(tcp::socket::shutdown_send, ignored);
   connections_.remove(client->shared_peer(client));
