Known red: two more crowds of clients that send more than they may

Jobs of many small objects, and calls of other nodes in JSON, are many times as large once they are parsed.

--- a/tests/platform/unbounded_clients_test.cc
+++ b/tests/platform/unbounded_clients_test.cc
@@ -73,9 +73,9 @@
 /// A body over the limit, announced and sent.
 long_message announced_over_limit(std::size_t client) {
   std::size_t const bytes = k_endless_pieces * k_piece_bytes;
-  return {head("/calls/x", request_name(client),
-               "Content-Length: " + std::to_string(bytes) + "\r\n"),
-          std::string(k_piece_bytes, 'b'), k_endless_pieces, ""};
+  return {
+      head("/calls/x", request_name(client), "Content-Length: " + std::to_string(bytes) + "\r\n"),
+      std::string(k_piece_bytes, 'b'), k_endless_pieces, ""};
 }
 
 /// A body of legal size, whole.
@@ -104,19 +104,35 @@
           k_body_bytes / k_piece_bytes - 1, ""};
 }
 
+/// A JSON body of legal size that repeats one element of a list.
+long_message repeated_element(std::string const& path, std::size_t client, std::string const& begin,
+                              std::string const& element, std::string const& end) {
+  std::string values;
+  while (values.size() < k_piece_bytes) values += element + ",";
+  std::size_t const pieces = k_body_bytes / values.size() - 1;
+  std::size_t const bytes = begin.size() + pieces * values.size() + element.size() + end.size();
+  return {
+      head(path, request_name(client),
+           "Content-Type: application/json\r\nContent-Length: " + std::to_string(bytes) + "\r\n") +
+          begin,
+      values, pieces, element + end};
+}
+
 /// A job of legal size whose body is many times as large once it is parsed.
 long_message large_when_parsed(std::size_t client) {
-  std::string values;
-  while (values.size() < k_piece_bytes) values += "0,";
-  std::size_t const pieces = k_body_bytes / k_piece_bytes - 1;
-  std::string const begin = "{\"requests\":[";
-  std::string const end = "0]}";
-  std::size_t const bytes = begin.size() + pieces * values.size() + end.size();
-  return {head("/jobs/" + request_name(client), request_name(client),
-               "Content-Type: application/json\r\nContent-Length: " + std::to_string(bytes) +
-                   "\r\n") +
-              begin,
-          values, pieces, end};
+  return repeated_element("/jobs/" + request_name(client), client, "{\"requests\":[", "0", "]}");
+}
+
+/// The same with objects.
+long_message small_objects(std::size_t client) {
+  return repeated_element("/jobs/" + request_name(client), client, "{\"requests\":[", "{\"a\":0}",
+                          "]}");
+}
+
+/// A call between nodes, in JSON, whose body is many times as large once it is parsed.
+long_message json_call(std::size_t client) {
+  return repeated_element("/rpc/v1/JobService/Call", client, "{\"record\":{\"items\":[", "{}",
+                          "]}}");
 }
 
 bool is_promise(unsigned status) {
@@ -141,9 +157,8 @@
 
   std::size_t descriptors() {
     std::string const folder = "/proc/" + std::to_string(system->node(0).pid()) + "/fd";
-    return static_cast<std::size_t>(
-        std::distance(boost::filesystem::directory_iterator(folder),
-                      boost::filesystem::directory_iterator()));
+    return static_cast<std::size_t>(std::distance(boost::filesystem::directory_iterator(folder),
+                                                  boost::filesystem::directory_iterator()));
   }
 
   /// Checks that the gateway has kept its bounds, and that an ordinary caller is answered.
@@ -248,14 +263,23 @@
   check_crowd(system->client_address(0), k_endless_clients, large_when_parsed);
 }
 
+// Guards against a limit that counts the elements of a job and not what they hold.
+TEST(unbounded_clients_test, jobs_of_many_small_objects) {
+  check_crowd(system->client_address(0), k_endless_clients, small_objects);
+}
+
+// Guards against a gateway that parses calls of other nodes into any amount of memory.
+TEST(unbounded_clients_test, json_calls_that_are_large_when_parsed) {
+  check_crowd(system->peers_address(0), k_endless_clients, json_call);
+}
+
 // Guards against limits that hold for each kind of message, and not for all together.
 TEST(unbounded_clients_test, all_kinds_at_once) {
   std::vector<std::function<long_message(std::size_t)>> const kinds = {
       endless_trailers, endless_extension, endless_chunks,    endless_head,
       whole_body,       unfinished_body,   unfinished_chunks, large_when_parsed};
-  check_crowd(system->client_address(0), 2 * k_crowd, [&](std::size_t client) {
-    return kinds[client % kinds.size()](client);
-  });
+  check_crowd(system->client_address(0), 2 * k_crowd,
+              [&](std::size_t client) { return kinds[client % kinds.size()](client); });
   check_large_request();
 }
 
