Requests take bounded memory

Callers saw: a gateway ended, out of memory, beside clients that sent trailers without end, bodies over the limit, or many large bodies of legal size, whole or stopped short.

Cause: only a body and a head had a limit, each by itself. The buffer of a connection grew with a trailer or a chunk extension, and nothing bounded the bodies of all connections together.

Now a connection's buffer holds 64 KiB (431 beyond, and for heads over 48 KiB), and the bodies of a listener's requests share limits.request_memory_mb, a quarter of limits.memory_mb (260) unless set. When it is used up, the request that is still being read and holds the most is refused with 503 and Retry-After: it has not run. The first 16 KiB of each body are not counted, so that ordinary requests are served beside any crowd. A body that can never fit is 413 at once. A refused client is read for up to 0.3 s more, since a reset could overtake the refusal. frostline_request_memory_bytes and frostline_requests_refused_for_memory_total tell.

--- a/src/calls/call_failure.cc
+++ b/src/calls/call_failure.cc
@@ -27,6 +27,7 @@
     case call_failure::deadline_not_run:
     case call_failure::quarantined:
     case call_failure::stopping:
+    case call_failure::no_memory:
       return http::status::service_unavailable;
     case call_failure::deadline_unknown:
       return http::status::gateway_timeout;
@@ -75,6 +76,8 @@
       return "quarantined";
     case call_failure::stopping:
       return "stopping";
+    case call_failure::no_memory:
+      return "no_memory";
   }
   return "unknown";
 }
--- a/src/calls/call_failure.h
+++ b/src/calls/call_failure.h
@@ -32,6 +32,8 @@
   quarantined,
   /// This node stops before the request's deadline; it has not run.
   stopping,
+  /// The bodies of other requests take all memory of this node; it has not run.
+  no_memory,
 };
 
 std::string_view to_string(call_failure reason);
--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/cancellation_signal.hpp>
 
 #include "base/log.h"
+#include "calls/call_failure.h"
+#include "http/request_reader.h"
 
 namespace frostline::calls {
 namespace {
@@ -26,15 +28,6 @@
   return notice;
 }
 
-http::status status_for(beast::error_code const& failure) {
-  if (failure == bhttp::error::header_limit) {
-    return http::status::request_header_fields_too_large;
-  }
-  if (failure == bhttp::error::body_limit) return http::status::payload_too_large;
-  if (failure == beast::error::timeout) return http::status::request_timeout;
-  return http::status::bad_request;
-}
-
 bool is_disconnect(beast::error_code const& failure) {
   return failure == bhttp::error::end_of_stream || failure == asio::error::eof ||
          failure == asio::error::connection_reset || failure == asio::error::operation_aborted ||
@@ -64,6 +57,12 @@
     begun_ = false;
     ended_ = false;
   }
+  /// Prepares the answer to a request that was not read as a whole; the connection is not used
+  /// again.
+  void begin_refusal() {
+    begin_request(http::request());
+    keep_alive_ = false;
+  }
   bool can_continue() const { return keep_alive_ && ended_ && !disconnected_; }
 
   awaitable<void> answer(http::response whole) override {
@@ -157,13 +156,15 @@
   bool disconnected_ = false;
 };
 
-ingress::ingress(asio::io_context& context, request_handler on_request, std::size_t max_connections)
+ingress::ingress(asio::io_context& context, request_handler on_request, std::size_t max_connections,
+                 std::size_t request_memory_bytes)
     : context_(context),
       on_request_(std::move(on_request)),
       max_connections_(max_connections),
       listener_(context, k_part,
                 [this](tcp::socket socket) { take_connection(std::move(socket)); }),
-      connections_(make_closing_notice()) {}
+      connections_(make_closing_notice()),
+      memory_(request_memory_bytes) {}
 
 ingress::~ingress() = default;
 
@@ -198,38 +199,45 @@
 }
 
 awaitable<bool> ingress::serve_one(std::shared_ptr<connection> client) {
-  bhttp::request_parser<bhttp::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
-  parser.body_limit(limits_.body_bytes);
-  bool const arrived = co_await connections_.wait_for_request(client->peer(), limits_.header_bytes,
-                                                              limits_.idle_timeout);
+  std::optional<http::request_parser> parser(std::in_place);
+  http::set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
+  bool const arrived = co_await connections_.wait_for_request(
+      client->peer(), http::effective_header_limit(limits_.header_bytes), limits_.idle_timeout);
   if (!arrived) co_return false;
+  http::request_memory::reservation body_memory(memory_, [&client] { client->stream().cancel(); });
   client->stream().expires_after(limits_.header_timeout);
   auto [head_failure, head] =
-      co_await bhttp::async_read_header(client->stream(), client->buffer(), parser, k_as_tuple);
+      co_await bhttp::async_read_header(client->stream(), client->buffer(), *parser, k_as_tuple);
   beast::error_code failure = head_failure;
-  if (!failure && http::header(parser.get(), "Expect") == "100-continue") {
+  if (!failure && http::header(parser->get(), "Expect") == "100-continue") {
     bhttp::response<bhttp::empty_body> continue_response(http::status::continue_, 11);
     co_await bhttp::async_write(client->stream(), continue_response, k_as_tuple);
   }
-  if (!failure && !parser.is_done()) {
+  if (!failure && !parser->is_done()) {
     client->stream().expires_after(k_body_timeout);
-    auto [body_failure, body] =
-        co_await bhttp::async_read(client->stream(), client->buffer(), parser, k_as_tuple);
-    failure = body_failure;
+    failure = co_await http::read_body(client->peer(), *parser, body_memory);
+  }
+  if (body_memory.is_refused()) {
+    parser.reset();
+    log_line(log_level::warning, k_part, "Request refused for memory.",
+             {{"held", memory_.held()}, {"capacity", memory_.capacity()}});
+    co_await refuse(*client, failure_response(call_failure::no_memory));
+    co_return false;
   }
   if (failure) {
+    parser.reset();
     if (is_disconnect(failure)) co_return false;
-    http::status const error_status = status_for(failure);
+    http::status const error_status = http::status_for(failure);
     log_line(log_level::info, k_part, "Request can't be read.",
              {{"status", static_cast<unsigned>(error_status)}, {"error", failure.message()}});
-    client->begin_request(http::request());
-    co_await client->answer(http::make_response(
-        error_status, "{\"reason\":\"" + failure.message() + "\"}", http::k_problem_json));
+    co_await refuse(*client,
+                    http::make_response(error_status, "{\"reason\":\"" + failure.message() + "\"}",
+                                        http::k_problem_json));
     co_return false;
   }
   client->stream().expires_never();
-  http::request message = parser.release();
+  http::request message = parser->release();
+  parser.reset();
   client->begin_request(message);
   connections_.enter(client->peer(), http::connection_phase::answering);
   spawn(context_, client->watch_disconnect(client));
@@ -246,4 +254,10 @@
   co_return client->can_continue();
 }
 
+awaitable<void> ingress::refuse(connection& client, http::response refusal) {
+  client.begin_refusal();
+  co_await client.answer(std::move(refusal));
+  co_await connections_.linger(client.peer());
+}
+
 }  // namespace frostline::calls
--- a/src/calls/ingress.h
+++ b/src/calls/ingress.h
@@ -12,6 +12,7 @@
 #include "http/connection_set.h"
 #include "http/listener.h"
 #include "http/message.h"
+#include "http/request_memory.h"
 
 namespace frostline::calls {
 
@@ -20,7 +21,13 @@
 
 class ingress {
  public:
-  ingress(asio::io_context& context, request_handler on_request, std::size_t max_connections);
+  /// Memory for the bodies of all requests unless the owner chooses one, in bytes.
+  static constexpr std::size_t k_default_request_memory = 64 * 1024 * 1024;
+
+  /// @param request_memory_bytes memory that the bodies of all requests take at once. A larger body
+  /// is over the limit.
+  ingress(asio::io_context& context, request_handler on_request, std::size_t max_connections,
+          std::size_t request_memory_bytes = k_default_request_memory);
   ~ingress();
 
   /// Binds and listens. @return an error message; empty on success.
@@ -33,6 +40,7 @@
   /// go on until `deadline`.
   awaitable<http::shutdown_report> shut_down(time_point deadline);
   std::size_t in_flight() const { return connections_.count(http::connection_phase::answering); }
+  http::request_memory const& memory() const { return memory_; }
 
  private:
   class connection;
@@ -40,6 +48,8 @@
   void take_connection(tcp::socket socket);
   awaitable<void> serve(std::shared_ptr<connection> client);
   awaitable<bool> serve_one(std::shared_ptr<connection> client);
+  /// Answers a request that was not read as a whole, and ends the connection.
+  awaitable<void> refuse(connection& client, http::response refusal);
 
   asio::io_context& context_;
   request_handler on_request_;
@@ -47,6 +57,7 @@
   client_limits limits_;
   http::listener listener_;
   http::connection_set connections_;
+  http::request_memory memory_;
   bool draining_ = false;
 };
 
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -42,6 +42,10 @@
 /// An address that can't be bound is reported this often.
 constexpr seconds k_bind_report_interval{10};
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
+/// Largest body that a readiness probe may send; it is not read.
+constexpr std::size_t k_probe_body_bytes = 16 << 10;
+/// Part of the machine's memory for the bodies of clients' requests, and for those of other nodes.
+constexpr std::size_t k_request_memory_divisor = 4;
 /// Number of nodes that collect crash reports. One suffices; the others provide redundancy.
 constexpr std::size_t k_evidence_collectors = 3;
 /// Maximum age of records that count as current. Longer than a poll of a relay plus the relay's own
@@ -172,19 +176,25 @@
 }
 
 void application::components::create_listeners() {
+  std::size_t const request_memory = settings_.request_memory > 0
+                                         ? settings_.request_memory
+                                         : settings_.memory / k_request_memory_divisor;
   http::server_limits limits;
   limits.body_bytes = k_peer_body_bytes;
+  limits.request_memory_bytes = request_memory;
+  http::server_limits probe_limits;
+  probe_limits.body_bytes = k_probe_body_bytes;
   peers_ = std::make_unique<http::server>(
       context_, limits, [this](http::request message) { return handle_peer(std::move(message)); });
   readiness_ = std::make_unique<http::server>(
-      context_, http::server_limits(),
+      context_, probe_limits,
       [this](http::request) -> awaitable<http::response> { co_return readiness(); });
   ingress_ = std::make_unique<calls::ingress>(
       context_,
       [this](http::request message, calls::caller& client) {
         return client_calls_.handle(std::move(message), client);
       },
-      settings_.connections);
+      settings_.connections, request_memory);
 }
 
 template <class Listener>
@@ -376,6 +386,8 @@
   snapshot.connections_opened = connections_.opened();
   snapshot.logs_dropped = dropped_log_lines();
   snapshot.unhandled_exceptions = unhandled_exceptions();
+  snapshot.request_memory_held = ingress_->memory().held() + peers_->memory().held();
+  snapshot.refused_for_memory = ingress_->memory().refused() + peers_->memory().refused();
   snapshot.tenants_requests = runs_.total();
   if (duties_) {
     snapshot.usage = usage_snapshot{duties_->is_holder(), duties_->reporter().counters(),
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -198,6 +198,11 @@
   page.set("frostline_unhandled_exceptions_total",
            "exceptions that nothing handled; each ended a request or the process",
            static_cast<double>(snapshot.unhandled_exceptions));
+  page.set("frostline_request_memory_bytes", "memory that the bodies of requests take",
+           static_cast<double>(snapshot.request_memory_held));
+  page.set("frostline_requests_refused_for_memory_total",
+           "requests refused because the bodies of others took all memory",
+           static_cast<double>(snapshot.refused_for_memory));
   page.set("frostline_access_refused_total", "requests refused for their key",
            static_cast<double>(access_refused_));
   page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -57,6 +57,8 @@
   return milliseconds(static_cast<std::int64_t>(value * 1000));
 }
 
+std::size_t from_mib(double value) { return static_cast<std::size_t>(value * (1 << 20)); }
+
 std::string read_seeds(toml::node const& value, settings& into) {
   auto const text = value.value<std::string>();
   if (!text) return "must be text";
@@ -181,6 +183,13 @@
               [](settings& into, double value) {
                 into.connections = static_cast<std::size_t>(value);
               })},
+      {{"limits.memory_mb", "260", "memory of the machine, in MiB"},
+       number(16, 1 << 20, [](settings& into, double value) { into.memory = from_mib(value); })},
+      {{"limits.request_memory_mb", "0",
+        "memory that the bodies of requests take at once at each listener, in MiB; 0: a quarter of "
+        "limits.memory_mb. A larger body is refused as too large"},
+       number(0, 1 << 20,
+              [](settings& into, double value) { into.request_memory = from_mib(value); })},
       {{"log.level", "info", "debug, info, warning or error"}, read_level},
   };
   return all;
--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -10,8 +10,8 @@
 constexpr milliseconds k_poll_interval{10};
 /// Time for clients that have just connected to send their request before the connection is closed.
 constexpr milliseconds k_first_request_time{150};
-/// Longest time that a connection is read after its 408, until the client closes it too. A client
-/// that sends after that is reset, which may reach it before it has read the 408.
+/// Longest time that a connection is read after its last response, until the client closes it too.
+/// A client that sends after that is reset, which may reach it before it has read the response.
 constexpr milliseconds k_linger_time{300};
 static_assert(k_handshake_time + k_first_request_time + k_linger_time <= k_shutdown_time);
 constexpr std::size_t k_discard_bytes = 4096;
@@ -59,6 +59,8 @@
 awaitable<bool> connection_set::wait_for_request(served_connection& peer, std::size_t read_bytes,
                                                  milliseconds idle_timeout) {
   while (peer.buffer.size() == 0) {
+    // A large request must not take memory for as long as its connection is kept open.
+    if (peer.buffer.capacity() > read_bytes) peer.buffer.shrink_to_fit();
     if (peer.ends_when_unused && unread_bytes(peer.stream.socket()) == 0) {
       co_await close_unused(peer);
       co_return false;
@@ -86,13 +88,26 @@
   if (unsent) co_return;
   beast::error_code ignored;
   peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  bool has_crossed = false;
+  bool const has_crossed = co_await discard_input(peer);
+  if (has_crossed) ++report_.crossed;
+}
+
+awaitable<void> connection_set::linger(served_connection& peer) {
+  enter(peer, connection_phase::closing);
+  peer.stream.expires_after(k_linger_time);
+  beast::error_code ignored;
+  peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  co_await discard_input(peer);
+}
+
+awaitable<bool> connection_set::discard_input(served_connection& peer) {
+  peer.buffer.clear();
+  bool has_received = false;
   while (true) {
     auto [failure, count] =
         co_await peer.stream.async_read_some(peer.buffer.prepare(k_discard_bytes), k_as_tuple);
-    if (count > 0 && !has_crossed) ++report_.crossed;
-    has_crossed = has_crossed || count > 0;
-    if (failure) co_return;
+    has_received = has_received || count > 0;
+    if (failure) co_return has_received;
   }
 }
 
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -8,6 +8,7 @@
 #include "base/asio.h"
 #include "http/listener.h"
 #include "http/message.h"
+#include "http/response_reader.h"
 
 namespace frostline::http {
 
@@ -39,7 +40,7 @@
 
   beast::tcp_stream stream;
   /// Bytes that have been read and not parsed.
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{k_max_unparsed_bytes};
   connection_phase phase = connection_phase::first_request;
   /// The connection ends unless the kernel already holds bytes of a request.
   bool ends_when_unused = false;
@@ -83,6 +84,11 @@
   awaitable<bool> wait_for_request(served_connection& peer, std::size_t read_bytes,
                                    milliseconds idle_timeout);
 
+  /// Ends the sending side and discards what the client still sends, until it closes the connection
+  /// or a short time has passed. Closing at once would reset the connection, and the client might
+  /// not read the answer.
+  awaitable<void> linger(served_connection& peer);
+
   /// Planned end: closes the listener, serves requests that clients have already sent, and closes
   /// all other connections with status 408. Clients that have connected and sent nothing get a
   /// short time to do so. Returns once no connection is left, at the latest at `deadline`.
@@ -94,6 +100,8 @@
  private:
   static std::size_t index_of(connection_phase phase) { return static_cast<std::size_t>(phase); }
   awaitable<void> close_unused(served_connection& peer);
+  /// @return true if anything was received.
+  awaitable<bool> discard_input(served_connection& peer);
 
   response closing_notice_;
   std::set<std::shared_ptr<served_connection>> connections_;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -4,11 +4,15 @@
 #include <optional>
 
 #include "base/log.h"
+#include "http/request_reader.h"
 
 namespace frostline::http {
 namespace {
 
 constexpr std::string_view k_part = "http";
+constexpr std::size_t k_bodies_at_once = 8;
+/// Retry-After in seconds of requests for which there is no memory.
+constexpr char k_memory_retry_after[] = "1";
 
 response make_unread_response(status code, std::string const& title, std::string const& detail) {
   return make_response(
@@ -31,12 +35,17 @@
                        "{\"title\":\"internal error\",\"run_state\":\"unknown\"}", k_problem_json);
 }
 
-/// Returns the response status for a request that could not be read.
-status status_for(beast::error_code const& failure) {
-  if (failure == bhttp::error::body_limit) return status::payload_too_large;
-  if (failure == bhttp::error::header_limit) return status::request_header_fields_too_large;
-  if (failure == beast::error::timeout) return status::request_timeout;
-  return status::bad_request;
+std::size_t memory_capacity(server_limits const& limits) {
+  return limits.request_memory_bytes > 0 ? limits.request_memory_bytes
+                                         : limits.body_bytes * k_bodies_at_once;
+}
+
+/// Response to a request for whose body there is no memory.
+response make_memory_refusal() {
+  response refusal = make_unread_response(status::service_unavailable, "out of memory",
+                                          "the bodies of other requests take all memory");
+  refusal.set(field::retry_after, k_memory_retry_after);
+  return refusal;
 }
 
 bool is_disconnect(beast::error_code const& failure) {
@@ -97,7 +106,8 @@
       on_stream_(std::move(on_stream)),
       listener_(context, k_part,
                 [this](tcp::socket socket) { take_connection(std::move(socket)); }),
-      connections_(make_closing_notice()) {}
+      connections_(make_closing_notice()),
+      memory_(memory_capacity(limits)) {}
 
 server::~server() = default;
 
@@ -140,30 +150,44 @@
 }
 
 awaitable<bool> server::serve_request(served_connection& peer) {
-  bool const arrived =
-      co_await connections_.wait_for_request(peer, limits_.header_bytes, limits_.idle_timeout);
+  bool const arrived = co_await connections_.wait_for_request(
+      peer, effective_header_limit(limits_.header_bytes), limits_.idle_timeout);
   if (!arrived) co_return false;
-  bhttp::request_parser<bhttp::string_body> parser;
-  parser.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
-  parser.body_limit(limits_.body_bytes);
+  std::optional<request_parser> parser(std::in_place);
+  set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
+  request_memory::reservation body_memory(memory_, [&peer] { peer.stream.cancel(); });
   peer.stream.expires_after(limits_.read_timeout);
-  auto [failure, count] = co_await bhttp::async_read(peer.stream, peer.buffer, parser, k_as_tuple);
+  auto [failure, count] =
+      co_await bhttp::async_read_header(peer.stream, peer.buffer, *parser, k_as_tuple);
+  if (!failure) failure = co_await read_body(peer, *parser, body_memory);
+  if (body_memory.is_refused()) {
+    parser.reset();
+    log_line(log_level::warning, k_part, "Request refused for memory.", {{"held", memory_.held()}});
+    co_await refuse(peer, make_memory_refusal());
+    co_return false;
+  }
   if (failure) {
+    parser.reset();
     if (is_disconnect(failure)) co_return false;
-    response refusal =
-        make_unread_response(status_for(failure), "malformed request", failure.message());
-    peer.stream.expires_after(limits_.read_timeout);
-    co_await send(peer, std::move(refusal), false, 11);
+    co_await refuse(
+        peer, make_unread_response(status_for(failure), "malformed request", failure.message()));
     co_return false;
   }
   peer.stream.expires_never();
   connections_.enter(peer, connection_phase::answering);
-  request message = parser.release();
+  request message = parser->release();
+  parser.reset();
   bool const more = co_await answer_request(peer, std::move(message));
   connections_.enter(peer, connection_phase::next_request);
   co_return more;
 }
 
+awaitable<void> server::refuse(served_connection& peer, response refusal) {
+  peer.stream.expires_after(limits_.read_timeout);
+  co_await send(peer, std::move(refusal), false, 11);
+  co_await connections_.linger(peer);
+}
+
 awaitable<bool> server::answer_request(served_connection& peer, request message) {
   bool const wants_keep_alive = message.keep_alive();
   bool const head_only = message.method() == verb::head;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 #include "http/connection_set.h"
 #include "http/listener.h"
 #include "http/message.h"
+#include "http/request_memory.h"
 
 namespace frostline::http {
 
@@ -17,6 +18,9 @@
 struct server_limits {
   std::size_t header_bytes = 16 * 1024;
   std::size_t body_bytes = 16 * 1024 * 1024;
+  /// Memory that the bodies of all requests take at once; a larger body is over the limit. 0: that
+  /// of eight bodies of the largest size.
+  std::size_t request_memory_bytes = 0;
   /// Longest time from the first byte of a request to its last.
   milliseconds read_timeout{10'000};
   /// Longest time that an idle connection is kept open.
@@ -73,10 +77,14 @@
   /// Number of open connections.
   std::size_t connections() const { return connections_.size(); }
 
+  http::request_memory const& memory() const { return memory_; }
+
  private:
   void take_connection(tcp::socket socket);
   awaitable<void> serve(std::shared_ptr<served_connection> peer);
   awaitable<bool> serve_request(served_connection& peer);
+  /// Answers a request that was not read as a whole, and ends the connection.
+  awaitable<void> refuse(served_connection& peer, response refusal);
   awaitable<bool> answer_request(served_connection& peer, request message);
   awaitable<bool> send(served_connection& peer, response answer, bool keep_alive, unsigned version);
 
@@ -86,6 +94,7 @@
   stream_handler on_stream_;
   listener listener_;
   connection_set connections_;
+  request_memory memory_;
   bool draining_ = false;
 };
 
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -89,7 +89,8 @@
       {{"stop.drain_seconds", "30", "longest time for a planned stop (1 to 3600)"},
        number(1, 3600,
               [](settings& target, std::int64_t value) { target.drain_time = seconds(value); })},
-      {{"limits.header_bytes", "16384", "largest request header (1024 to 1048576)"},
+      {{"limits.header_bytes", "16384",
+        "largest request header; at most 49152 take effect (1024 to 1048576)"},
        number(1024, 1 << 20,
               [](settings& target, std::int64_t value) {
                 target.limits.header_bytes = static_cast<std::size_t>(value);
--- a/tests/support/client_crowd.cc
+++ b/tests/support/client_crowd.cc
@@ -120,8 +120,8 @@
   });
 }
 
-std::string client_crowd::answer_of(std::size_t client) {
-  return on_thread([&] { return clients_.at(client).received; });
+std::string client_crowd::answer_of(std::size_t number) {
+  return on_thread([&] { return clients_.at(number).received; });
 }
 
 }  // namespace frostline::testing
--- a/tests/support/client_crowd.h
+++ b/tests/support/client_crowd.h
@@ -40,7 +40,7 @@
   /// Returns the status of each client's first answer; 0 without one.
   std::vector<unsigned> statuses();
   /// Returns the head of a client's first answer, as far as it was received.
-  std::string answer_of(std::size_t client);
+  std::string answer_of(std::size_t number);
 
  private:
   struct client {
