Jobs have at most a million values

Callers saw: a gateway ended, out of memory, after jobs of legal size.

Cause: a body of "0,0,0," takes tens of times its size once it is parsed, and it is parsed as a whole.

Now values and keys are counted before; a job with more than a million is malformed (400). A job whose items of 24 values and keys each may have 40,000 of them.

Evidence: jobs_that_are_large_when_parsed and jobs_of_many_small_objects of unbounded_clients_test, red before (267 and 219 MiB where 96 are allowed), pass.

--- a/src/http/json_fields.h
+++ b/src/http/json_fields.h
@@ -16,6 +16,10 @@
   return std::move(parsed.as_object());
 }
 
+/// Returns false if parsing the text would make more than `limit` values and keys. Does not check
+/// the text otherwise.
+bool has_at_most_values(std::string_view json_text, std::size_t limit);
+
 inline std::string json_text(boost::json::object const& object, std::string_view key,
                              std::string_view fallback = {}) {
   auto const* found = object.if_contains(key);
