Calls in JSON are at most 1 MiB long

Callers saw: a gateway ended, out of memory, after calls in JSON to the address for other nodes.

Cause: JSON is parsed as a whole and may take many times its size; nodes speak the binary format, so nothing bounded JSON but the limit for bodies, 64 MiB.

Now JSON bodies over 1 MiB get 413, not run.

Evidence: json_calls_that_are_large_when_parsed of unbounded_clients_test, red before (414 MiB where 96 are allowed).

--- a/src/rpc/dispatcher.cc
+++ b/src/rpc/dispatcher.cc
@@ -23,6 +23,10 @@
   method_entry const& entry = found->second;
   bool const is_json = http::header(message, "Content-Type").starts_with(http::k_json);
   std::string body = std::move(message.body());
+  if (is_json && body.size() > k_max_json_bytes) {
+    co_return to_response({http::status::payload_too_large, reason::over_limit,
+                           "JSON bodies are at most 1 MiB long", run_state::not_run});
+  }
   if (is_json) {
     std::string error;
     auto binary = codec_.to_binary(entry.request_type, body, error);
--- a/src/rpc/dispatcher.h
+++ b/src/rpc/dispatcher.h
@@ -13,6 +13,9 @@
 namespace frostline::rpc {
 
 inline constexpr std::string_view k_rpc_prefix = "/rpc/v1/";
+/// Largest JSON body. JSON can take many times its size when it is parsed; callers with more to say
+/// use the binary format.
+inline constexpr std::size_t k_max_json_bytes = 1024 * 1024;
 
 class dispatcher {
  public:
