Scorers' calls wait until the stored crash evidence is known

Cause: a node that had just become a job's owner sent the call 0.4 s before it received the first records of the quarantine. Until then it neither knows the stored evidence nor that evidence may be lost, so two attempts each of two runs ended a server.

Now a call that no caller waits for is not sent before these records; the scorer tries again a second later. Callers' own requests do not wait.

Evidence: forwarder_quarantine_test.call_without_a_caller_waits_for_the_first_records fails without the change to the forwarder (run) and passes with it; the group passes, 6 of 6.

--- a/src/calls/forwarder.cc
+++ b/src/calls/forwarder.cc
@@ -77,6 +77,11 @@
 }
 
 awaitable<bool> forwarder::is_blocked_by_quarantine(request_state& state) {
+  // A call that no caller waits for can be sent later, once it is known whether it may be.
+  if (state.client == nullptr && !dependencies_.quarantine.has_received_records()) {
+    state.is_quarantined = true;
+    co_return true;
+  }
   if (state.is_trial || !dependencies_.quarantine.has_suspects()) co_return false;
   quarantine::fingerprint const& request = fingerprint_of(state);
   time_point now = boot_clock::now();
--- a/src/quarantine/service.h
+++ b/src/quarantine/service.h
@@ -99,6 +99,9 @@
   }
   /// Returns true if evidence of earlier crashes may be lost, so that a single crash is recorded.
   bool may_lack_evidence() const { return horizon_.may_lack_evidence(boot_clock::now()); }
+  /// Returns true if this node knows the records that were stored before it started. Until then it
+  /// can't tell which requests have crashed servers.
+  bool has_received_records() const { return received_snapshot_; }
   /// Returns whether a request may be sent to a server now; `trial` requires `claim_trial` first.
   verdict check(fingerprint const& request, time_point now) const;
   /// Returns true if a run that no caller waits for, that of a scorer's call, should be postponed
--- a/tests/support/forwarder_fixture.cc
+++ b/tests/support/forwarder_fixture.cc
@@ -166,6 +166,29 @@
   if (!handled) throw std::runtime_error("the request is still being handled");
 }
 
+calls::call_outcome forwarder_fixture::call_unattended(std::vector<scripted_answer> script) {
+  servers.set_script(std::move(script));
+  auto const table = make_table(calls::route_kind::safe, false);
+  calls::route const* const route = table->match(k_host, k_path);
+  http::request message(http::verb::post, k_path, 11);
+  message.set(http::field::host, k_host);
+  std::optional<calls::call_outcome> outcome;
+  auto call = [&]() -> awaitable<void> {
+    outcome =
+        co_await forwarder.call(table, *route, message, boot_clock::now() + k_deadline, nullptr);
+  };
+  spawn(context, call());
+  time_point const limit = boot_clock::now() + 2 * k_deadline;
+  context.restart();
+  while (!outcome && boot_clock::now() < limit) context.run_one_for(k_deadline);
+  if (!outcome) throw std::runtime_error("the call is still being made");
+  return std::move(*outcome);
+}
+
+void forwarder_fixture::receive_no_records() {
+  quarantine_.listener().snapshot(kv::range_answer());
+}
+
 void forwarder_fixture::forward_until_client_leaves(calls::route_kind kind,
                                                     std::vector<scripted_answer> script,
                                                     milliseconds patience) {
--- a/tests/support/forwarder_fixture.h
+++ b/tests/support/forwarder_fixture.h
@@ -102,6 +102,11 @@
   /// As `forward`, but the client disconnects after `patience`.
   void forward_until_client_leaves(calls::route_kind kind, std::vector<scripted_answer> script,
                                    milliseconds patience);
+  /// Makes a call that no caller waits for, on a safe route, and waits until it has an outcome.
+  /// Throws std::runtime_error if that takes too long.
+  calls::call_outcome call_unattended(std::vector<scripted_answer> script);
+  /// Delivers the quarantine's first records: there are none.
+  void receive_no_records();
   /// Delivers a provisional record of the request that `forward` sends. The store has none.
   /// @param trials number of trials that other nodes have claimed.
   void receive_provisional_record(std::uint32_t trials);
--- a/tests/unit/calls/forwarder_quarantine_test.cc
+++ b/tests/unit/calls/forwarder_quarantine_test.cc
@@ -47,3 +47,18 @@
   system.settle();
   LONGS_EQUAL(0, system.servers.arrivals());
 }
+
+// Guards against a scorer's call that a new owner sends before it knows that the call has crashed
+// servers.
+TEST(forwarder_quarantine_test, call_without_a_caller_waits_for_the_first_records) {
+  auto const outcome = system.call_unattended({{k_answer}});
+  CHECK_TRUE(outcome.reason == call_failure::quarantined);
+  LONGS_EQUAL(0, system.servers.arrivals());
+}
+
+TEST(forwarder_quarantine_test, call_without_a_caller_is_made_after_the_first_records) {
+  system.receive_no_records();
+  auto const outcome = system.call_unattended({{k_answer}});
+  CHECK_TRUE(outcome.reason == call_failure::none);
+  LONGS_EQUAL(1, system.servers.arrivals());
+}
