Soak: faults that strike gateways while they start

--start_faults draws one fault of each pair from: all nodes start with pending SIGHUPs; one starts with SIGHUP and SIGTERM; one starts while its settings are half written; one starts while its addresses are taken. Nothing restarts a node of the first fault, so one that ends by a signal is missed when recovery is checked.

--- a/rehearsal/platform_soak.cc
+++ b/rehearsal/platform_soak.cc
@@ -20,6 +20,7 @@
 #include "slow_server_faults.h"
 #include "soak_checker.h"
 #include "soak_faults.h"
+#include "start_faults.h"
 
 DEFINE_uint64(seed, 1, "seed of everything random");
 DEFINE_double(minutes, 1, "duration of fault injection, minutes");
@@ -39,6 +40,8 @@
 DEFINE_bool(slow_server_faults, false,
             "draw one fault of each pair from those of slow, failing and misreporting application "
             "servers; all application servers then report their load");
+DEFINE_bool(start_faults, false,
+            "draw one fault of each pair from those that strike gateways while they start");
 
 namespace {
 
@@ -96,6 +99,7 @@
             system_, poison_requests_, {k_tenants, k_tenants_with_key_revoked},
             [this] { wait_for_acceptance(); }, FLAGS_all_faults),
         slow_server_faults_(make_slow_server_faults(system_)),
+        start_faults_(make_start_faults(system_)),
         schedule_(seed, faults_.all().size()) {
     system_.on_platform([this] {
       for (std::size_t app = 0; app < FLAGS_apps; ++app) {
@@ -164,13 +168,15 @@
   static std::size_t pick(std::mt19937_64& random, std::size_t count) { return random() % count; }
 
   void cause_random_pair() {
-    std::vector<soak_fault> const& faults = faults_.all();
+    // The schedule draws the same numbers whichever faults the first one is taken from.
     fault_pair const pair = schedule_.next();
-    // The schedule draws the same numbers with and without the faults of slow servers.
-    soak_fault const& first = FLAGS_slow_server_faults
-                                  ? slow_server_faults_[pair.first % slow_server_faults_.size()]
-                                  : faults[pair.first];
-    cause_pair(first, faults[pair.second], pair.target);
+    std::vector<soak_fault> const& faults = first_faults();
+    cause_pair(faults[pair.first % faults.size()], faults_.all()[pair.second], pair.target);
+  }
+
+  std::vector<soak_fault> const& first_faults() const {
+    if (FLAGS_slow_server_faults) return slow_server_faults_;
+    return FLAGS_start_faults ? start_faults_ : faults_.all();
   }
 
   void cause_pair(soak_fault const& first, soak_fault const& second, std::size_t target) {
@@ -411,6 +417,7 @@
   poison_requests poison_requests_;
   soak_faults faults_;
   std::vector<soak_fault> slow_server_faults_;
+  std::vector<soak_fault> start_faults_;
   fault_schedule schedule_;
 };
 
