--- a/tests/platform/unbounded_clients_test.cc
+++ b/tests/platform/unbounded_clients_test.cc
@@ -129,6 +129,21 @@
                           "]}");
 }
 
+/// A job of nearly as many values and keys as one may have, a million: three for each object.
+long_message most_values(std::size_t client) {
+  constexpr std::size_t objects = 333'000;
+  constexpr std::string_view object = "{\"a\":0},";
+  std::string body = "{\"requests\":[";
+  for (std::size_t count = 0; count < objects; ++count) body += object;
+  body.back() = ']';
+  body += '}';
+  return {head("/jobs/" + request_name(client), request_name(client),
+               "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n") +
+              body,
+          "", 0, ""};
+}
+
 /// A call between nodes, in JSON, whose body is many times as large once it is parsed.
 long_message json_call(std::size_t client) {
   return repeated_element("/rpc/v1/JobService/Call", client, "{\"record\":{\"items\":[", "{}",
@@ -268,6 +283,11 @@
   check_crowd(system->client_address(0), k_endless_clients, small_objects);
 }
 
+// Guards against a limit of a job's values that is too high for the machine.
+TEST(unbounded_clients_test, jobs_of_as_many_values_as_allowed) {
+  check_crowd(system->client_address(0), k_endless_clients, most_values);
+}
+
 // Guards against a gateway that parses calls of other nodes into any amount of memory.
 TEST(unbounded_clients_test, json_calls_that_are_large_when_parsed) {
   check_crowd(system->peers_address(0), k_endless_clients, json_call);
