--- a/src/base/asio.h
+++ b/src/base/asio.h
@@ -11,8 +11,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/assert/source_location.hpp>
 #include <list>
-#include <source_location>
 
 #include "base/time.h"
 #include "base/unhandled_exception.h"
@@ -77,7 +77,7 @@
 /// the coroutine, and propagates out of io_context::run.
 template <class Coroutine>
 void spawn(asio::io_context& context, Coroutine coroutine,
-           std::source_location origin = std::source_location::current()) {
+           boost::source_location origin = BOOST_CURRENT_LOCATION) {
   asio::co_spawn(context, std::move(coroutine), [origin](std::exception_ptr failure) {
     if (!failure) return;
     log_unhandled_exception(failure, origin);
--- a/src/base/unhandled_exception.cc
+++ b/src/base/unhandled_exception.cc
@@ -22,7 +22,7 @@
   }
 }
 
-void log_unhandled_exception(std::exception_ptr const& failure, std::source_location origin) {
+void log_unhandled_exception(std::exception_ptr const& failure, boost::source_location origin) {
   ++counter();
   log_line(log_level::error, "process", "Unhandled exception.",
            {{"error", describe(failure)},
--- a/tests/support/early_signals.cc
+++ b/tests/support/early_signals.cc
@@ -26,6 +26,8 @@
 
 }  // namespace
 
+// The name of the function of the C library that this one stands in for.
+// NOLINTNEXTLINE(bugprone-reserved-identifier, readability-identifier-naming)
 extern "C" int __libc_start_main(main_function main, int count, char** arguments,
                                  main_function initialize, void (*finish)(),
                                  void (*finish_linker)(), void* stack_end) {
