Answers count until their clients have read them

Cause: answers were counted while they came from a server, not while a client read them, and up to 64 MiB whatever the machine has. On the heap, bodies that grew side by side left gaps that nothing fitted into.

Now the forwarder counts an answer until the client has it, up to a quarter of limits.memory_mb and 64 MiB.

--- a/src/calls/answer_memory.h
+++ b/src/calls/answer_memory.h
@@ -1,11 +1,12 @@
-/// @file Limits the memory that the answers being read take up together. No I/O.
+/// @file Limits the memory that answers take up together, from their first byte until they have
+/// been passed on. No I/O.
 #pragma once
 
 #include <cstddef>
 
 namespace frostline::calls {
 
-/// Memory that the answers being read may take up together, and so the limit of a single one.
+/// Largest memory that answers may take up together, and so the limit of a single one.
 inline constexpr std::size_t k_max_answer_bytes = 64 * 1024 * 1024;
 
 /// While all answers together exceed the limit, those of at least average size are given up: an
@@ -15,7 +16,7 @@
   explicit answer_memory(std::size_t limit_bytes = k_max_answer_bytes)
       : limit_bytes_(limit_bytes) {}
 
-  /// One answer that is being read. The memory must outlive it.
+  /// One answer. The memory must outlive it.
   class reader {
    public:
     explicit reader(answer_memory& memory) : memory_(memory) { ++memory_.readers_; }
@@ -34,6 +35,7 @@
     std::size_t bytes_ = 0;
   };
 
+  std::size_t limit_bytes() const { return limit_bytes_; }
   std::size_t used_bytes() const { return used_bytes_; }
 
  private:
--- a/src/calls/forwarder.h
+++ b/src/calls/forwarder.h
@@ -67,12 +67,14 @@
   /// Returns true if attempts end early by the time that servers usually take. Asked for each
   /// attempt.
   std::function<bool()> times_attempts = [] { return false; };
+  /// Memory that all answers may take up together, and so the limit of a single one.
+  std::size_t answer_bytes = k_max_answer_bytes;
 };
 
 class forwarder {
  public:
   explicit forwarder(forwarder_dependencies dependencies)
-      : dependencies_(std::move(dependencies)) {}
+      : dependencies_(std::move(dependencies)), answers_(dependencies_.answer_bytes) {}
 
   /// Answers a client's request that has passed the access check.
   /// @param table the configuration in force; null if there is none yet.
@@ -111,6 +113,8 @@
     bool timed_out_early = false;
     /// Complete answers with status 500.
     std::uint32_t server_errors = 0;
+    /// Counts the memory of the answer until the client has it.
+    std::unique_ptr<answer_memory::reader> answer_bytes;
     /// Set by the first attempt that reached a server, unless the server states that it has not run
     /// the request.
     bool may_have_run = false;
@@ -217,7 +221,7 @@
   void note_timeout(request_state& state, exchange const& upstream);
   awaitable<call_outcome> run_whole(request_state& state);
   /// Appends the rest of an answer's body to `body`, up to the size that this node keeps.
-  awaitable<exchange_failure> read_body(request_state const& state, exchange& upstream,
+  awaitable<exchange_failure> read_body(request_state& state, exchange& upstream,
                                         std::string& body);
   /// Reads the rest of an answer, and removes the headers of its connection. @return false if the
   /// attempt failed, which is noted.
--- a/src/calls/forwarder_answers.cc
+++ b/src/calls/forwarder_answers.cc
@@ -140,18 +140,21 @@
   upstream.finish();
 }
 
-awaitable<exchange_failure> forwarder::read_body(request_state const& state, exchange& upstream,
+awaitable<exchange_failure> forwarder::read_body(request_state& state, exchange& upstream,
                                                  std::string& body) {
   bool const is_read = upstream.is_whole();
-  if (!is_read && upstream.announced_body_size().value_or(0) > k_max_answer_bytes) {
+  if (!is_read && upstream.announced_body_size().value_or(0) > answers_.limit_bytes()) {
     co_return exchange_failure::answer_too_large;
   }
-  answer_memory::reader memory(answers_);
+  // A body that grows step by step holds twice its size for a moment. The answer to HEAD announces
+  // a size and has no body.
+  if (!is_read) body.reserve(upstream.announced_body_size().value_or(0));
+  state.answer_bytes = std::make_unique<answer_memory::reader>(answers_);
   std::string piece;
   while (!upstream.is_whole() || !upstream.head().body().empty()) {
     exchange_failure const failure = co_await upstream.read_piece(piece, state.deadline);
     if (failure != exchange_failure::none) co_return failure;
-    bool const fits = memory.add(piece.size());
+    bool const fits = state.answer_bytes->add(piece.size());
     body += piece;
     if (!fits) co_return exchange_failure::answer_too_large;
   }
@@ -165,6 +168,8 @@
       std::chrono::duration_cast<milliseconds>(state.deadline - state.attempt_started_at);
   exchange_failure const failure = co_await read_body(state, upstream, whole_answer.body());
   if (failure != exchange_failure::none) {
+    state.answer_bytes.reset();
+    whole_answer.body() = std::string();
     note_failure(state, upstream, failure);
     co_return false;
   }
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -44,8 +44,9 @@
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 /// Largest body that a readiness probe may send; it is not read.
 constexpr std::size_t k_probe_body_bytes = 16 << 10;
-/// Part of the machine's memory for the bodies of clients' requests, and for those of other nodes.
-constexpr std::size_t k_request_memory_divisor = 4;
+/// Part of the machine's memory for each of: bodies of clients' requests, of other nodes' requests,
+/// and answers.
+constexpr std::size_t k_memory_divisor = 4;
 /// Number of nodes that collect crash reports. One suffices; the others provide redundancy.
 constexpr std::size_t k_evidence_collectors = 3;
 /// Maximum age of records that count as current. Longer than a poll of a relay plus the relay's own
@@ -119,7 +120,8 @@
           &servers_}}};
   calls::forwarder forwarder_{calls::forwarder_dependencies{
       context_, servers_, connections_, selector_, adapter_.names(), runs_, quarantine_,
-      [this] { return records_age(); }, [this] { return features_.times_attempts(); }}};
+      [this] { return records_age(); }, [this] { return features_.times_attempts(); },
+      std::min(calls::k_max_answer_bytes, settings_.memory / k_memory_divisor)}};
   pool_registry pools_{pool_registry_dependencies{context_, settings_, adapter_, transport_,
                                                   configuration_, features_, servers_, connections_,
                                                   forwarder_}};
@@ -176,9 +178,8 @@
 }
 
 void application::components::create_listeners() {
-  std::size_t const request_memory = settings_.request_memory > 0
-                                         ? settings_.request_memory
-                                         : settings_.memory / k_request_memory_divisor;
+  std::size_t const request_memory =
+      settings_.request_memory > 0 ? settings_.request_memory : settings_.memory / k_memory_divisor;
   http::server_limits limits;
   limits.body_bytes = k_peer_body_bytes;
   limits.request_memory_bytes = request_memory;
--- a/tests/platform/unbounded_clients_test.cc
+++ b/tests/platform/unbounded_clients_test.cc
@@ -25,6 +25,7 @@
 constexpr std::size_t k_other_descriptors = 100;
 constexpr std::size_t k_piece_bytes = 64 * 1024;
 constexpr milliseconds k_ordinary_timeout{5000};
+constexpr std::size_t k_answer_bytes = 16 << 20;
 /// Far over all limits: three times the machine's memory, from eight clients.
 constexpr std::size_t k_endless_clients = 8;
 constexpr std::size_t k_endless_pieces = 36 * 16;
@@ -78,6 +79,11 @@
       std::string(k_piece_bytes, 'b'), k_endless_pieces, ""};
 }
 
+/// An ordinary request whose client does not read the answer, a large one.
+long_message unread_answer(std::size_t client) {
+  return {head("/once/x", request_name(client), "Content-Length: 1\r\n") + "b", "", 0, "", false};
+}
+
 /// A body of legal size, whole.
 long_message whole_body(std::size_t client) {
   return {head("/once/x", request_name(client),
@@ -219,6 +225,22 @@
     check_gateway(clients);
   }
 
+  /// Returns the number of calls that have an answer of a server, or have failed.
+  double calls_ended() {
+    rpc::blocking_client client;
+    auto const page =
+        client.exchange(system->peers_address(0), http::make_get("/metrics"), k_ordinary_timeout);
+    if (!page) return 0;
+    double ended = 0;
+    std::istringstream lines(page.value().body());
+    for (std::string line; std::getline(lines, line);) {
+      bool const counts = line.starts_with("frostline_calls_answered_total ") ||
+                          line.starts_with("frostline_calls_given_up_total ");
+      if (counts) ended += std::stod(line.substr(line.find(' ')));
+    }
+    return ended;
+  }
+
   /// Checks that one request of the largest legal size is served once the crowd has left.
   void check_large_request() {
     auto const answer = system->call(0, http::verb::post, "/calls/x", "large",
@@ -293,6 +315,24 @@
   check_crowd(system->peers_address(0), k_endless_clients, json_call);
 }
 
+// Guards against a gateway that keeps any number of answers for clients that do not read them.
+TEST(unbounded_clients_test, large_answers_that_are_not_read) {
+  system->on_platform([&] {
+    system->app(0).faults().large_prefix = "crowd-";
+    system->app(0).faults().large_bytes = k_answer_bytes;
+    return 0;
+  });
+  {
+    client_crowd crowd(system->client_address(0), k_crowd, unread_answer);
+    platform_cluster::wait_until("the calls have ended", [&] { return calls_ended() >= k_crowd; });
+    check_gateway(k_crowd);
+    crowd.start_reading();
+    crowd.wait_until_answered();
+    check_gateway(k_crowd);
+  }
+  check_gateway(k_crowd);
+}
+
 // Guards against limits that hold for each kind of message, and not for all together.
 TEST(unbounded_clients_test, all_kinds_at_once) {
   std::vector<std::function<long_message(std::size_t)>> const kinds = {
--- a/tests/platform_standin/server_standin.cc
+++ b/tests/platform_standin/server_standin.cc
@@ -232,8 +232,10 @@
   if (counted) --faults_.failures;
   bool const fails = counted || uneven_.fails(faults_.uneven, request, boot_clock::now());
   auto const code = fails ? static_cast<http::status>(faults_.failure_status) : http::status::ok;
-  http::response answer =
-      http::make_response(code, "answer to " + request + " of " + options_.id, "text/plain");
+  std::string body = "answer to " + request + " of " + options_.id;
+  bool const is_large = !faults_.large_prefix.empty() && request.starts_with(faults_.large_prefix);
+  if (is_large) body.resize(std::max(body.size(), faults_.large_bytes), ' ');
+  http::response answer = http::make_response(code, std::move(body), "text/plain");
   set(answer, k_id, request);
   set(answer, k_stamp, "stamp-" + request);
   add_load(answer);
--- a/tests/platform_standin/server_standin.h
+++ b/tests/platform_standin/server_standin.h
@@ -78,6 +78,10 @@
   milliseconds crash_after{20};
   /// Time from a crash to the restart.
   milliseconds down_time{300};
+  /// Answers to requests whose identifier begins with this text are `large_bytes` long; empty for
+  /// none.
+  std::string large_prefix;
+  std::size_t large_bytes = 0;
   /// Time an application server takes to process a request.
   milliseconds work_time{0};
   /// Load report sent with the answers of an application server; empty for none.
--- a/tests/support/client_crowd.cc
+++ b/tests/support/client_crowd.cc
@@ -52,12 +52,16 @@
 
 awaitable<void> client_crowd::run(client& sender) {
   tcp::endpoint const remote(asio::ip::make_address(where_.address), where_.port);
+  if (!sender.message.reads) {
+    sender.socket.open(remote.protocol());
+    sender.socket.set_option(asio::socket_base::receive_buffer_size(k_kept_bytes));
+  }
   auto [unconnected] = co_await sender.socket.async_connect(remote, k_as_tuple);
   if (unconnected) {
     sender.closed = true;
     co_return;
   }
-  spawn(context_, receive(sender));
+  if (sender.message.reads) spawn(context_, receive(sender));
   long_message const& message = sender.message;
   auto [failure, first] =
       co_await asio::async_write(sender.socket, asio::buffer(message.begin), k_as_tuple);
@@ -101,6 +105,15 @@
       k_send_timeout);
 }
 
+void client_crowd::start_reading() {
+  on_thread([this] {
+    for (client& member : clients_) {
+      if (!member.message.reads && !member.closed) spawn(context_, receive(member));
+    }
+    return 0;
+  });
+}
+
 void client_crowd::wait_until_answered() {
   cluster::wait_until(
       "each client is answered",
--- a/tests/support/client_crowd.h
+++ b/tests/support/client_crowd.h
@@ -20,6 +20,8 @@
   std::string piece;
   std::size_t pieces = 0;
   std::string end;
+  /// The client reads from the beginning, else only after `start_reading`.
+  bool reads = true;
 };
 
 /// Connects all clients at once. Each sends its message as fast as the peer reads it, reads what it
@@ -35,6 +37,7 @@
 
   /// Waits until each client has sent its whole message, or can't send any more.
   void wait_until_sent();
+  void start_reading();
   /// Waits until each client has got an answer or its connection is closed.
   void wait_until_answered();
   /// Returns the status of each client's first answer; 0 without one.
