Soak: starting nodes are not stopped before they can be suspended

Cause, in the soak itself: another fault of the pair suspended a node that had just been started. The signal by which the soak tells a process of its suspension, SIGUSR2, has no handler until the library that is preloaded for it has run, and ended the process.

Now these faults wait until the node has logged its first line. All that they check stays.

The heads that unbounded_clients_test writes come from the stand-ins, which know the platform's names; the bytes sent are the same.

--- a/rehearsal/start_faults.cc
+++ b/rehearsal/start_faults.cc
@@ -15,6 +15,14 @@
 constexpr char k_signals_variable[] = "FROSTLINE_TEST_SIGNALS";
 constexpr int k_exit_seconds = 15;
 
+/// Waits until a node has begun to log or has ended. Before, the signal that other faults send for
+/// a suspension has no handler and ends the process.
+void wait_for_first_line(platform_cluster& system, std::size_t node) {
+  platform_cluster::wait_until("the node has begun to log or has ended", [&] {
+    return !system.node(node).is_running() || !system.log(node).empty();
+  });
+}
+
 /// Starts a node to which these signals, numbers separated by commas, are sent as it begins.
 void start_with_signals(platform_cluster& system, std::size_t node, std::string const& signals) {
   ::setenv(k_signals_variable, signals.c_str(), 1);
@@ -61,12 +69,16 @@
                       for (std::size_t node = 0; node < system.nodes(); ++node) {
                         start_with_signals(system, node, hangups);
                       }
+                      for (std::size_t node = 0; node < system.nodes(); ++node) {
+                        wait_for_first_line(system, node);
+                      }
                     }});
   faults.push_back({"start_with_stop", [&system, stop](bool on, std::size_t target) {
                       std::size_t const node = target % system.nodes();
                       if (on) {
                         system.node(node).kill();
                         start_with_signals(system, node, stop);
+                        wait_for_first_line(system, node);
                         return;
                       }
                       system.resume(node);
@@ -82,6 +94,7 @@
                         std::ofstream(system.settings_path(node))
                             << whole.substr(0, whole.size() / 2);
                         start_with_signals(system, node, hangups);
+                        wait_for_first_line(system, node);
                       } else {
                         std::ofstream(system.settings_path(node)) << whole;
                         start_unless_running(system, node);
@@ -100,6 +113,7 @@
                       taken->take(system.peers_address(node));
                       taken->take(system.readiness_address(node));
                       system.start_node(node);
+                      wait_for_first_line(system, node);
                     }});
   return faults;
 }
--- a/tests/platform/unbounded_clients_test.cc
+++ b/tests/platform/unbounded_clients_test.cc
@@ -30,11 +30,6 @@
 constexpr std::size_t k_endless_clients = 8;
 constexpr std::size_t k_endless_pieces = 36 * 16;
 
-std::string head(std::string const& path, std::string const& request, std::string const& fields) {
-  return "POST " + path + " HTTP/1.1\r\nHost: test.example\r\nX-Frostline-Request-Id: " + request +
-         "\r\nX-Frostline-Deadline-Ms: 60000\r\n" + fields + "\r\n";
-}
-
 std::string request_name(std::size_t client) { return "crowd-" + std::to_string(client); }
 
 std::string chunk(std::string const& data) {
@@ -49,52 +44,55 @@
 long_message endless_trailers(std::size_t client) {
   std::string fields;
   while (fields.size() < k_piece_bytes) fields += "T: " + std::string(1000, 't') + "\r\n";
-  return {head("/calls/x", request_name(client), k_chunked) + chunk("body") + "0\r\n", fields,
-          k_endless_pieces, ""};
+  return {platform_cluster::call_head("/calls/x", request_name(client), k_chunked) + chunk("body") +
+              "0\r\n",
+          fields, k_endless_pieces, ""};
 }
 
 /// An extension without end of the first chunk.
 long_message endless_extension(std::size_t client) {
-  return {head("/calls/x", request_name(client), k_chunked) + "4;e=",
+  return {platform_cluster::call_head("/calls/x", request_name(client), k_chunked) + "4;e=",
           std::string(k_piece_bytes, 'e'), k_endless_pieces, ""};
 }
 
 /// A chunked body far over the limit.
 long_message endless_chunks(std::size_t client) {
-  return {head("/calls/x", request_name(client), k_chunked), chunk(std::string(k_piece_bytes, 'b')),
-          k_endless_pieces, ""};
+  return {platform_cluster::call_head("/calls/x", request_name(client), k_chunked),
+          chunk(std::string(k_piece_bytes, 'b')), k_endless_pieces, ""};
 }
 
 /// A head without end.
 long_message endless_head(std::size_t client) {
-  return {"POST /calls/x HTTP/1.1\r\nX-Frostline-Request-Id: " + request_name(client) + "\r\n",
+  return {"POST /calls/x HTTP/1.1\r\n" + platform_cluster::id_field(request_name(client)),
           "A: " + std::string(k_piece_bytes, 'h') + "\r\n", k_endless_pieces, ""};
 }
 
 /// A body over the limit, announced and sent.
 long_message announced_over_limit(std::size_t client) {
   std::size_t const bytes = k_endless_pieces * k_piece_bytes;
-  return {
-      head("/calls/x", request_name(client), "Content-Length: " + std::to_string(bytes) + "\r\n"),
-      std::string(k_piece_bytes, 'b'), k_endless_pieces, ""};
+  return {platform_cluster::call_head("/calls/x", request_name(client),
+                                      "Content-Length: " + std::to_string(bytes) + "\r\n"),
+          std::string(k_piece_bytes, 'b'), k_endless_pieces, ""};
 }
 
 /// An ordinary request whose client does not read the answer, a large one.
 long_message unread_answer(std::size_t client) {
-  return {head("/once/x", request_name(client), "Content-Length: 1\r\n") + "b", "", 0, "", false};
+  return {
+      platform_cluster::call_head("/once/x", request_name(client), "Content-Length: 1\r\n") + "b",
+      "", 0, "", false};
 }
 
 /// A body of legal size, whole.
 long_message whole_body(std::size_t client) {
-  return {head("/once/x", request_name(client),
-               "Content-Length: " + std::to_string(k_body_bytes) + "\r\n"),
+  return {platform_cluster::call_head("/once/x", request_name(client),
+                                      "Content-Length: " + std::to_string(k_body_bytes) + "\r\n"),
           std::string(k_piece_bytes, 'b'), k_body_bytes / k_piece_bytes, ""};
 }
 
 /// A body of legal size that stops one byte short of its end.
 long_message unfinished_body(std::size_t client) {
-  return {head("/once/x", request_name(client),
-               "Content-Length: " + std::to_string(k_body_bytes) + "\r\n"),
+  return {platform_cluster::call_head("/once/x", request_name(client),
+                                      "Content-Length: " + std::to_string(k_body_bytes) + "\r\n"),
           std::string(k_piece_bytes, 'b'), k_body_bytes / k_piece_bytes - 1,
           std::string(k_piece_bytes - 1, 'b')};
 }
@@ -106,7 +104,7 @@
   for (std::size_t bytes = 0; bytes < k_piece_bytes; bytes += small) {
     pieces += chunk(std::string(small, 'b'));
   }
-  return {head("/once/x", request_name(client), k_chunked), pieces,
+  return {platform_cluster::call_head("/once/x", request_name(client), k_chunked), pieces,
           k_body_bytes / k_piece_bytes - 1, ""};
 }
 
@@ -117,11 +115,11 @@
   while (values.size() < k_piece_bytes) values += element + ",";
   std::size_t const pieces = k_body_bytes / values.size() - 1;
   std::size_t const bytes = begin.size() + pieces * values.size() + element.size() + end.size();
-  return {
-      head(path, request_name(client),
-           "Content-Type: application/json\r\nContent-Length: " + std::to_string(bytes) + "\r\n") +
-          begin,
-      values, pieces, element + end};
+  return {platform_cluster::call_head(path, request_name(client),
+                                      "Content-Type: application/json\r\nContent-Length: " +
+                                          std::to_string(bytes) + "\r\n") +
+              begin,
+          values, pieces, element + end};
 }
 
 /// A job of legal size whose body is many times as large once it is parsed.
@@ -143,9 +141,9 @@
   for (std::size_t count = 0; count < objects; ++count) body += object;
   body.back() = ']';
   body += '}';
-  return {head("/jobs/" + request_name(client), request_name(client),
-               "Content-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-                   "\r\n") +
+  return {platform_cluster::call_head("/jobs/" + request_name(client), request_name(client),
+                                      "Content-Type: application/json\r\nContent-Length: " +
+                                          std::to_string(body.size()) + "\r\n") +
               body,
           "", 0, ""};
 }
--- a/tests/platform_standin/platform_cluster.cc
+++ b/tests/platform_standin/platform_cluster.cc
@@ -357,6 +357,16 @@
   return text.str();
 }
 
+std::string platform_cluster::id_field(std::string const& request_id) {
+  return "X-Frostline-Request-Id: " + request_id + "\r\n";
+}
+
+std::string platform_cluster::call_head(std::string const& path, std::string const& request_id,
+                                        std::string const& fields) {
+  return "POST " + path + " HTTP/1.1\r\nHost: " + k_host + "\r\n" + id_field(request_id) +
+         "X-Frostline-Deadline-Ms: 60000\r\n" + fields + "\r\n";
+}
+
 result<http::response> platform_cluster::exchange(std::size_t node, http::request const& message,
                                                   milliseconds read_timeout) const {
   asio::io_context context(1);
--- a/tests/platform_standin/platform_cluster.h
+++ b/tests/platform_standin/platform_cluster.h
@@ -156,6 +156,13 @@
   /// open.
   std::string call_text(http::verb method, std::string const& path, std::string const& request_id,
                         std::string const& body = "") const;
+  /// Returns the header field that names a request.
+  static std::string id_field(std::string const& request_id);
+  /// Returns the head of a POST request with a deadline of 60 s, for a body that a test sends
+  /// itself.
+  /// @param fields further header fields, each with its line end.
+  static std::string call_head(std::string const& path, std::string const& request_id,
+                               std::string const& fields);
   endpoint const& client_address(std::size_t node) const { return addresses_.at(node).clients; }
   endpoint const& readiness_address(std::size_t node) const {
     return addresses_.at(node).readiness;
