--- a/src/node/main.cc
+++ b/src/node/main.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <iostream>
 
+#include "base/exit.h"
 #include "base/log.h"
 #include "base/process_signals.h"
 #include "node/node.h"
@@ -94,7 +95,7 @@
   hangups.async_wait(on_hangup);
   frostline::deliver_signals();
   frostline::run_logged(context);
-  return 0;
+  frostline::exit_without_destruction();
 }
 
 }  // namespace
