A record of which a trial has been claimed takes effect at once

What callers saw: after all gateways were started again, a request whose quarantine had been tried already ended servers again, and other calls found none for a moment. Cause: a record takes effect 0.7 s after a node has received it, however long it has been in effect elsewhere. Class: a delay that begins with the receipt of news, whatever its age. Change: a record with a claimed trial takes effect at once. Why it works: a trial is claimed only of a record in effect, so no answer that could remove it is on its way. Ruled out: taking all records found at the start as old; one may have been written 0.1 s before.

--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -43,7 +43,8 @@
 time_point quarantine_list::effective_time(quarantine_entry const& entry, time_point now,
                                            discovery discovered) {
   if (entry.is_provisional) return now;
-  if (!entry.is_suspicion) return now + k_effect_delay;
+  // A trial is claimed only of a record that is in effect, so no answer is on its way any more.
+  if (!entry.is_suspicion) return entry.trials > 0 ? now : now + k_effect_delay;
   return discovered == discovery::at_start ? now + k_suspicion_effect_delay : time_point::max();
 }
 
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -71,6 +71,13 @@
   CHECK(is(verdict::refused, claimed));
 }
 
+// Guards against a node that has just started and runs a request whose quarantine other nodes have
+// tried already.
+TEST(quarantine_list_test, record_with_a_claimed_trial_takes_effect_at_once) {
+  put(6, 1, start);
+  CHECK(is(verdict::refused, start));
+}
+
 TEST(quarantine_list_test, older_revision_changes_nothing) {
   CHECK(put(6, 1, start));
   CHECK(!put(5, 0, start));
