Buffers of connections count with the memory of requests

What callers saw: a process over its machine's memory. Cause: a connection's buffer, up to 64 KiB of what a client sends and no parser takes (a trailer, a chunk extension, a head), was limited for each connection and not counted: 2,000 clients and 4,096 other nodes could take 380 MiB. Class: nothing limits what all take together. Change: http/request_reader passes a counting buffer to the parser; what is beyond the first 16 KiB of a buffer is taken from the memory of the listener's requests, and the largest that is still being read is refused, as for bodies (503, Retry-After, not run). A refused connection's buffer is freed; one that waits for a request has 16 KiB, whatever the limit of heads.

--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -48,7 +48,6 @@
     return {std::move(self), &peer_};
   }
   beast::tcp_stream& stream() { return stream_; }
-  beast::flat_buffer& buffer() { return peer_.buffer; }
 
   void begin_request(http::request const& message) {
     keep_alive_ = message.keep_alive();
@@ -201,14 +200,11 @@
 awaitable<bool> ingress::serve_one(std::shared_ptr<connection> client) {
   std::optional<http::request_parser> parser(std::in_place);
   http::set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
-  bool const arrived = co_await connections_.wait_for_request(
-      client->peer(), http::effective_header_limit(limits_.header_bytes), limits_.idle_timeout);
+  bool const arrived = co_await connections_.wait_for_request(client->peer(), limits_.idle_timeout);
   if (!arrived) co_return false;
   http::request_memory::reservation body_memory(memory_, [&client] { client->stream().cancel(); });
   client->stream().expires_after(limits_.header_timeout);
-  auto [head_failure, head] =
-      co_await bhttp::async_read_header(client->stream(), client->buffer(), *parser, k_as_tuple);
-  beast::error_code failure = head_failure;
+  beast::error_code failure = co_await http::read_head(client->peer(), *parser, body_memory);
   if (!failure && http::header(parser->get(), "Expect") == "100-continue") {
     bhttp::response<bhttp::empty_body> continue_response(http::status::continue_, 11);
     co_await bhttp::async_write(client->stream(), continue_response, k_as_tuple);
--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -56,11 +56,11 @@
   peer.phase = phase;
 }
 
-awaitable<bool> connection_set::wait_for_request(served_connection& peer, std::size_t read_bytes,
+awaitable<bool> connection_set::wait_for_request(served_connection& peer,
                                                  milliseconds idle_timeout) {
   while (peer.buffer.size() == 0) {
     // A large request must not take memory for as long as its connection is kept open.
-    if (peer.buffer.capacity() > read_bytes) peer.buffer.shrink_to_fit();
+    if (peer.buffer.capacity() > k_idle_buffer_bytes) peer.buffer.shrink_to_fit();
     if (peer.ends_when_unused && unread_bytes(peer.stream.socket()) == 0) {
       co_await close_unused(peer);
       co_return false;
@@ -69,7 +69,7 @@
     peer.stream.expires_never();
     idle_limit const limit(peer, idle_timeout);
     auto [failure, count] =
-        co_await peer.stream.async_read_some(peer.buffer.prepare(read_bytes), k_as_tuple);
+        co_await peer.stream.async_read_some(peer.buffer.prepare(k_idle_buffer_bytes), k_as_tuple);
     // Cancelled by shut_down or the time limit; the client may have sent a request meanwhile.
     bool const told_to_end = failure == asio::error::operation_aborted && peer.ends_when_unused &&
                              peer.stream.socket().is_open();
@@ -102,6 +102,7 @@
 
 awaitable<bool> connection_set::discard_input(served_connection& peer) {
   peer.buffer.clear();
+  peer.buffer.shrink_to_fit();
   bool has_received = false;
   while (true) {
     auto [failure, count] =
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -15,6 +15,9 @@
 /// Time that a planned end takes when no request is in flight.
 inline constexpr milliseconds k_shutdown_time{500};
 
+/// Largest buffer of a connection on which no request is being read.
+inline constexpr std::size_t k_idle_buffer_bytes = 16 * 1024;
+
 /// What a connection waits for.
 enum class connection_phase {
   /// Accepted; no request has been read.
@@ -78,11 +81,9 @@
 
   /// Waits for the first bytes of a request and reads them; the connection then is in phase
   /// `reading`.
-  /// @param read_bytes most bytes to read.
   /// @param idle_timeout time after which the connection is closed unused.
   /// @return false if the client has left or the connection was closed unused.
-  awaitable<bool> wait_for_request(served_connection& peer, std::size_t read_bytes,
-                                   milliseconds idle_timeout);
+  awaitable<bool> wait_for_request(served_connection& peer, milliseconds idle_timeout);
 
   /// Ends the sending side and discards what the client still sends, until it closes the connection
   /// or a short time has passed. Closing at once would reset the connection, and the client might
--- a/src/http/request_memory.cc
+++ b/src/http/request_memory.cc
@@ -3,11 +3,29 @@
 #include <algorithm>
 
 namespace frostline::http {
+namespace {
+
+std::size_t counted_part(std::size_t bytes) {
+  return bytes - std::min(bytes, request_memory::k_uncounted_bytes);
+}
+
+}  // namespace
 
 bool request_memory::reservation::grow_to(std::size_t body_bytes) {
+  body_bytes_ = body_bytes;
+  return take();
+}
+
+bool request_memory::reservation::grow_buffer_to(std::size_t buffer_bytes) {
+  buffer_bytes_ = buffer_bytes;
+  return take();
+}
+
+bool request_memory::reservation::take() {
   if (is_refused_) return false;
-  if (body_bytes <= k_uncounted_bytes + bytes_) return true;
-  std::size_t const more = body_bytes - k_uncounted_bytes - bytes_;
+  std::size_t const counted = counted_part(body_bytes_) + counted_part(buffer_bytes_);
+  if (counted <= bytes_) return true;
+  std::size_t const more = counted - bytes_;
   memory_.held_ += more;
   bytes_ += more;
   memory_.reading_.insert(this);
--- a/src/http/request_memory.h
+++ b/src/http/request_memory.h
@@ -1,4 +1,4 @@
-/// @file Limits the memory that the bodies of all requests of a listener take at once. No I/O.
+/// @file Limits the memory that all requests of a listener take at once. No I/O.
 #pragma once
 
 #include <cstddef>
@@ -8,13 +8,14 @@
 
 namespace frostline::http {
 
-/// Memory shared by the bodies of requests that are being read or answered. When it is used up, the
-/// request that is still being read and holds the most is refused: small requests are served beside
-/// any number of large ones, and a client that stops in the middle of a large body gives way to
-/// clients that go on. Not thread-safe.
+/// Memory shared by the bodies of requests that are being read or answered, and by the buffers of
+/// their connections. When it is used up, the request that is still being read and holds the most
+/// is refused: small requests are served beside any number of large ones, and a client that stops
+/// in the middle of a large body gives way to clients that go on. Not thread-safe.
 class request_memory {
  public:
-  /// Bytes of each body that are not counted. The number of connections limits these.
+  /// Bytes of each body, and of each buffer, that are not counted. The number of connections limits
+  /// these.
   static constexpr std::size_t k_uncounted_bytes = 16 * 1024;
 
   explicit request_memory(std::size_t capacity_bytes) : capacity_(capacity_bytes) {}
@@ -33,6 +34,8 @@
     /// Takes memory for a body that has grown to `body_bytes`.
     /// @return false if this request is refused and its body must be freed.
     bool grow_to(std::size_t body_bytes);
+    /// Takes memory for the buffer of the request's connection. Otherwise like `grow_to`.
+    bool grow_buffer_to(std::size_t buffer_bytes);
     /// The whole body has been read: the request is no longer refused for the sake of others.
     void finish_reading();
     bool is_refused() const { return is_refused_; }
@@ -40,8 +43,13 @@
    private:
     friend class request_memory;
 
+    bool take();
+
     request_memory& memory_;
     std::function<void()> on_refused_;
+    std::size_t body_bytes_ = 0;
+    std::size_t buffer_bytes_ = 0;
+    /// Counted bytes that this request holds.
     std::size_t bytes_ = 0;
     bool is_refused_ = false;
   };
--- a/src/http/request_reader.cc
+++ b/src/http/request_reader.cc
@@ -1,25 +1,63 @@
 #include "http/request_reader.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace frostline::http {
+namespace {
 
-std::size_t effective_header_limit(std::size_t header_bytes) {
-  return std::min(header_bytes, k_max_header_bytes);
-}
+/// Passes a connection's buffer on to a parser, and counts its size.
+class counted_buffer {
+ public:
+  using const_buffers_type = beast::flat_buffer::const_buffers_type;
+  using mutable_buffers_type = beast::flat_buffer::mutable_buffers_type;
+
+  counted_buffer(beast::flat_buffer& buffer, request_memory::reservation& memory)
+      : buffer_(buffer), memory_(memory) {}
+
+  std::size_t size() const { return buffer_.size(); }
+  std::size_t max_size() const { return buffer_.max_size(); }
+  std::size_t capacity() const { return buffer_.capacity(); }
+  const_buffers_type data() const { return buffer_.data(); }
+  /// Throws std::length_error if there is no memory, which Beast turns into buffer_overflow.
+  mutable_buffers_type prepare(std::size_t bytes) {
+    auto const space = buffer_.prepare(bytes);
+    if (!memory_.grow_buffer_to(buffer_.capacity())) throw std::length_error("no memory");
+    return space;
+  }
+  void commit(std::size_t bytes) { buffer_.commit(bytes); }
+  void consume(std::size_t bytes) { buffer_.consume(bytes); }
+
+ private:
+  beast::flat_buffer& buffer_;
+  request_memory::reservation& memory_;
+};
+
+}  // namespace
 
 void set_limits(request_parser& parser, std::size_t header_bytes, std::size_t body_bytes,
                 request_memory const& memory) {
-  parser.header_limit(static_cast<std::uint32_t>(effective_header_limit(header_bytes)));
+  parser.header_limit(static_cast<std::uint32_t>(std::min(header_bytes, k_max_header_bytes)));
   parser.body_limit(std::min(body_bytes, memory.capacity()));
 }
 
+awaitable<beast::error_code> read_head(served_connection& peer, request_parser& parser,
+                                       request_memory::reservation& memory) {
+  // What came with the request before may be all that is needed of this one.
+  memory.grow_buffer_to(peer.buffer.capacity());
+  counted_buffer buffer(peer.buffer, memory);
+  auto [failure, count] =
+      co_await bhttp::async_read_header(peer.stream, buffer, parser, k_as_tuple);
+  co_return failure;
+}
+
 awaitable<beast::error_code> read_body(served_connection& peer, request_parser& parser,
                                        request_memory::reservation& memory) {
+  counted_buffer buffer(peer.buffer, memory);
   parser.eager(true);
   while (!parser.is_done()) {
     auto [failure, count] =
-        co_await bhttp::async_read_some(peer.stream, peer.buffer, parser, k_as_tuple);
+        co_await bhttp::async_read_some(peer.stream, buffer, parser, k_as_tuple);
     if (failure) co_return failure;
     if (!memory.grow_to(parser.get().body().size())) co_return asio::error::operation_aborted;
   }
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -150,15 +150,13 @@
 }
 
 awaitable<bool> server::serve_request(served_connection& peer) {
-  bool const arrived = co_await connections_.wait_for_request(
-      peer, effective_header_limit(limits_.header_bytes), limits_.idle_timeout);
+  bool const arrived = co_await connections_.wait_for_request(peer, limits_.idle_timeout);
   if (!arrived) co_return false;
   std::optional<request_parser> parser(std::in_place);
   set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
   request_memory::reservation body_memory(memory_, [&peer] { peer.stream.cancel(); });
   peer.stream.expires_after(limits_.read_timeout);
-  auto [failure, count] =
-      co_await bhttp::async_read_header(peer.stream, peer.buffer, *parser, k_as_tuple);
+  beast::error_code failure = co_await read_head(peer, *parser, body_memory);
   if (!failure) failure = co_await read_body(peer, *parser, body_memory);
   if (body_memory.is_refused()) {
     parser.reset();
