Connections without a whole request make room for new ones

What callers saw: connections closed without an answer while clients that sent nothing, or half a head, kept all that a listener admits; other nodes' and probes' listeners admitted 4,096 each, so that the three together could take more than the 4,100 descriptors of a machine, and nothing was left to reach servers and the store. Cause: at its limit a listener closed whoever came new. Class: a resource that all share goes to whoever holds it for longest. Change: at the limit the connection that has waited longest for a request is closed with 408 (not run); if none waits, the one that has been sending a request for longest. Connections with a whole request are never chosen. Other nodes have limits.peer_connections (1,200), probes 64. frostline_connections_evicted_total counts. Why it works: whoever sends its request at once is the newest; the limits add up to 3,264 of the 3,900 descriptors for sockets, with a quarter more of each for a moment.

--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -177,7 +177,7 @@
 }
 
 void ingress::take_connection(tcp::socket socket) {
-  if (connections_.size() >= max_connections_) return;  // closes the socket
+  if (!connections_.make_room(max_connections_)) return;  // closes the socket
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   auto client = std::make_shared<connection>(std::move(socket), draining_);
@@ -222,6 +222,9 @@
   }
   if (failure) {
     parser.reset();
+    if (http::connection_set::is_evicted(client->peer(), failure)) {
+      co_await connections_.close_unused(client->peer());
+    }
     if (is_disconnect(failure)) co_return false;
     http::status const error_status = http::status_for(failure);
     log_line(log_level::info, k_part, "Request can't be read.",
--- a/src/calls/ingress.h
+++ b/src/calls/ingress.h
@@ -41,6 +41,8 @@
   awaitable<http::shutdown_report> shut_down(time_point deadline);
   std::size_t in_flight() const { return connections_.count(http::connection_phase::answering); }
   http::request_memory const& memory() const { return memory_; }
+  /// Number of connections closed to make room for others.
+  std::uint64_t evicted() const { return connections_.evicted(); }
 
  private:
   class connection;
--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -44,6 +44,7 @@
 constexpr std::size_t k_peer_body_bytes = 64 << 20;
 /// Largest body that a readiness probe may send; it is not read.
 constexpr std::size_t k_probe_body_bytes = 16 << 10;
+constexpr std::size_t k_probe_connections = 64;
 /// Part of the machine's memory for each of: bodies of clients' requests, of other nodes' requests,
 /// and answers.
 constexpr std::size_t k_memory_divisor = 4;
@@ -183,8 +184,10 @@
   http::server_limits limits;
   limits.body_bytes = k_peer_body_bytes;
   limits.request_memory_bytes = request_memory;
+  limits.connections = settings_.peer_connections;
   http::server_limits probe_limits;
   probe_limits.body_bytes = k_probe_body_bytes;
+  probe_limits.connections = k_probe_connections;
   peers_ = std::make_unique<http::server>(
       context_, limits, [this](http::request message) { return handle_peer(std::move(message)); });
   readiness_ = std::make_unique<http::server>(
@@ -389,6 +392,7 @@
   snapshot.unhandled_exceptions = unhandled_exceptions();
   snapshot.request_memory_held = ingress_->memory().held() + peers_->memory().held();
   snapshot.refused_for_memory = ingress_->memory().refused() + peers_->memory().refused();
+  snapshot.connections_evicted = ingress_->evicted() + peers_->evicted() + readiness_->evicted();
   snapshot.tenants_requests = runs_.total();
   if (duties_) {
     snapshot.usage = usage_snapshot{duties_->is_holder(), duties_->reporter().counters(),
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -203,6 +203,9 @@
   page.set("frostline_requests_refused_for_memory_total",
            "requests refused because the bodies of others took all memory",
            static_cast<double>(snapshot.refused_for_memory));
+  page.set("frostline_connections_evicted_total",
+           "connections without a whole request closed to make room for others",
+           static_cast<double>(snapshot.connections_evicted));
   page.set("frostline_access_refused_total", "requests refused for their key",
            static_cast<double>(access_refused_));
   page.set("frostline_tenant_requests_total", "requests of tenants that servers began to run",
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -53,6 +53,7 @@
   /// Memory that the bodies of requests take, in bytes.
   std::size_t request_memory_held = 0;
   std::uint64_t refused_for_memory = 0;
+  std::uint64_t connections_evicted = 0;
   relay::feed_role role = relay::feed_role::standby;
   relay::feed_counters records;
   std::uint64_t polls_answered = 0;
--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -183,6 +183,11 @@
               [](settings& into, double value) {
                 into.connections = static_cast<std::size_t>(value);
               })},
+      {{"limits.peer_connections", "1200", "connections of other nodes at once"},
+       number(1, 1 << 20,
+              [](settings& into, double value) {
+                into.peer_connections = static_cast<std::size_t>(value);
+              })},
       {{"limits.memory_mb", "260", "memory of the machine, in MiB"},
        number(16, 1 << 20, [](settings& into, double value) { into.memory = from_mib(value); })},
       {{"limits.request_memory_mb", "0",
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -50,6 +50,8 @@
   milliseconds usage_late{10'000};
   feature_settings features;
   std::size_t connections = 2000;
+  /// Connections of other nodes at once.
+  std::size_t peer_connections = 1200;
   /// Memory of the machine, in bytes.
   std::size_t memory = std::size_t{260} << 20;
   /// Memory that the bodies of requests take at once at each listener, in bytes; 0: a quarter of
--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds k_linger_time{300};
 static_assert(k_handshake_time + k_first_request_time + k_linger_time <= k_shutdown_time);
 constexpr std::size_t k_discard_bytes = 4096;
+/// Part of the limit of connections that may be open beyond it while others end; as many again
+/// while these are aborted.
+constexpr std::size_t k_ending_divisor = 8;
 
 /// Cancels a connection's read and marks the connection for closing once a time has passed, unless
 /// destroyed before.
@@ -54,6 +57,45 @@
   --counts_[index_of(peer.phase)];
   ++counts_[index_of(phase)];
   peer.phase = phase;
+  peer.since = boot_clock::now();
+}
+
+served_connection* connection_set::find_oldest(
+    std::initializer_list<connection_phase> phases) const {
+  served_connection* oldest = nullptr;
+  for (auto const& peer : connections_) {
+    bool const counts = std::find(phases.begin(), phases.end(), peer->phase) != phases.end();
+    bool const ends = peer->ends_when_unused && peer->phase != connection_phase::closing;
+    if (!counts || ends || !peer->stream.socket().is_open()) continue;
+    if (oldest == nullptr || peer->since < oldest->since) oldest = peer.get();
+  }
+  return oldest;
+}
+
+bool connection_set::make_room(std::size_t limit) {
+  if (size() < limit) return true;
+  served_connection* unused =
+      find_oldest({connection_phase::first_request, connection_phase::next_request});
+  if (unused == nullptr) unused = find_oldest({connection_phase::reading});
+  if (unused == nullptr) return false;
+  ++evicted_;
+  unused->ends_when_unused = true;
+  unused->stream.cancel();
+  std::size_t const reserve = std::max<std::size_t>(limit / k_ending_divisor, 1);
+  if (size() < limit + reserve) return true;
+  abort_oldest_closing();
+  return size() < limit + 2 * reserve;
+}
+
+void connection_set::abort_oldest_closing() {
+  served_connection* const ending = find_oldest({connection_phase::closing});
+  if (ending == nullptr) return;
+  beast::error_code ignored;
+  ending->stream.socket().close(ignored);
+}
+
+bool connection_set::is_evicted(served_connection const& peer, beast::error_code const& failure) {
+  return failure == asio::error::operation_aborted && peer.ends_when_unused;
 }
 
 awaitable<bool> connection_set::wait_for_request(served_connection& peer,
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <array>
+#include <cstdint>
+#include <initializer_list>
 #include <memory>
 #include <set>
 
@@ -45,7 +47,10 @@
   /// Bytes that have been read and not parsed.
   beast::flat_buffer buffer{k_max_unparsed_bytes};
   connection_phase phase = connection_phase::first_request;
-  /// The connection ends unless the kernel already holds bytes of a request.
+  /// When the phase began.
+  time_point since = boot_clock::now();
+  /// The connection ends unless the kernel already holds bytes of a request, or, if its read was
+  /// cancelled, unless it has a whole request.
   bool ends_when_unused = false;
 };
 
@@ -79,12 +84,25 @@
   std::size_t count(connection_phase phase) const { return counts_[index_of(phase)]; }
   void enter(served_connection& peer, connection_phase phase);
 
+  /// Makes room for a new connection. At the limit, the connection that has waited longest for a
+  /// request is closed with status 408; if none waits, the one that has been reading a request for
+  /// longest. A quarter of the limit more may be open while such connections end.
+  /// @return false if all connections have a whole request or end already.
+  bool make_room(std::size_t limit);
+  /// Number of connections closed to make room.
+  std::uint64_t evicted() const { return evicted_; }
+
   /// Waits for the first bytes of a request and reads them; the connection then is in phase
   /// `reading`.
   /// @param idle_timeout time after which the connection is closed unused.
   /// @return false if the client has left or the connection was closed unused.
   awaitable<bool> wait_for_request(served_connection& peer, milliseconds idle_timeout);
 
+  /// Returns true if the read of a request ended because its connection makes room for another.
+  static bool is_evicted(served_connection const& peer, beast::error_code const& failure);
+  /// Closes a connection with status 408, unless its client has closed it.
+  awaitable<void> close_unused(served_connection& peer);
+
   /// Ends the sending side and discards what the client still sends, until it closes the connection
   /// or a short time has passed. Closing at once would reset the connection, and the client might
   /// not read the answer.
@@ -100,13 +118,18 @@
 
  private:
   static std::size_t index_of(connection_phase phase) { return static_cast<std::size_t>(phase); }
-  awaitable<void> close_unused(served_connection& peer);
+  /// Returns the open connection that has been in one of these phases for longest and was not told
+  /// to end; null if there is none.
+  served_connection* find_oldest(std::initializer_list<connection_phase> phases) const;
+  /// Closes a connection that was told to end, before its client has read why.
+  void abort_oldest_closing();
   /// @return true if anything was received.
   awaitable<bool> discard_input(served_connection& peer);
 
   response closing_notice_;
   std::set<std::shared_ptr<served_connection>> connections_;
   std::array<std::size_t, k_connection_phases> counts_{};
+  std::uint64_t evicted_ = 0;
   shutdown_report report_;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -130,7 +130,7 @@
 }
 
 void server::take_connection(tcp::socket socket) {
-  if (connections_.size() >= limits_.connections) return;  // the socket closes
+  if (!connections_.make_room(limits_.connections)) return;  // the socket closes
   beast::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
   auto peer = std::make_shared<served_connection>(std::move(socket));
@@ -166,6 +166,7 @@
   }
   if (failure) {
     parser.reset();
+    if (connection_set::is_evicted(peer, failure)) co_await connections_.close_unused(peer);
     if (is_disconnect(failure)) co_return false;
     co_await refuse(
         peer, make_unread_response(status_for(failure), "malformed request", failure.message()));
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -25,7 +25,8 @@
   milliseconds read_timeout{10'000};
   /// Longest time that an idle connection is kept open.
   milliseconds idle_timeout{60'000};
-  /// Maximum number of open connections; further ones are closed when accepted.
+  /// Maximum number of open connections. At the limit, connections without a whole request make
+  /// room for new ones.
   std::size_t connections = 4096;
 };
 
@@ -78,6 +79,8 @@
   std::size_t connections() const { return connections_.size(); }
 
   http::request_memory const& memory() const { return memory_; }
+  /// Number of connections closed to make room for others.
+  std::uint64_t evicted() const { return connections_.evicted(); }
 
  private:
   void take_connection(tcp::socket socket);
