The jobs of a node's pools take bounded memory

What callers saw: a process over its machine's memory. Cause: accepted jobs stay in memory until their records are removed, 120 s after their end, any number of them and up to three copies of a record while it is written. Class: nothing limits what all take together. Change: a job that does not fit into a quarter of limits.memory_mb beside the jobs of the node's pools is refused (503, Retry-After, no part of it runs) before anything of it is written; a node without jobs takes any. frostline_job_memory_bytes and job_bytes of "Job accepted." tell how much is taken.

--- a/src/gateway/application.cc
+++ b/src/gateway/application.cc
@@ -45,9 +45,6 @@
 /// Largest body that a readiness probe may send; it is not read.
 constexpr std::size_t k_probe_body_bytes = 16 << 10;
 constexpr std::size_t k_probe_connections = 64;
-/// Part of the machine's memory for each of: bodies of clients' requests, of other nodes' requests,
-/// and answers.
-constexpr std::size_t k_memory_divisor = 4;
 /// Number of nodes that collect crash reports. One suffices; the others provide redundancy.
 constexpr std::size_t k_evidence_collectors = 3;
 /// Maximum age of records that count as current. Longer than a poll of a relay plus the relay's own
@@ -392,6 +389,7 @@
   snapshot.unhandled_exceptions = unhandled_exceptions();
   snapshot.request_memory_held = ingress_->memory().held() + peers_->memory().held();
   snapshot.refused_for_memory = ingress_->memory().refused() + peers_->memory().refused();
+  snapshot.job_memory_held = pools_.job_bytes();
   snapshot.connections_evicted = ingress_->evicted() + peers_->evicted() + readiness_->evicted();
   snapshot.tenants_requests = runs_.total();
   if (duties_) {
--- a/src/gateway/metrics.cc
+++ b/src/gateway/metrics.cc
@@ -203,6 +203,8 @@
   page.set("frostline_requests_refused_for_memory_total",
            "requests refused because the bodies of others took all memory",
            static_cast<double>(snapshot.refused_for_memory));
+  page.set("frostline_job_memory_bytes", "memory that the jobs of this node's pools take",
+           static_cast<double>(snapshot.job_memory_held));
   page.set("frostline_connections_evicted_total",
            "connections without a whole request closed to make room for others",
            static_cast<double>(snapshot.connections_evicted));
--- a/src/gateway/metrics.h
+++ b/src/gateway/metrics.h
@@ -54,6 +54,8 @@
   std::size_t request_memory_held = 0;
   std::uint64_t refused_for_memory = 0;
   std::uint64_t connections_evicted = 0;
+  /// Memory that the jobs of this node's pools take, in bytes.
+  std::size_t job_memory_held = 0;
   relay::feed_role role = relay::feed_role::standby;
   relay::feed_counters records;
   std::uint64_t polls_answered = 0;
--- a/src/gateway/pool_registry.cc
+++ b/src/gateway/pool_registry.cc
@@ -12,6 +12,18 @@
 
 }  // namespace
 
+bool pool_registry::has_memory(std::size_t bytes) const {
+  std::size_t const held = job_bytes();
+  // One job is taken whatever its size: the limits of a request and of the store bound it.
+  return held == 0 || held + bytes <= dependencies_.all_settings.memory / k_memory_divisor;
+}
+
+std::size_t pool_registry::job_bytes() const {
+  std::size_t bytes = 0;
+  for (auto const& [name, pool] : all_) bytes += pool.owner->job_bytes();
+  return bytes;
+}
+
 jobs::pool& pool_registry::make(std::string const& name) {
   jobs::pool& pool = all_[name];
   if (pool.lease) return pool;
@@ -33,7 +45,8 @@
       *pool.lease, dependencies_.transport, node_settings.id, node_settings.zone,
       node_settings.retention, [this, name] { return other_pools(name); },
       [this, name] { return dependencies_.enabled_features.orders_by_due_time(name); },
-      [this, name] { return dependencies_.enabled_features.plans_memory(name); }});
+      [this, name] { return dependencies_.enabled_features.plans_memory(name); },
+      [this](std::size_t bytes) { return has_memory(bytes); }});
   pool.owner->note_pool_mark(marked_.contains(name));
   pool.owner->start();
   return pool;
--- a/src/gateway/pool_registry.h
+++ b/src/gateway/pool_registry.h
@@ -50,6 +50,9 @@
   /// Returns the address of another node that owns a pool; nullopt if none is known.
   std::optional<endpoint> other_owner() const;
 
+  /// Memory that the jobs of all pools take, in bytes.
+  std::size_t job_bytes() const;
+
   void notify();
   /// @param ids servers that may have changed.
   void note_servers(std::vector<std::string> const& ids);
@@ -69,6 +72,8 @@
   void take_mark(std::string const& pool, bool exists);
   /// Names of all pools but this one.
   std::vector<std::string> other_pools(std::string const& name) const;
+  /// Returns true if jobs of this many bytes may be taken beside those that all pools hold.
+  bool has_memory(std::size_t bytes) const;
 
   pool_registry_dependencies dependencies_;
   jobs::pool_map all_;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -18,6 +18,10 @@
 /// otherwise idle.
 enum class process_role { gateway, spare };
 
+/// Part of the machine's memory for each of: bodies of clients' requests, of other nodes' requests,
+/// answers, and jobs.
+inline constexpr std::size_t k_memory_divisor = 4;
+
 struct settings {
   process_role role = process_role::gateway;
   std::string id;
--- a/src/jobs/job_client.cc
+++ b/src/jobs/job_client.cc
@@ -85,6 +85,9 @@
       reply = co_await read_stored(target.lease->resource(), call, std::move(owner_reply));
     }
     if (reply.status == rpc::JobStatus::OUTCOME_UNKNOWN) may_have_taken_effect = true;
+    if (reply.status == rpc::JobStatus::NO_MEMORY && may_have_taken_effect) {
+      reply = outcome_unknown();
+    }
     bool const settled = reply.status != rpc::JobStatus::UNAVAILABLE &&
                          reply.status != rpc::JobStatus::OUTCOME_UNKNOWN;
     if (settled) co_return reply;
--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -99,6 +99,20 @@
   stored = {};
 }
 
+std::size_t size_in_memory(rpc::JobRecordT const& record) {
+  std::size_t bytes = sizeof(record);
+  for (auto const& item : record.items) {
+    bytes += sizeof(*item) + sizeof(sample_entry) + item->id.capacity() + item->path.capacity() +
+             item->group.capacity() + item->body.capacity();
+    for (auto const& field : item->headers) {
+      bytes += sizeof(*field) + field->name.capacity() + field->value.capacity();
+    }
+    if (!item->scorer) continue;
+    bytes += sizeof(*item->scorer) + item->scorer->path.capacity() + item->scorer->body.capacity();
+  }
+  return bytes;
+}
+
 std::uint64_t total_tokens(rpc::JobRecordT const& record) {
   std::uint64_t tokens = 0;
   for (auto const& item : record.items) tokens += item->tokens;
@@ -110,6 +124,7 @@
   if (job) return false;
   job = std::make_unique<job_entry>();
   job->record = std::move(record);
+  job->bytes = size_in_memory(job->record);
   job->accepted_at = now;
   job->sequence = next_sequence_++;
   job->samples.resize(job->record.items.size());
@@ -152,6 +167,12 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+std::size_t job_table::bytes() const {
+  std::size_t bytes = 0;
+  for (auto const& [id, job] : jobs_) bytes += job->bytes;
+  return bytes;
+}
+
 void job_table::restore_results(rpc::ResultBatchT batch) {
   job_entry* const job = find(batch.job);
   if (job == nullptr || batch.first > job->listed.size()) return;
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -97,6 +97,7 @@
 
 struct job_entry {
   rpc::JobRecordT record;
+  std::size_t bytes = 0;
   job_policy policy;
   time_point accepted_at{};
   /// Position in the order of acceptance.
@@ -134,6 +135,9 @@
 /// owner ran; nothing if there are none.
 std::optional<sample_times> last_sample_times(job_entry const& job);
 
+/// Returns the approximate memory that a job takes beside its texts and results, in bytes.
+std::size_t size_in_memory(rpc::JobRecordT const& record);
+
 /// Returns the sum of the submitter's token limits of all items.
 std::uint64_t total_tokens(rpc::JobRecordT const& record);
 
@@ -183,6 +187,8 @@
   void forget(std::string const& id);
 
   job_entry* find(std::string const& id);
+  /// Returns the approximate memory of all jobs beside their texts and results, in bytes.
+  std::size_t bytes() const;
   std::map<std::string, std::unique_ptr<job_entry>>& jobs() { return jobs_; }
 
   /// Returns the samples that may be started, in scheduling order.
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -56,6 +56,9 @@
   std::function<bool()> orders_by_due_time = [] { return false; };
   /// Returns true if runs are admitted by the memory that they hold over time.
   std::function<bool()> plans_memory = [] { return false; };
+  /// Returns true if jobs that take this many bytes may be taken beside those of all pools of this
+  /// node.
+  std::function<bool(std::size_t)> has_memory = [](std::size_t) { return true; };
 };
 
 /// standby -> loading: the lease was acquired.
@@ -80,6 +83,9 @@
   engines::memory_counters const& memory() const { return board_.memory(); }
   record_log const& log() const { return log_; }
   std::size_t jobs() { return table_.jobs().size(); }
+  /// Memory that jobs take, in bytes: the records of those that are known, and what those that are
+  /// being stored take beside.
+  std::size_t job_bytes() const;
   /// Duration of the longest iteration of the owner's loop so far.
   milliseconds longest_iteration() const { return longest_iteration_; }
 
@@ -202,8 +208,8 @@
   progress_sender progress_;
   /// Outcome of writing a job's end mark; null while the write is in flight.
   std::map<std::string, std::shared_ptr<write_outcome const>> end_writes_;
-  /// Jobs whose record is being written.
-  std::map<std::string, bool> submitting_;
+  /// Jobs whose record is being written, with the memory that they take meanwhile, in bytes.
+  std::map<std::string, std::size_t> submitting_;
   /// Jobs submitted in this term that another pool has accepted.
   std::set<std::string> held_elsewhere_;
   /// Jobs whose record the store can't take, until their submitter is answered.
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -13,6 +13,11 @@
 
 constexpr std::string_view k_part = "jobs";
 constexpr milliseconds k_retry_after{250};
+/// Time until memory may be free again: the jobs that hold it take seconds.
+constexpr milliseconds k_memory_retry_after{2000};
+/// Copies of a record while it is written: the submitted one, its encoded form, and that of the
+/// table of jobs.
+constexpr std::size_t k_written_copies = 3;
 constexpr milliseconds k_offer_timeout{1000};
 constexpr milliseconds k_max_list_wait{1000};
 /// A job starts to run if its record is not stored after this time: many times what an available
@@ -29,6 +34,9 @@
   if (status == rpc::JobStatus::UNAVAILABLE) {
     reply.retry_after_ms = static_cast<std::uint64_t>(k_retry_after.count());
   }
+  if (status == rpc::JobStatus::NO_MEMORY) {
+    reply.retry_after_ms = static_cast<std::uint64_t>(k_memory_retry_after.count());
+  }
   return reply;
 }
 
@@ -126,6 +134,7 @@
             {"items", record->items.size()},
             {"desired", record->desired},
             {"ran_ahead_ms", unrecorded_time.count()},
+            {"job_bytes", job_bytes()},
             {"epoch", dependencies_.lease.epoch()}});
   table_.add(std::move(*record), now);
   table_.mark_recorded(id);
@@ -155,11 +164,18 @@
   }
 }
 
+std::size_t pool_owner::job_bytes() const {
+  std::size_t bytes = table_.bytes();
+  for (auto const& [id, written] : submitting_) bytes += written;
+  return bytes;
+}
+
 void pool_owner::begin_submission(rpc::JobRecordT job_record) {
+  std::size_t const written_bytes = k_written_copies * size_in_memory(job_record);
   auto const record = std::make_shared<rpc::JobRecordT>(std::move(job_record));
   std::string const id = record->id;
   std::uint64_t const term = term_;
-  submitting_[id] = true;
+  submitting_[id] = written_bytes;
   held_elsewhere_.erase(id);
   too_large_.erase(id);
   auto const on_done = [this, term, id, record](write_outcome outcome) {
@@ -213,7 +229,15 @@
     co_return reply_with(runs ? rpc::JobStatus::OUTCOME_UNKNOWN : rpc::JobStatus::UNAVAILABLE,
                          "not the owner");
   }
-  if (!submitting_.contains(id)) begin_submission(std::move(*call.record));
+  if (!submitting_.contains(id)) {
+    std::size_t const needed = k_written_copies * size_in_memory(*call.record);
+    if (!runs && !dependencies_.has_memory(needed)) {
+      log_line(log_level::warning, k_part, "Job refused for memory.",
+               {{"job", id}, {"needed", needed}, {"held", job_bytes()}});
+      co_return reply_with(rpc::JobStatus::NO_MEMORY, "other jobs take all memory");
+    }
+    begin_submission(std::move(*call.record));
+  }
   time_point const deadline = boot_clock::now() + milliseconds(call.deadline_ms);
   while (submitting_.contains(id) && boot_clock::now() < deadline) {
     co_await written_.wait_until(deadline);
--- a/src/schema/frostline_generated.h
+++ b/src/schema/frostline_generated.h
@@ -543,37 +543,40 @@
   OUTCOME_UNKNOWN = 3,
   INVALID = 4,
   READ_RECORDS = 5,
+  NO_MEMORY = 6,
   MIN = OK,
-  MAX = READ_RECORDS
+  MAX = NO_MEMORY
 };
 
-inline const JobStatus (&EnumValuesJobStatus())[6] {
+inline const JobStatus (&EnumValuesJobStatus())[7] {
   static const JobStatus values[] = {
     JobStatus::OK,
     JobStatus::UNKNOWN_JOB,
     JobStatus::UNAVAILABLE,
     JobStatus::OUTCOME_UNKNOWN,
     JobStatus::INVALID,
-    JobStatus::READ_RECORDS
+    JobStatus::READ_RECORDS,
+    JobStatus::NO_MEMORY
   };
   return values;
 }
 
 inline const char * const *EnumNamesJobStatus() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "OK",
     "UNKNOWN_JOB",
     "UNAVAILABLE",
     "OUTCOME_UNKNOWN",
     "INVALID",
     "READ_RECORDS",
+    "NO_MEMORY",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameJobStatus(JobStatus e) {
-  if (flatbuffers::IsOutRange(e, JobStatus::OK, JobStatus::READ_RECORDS)) return "";
+  if (flatbuffers::IsOutRange(e, JobStatus::OK, JobStatus::NO_MEMORY)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesJobStatus()[index];
 }
@@ -7181,6 +7184,7 @@
 };
 
 /// READ_RECORDS: the job changes no more and its owner is busy, or has not read its data; the asking node reads the stored results itself.
+/// NO_MEMORY: SUBMIT: other jobs take all memory of the owner; no part of the job runs.
 struct JobReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef JobReplyT NativeTableType;
   typedef JobReplyBuilder Builder;
@@ -7203,7 +7207,7 @@
   const flatbuffers::String *detail() const {
     return GetPointer<const flatbuffers::String *>(VT_DETAIL);
   }
-  /// UNAVAILABLE: when to come back.
+  /// UNAVAILABLE and NO_MEMORY: when to come back.
   uint64_t retry_after_ms() const {
     return GetField<uint64_t>(VT_RETRY_AFTER_MS, 0);
   }
--- a/src/schema/schema_text_generated.h
+++ b/src/schema/schema_text_generated.h
@@ -506,12 +506,13 @@
   /// Tenant that the caller's key proves; absent if it needed none.
   tenant:string;
 }
-enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4, READ_RECORDS = 5 }
+enum JobStatus : byte { OK = 0, UNKNOWN_JOB = 1, UNAVAILABLE = 2, OUTCOME_UNKNOWN = 3, INVALID = 4, READ_RECORDS = 5, NO_MEMORY = 6 }
 /// READ_RECORDS: the job changes no more and its owner is busy, or has not read its data; the asking node reads the stored results itself.
+/// NO_MEMORY: SUBMIT: other jobs take all memory of the owner; no part of the job runs.
 table JobReply {
   status:JobStatus;
   detail:string;
-  /// UNAVAILABLE: when to come back.
+  /// UNAVAILABLE and NO_MEMORY: when to come back.
   retry_after_ms:uint64;
   /// LIST: items of the job.
   total:uint64;
