--- a/src/quarantine/quarantine_list.cc
+++ b/src/quarantine/quarantine_list.cc
@@ -43,9 +43,10 @@
 time_point quarantine_list::effective_time(quarantine_entry const& entry, time_point now,
                                            discovery discovered) {
   if (entry.is_provisional) return now;
-  // A trial is claimed only of a record that is in effect, so no answer is on its way any more.
-  if (!entry.is_suspicion) return entry.trials > 0 ? now : now + k_effect_delay;
-  return discovered == discovery::at_start ? now + k_suspicion_effect_delay : time_point::max();
+  bool const at_start = discovered == discovery::at_start;
+  // A node that starts has run nothing that could clear a record in effect elsewhere.
+  if (!entry.is_suspicion) return at_start && entry.trials > 0 ? now : now + k_effect_delay;
+  return at_start ? now + k_suspicion_effect_delay : time_point::max();
 }
 
 bool quarantine_list::put(quarantine_entry entry, time_point now, discovery discovered) {
--- a/src/quarantine/quarantine_list.h
+++ b/src/quarantine/quarantine_list.h
@@ -4,7 +4,7 @@
 /// A full record takes effect on this node `k_effect_delay` after the node has received it. From
 /// then on the node refuses the request, except for trials. During the delay, a node where a server
 /// answers the request can remove the record. A record of which a trial has been claimed is in
-/// effect elsewhere, and takes effect at once on a node that finds it.
+/// effect elsewhere, and takes effect at once on a node that finds it when it starts.
 ///
 /// A record is removed from the store if a server answers the request, in a trial or otherwise. If
 /// there are more than `k_max_entries` records, the least recently changed one is removed. An
--- a/tests/unit/quarantine/quarantine_list_test.cc
+++ b/tests/unit/quarantine/quarantine_list_test.cc
@@ -73,11 +73,22 @@
 
 // Guards against a node that has just started and runs a request whose quarantine other nodes have
 // tried already.
-TEST(quarantine_list_test, record_with_a_claimed_trial_takes_effect_at_once) {
-  put(6, 1, start);
+TEST(quarantine_list_test, tried_record_found_at_startup_takes_effect_at_once) {
+  list.put({request, 6, {"s1", "s2", "s3"}, 1}, start, discovery::at_start);
   CHECK(is(verdict::refused, start));
 }
 
+// Guards against a record that leaves running nodes no time to clear the request by an answer.
+TEST(quarantine_list_test, tried_record_received_later_takes_effect_after_the_delay) {
+  put(6, 1, start);
+  CHECK(is(verdict::allowed, start + quarantine_list::k_effect_delay - milliseconds(1)));
+}
+
+TEST(quarantine_list_test, untried_record_found_at_startup_takes_effect_after_the_delay) {
+  list.put({request, 6, {"s1", "s2", "s3"}, 0}, start, discovery::at_start);
+  CHECK(is(verdict::allowed, start + quarantine_list::k_effect_delay - milliseconds(1)));
+}
+
 TEST(quarantine_list_test, older_revision_changes_nothing) {
   CHECK(put(6, 1, start));
   CHECK(!put(5, 0, start));
