relay_test: waits until relays have left the store for the owner

Traced by its logs: the relay of zone 0 had polled the owner 73 ms after this had become owner, got "not authoritative for SERVERS", and followed the store itself for the 1.5 s that it waits then; the test changed the servers within that time, before the relay had left. This is allowed: the test means relays that follow the owner, and did not wait for that. The test was wrong to take the end of settle() for it. It now makes changes until the store holds one watch of servers/ only, the owner's, and then asks for the same as before; a relay that never leaves the store makes the wait time out.

--- a/tests/platform/relay_test.cc
+++ b/tests/platform/relay_test.cc
@@ -52,6 +52,20 @@
     });
   }
 
+  /// Waits until only the owner watches the servers' records. A relay whose owner had just started
+  /// follows the store as well for a while, and its watch lasts until the next change.
+  void wait_until_relays_follow_the_owner() {
+    constexpr int settled_looks = 20;
+    int looks = 0;
+    platform_cluster::wait_until("only the owner watches the servers", [&] {
+      std::size_t const waiting =
+          system.on_platform([&] { return system.store().waiting_watches("servers/"); });
+      looks = waiting == 1 ? looks + 1 : 0;
+      if (waiting > 1) drain(0);
+      return looks >= settled_looks;
+    });
+  }
+
   bool all_logs_contain(std::string const& text, std::vector<std::size_t> const& but = {}) {
     for (std::size_t node = 0; node < system.nodes(); ++node) {
       if (std::find(but.begin(), but.end(), node) != but.end()) continue;
@@ -109,6 +123,7 @@
                                [&] { return all_logs_contain(in_force(3)); });
   // The owner sees the change below the operators' prefix.
   LONGS_EQUAL(before + 2, answered_watches("op/config"));
+  wait_until_relays_follow_the_owner();
   std::uint64_t const servers_before = answered_watches("servers/");
   withdraw(0);
   platform_cluster::wait_until("all know that it is gone",
