--- a/src/gateway/settings.cc
+++ b/src/gateway/settings.cc
@@ -43,7 +43,9 @@
 reader number(double minimum, double maximum, std::function<void(settings&, double)> apply) {
   return [=](toml::node const& value, settings& into) -> std::string {
     auto const parsed_value = value.value<double>();
-    if (!parsed_value || *parsed_value < minimum || *parsed_value > maximum) {
+    // A number that is none ("nan") is not in any range.
+    bool const is_valid = parsed_value && *parsed_value >= minimum && *parsed_value <= maximum;
+    if (!is_valid) {
       std::ostringstream reason;
       reason << "must be a number from " << minimum << " to " << maximum;
       return reason.str();
--- a/src/http/listener.cc
+++ b/src/http/listener.cc
@@ -60,7 +60,7 @@
   while (acceptor_.is_open()) {
     auto [failure, socket] = co_await acceptor_.async_accept(k_as_tuple);
     if (!failure) {
-      on_connection_(std::move(socket));
+      take(std::move(socket));
       continue;
     }
     if (failure == asio::error::operation_aborted) co_return;
@@ -69,6 +69,15 @@
   }
 }
 
+void listener::take(tcp::socket socket) {
+  try {
+    on_connection_(std::move(socket));
+  } catch (...) {
+    // The connection is closed; the others go on.
+    log_unhandled_exception(std::current_exception());
+  }
+}
+
 /// Accepts all connections that the kernel has established.
 void listener::accept_established() {
   boost::system::error_code failure;
@@ -76,7 +85,7 @@
   while (!failure) {
     tcp::socket socket(context_);
     acceptor_.accept(socket, failure);
-    if (!failure) on_connection_(std::move(socket));
+    if (!failure) take(std::move(socket));
   }
   if (failure == asio::error::would_block) return;
   log_line(log_level::warning, component_, "Accept failed.", {{"error", failure.message()}});
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -47,6 +47,8 @@
  private:
   awaitable<void> accept_loop();
   void accept_established();
+  /// Hands a connection to the owner, or closes it if that fails.
+  void take(tcp::socket socket);
   bool ignore_new_handshakes();
 
   asio::io_context& context_;
--- a/src/jobs/job_check.cc
+++ b/src/jobs/job_check.cc
@@ -24,6 +24,8 @@
 }
 
 std::string find_fault(rpc::JobRecordT const& job) {
+  if (!http::is_field_value(job.host)) return "host can't be sent in a header";
+  if (!http::is_field_value(job.tenant)) return "tenant can't be sent in a header";
   for (std::size_t place = 0; place < job.items.size(); ++place) {
     std::string const fault = find_fault(*job.items[place]);
     if (!fault.empty()) return "item " + std::to_string(place) + ": " + fault;
--- a/src/rollout/service.cc
+++ b/src/rollout/service.cc
@@ -1,6 +1,7 @@
 #include "rollout/service.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "base/log.h"
 #include "rpc/client.h"
@@ -93,7 +94,12 @@
     if (epoch == 0 || current) continue;
     if (existing != owners_.end()) existing->second->stop();
     auto const slash = name.rfind('/');
-    auto const shard = static_cast<std::uint32_t>(std::stoul(name.substr(slash + 1)));
+    std::uint32_t shard = 0;
+    // A key that names no shard was not written by a node.
+    if (slash == std::string::npos) continue;
+    auto const [end, error] =
+        std::from_chars(name.data() + slash + 1, name.data() + name.size(), shard);
+    if (error != std::errc() || end != name.data() + name.size()) continue;
     auto owner = std::make_shared<shard_owner>(dependencies_, name.substr(0, slash), shard, epoch);
     owners_[name] = owner;
     owner->start();
--- a/tests/unit/gateway/gateway_settings_test.cc
+++ b/tests/unit/gateway/gateway_settings_test.cc
@@ -73,3 +73,10 @@
   STRCMP_EQUAL("balancing.slow_servers", errors[0].key.c_str());
   STRCMP_EQUAL("must be auto, on or off", errors[0].reason.c_str());
 }
+
+// Guards against times and sizes that are no number.
+TEST(gateway_settings_test, value_that_is_not_a_number_is_invalid) {
+  std::string const good = k_good;
+  auto const errors = read(good + "[limits]\nmemory_mb = nan\nconnections = -nan\n");
+  LONGS_EQUAL(2, errors.size());
+}
