--- a/src/calls/answer_memory.h
+++ b/src/calls/answer_memory.h
@@ -9,8 +9,9 @@
 /// Largest memory that answers may take up together, and so the limit of a single one.
 inline constexpr std::size_t k_max_answer_bytes = 64 * 1024 * 1024;
 
-/// While all answers together exceed the limit, those of at least average size are given up: an
-/// answer without end, which a faulty server may send, does not cost the others theirs.
+/// While all answers together exceed the limit, those that grow beyond an equal share of it are
+/// given up: an answer without end, which a faulty server may send, does not cost the others
+/// theirs.
 class answer_memory {
  public:
   explicit answer_memory(std::size_t limit_bytes = k_max_answer_bytes)
--- a/src/calls/ingress.cc
+++ b/src/calls/ingress.cc
@@ -202,26 +202,30 @@
   http::set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
   bool const arrived = co_await connections_.wait_for_request(client->peer(), limits_.idle_timeout);
   if (!arrived) co_return false;
-  http::request_memory::reservation body_memory(memory_, [&client] { client->stream().cancel(); });
+  std::optional<http::request_memory::reservation> reserved(
+      std::in_place, memory_, [&client] { client->stream().cancel(); });
   client->stream().expires_after(limits_.header_timeout);
-  beast::error_code failure = co_await http::read_head(client->peer(), *parser, body_memory);
+  beast::error_code failure = co_await http::read_head(client->peer(), *parser, *reserved);
   if (!failure && http::header(parser->get(), "Expect") == "100-continue") {
     bhttp::response<bhttp::empty_body> continue_response(http::status::continue_, 11);
     co_await bhttp::async_write(client->stream(), continue_response, k_as_tuple);
   }
-  if (!failure && !parser->is_done()) {
+  if (!failure) {
     client->stream().expires_after(k_body_timeout);
-    failure = co_await http::read_body(client->peer(), *parser, body_memory);
+    failure = co_await http::read_body(client->peer(), *parser, *reserved);
   }
-  if (body_memory.is_refused()) {
+  bool const is_refused = reserved->is_refused();
+  if (failure || is_refused) {
     parser.reset();
+    reserved.reset();
+  }
+  if (is_refused) {
     log_line(log_level::warning, k_part, "Request refused for memory.",
              {{"held", memory_.held()}, {"capacity", memory_.capacity()}});
     co_await refuse(*client, failure_response(call_failure::no_memory));
     co_return false;
   }
   if (failure) {
-    parser.reset();
     if (http::connection_set::is_evicted(client->peer(), failure)) {
       co_await connections_.close_unused(client->peer());
     }
@@ -255,6 +259,7 @@
 
 awaitable<void> ingress::refuse(connection& client, http::response refusal) {
   client.begin_refusal();
+  connections_.begin_closing(client.peer());
   co_await client.answer(std::move(refusal));
   co_await connections_.linger(client.peer());
 }
--- a/src/http/connection_set.cc
+++ b/src/http/connection_set.cc
@@ -65,7 +65,7 @@
   served_connection* oldest = nullptr;
   for (auto const& peer : connections_) {
     bool const counts = std::find(phases.begin(), phases.end(), peer->phase) != phases.end();
-    bool const ends = peer->ends_when_unused && peer->phase != connection_phase::closing;
+    bool const ends = peer->ends_when_unused && peer->waits_for_request();
     if (!counts || ends || !peer->stream.socket().is_open()) continue;
     if (oldest == nullptr || peer->since < oldest->since) oldest = peer.get();
   }
@@ -76,7 +76,11 @@
   if (size() < limit) return true;
   served_connection* unused =
       find_oldest({connection_phase::first_request, connection_phase::next_request});
-  if (unused == nullptr) unused = find_oldest({connection_phase::reading});
+  // The request of a client that has just connected may be on its way.
+  if (unused == nullptr || boot_clock::now() - unused->since < k_first_request_time) {
+    served_connection* const unfinished = find_oldest({connection_phase::reading});
+    if (unfinished != nullptr) unused = unfinished;
+  }
   if (unused == nullptr) return false;
   ++evicted_;
   unused->ends_when_unused = true;
@@ -134,8 +138,13 @@
   if (has_crossed) ++report_.crossed;
 }
 
-awaitable<void> connection_set::linger(served_connection& peer) {
+void connection_set::begin_closing(served_connection& peer) {
   enter(peer, connection_phase::closing);
+  peer.buffer.clear();
+  peer.buffer.shrink_to_fit();
+}
+
+awaitable<void> connection_set::linger(served_connection& peer) {
   peer.stream.expires_after(k_linger_time);
   beast::error_code ignored;
   peer.stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/http/connection_set.h
+++ b/src/http/connection_set.h
@@ -85,8 +85,9 @@
   void enter(served_connection& peer, connection_phase phase);
 
   /// Makes room for a new connection. At the limit, the connection that has waited longest for a
-  /// request is closed with status 408; if none waits, the one that has been reading a request for
-  /// longest. A quarter of the limit more may be open while such connections end.
+  /// request is closed with status 408; if none has waited for a while, the one that has been
+  /// reading a request for longest. A quarter of the limit more may be open while such connections
+  /// end.
   /// @return false if all connections have a whole request or end already.
   bool make_room(std::size_t limit);
   /// Number of connections closed to make room.
@@ -103,6 +104,10 @@
   /// Closes a connection with status 408, unless its client has closed it.
   awaitable<void> close_unused(served_connection& peer);
 
+  /// Frees the buffer of a connection whose request is refused; the refusal is the last answer on
+  /// it.
+  void begin_closing(served_connection& peer);
+
   /// Ends the sending side and discards what the client still sends, until it closes the connection
   /// or a short time has passed. Closing at once would reset the connection, and the client might
   /// not read the answer.
@@ -118,8 +123,8 @@
 
  private:
   static std::size_t index_of(connection_phase phase) { return static_cast<std::size_t>(phase); }
-  /// Returns the open connection that has been in one of these phases for longest and was not told
-  /// to end; null if there is none.
+  /// Returns the open connection that has been in one of these phases for longest, but none that
+  /// waits and was told to end; null if there is none.
   served_connection* find_oldest(std::initializer_list<connection_phase> phases) const;
   /// Closes a connection that was told to end, before its client has read why.
   void abort_oldest_closing();
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -15,6 +15,10 @@
 static_assert(k_max_header_bytes < k_max_unparsed_bytes);
 static_assert(k_idle_buffer_bytes <= request_memory::k_uncounted_bytes);
 
+/// Most fields of a head and a trailer together. Each takes many times as much memory as it has
+/// bytes if these are few.
+inline constexpr std::size_t k_max_fields = 256;
+
 /// Sets the limits of a new parser. A body that `memory` can never hold is over the limit.
 void set_limits(request_parser& parser, std::size_t header_bytes, std::size_t body_bytes,
                 request_memory const& memory);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -55,13 +55,15 @@
 
 class chunked_writer final : public stream_writer {
  public:
-  explicit chunked_writer(beast::tcp_stream& stream) : stream_(stream) {}
+  /// @param timeout longest time to write the head or a chunk.
+  chunked_writer(beast::tcp_stream& stream, milliseconds timeout)
+      : stream_(stream), timeout_(timeout) {}
 
   awaitable<bool> begin(response head) override {
     bhttp::response<bhttp::empty_body> empty(head.base());
     empty.chunked(true);
     bhttp::response_serializer<bhttp::empty_body> serializer(empty);
-    stream_.expires_never();
+    stream_.expires_after(timeout_);
     auto [failure, sent] = co_await bhttp::async_write_header(stream_, serializer, k_as_tuple);
     co_return !failure;
   }
@@ -69,6 +71,7 @@
   awaitable<bool> write(std::string chunk) override {
     auto const body = asio::buffer(chunk);
     auto const encoded = bhttp::make_chunk(body);
+    stream_.expires_after(timeout_);
     auto [failure, sent] = co_await asio::async_write(stream_, encoded, k_as_tuple);
     co_return !failure;
   }
@@ -76,6 +79,7 @@
   awaitable<bool> finish() override {
     finished_ = true;
     auto const last = bhttp::make_chunk_last();
+    stream_.expires_after(timeout_);
     auto [failure, sent] = co_await asio::async_write(stream_, last, k_as_tuple);
     co_return !failure;
   }
@@ -93,6 +97,7 @@
 
  private:
   beast::tcp_stream& stream_;
+  milliseconds timeout_;
   bool finished_ = false;
 };
 
@@ -154,18 +159,22 @@
   if (!arrived) co_return false;
   std::optional<request_parser> parser(std::in_place);
   set_limits(*parser, limits_.header_bytes, limits_.body_bytes, memory_);
-  request_memory::reservation body_memory(memory_, [&peer] { peer.stream.cancel(); });
+  std::optional<request_memory::reservation> reserved(std::in_place, memory_,
+                                                      [&peer] { peer.stream.cancel(); });
   peer.stream.expires_after(limits_.read_timeout);
-  beast::error_code failure = co_await read_head(peer, *parser, body_memory);
-  if (!failure) failure = co_await read_body(peer, *parser, body_memory);
-  if (body_memory.is_refused()) {
+  beast::error_code failure = co_await read_head(peer, *parser, *reserved);
+  if (!failure) failure = co_await read_body(peer, *parser, *reserved);
+  bool const is_refused = reserved->is_refused();
+  if (failure || is_refused) {
     parser.reset();
+    reserved.reset();
+  }
+  if (is_refused) {
     log_line(log_level::warning, k_part, "Request refused for memory.", {{"held", memory_.held()}});
     co_await refuse(peer, make_memory_refusal());
     co_return false;
   }
   if (failure) {
-    parser.reset();
     if (connection_set::is_evicted(peer, failure)) co_await connections_.close_unused(peer);
     if (is_disconnect(failure)) co_return false;
     co_await refuse(
@@ -182,7 +191,7 @@
 }
 
 awaitable<void> server::refuse(served_connection& peer, response refusal) {
-  peer.stream.expires_after(limits_.read_timeout);
+  connections_.begin_closing(peer);
   co_await send(peer, std::move(refusal), false, 11);
   co_await connections_.linger(peer);
 }
@@ -192,7 +201,7 @@
   bool const head_only = message.method() == verb::head;
   unsigned const version = message.version();
   if (on_stream_) {
-    chunked_writer writer(peer.stream);
+    chunked_writer writer(peer.stream, limits_.read_timeout);
     bool const streamed = co_await on_stream_(message, writer);
     if (streamed) co_return writer.finished() && wants_keep_alive && !draining_;
   }
@@ -215,6 +224,7 @@
   answer.version(version);
   answer.keep_alive(keep_alive);
   answer.prepare_payload();
+  peer.stream.expires_after(limits_.read_timeout);
   auto [failure, count] = co_await bhttp::async_write(peer.stream, answer, k_as_tuple);
   co_return !failure && keep_alive;
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -21,7 +21,8 @@
   /// Memory that the bodies of all requests take at once; a larger body is over the limit. 0: that
   /// of eight bodies of the largest size.
   std::size_t request_memory_bytes = 0;
-  /// Longest time from the first byte of a request to its last.
+  /// Longest time from the first byte of a request to its last, and to write an answer, or a chunk
+  /// of one.
   milliseconds read_timeout{10'000};
   /// Longest time that an idle connection is kept open.
   milliseconds idle_timeout{60'000};
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -230,7 +230,7 @@
                          "not the owner");
   }
   if (!submitting_.contains(id)) {
-    std::size_t const needed = k_written_copies * size_in_memory(*call.record);
+    std::size_t const needed = size_in_memory(*call.record);
     if (!runs && !dependencies_.has_memory(needed)) {
       log_line(log_level::warning, k_part, "Job refused for memory.",
                {{"job", id}, {"needed", needed}, {"held", job_bytes()}});
