--- a/src/jobs/job_table.cc
+++ b/src/jobs/job_table.cc
@@ -167,9 +167,9 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
-std::size_t job_table::bytes() const {
+std::size_t job_table::open_bytes() const {
   std::size_t bytes = 0;
-  for (auto const& [id, job] : jobs_) bytes += job->bytes;
+  for (auto const& [id, job] : jobs_) bytes += job->ended ? 0 : job->bytes;
   return bytes;
 }
 
--- a/src/jobs/job_table.h
+++ b/src/jobs/job_table.h
@@ -187,8 +187,9 @@
   void forget(std::string const& id);
 
   job_entry* find(std::string const& id);
-  /// Returns the approximate memory of all jobs beside their texts and results, in bytes.
-  std::size_t bytes() const;
+  /// Returns the approximate memory of the jobs that have not ended, beside their texts and
+  /// results, in bytes.
+  std::size_t open_bytes() const;
   std::map<std::string, std::unique_ptr<job_entry>>& jobs() { return jobs_; }
 
   /// Returns the samples that may be started, in scheduling order.
--- a/src/jobs/pool_owner.h
+++ b/src/jobs/pool_owner.h
@@ -83,8 +83,8 @@
   engines::memory_counters const& memory() const { return board_.memory(); }
   record_log const& log() const { return log_; }
   std::size_t jobs() { return table_.jobs().size(); }
-  /// Memory that jobs take, in bytes: the records of those that are known, and what those that are
-  /// being stored take beside.
+  /// Memory that jobs take until they end, in bytes: the records of those that are known, and what
+  /// those that are being stored take beside.
   std::size_t job_bytes() const;
   /// Duration of the longest iteration of the owner's loop so far.
   milliseconds longest_iteration() const { return longest_iteration_; }
--- a/src/jobs/pool_owner_calls.cc
+++ b/src/jobs/pool_owner_calls.cc
@@ -165,7 +165,7 @@
 }
 
 std::size_t pool_owner::job_bytes() const {
-  std::size_t bytes = table_.bytes();
+  std::size_t bytes = table_.open_bytes();
   for (auto const& [id, written] : submitting_) bytes += written;
   return bytes;
 }
--- a/tests/unit/jobs/job_table_test.cc
+++ b/tests/unit/jobs/job_table_test.cc
@@ -62,6 +62,16 @@
   LONGS_EQUAL(2, table.find("job")->samples.size());
 }
 
+// Guards against jobs that are refused for the memory of those that have ended, which are kept for
+// minutes.
+TEST(job_table_test, memory_of_ended_jobs_is_not_counted) {
+  LONGS_EQUAL(0, table.open_bytes());
+  add("job", 2, 1);
+  CHECK(table.open_bytes() > 0);
+  table.end("job");
+  LONGS_EQUAL(0, table.open_bytes());
+}
+
 TEST(job_table_test, samples_are_ordered_by_route_priority_job_age_and_expected_length) {
   job_entry& first = add("first", 2, 1);
   job_entry& second = add("second", 2, 1);
